--- /dev/null
+++ b/object/object.go
@@ -0,0 +1,107 @@
+// Package object defines the named objects that operators declare, their
+// canonical encoding and the validation of a whole set.
+package object
+
+import (
+	"encoding/json"
+
+	"siskingw/faults"
+)
+
+// Kind is the type of an object.
+type Kind string
+
+// The kinds of objects.
+const (
+	KindService     Kind = "Service"
+	KindRoute       Kind = "Route"
+	KindEndpointSet Kind = "EndpointSet"
+	KindPolicy      Kind = "Policy"
+)
+
+// Key identifies an object within a set.
+type Key struct {
+	Kind Kind   `json:"kind"`
+	Name string `json:"name"`
+}
+
+// String returns the key as kind/name.
+func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
+
+// Object is one declared object. Exactly the spec that matches Kind is set.
+// Objects in a snapshot are immutable.
+type Object struct {
+	Kind     Kind   `json:"kind"`
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision,omitempty"` // configuration version that last changed the object
+	Author   string `json:"author,omitempty"`   // operator who last changed the object
+
+	Service     *ServiceSpec     `json:"service,omitempty"`
+	Route       *RouteSpec       `json:"route,omitempty"`
+	EndpointSet *EndpointSetSpec `json:"endpointSet,omitempty"`
+	Policy      *PolicySpec      `json:"policy,omitempty"`
+}
+
+// Key returns the identity of the object.
+func (o *Object) Key() Key { return Key{Kind: o.Kind, Name: o.Name} }
+
+// ServiceSpec names the endpoints and the policy of a service.
+type ServiceSpec struct {
+	EndpointSet string `json:"endpointSet"`
+	Policy      string `json:"policy,omitempty"`
+	Protocol    string `json:"protocol,omitempty"` // only "http"
+}
+
+// WorkKind classifies calls; gates keep the kinds apart.
+type WorkKind string
+
+// The kinds of work from the most to the least important.
+const (
+	WorkBid    WorkKind = "bid"
+	WorkUpload WorkKind = "upload"
+	WorkPage   WorkKind = "page"
+)
+
+// RouteSpec maps requests to a service.
+type RouteSpec struct {
+	Host       string   `json:"host,omitempty"` // exact; empty matches every host
+	PathPrefix string   `json:"pathPrefix"`
+	Service    string   `json:"service"`
+	Policy     string   `json:"policy,omitempty"`
+	Kind       WorkKind `json:"kind,omitempty"`     // default page
+	Fallback   string   `json:"fallback,omitempty"` // route used when the service has no reachable endpoint
+}
+
+// EndpointSetSpec selects announced targets.
+type EndpointSetSpec struct {
+	Announce string `json:"announce"`           // the service name that targets announce
+	MinReady int    `json:"minReady,omitempty"` // no target is ejected below this count
+}
+
+// PolicySpec limits calls. Zero values mean the defaults of the proxy.
+type PolicySpec struct {
+	TimeoutMs          int           `json:"timeoutMs,omitempty"`
+	Retries            int           `json:"retries,omitempty"`
+	IdempotentMethods  []string      `json:"idempotentMethods,omitempty"`
+	RetryBudgetPercent int           `json:"retryBudgetPercent,omitempty"`
+	QueueLength        int           `json:"queueLength,omitempty"`
+	QueueTimeoutMs     int           `json:"queueTimeoutMs,omitempty"`
+	MaxBodyBytes       int64         `json:"maxBodyBytes,omitempty"`
+	Ejection           *EjectionSpec `json:"ejection,omitempty"`
+}
+
+// EjectionSpec sets when a failing target is left out and for how long.
+type EjectionSpec struct {
+	ConsecutiveFailures int `json:"consecutiveFailures,omitempty"`
+	BaseMs              int `json:"baseMs,omitempty"`
+	MaxPercent          int `json:"maxPercent,omitempty"`
+}
+
+// Canonical returns the canonical JSON encoding: struct order, no white space.
+func (o *Object) Canonical() ([]byte, error) {
+	b, err := json.Marshal(o)
+	if err != nil {
+		return nil, faults.Internal.Wrap(err, "object %s cannot be encoded", o.Key())
+	}
+	return b, nil
+}
--- /dev/null
+++ b/snapshot/codec.go
@@ -0,0 +1,127 @@
+package snapshot
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+
+	"github.com/klauspost/compress/zstd"
+
+	"siskingw/faults"
+	"siskingw/object"
+)
+
+// maxDecodedBytes bounds what a compressed message may expand to.
+const maxDecodedBytes = 64 << 20
+
+var (
+	encoder, _ = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
+	decoder, _ = zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(maxDecodedBytes), zstd.WithDecoderLowmem(true))
+)
+
+// Compress returns b compressed with zstd.
+func Compress(b []byte) []byte { return encoder.EncodeAll(b, nil) }
+
+// Decompress returns the content of b, or a Corrupt error.
+func Decompress(b []byte) ([]byte, error) {
+	out, err := decoder.DecodeAll(b, nil)
+	if err != nil {
+		return nil, faults.Corrupt.Wrap(err, "content cannot be decompressed")
+	}
+	return out, nil
+}
+
+// EncodeDelta returns the compressed encoding of d.
+func EncodeDelta(d *Delta) ([]byte, error) {
+	b, err := json.Marshal(d)
+	if err != nil {
+		return nil, faults.Internal.Wrap(err, "delta to version %d cannot be encoded", d.Version)
+	}
+	return Compress(b), nil
+}
+
+// DecodeDelta reads what EncodeDelta wrote. It returns a Corrupt error for
+// anything else.
+func DecodeDelta(b []byte) (*Delta, error) {
+	raw, err := Decompress(b)
+	if err != nil {
+		return nil, err
+	}
+	d := new(Delta)
+	if err := json.Unmarshal(raw, d); err != nil {
+		return nil, faults.Corrupt.Wrap(err, "delta cannot be decoded")
+	}
+	return d, nil
+}
+
+// Encode returns the compressed encoding of the whole snapshot: the version,
+// the digest and the content of every shard in order.
+func (s *Snapshot) Encode() []byte {
+	raw := binary.BigEndian.AppendUint64(nil, s.version)
+	raw = append(raw, s.digest[:]...)
+	for _, sh := range s.shards {
+		raw = binary.AppendUvarint(raw, uint64(len(sh.content)))
+		raw = append(raw, sh.content...)
+	}
+	return Compress(raw)
+}
+
+// Decode reads what Encode wrote and checks the digest and every reference.
+// It returns a Corrupt or Dangling error and never a partial snapshot.
+func Decode(b []byte) (*Snapshot, error) {
+	raw, err := Decompress(b)
+	if err != nil {
+		return nil, err
+	}
+	const headerBytes = 8 + len(Digest{})
+	if len(raw) < headerBytes {
+		return nil, faults.Corrupt.New("snapshot is cut off after %d bytes", len(raw))
+	}
+	version := binary.BigEndian.Uint64(raw)
+	want := Digest(raw[8:headerBytes])
+	raw = raw[headerBytes:]
+	var contents [ShardCount][]byte
+	for i := range contents {
+		n, used := binary.Uvarint(raw)
+		if used <= 0 || n > uint64(len(raw)-used) {
+			return nil, faults.Corrupt.New("shard %d is cut off", i)
+		}
+		contents[i] = raw[used : used+int(n)]
+		raw = raw[used+int(n):]
+	}
+	return FromShards(version, want, contents)
+}
+
+// FromShards builds a snapshot from the canonical content of its shards and
+// checks the digest and every reference.
+func FromShards(version uint64, want Digest, contents [ShardCount][]byte) (*Snapshot, error) {
+	var all []*object.Object
+	for i, content := range contents {
+		objects, err := decodeShard(i, content)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, objects...)
+	}
+	s, err := New(version, all)
+	if err != nil {
+		return nil, err
+	}
+	if s.digest != want {
+		return nil, faults.Corrupt.New("version %d has digest %s, want %s", version, s.digest, want)
+	}
+	return s, nil
+}
+
+// decodeShard reads one shard's lines.
+func decodeShard(i int, content []byte) ([]*object.Object, error) {
+	var objects []*object.Object
+	for line := range bytes.Lines(content) {
+		o := new(object.Object)
+		if err := json.Unmarshal(line, o); err != nil {
+			return nil, faults.Corrupt.Wrap(err, "shard %d cannot be decoded", i)
+		}
+		objects = append(objects, o)
+	}
+	return objects, nil
+}
--- /dev/null
+++ b/snapshot/current.go
@@ -0,0 +1,50 @@
+package snapshot
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"siskingw/faults"
+)
+
+// Current holds the snapshot in force on a node. Readers load one pointer and
+// keep that snapshot for as long as they need it.
+type Current struct {
+	mu        sync.Mutex // serializes Advance
+	snap      atomic.Pointer[Snapshot]
+	listeners []func(*Snapshot)
+}
+
+// Load returns the snapshot in force, or nil before the first one.
+func (c *Current) Load() *Snapshot { return c.snap.Load() }
+
+// Version returns the version in force, or 0 before the first one.
+func (c *Current) Version() uint64 {
+	if s := c.snap.Load(); s != nil {
+		return s.version
+	}
+	return 0
+}
+
+// OnAdvance registers f, which is called after each advance in order of
+// version. It must return quickly and be registered before the first Advance.
+func (c *Current) OnAdvance(f func(*Snapshot)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listeners = append(c.listeners, f)
+}
+
+// Advance puts next in force. It returns a Stale error, and changes nothing,
+// unless next has a higher version than the snapshot in force.
+func (c *Current) Advance(next *Snapshot) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now := c.snap.Load(); now != nil && next.version <= now.version {
+		return faults.Stale.New("version %d is in force, version %d is not newer", now.version, next.version)
+	}
+	c.snap.Store(next)
+	for _, f := range c.listeners {
+		f(next)
+	}
+	return nil
+}
--- /dev/null
+++ b/snapshot/snapshot.go
@@ -0,0 +1,187 @@
+// Package snapshot holds the immutable, versioned set of objects that a node
+// puts in force, the deltas between versions and their digests.
+package snapshot
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"siskingw/faults"
+	"siskingw/object"
+)
+
+// ShardCount is the number of shards of a snapshot. It is part of the digest
+// and must not change between releases.
+const ShardCount = 64
+
+// Digest is a SHA-256 digest.
+type Digest [sha256.Size]byte
+
+// String returns the digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// MarshalText encodes the digest in hexadecimal.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText decodes a digest in hexadecimal.
+func (d *Digest) UnmarshalText(b []byte) error {
+	parsed, err := ParseDigest(string(b))
+	if err != nil {
+		return err
+	}
+	*d = parsed
+	return nil
+}
+
+// ParseDigest reads a digest from hexadecimal.
+func ParseDigest(s string) (Digest, error) {
+	var d Digest
+	b, err := hex.DecodeString(s)
+	if err != nil || len(b) != len(d) {
+		return d, faults.Corrupt.New("%q is not a digest", s)
+	}
+	copy(d[:], b)
+	return d, nil
+}
+
+// ShardOf returns the shard that holds the key.
+func ShardOf(k object.Key) int {
+	return int(xxhash.Sum64String(k.String()) % ShardCount)
+}
+
+// shard is an immutable group of objects, sorted by key.
+type shard struct {
+	objects []*object.Object
+	content []byte // canonical JSON, one object a line
+	digest  Digest
+}
+
+// newShard encodes objects, which must be sorted by key.
+func newShard(objects []*object.Object) (*shard, error) {
+	s := &shard{objects: objects}
+	for _, o := range objects {
+		line, err := o.Canonical()
+		if err != nil {
+			return nil, err
+		}
+		s.content = append(append(s.content, line...), '\n')
+	}
+	s.digest = sha256.Sum256(s.content)
+	return s, nil
+}
+
+// Snapshot is an immutable set of objects at one version. It is complete:
+// every reference resolves.
+type Snapshot struct {
+	version uint64
+	digest  Digest
+	shards  [ShardCount]*shard
+	index   *index
+}
+
+// New builds a snapshot from a whole set and checks every reference.
+// It returns an Invalid error for duplicates and a Dangling error for a
+// reference that does not resolve.
+func New(version uint64, objects []*object.Object) (*Snapshot, error) {
+	var groups [ShardCount][]*object.Object
+	for _, o := range objects {
+		i := ShardOf(o.Key())
+		groups[i] = append(groups[i], o)
+	}
+	s := &Snapshot{version: version}
+	for i, group := range groups {
+		slices.SortFunc(group, compareObjects)
+		if dup := firstDuplicate(group); dup != nil {
+			return nil, faults.Invalid.New("%s is declared twice", dup.Key())
+		}
+		sh, err := newShard(group)
+		if err != nil {
+			return nil, err
+		}
+		s.shards[i] = sh
+	}
+	return s, s.seal()
+}
+
+// seal computes the digest and the index and checks the references.
+func (s *Snapshot) seal() error {
+	s.digest = digestOf(&s.shards)
+	idx, err := newIndex(s)
+	if err != nil {
+		return err
+	}
+	s.index = idx
+	return nil
+}
+
+// digestOf returns the digest over the shard digests in order.
+func digestOf(shards *[ShardCount]*shard) Digest {
+	h := sha256.New()
+	for _, sh := range shards {
+		h.Write(sh.digest[:])
+	}
+	var d Digest
+	h.Sum(d[:0])
+	return d
+}
+
+// Version returns the version of the snapshot.
+func (s *Snapshot) Version() uint64 { return s.version }
+
+// Digest returns the digest over all objects; it does not cover the version.
+func (s *Snapshot) Digest() Digest { return s.digest }
+
+// ShardDigest returns the digest of one shard's content.
+func (s *Snapshot) ShardDigest(i int) Digest { return s.shards[i].digest }
+
+// ShardContent returns one shard's canonical content. It must not be changed.
+func (s *Snapshot) ShardContent(i int) []byte { return s.shards[i].content }
+
+// Len returns the number of objects.
+func (s *Snapshot) Len() int {
+	n := 0
+	for _, sh := range s.shards {
+		n += len(sh.objects)
+	}
+	return n
+}
+
+// Get returns the object with the key, or nil.
+func (s *Snapshot) Get(k object.Key) *object.Object {
+	sh := s.shards[ShardOf(k)]
+	i, ok := slices.BinarySearchFunc(sh.objects, k, func(o *object.Object, k object.Key) int {
+		return strings.Compare(o.Key().String(), k.String())
+	})
+	if !ok {
+		return nil
+	}
+	return sh.objects[i]
+}
+
+// Objects returns every object, sorted by key.
+func (s *Snapshot) Objects() []*object.Object {
+	all := make([]*object.Object, 0, s.Len())
+	for _, sh := range s.shards {
+		all = append(all, sh.objects...)
+	}
+	slices.SortFunc(all, compareObjects)
+	return all
+}
+
+func compareObjects(a, b *object.Object) int {
+	return strings.Compare(a.Key().String(), b.Key().String())
+}
+
+// firstDuplicate returns an object of a sorted group whose key occurs twice.
+func firstDuplicate(group []*object.Object) *object.Object {
+	for i := 1; i < len(group); i++ {
+		if group[i].Key() == group[i-1].Key() {
+			return group[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/snapshot/snapshot_test.go
@@ -0,0 +1,60 @@
+package snapshot
+
+import (
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+	"siskingw/object"
+)
+
+func sampleSet() []*object.Object {
+	return []*object.Object{
+		{Kind: object.KindEndpointSet, Name: "floor", EndpointSet: &object.EndpointSetSpec{Announce: "auction-floor"}},
+		{Kind: object.KindService, Name: "floor", Service: &object.ServiceSpec{EndpointSet: "floor"}},
+		{Kind: object.KindRoute, Name: "bids", Route: &object.RouteSpec{PathPrefix: "/bids", Service: "floor", Kind: object.WorkBid}},
+	}
+}
+
+// Guards against a node that returns to an older version or repeats one.
+func TestAdvanceRefusesVersionThatIsNotNewer(t *testing.T) {
+	is := is.New(t)
+	var c Current
+	two, err := New(2, sampleSet())
+	is.NoErr(err)
+	is.NoErr(c.Advance(two))
+	one, err := New(1, sampleSet())
+	is.NoErr(err)
+	is.True(errorx.IsOfType(c.Advance(one), faults.Stale))
+	is.True(errorx.IsOfType(c.Advance(two), faults.Stale))
+	is.Equal(c.Version(), uint64(2))
+}
+
+// Guards against a delta that lands on another snapshot than it was made for.
+func TestApplyNeedsExactBase(t *testing.T) {
+	is := is.New(t)
+	base, err := New(1, sampleSet())
+	is.NoErr(err)
+	next, err := base.With(2, nil, []object.Key{{Kind: object.KindRoute, Name: "bids"}})
+	is.NoErr(err)
+	d := Diff(base, next)
+	got, err := base.Apply(d)
+	is.NoErr(err)
+	is.Equal(got.Digest(), next.Digest())
+	_, err = next.Apply(d)
+	is.True(errorx.IsOfType(err, faults.BaseMismatch))
+	d.Digest[0] ^= 1
+	_, err = base.Apply(d)
+	is.True(errorx.IsOfType(err, faults.Corrupt))
+}
+
+// Guards against a route whose service is deleted.
+func TestWithRefusesDanglingReference(t *testing.T) {
+	is := is.New(t)
+	base, err := New(1, sampleSet())
+	is.NoErr(err)
+	_, err = base.With(2, nil, []object.Key{{Kind: object.KindService, Name: "floor"}})
+	is.True(errorx.IsOfType(err, faults.Dangling))
+}
