Add the in-memory store with fault injection

Acceptance and spreading need a store that fails on demand. The fake keeps revisions, leases and a bounded event history, counts calls, and can be down, slow, rate limited, lose answers of writes that took effect, lapse leases and break watches. storetest holds the checks that every implementation passes.

--- /dev/null
+++ b/store/memstore/faults.go
@@ -0,0 +1,127 @@
+package memstore
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/time/rate"
+
+	"siskingw/faults"
+)
+
+// Faults is what the store does wrong.
+type Faults struct {
+	Down           bool          // every call fails without effect
+	Latency        time.Duration // added to every call
+	LoseAnswers    int           // this many of the next writes take effect but answer StoreUnknown
+	WritesPerSec   int           // calls above the rate fail without effect; 0: no limit
+	ReadsPerSec    int
+	HangUntilDone  bool // calls wait for the end of their context instead of failing
+	FailNextWrites int  // this many of the next writes fail without effect
+}
+
+// Counts is the number of calls that the store answered or refused.
+type Counts struct {
+	Reads, Writes, Refused uint64
+	Watching               int64 // watches that wait now; each counts as a read a second
+}
+
+// injector applies Faults and counts calls.
+type injector struct {
+	clock    clockwork.Clock
+	watching atomic.Int64
+	reads    atomic.Uint64
+	writes   atomic.Uint64
+	refused  atomic.Uint64
+
+	mu         sync.Mutex
+	f          Faults
+	writeLimit *rate.Limiter
+	readLimit  *rate.Limiter
+}
+
+// SetFaults replaces the faults. Down also breaks every watch.
+func (s *Store) SetFaults(f Faults) {
+	i := &s.faults
+	i.mu.Lock()
+	i.f = f
+	i.writeLimit, i.readLimit = limiter(f.WritesPerSec), limiter(f.ReadsPerSec)
+	i.mu.Unlock()
+	if f.Down {
+		s.BreakWatches()
+	}
+}
+
+// Counts returns the calls so far.
+func (s *Store) Counts() Counts {
+	i := &s.faults
+	return Counts{Reads: i.reads.Load(), Writes: i.writes.Load(), Refused: i.refused.Load(), Watching: i.watching.Load()}
+}
+
+func limiter(perSec int) *rate.Limiter {
+	if perSec == 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSec), perSec)
+}
+
+func (i *injector) read(ctx context.Context) error {
+	i.mu.Lock()
+	f, limit := i.f, i.readLimit
+	i.mu.Unlock()
+	if err := i.admit(ctx, f, limit); err != nil {
+		return err
+	}
+	i.reads.Add(1)
+	return nil
+}
+
+func (i *injector) write(ctx context.Context) error {
+	i.mu.Lock()
+	f, limit := i.f, i.writeLimit
+	if i.f.FailNextWrites > 0 {
+		i.f.FailNextWrites--
+		f.Down = true
+	}
+	i.mu.Unlock()
+	if err := i.admit(ctx, f, limit); err != nil {
+		return err
+	}
+	i.writes.Add(1)
+	return nil
+}
+
+// admit delays or refuses one call.
+func (i *injector) admit(ctx context.Context, f Faults, limit *rate.Limiter) error {
+	if f.Latency > 0 {
+		select {
+		case <-i.clock.After(f.Latency):
+		case <-ctx.Done():
+		}
+	}
+	if f.HangUntilDone {
+		<-ctx.Done()
+	}
+	if ctx.Err() != nil {
+		return faults.StoreUnavailable.Wrap(ctx.Err(), "store call ended before it was sent")
+	}
+	if f.Down || (limit != nil && !limit.Allow()) {
+		i.refused.Add(1)
+		return faults.StoreUnavailable.New("store refuses calls (down: %t)", f.Down)
+	}
+	return nil
+}
+
+// answer loses the answer of a write that took effect, if so injected.
+func (i *injector) answer() error {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if i.f.LoseAnswers == 0 {
+		return nil
+	}
+	i.f.LoseAnswers--
+	return faults.StoreUnknown.New("answer of the store was lost")
+}
--- /dev/null
+++ b/store/memstore/memstore.go
@@ -0,0 +1,279 @@
+// Package memstore is an in-memory store.Store with fault injection. Tests use
+// it directly, and the store stand-in serves it over the network.
+package memstore
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"siskingw/faults"
+	"siskingw/store"
+)
+
+// defaultHistory is the number of events that a watch can go back to.
+const defaultHistory = 10_000
+
+// Options configures a Store.
+type Options struct {
+	Clock   clockwork.Clock // default: the real clock
+	History int             // events kept for watches, default 10,000
+}
+
+// Store keeps keys, leases and a bounded history of events.
+type Store struct {
+	clock   clockwork.Clock
+	history int
+	faults  injector
+
+	mu        sync.Mutex
+	revision  int64
+	compacted int64 // events up to this revision are gone
+	keys      map[string]store.KeyValue
+	events    []store.Event
+	leases    map[store.LeaseID]*lease
+	nextLease store.LeaseID
+	changed   chan struct{} // closed and replaced at each event
+	broken    chan struct{} // closed and replaced to break every watch
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer clockwork.Timer
+}
+
+var _ store.Store = (*Store)(nil)
+
+// New returns an empty store.
+func New(opts Options) *Store {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+	if opts.History == 0 {
+		opts.History = defaultHistory
+	}
+	s := &Store{
+		clock:   opts.Clock,
+		history: opts.History,
+		keys:    make(map[string]store.KeyValue),
+		leases:  make(map[store.LeaseID]*lease),
+		changed: make(chan struct{}),
+		broken:  make(chan struct{}),
+	}
+	s.faults.clock = opts.Clock
+	return s
+}
+
+// Get implements store.Store.
+func (s *Store) Get(ctx context.Context, key string) (store.KeyValue, error) {
+	if err := s.faults.read(ctx); err != nil {
+		return store.KeyValue{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kv, ok := s.keys[key]
+	if !ok {
+		return store.KeyValue{}, faults.NotFound.New("key %q does not exist", key)
+	}
+	return kv, nil
+}
+
+// Range implements store.Store.
+func (s *Store) Range(ctx context.Context, prefix string, keysOnly bool) ([]store.KeyValue, int64, error) {
+	if err := s.faults.read(ctx); err != nil {
+		return nil, 0, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []store.KeyValue
+	for _, k := range slices.Sorted(maps.Keys(s.keys)) {
+		if !strings.HasPrefix(k, prefix) {
+			continue
+		}
+		kv := s.keys[k]
+		if keysOnly {
+			kv.Value = nil
+		}
+		out = append(out, kv)
+	}
+	return out, s.revision, nil
+}
+
+// Put implements store.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, id store.LeaseID) (int64, error) {
+	return s.write(ctx, func() (int64, error) { return s.putLocked(key, value, id) })
+}
+
+// CompareAndSwap implements store.Store.
+func (s *Store) CompareAndSwap(ctx context.Context, key string, modRevision int64, value []byte, id store.LeaseID) (int64, error) {
+	return s.write(ctx, func() (int64, error) {
+		if err := s.compareLocked(key, modRevision); err != nil {
+			return 0, err
+		}
+		return s.putLocked(key, value, id)
+	})
+}
+
+// CompareAndDelete implements store.Store.
+func (s *Store) CompareAndDelete(ctx context.Context, key string, modRevision int64) error {
+	_, err := s.write(ctx, func() (int64, error) {
+		if err := s.compareLocked(key, modRevision); err != nil {
+			return 0, err
+		}
+		s.deleteLocked(key)
+		return s.revision, nil
+	})
+	return err
+}
+
+// Grant implements store.Store.
+func (s *Store) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	var id store.LeaseID
+	_, err := s.write(ctx, func() (int64, error) {
+		s.nextLease++
+		id = s.nextLease
+		s.leases[id] = &lease{ttl: ttl, timer: s.clock.AfterFunc(ttl, func() { s.LapseLease(id) })}
+		return s.revision, nil
+	})
+	return id, err
+}
+
+// KeepAlive implements store.Store.
+func (s *Store) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	_, err := s.write(ctx, func() (int64, error) {
+		l, ok := s.leases[id]
+		if !ok {
+			return 0, faults.NotFound.New("lease %d has lapsed", id)
+		}
+		l.timer.Reset(l.ttl)
+		return s.revision, nil
+	})
+	return err
+}
+
+// Revoke implements store.Store.
+func (s *Store) Revoke(ctx context.Context, id store.LeaseID) error {
+	_, err := s.write(ctx, func() (int64, error) {
+		s.lapseLocked(id)
+		return s.revision, nil
+	})
+	return err
+}
+
+// Close implements store.Store. It breaks every watch.
+func (s *Store) Close() error {
+	s.BreakWatches()
+	return nil
+}
+
+// LapseLease ends a lease at once and deletes its keys, as if its time had passed.
+func (s *Store) LapseLease(id store.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lapseLocked(id)
+}
+
+// Leases returns the leases that have not lapsed.
+func (s *Store) Leases() []store.LeaseID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.leases))
+}
+
+// Compact forgets every event up to now; watches from before fail with
+// faults.StoreCompacted.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted = s.revision
+	s.events = nil
+}
+
+// BreakWatches ends every watch with faults.StoreUnavailable.
+func (s *Store) BreakWatches() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.broken)
+	s.broken = make(chan struct{})
+}
+
+// write runs f under the lock, subject to the injected faults.
+func (s *Store) write(ctx context.Context, f func() (int64, error)) (int64, error) {
+	if err := s.faults.write(ctx); err != nil {
+		return 0, err
+	}
+	s.mu.Lock()
+	rev, err := f()
+	s.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	if err := s.faults.answer(); err != nil {
+		return 0, err
+	}
+	return rev, nil
+}
+
+// compareLocked returns a Conflict error unless key has the mod revision.
+func (s *Store) compareLocked(key string, modRevision int64) error {
+	if got := s.keys[key].ModRevision; got != modRevision {
+		return faults.Conflict.New("key %q has mod revision %d, want %d", key, got, modRevision)
+	}
+	return nil
+}
+
+func (s *Store) putLocked(key string, value []byte, id store.LeaseID) (int64, error) {
+	if len(value) > store.MaxValueBytes {
+		return 0, faults.Invalid.New("value of key %q has %d bytes, at most %d are allowed", key, len(value), store.MaxValueBytes)
+	}
+	if _, ok := s.leases[id]; id != 0 && !ok {
+		return 0, faults.NotFound.New("lease %d has lapsed", id)
+	}
+	s.revision++
+	kv := store.KeyValue{Key: key, Value: slices.Clone(value), ModRevision: s.revision, CreateRevision: s.revision, Lease: id}
+	if old, ok := s.keys[key]; ok {
+		kv.CreateRevision = old.CreateRevision
+	}
+	s.keys[key] = kv
+	s.recordLocked(store.Event{KeyValue: kv})
+	return s.revision, nil
+}
+
+func (s *Store) deleteLocked(key string) {
+	if _, ok := s.keys[key]; !ok {
+		return
+	}
+	s.revision++
+	delete(s.keys, key)
+	s.recordLocked(store.Event{KeyValue: store.KeyValue{Key: key, ModRevision: s.revision}, Deleted: true})
+}
+
+func (s *Store) lapseLocked(id store.LeaseID) {
+	l, ok := s.leases[id]
+	if !ok {
+		return
+	}
+	l.timer.Stop()
+	delete(s.leases, id)
+	for key, kv := range s.keys {
+		if kv.Lease == id {
+			s.deleteLocked(key)
+		}
+	}
+}
+
+// recordLocked appends an event and wakes the watches.
+func (s *Store) recordLocked(e store.Event) {
+	s.events = append(s.events, e)
+	if drop := len(s.events) - s.history; drop > 0 {
+		s.compacted = s.events[drop-1].ModRevision
+		s.events = slices.Delete(s.events, 0, drop)
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
--- /dev/null
+++ b/store/memstore/memstore_test.go
@@ -0,0 +1,44 @@
+package memstore
+
+import (
+	"context"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+	"siskingw/store/storetest"
+)
+
+func TestStore(t *testing.T) { storetest.Run(t, New(Options{})) }
+
+// Guards against a fake that reports a lost answer for a write that had no effect.
+func TestLostAnswerTakesEffect(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	s := New(Options{})
+	s.SetFaults(Faults{LoseAnswers: 1})
+	_, err := s.Put(ctx, "k", []byte("v"), 0)
+	is.True(errorx.IsOfType(err, faults.StoreUnknown))
+	kv, err := s.Get(ctx, "k")
+	is.NoErr(err)
+	is.Equal(string(kv.Value), "v")
+	s.SetFaults(Faults{Down: true})
+	_, err = s.Put(ctx, "k", []byte("w"), 0)
+	is.True(errorx.IsOfType(err, faults.StoreUnavailable))
+}
+
+// Guards against a watch that skips a compacted gap without telling.
+func TestWatchReportsCompaction(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := New(Options{History: 1})
+	for range 3 {
+		_, err := s.Put(ctx, "k", nil, 0)
+		is.NoErr(err)
+	}
+	batch := <-s.Watch(ctx, "k", 1)
+	is.True(errorx.IsOfType(batch.Err, faults.StoreCompacted))
+}
--- /dev/null
+++ b/store/memstore/watch.go
@@ -0,0 +1,83 @@
+package memstore
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	"siskingw/faults"
+	"siskingw/store"
+)
+
+// Watch implements store.Store.
+func (s *Store) Watch(ctx context.Context, prefix string, fromRevision int64) <-chan store.WatchBatch {
+	out := make(chan store.WatchBatch, 1)
+	go func() {
+		defer close(out)
+		if err := s.faults.read(ctx); err != nil {
+			send(ctx, out, store.WatchBatch{Err: err})
+			return
+		}
+		s.faults.watching.Add(1)
+		defer s.faults.watching.Add(-1)
+		s.watch(ctx, prefix, fromRevision, out)
+	}()
+	return out
+}
+
+// watch sends batches until ctx ends or the watch breaks.
+func (s *Store) watch(ctx context.Context, prefix string, from int64, out chan<- store.WatchBatch) {
+	for {
+		batch, changed, broken := s.eventsAfter(prefix, from)
+		if batch.Err != nil {
+			send(ctx, out, batch)
+			return
+		}
+		if len(batch.Events) > 0 && !send(ctx, out, batch) {
+			return
+		}
+		from = batch.Revision
+		select {
+		case <-changed:
+		case <-broken:
+			send(ctx, out, store.WatchBatch{Err: faults.StoreUnavailable.New("watch of %q is broken", prefix)})
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// eventsAfter returns the events after a revision and the channels that close
+// at the next event and when watches break.
+func (s *Store) eventsAfter(prefix string, from int64) (store.WatchBatch, <-chan struct{}, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	batch := store.WatchBatch{Revision: s.revision}
+	if from < s.compacted {
+		batch.Err = faults.StoreCompacted.New("revision %d is compacted, the oldest is %d", from, s.compacted)
+		return batch, s.changed, s.broken
+	}
+	start, _ := slices.BinarySearchFunc(s.events, from, func(e store.Event, rev int64) int {
+		if e.ModRevision <= rev {
+			return -1
+		}
+		return 1
+	})
+	for _, e := range s.events[start:] {
+		if strings.HasPrefix(e.Key, prefix) {
+			batch.Events = append(batch.Events, e)
+		}
+	}
+	return batch, s.changed, s.broken
+}
+
+// send reports whether the batch was taken before ctx ended.
+func send(ctx context.Context, out chan<- store.WatchBatch, b store.WatchBatch) bool {
+	select {
+	case out <- b:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
