object: add the file format, decoding and validation of a whole set

The core stored each spec under its own field name and checked only references.

Object now encodes and decodes as kind, name, revision, author and spec, refusing unknown fields. DecodeFile and Validate collect all faults into one Invalid error; FaultsOf reads the list back. POST, PATCH and CONNECT are refused as idempotent methods because a repeat could run a bid twice.

--- a/object/object.go
+++ b/object/object.go
@@ -3,9 +3,7 @@
 package object
 
 import (
-	"encoding/json"
-
-	"siskingw/faults"
+	"strings"
 )
 
 // Kind is the type of an object.
@@ -28,18 +26,27 @@
 // String returns the key as kind/name.
 func (k Key) String() string { return string(k.Kind) + "/" + k.Name }
 
+// Compare orders keys by kind and then by name.
+func (k Key) Compare(other Key) int {
+	if c := strings.Compare(string(k.Kind), string(other.Kind)); c != 0 {
+		return c
+	}
+	return strings.Compare(k.Name, other.Name)
+}
+
 // Object is one declared object. Exactly the spec that matches Kind is set.
-// Objects in a snapshot are immutable.
+// Objects in a snapshot are immutable. The JSON form has the fields kind,
+// name, revision, author and spec.
 type Object struct {
-	Kind     Kind   `json:"kind"`
-	Name     string `json:"name"`
-	Revision uint64 `json:"revision,omitempty"` // configuration version that last changed the object
-	Author   string `json:"author,omitempty"`   // operator who last changed the object
-
-	Service     *ServiceSpec     `json:"service,omitempty"`
-	Route       *RouteSpec       `json:"route,omitempty"`
-	EndpointSet *EndpointSetSpec `json:"endpointSet,omitempty"`
-	Policy      *PolicySpec      `json:"policy,omitempty"`
+	Kind     Kind
+	Name     string
+	Revision uint64 // configuration version that last changed the object
+	Author   string // operator who last changed the object
+
+	Service     *ServiceSpec
+	Route       *RouteSpec
+	EndpointSet *EndpointSetSpec
+	Policy      *PolicySpec
 }
 
 // Key returns the identity of the object.
@@ -96,12 +103,3 @@
 	BaseMs              int `json:"baseMs,omitempty"`
 	MaxPercent          int `json:"maxPercent,omitempty"`
 }
-
-// Canonical returns the canonical JSON encoding: struct order, no white space.
-func (o *Object) Canonical() ([]byte, error) {
-	b, err := json.Marshal(o)
-	if err != nil {
-		return nil, faults.Internal.Wrap(err, "object %s cannot be encoded", o.Key())
-	}
-	return b, nil
-}
--- /dev/null
+++ b/object/object_test.go
@@ -0,0 +1,148 @@
+package object
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+)
+
+const goodFile = `{"objects":[
+	{"kind":"EndpointSet","name":"floor","spec":{"announce":"auction-floor","minReady":2}},
+	{"kind":"Service","name":"floor","spec":{"endpointSet":"floor","policy":"quick","protocol":"http"}},
+	{"kind":"Policy","name":"quick","spec":{"timeoutMs":500,"retries":1,"ejection":{"baseMs":100}}},
+	{"kind":"Route","name":"bids","spec":{"pathPrefix":"/bids","service":"floor","kind":"bid"}}
+]}`
+
+// Guards against a file format that get writes and apply refuses.
+func TestCanonicalFormRoundTrips(t *testing.T) {
+	is := is.New(t)
+	set, err := DecodeFile("good.json", []byte(goodFile))
+	is.NoErr(err)
+	is.Equal(len(set), 4)
+	is.NoErr(Validate(set))
+	for _, o := range set {
+		o.Revision, o.Author = 7, "ann"
+		b, err := o.Canonical()
+		is.NoErr(err)
+		var back Object
+		is.NoErr(back.UnmarshalJSON(b))
+		again, err := back.Canonical()
+		is.NoErr(err)
+		is.Equal(string(b), string(again))
+		one, err := DecodeFile("one.json", b)
+		is.NoErr(err)
+		is.True(one[0].SameSpec(o))
+	}
+}
+
+// Guards against a decoder that stops at the first fault or accepts a field
+// that differs only in case.
+func TestDecodeFileReportsEveryFault(t *testing.T) {
+	is := is.New(t)
+	_, err := DecodeFile("bad.json", []byte(`{"version":1,"objects":[
+		{"kind":"Route","name":"a","spec":{"PathPrefix":"/","service":"s","hots":"x"}},
+		{"kind":"Rout","name":"b","spec":{}},
+		{"kind":"Policy","name":"c"},
+		{"kind":"Policy","name":"d","owner":"x","spec":{"retries":"3","ejection":{"max":1}}}
+	]}`))
+	is.True(errorx.IsOfType(err, faults.Invalid))
+	var got []string
+	for _, f := range FaultsOf(err) {
+		is.Equal(f.Source, "bad.json")
+		got = append(got, f.Object+" "+f.Field)
+	}
+	is.Equal(got, []string{
+		" version", "Route/a spec.PathPrefix", "Route/a spec.hots", "Rout/b kind", "Policy/c spec",
+		"Policy/d owner", "Policy/d spec.ejection.max", "Policy/d spec.retries",
+	})
+}
+
+// Guards against a validation rule that is lost: each case breaks one field.
+func TestValidateReportsObjectAndField(t *testing.T) {
+	cases := []struct{ object, field, replace, with string }{
+		{"Service/floor", "spec.endpointSet", `"endpointSet":"floor"`, `"endpointSet":"none"`},
+		{"Service/floor", "spec.policy", `"policy":"quick"`, `"policy":"none"`},
+		{"Service/floor", "spec.protocol", `"http"`, `"tcp"`},
+		{"EndpointSet/floor", "spec.announce", `"auction-floor"`, `"Auction"`},
+		{"EndpointSet/floor", "spec.minReady", `"minReady":2`, `"minReady":-2`},
+		{"Policy/quick", "spec.retries", `"retries":1`, `"retries":4`},
+		{"Policy/quick", "spec.queueTimeoutMs", `"retries":1`, `"queueTimeoutMs":501`},
+		{"Policy/quick", "spec.idempotentMethods", `"retries":1`, `"idempotentMethods":["POST"]`},
+		{"Policy/quick", "spec.idempotentMethods", `"retries":1`, `"idempotentMethods":["GET","GET"]`},
+		{"Policy/quick", "spec.ejection.maxPercent", `"baseMs":100`, `"maxPercent":101`},
+		{"Route/bids", "spec.pathPrefix", `"/bids"`, `"bids"`},
+		{"Route/bids", "spec.pathPrefix", `"/bids"`, `"/a?b"`},
+		{"Route/bids", "spec.host", `"kind":"bid"`, `"host":"A:80"`},
+		{"Route/bids", "spec.kind", `"kind":"bid"`, `"kind":"sale"`},
+		{"Route/bids", "spec.fallback", `"kind":"bid"`, `"fallback":"none"`},
+		{"Route/bids", "spec.fallback", `"kind":"bid"`, `"fallback":"bids"`},
+		{"Route/-bids", "name", `"name":"bids"`, `"name":"-bids"`},
+	}
+	for _, c := range cases {
+		t.Run(c.object+" "+c.field+" "+c.with, func(t *testing.T) {
+			is := is.New(t)
+			set, err := DecodeFile("", []byte(strings.Replace(goodFile, c.replace, c.with, 1)))
+			is.NoErr(err)
+			list := FaultsOf(Validate(set))
+			is.Equal(len(list), 1)
+			is.Equal(list[0].Object, c.object)
+			is.Equal(list[0].Field, c.field)
+		})
+	}
+}
+
+// Guards against rules over several objects: duplicates, two routes for the
+// same requests and fallback cycles, which are reported on each member only.
+func TestValidateAcrossObjects(t *testing.T) {
+	is := is.New(t)
+	route := func(name, prefix, fallback string) *Object {
+		return &Object{Kind: KindRoute, Name: name, Route: &RouteSpec{PathPrefix: prefix, Service: "s", Fallback: fallback}}
+	}
+	set := []*Object{
+		{Kind: KindEndpointSet, Name: "s", EndpointSet: &EndpointSetSpec{Announce: "s"}},
+		{Kind: KindService, Name: "s", Service: &ServiceSpec{EndpointSet: "s"}},
+		route("a", "/a", "b"), route("b", "/b", "c"), route("c", "/c", "b"),
+		route("d", "/d", ""), route("d", "/d", "a"), route("e", "/e", "e2"), route("e2", "/e", ""),
+	}
+	var got []string
+	for _, f := range FaultsOf(Validate(set)) {
+		got = append(got, f.Object+" "+f.Field)
+	}
+	is.Equal(got, []string{"Route/b spec.fallback", "Route/c spec.fallback", "Route/d name", "Route/e2 spec.pathPrefix"})
+}
+
+// Guards against input that crashes the decoder or that decodes to an object
+// whose canonical form is not stable.
+func FuzzDecodeFile(f *testing.F) {
+	f.Add([]byte(goodFile))
+	f.Add([]byte(`{"kind":"Route","name":"r","spec":{"fallback":"r"}}`))
+	f.Add([]byte(`{"objects":[{"kind":"Policy","name":"p","spec":null}]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		set, err := DecodeFile("fuzz", b)
+		if err != nil {
+			if len(FaultsOf(err)) == 0 {
+				t.Fatalf("no faults in %v", err)
+			}
+			return
+		}
+		_ = Validate(set)
+		for _, o := range set {
+			first, err := o.Canonical()
+			if err != nil {
+				t.Fatal(err)
+			}
+			var back Object
+			if err := back.UnmarshalJSON(first); err != nil {
+				t.Fatalf("%s: %v", first, err)
+			}
+			second, err := back.Canonical()
+			if err != nil || string(first) != string(second) {
+				t.Fatalf("%s became %s (%v)", first, second, err)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/object/validate.go
@@ -0,0 +1,235 @@
+package object
+
+import (
+	"fmt"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Limits on the fields of objects. They bound what one object can cost on
+// every node; larger values could not be honored.
+const (
+	maxNameLength         = 63 // of a DNS label
+	maxHostLength         = 253
+	maxPrefixLength       = 1024
+	maxRetries            = 3
+	maxMethods            = 16
+	maxQueueLength        = 10_000
+	maxMinReady           = 100_000
+	maxPercent            = 100
+	maxFailures           = 1_000
+	maxTimeout            = time.Hour
+	maxBodyBytes    int64 = 1 << 40
+)
+
+var (
+	labelPattern  = regexp.MustCompile(`^[a-z0-9]([-a-z0-9]*[a-z0-9])?$`)
+	hostPattern   = regexp.MustCompile(`^[a-z0-9]([-a-z0-9]*[a-z0-9])?(\.[a-z0-9]([-a-z0-9]*[a-z0-9])?)*$`)
+	prefixPattern = regexp.MustCompile(`^/[!-"$->@-~]*$`) // printable ASCII without space, # and ?
+)
+
+// Methods that HTTP does not define as idempotent; repeating them could run a
+// bid or a closure notice twice.
+var neverIdempotent = []string{http.MethodPost, http.MethodPatch, http.MethodConnect}
+
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete, http.MethodTrace,
+}
+
+// Validate checks a whole set of objects: every field, duplicate names,
+// references, fallback cycles and routes with the same host and prefix. It
+// returns one Invalid error that holds every fault, sorted by object.
+func Validate(set []*Object) error {
+	v := validation{byKey: make(map[Key]*Object, len(set))}
+	for _, o := range set {
+		if _, ok := v.byKey[o.Key()]; ok {
+			v.report(o, "name", "declared more than once")
+			continue
+		}
+		v.byKey[o.Key()] = o
+	}
+	for _, o := range set {
+		v.object(o)
+	}
+	v.samePrefix(set)
+	v.cycles(set)
+	slices.SortStableFunc(v.faults, func(a, b Fault) int {
+		return strings.Compare(a.Object+"\x00"+a.Field, b.Object+"\x00"+b.Field)
+	})
+	return NewInvalid(v.faults)
+}
+
+// validation collects the faults of one set.
+type validation struct {
+	byKey  map[Key]*Object
+	faults []Fault
+}
+
+func (v *validation) report(o *Object, field, format string, args ...any) {
+	v.faults = append(v.faults, Fault{Object: o.Key().String(), Field: field, Reason: fmt.Sprintf(format, args...)})
+}
+
+// object checks the fields and references of one object.
+func (v *validation) object(o *Object) {
+	v.dnsLabel(o, "name", o.Name)
+	set := 0
+	for _, isSet := range []bool{o.Service != nil, o.Route != nil, o.EndpointSet != nil, o.Policy != nil} {
+		if isSet {
+			set++
+		}
+	}
+	if o.Spec() == nil || set != 1 {
+		v.report(o, "spec", "want exactly the spec of kind %q", o.Kind)
+		return
+	}
+	switch o.Kind {
+	case KindService:
+		v.service(o, o.Service)
+	case KindRoute:
+		v.route(o, o.Route)
+	case KindEndpointSet:
+		v.dnsLabel(o, "spec.announce", o.EndpointSet.Announce)
+		v.within(o, "spec.minReady", int64(o.EndpointSet.MinReady), maxMinReady)
+	case KindPolicy:
+		v.policy(o, o.Policy)
+	}
+}
+
+func (v *validation) service(o *Object, s *ServiceSpec) {
+	v.reference(o, "spec.endpointSet", KindEndpointSet, s.EndpointSet, true)
+	v.reference(o, "spec.policy", KindPolicy, s.Policy, false)
+	if s.Protocol != "" && s.Protocol != "http" {
+		v.report(o, "spec.protocol", "%q is not supported; want http", s.Protocol)
+	}
+}
+
+func (v *validation) route(o *Object, r *RouteSpec) {
+	v.reference(o, "spec.service", KindService, r.Service, true)
+	v.reference(o, "spec.policy", KindPolicy, r.Policy, false)
+	v.reference(o, "spec.fallback", KindRoute, r.Fallback, false)
+	if r.Host != "" && (len(r.Host) > maxHostLength || !hostPattern.MatchString(r.Host)) {
+		v.report(o, "spec.host", "%q is not a host name in lower case without port", r.Host)
+	}
+	if len(r.PathPrefix) > maxPrefixLength || !prefixPattern.MatchString(r.PathPrefix) {
+		v.report(o, "spec.pathPrefix", "%q must begin with / and hold at most %d printable characters other than space, ? and #", r.PathPrefix, maxPrefixLength)
+	}
+	if !slices.Contains([]WorkKind{"", WorkBid, WorkUpload, WorkPage}, r.Kind) {
+		v.report(o, "spec.kind", "%q is not a kind of work; want bid, upload or page", r.Kind)
+	}
+}
+
+func (v *validation) policy(o *Object, p *PolicySpec) {
+	v.within(o, "spec.timeoutMs", int64(p.TimeoutMs), maxTimeout.Milliseconds())
+	v.within(o, "spec.retries", int64(p.Retries), maxRetries)
+	v.within(o, "spec.retryBudgetPercent", int64(p.RetryBudgetPercent), maxPercent)
+	v.within(o, "spec.queueLength", int64(p.QueueLength), maxQueueLength)
+	v.within(o, "spec.queueTimeoutMs", int64(p.QueueTimeoutMs), maxTimeout.Milliseconds())
+	v.within(o, "spec.maxBodyBytes", p.MaxBodyBytes, maxBodyBytes)
+	if p.TimeoutMs > 0 && p.QueueTimeoutMs > p.TimeoutMs {
+		v.report(o, "spec.queueTimeoutMs", "%d is more than timeoutMs %d", p.QueueTimeoutMs, p.TimeoutMs)
+	}
+	v.methods(o, p.IdempotentMethods)
+	if e := p.Ejection; e != nil {
+		v.within(o, "spec.ejection.consecutiveFailures", int64(e.ConsecutiveFailures), maxFailures)
+		v.within(o, "spec.ejection.baseMs", int64(e.BaseMs), maxTimeout.Milliseconds())
+		v.within(o, "spec.ejection.maxPercent", int64(e.MaxPercent), maxPercent)
+	}
+}
+
+func (v *validation) methods(o *Object, list []string) {
+	const field = "spec.idempotentMethods"
+	if len(list) > maxMethods {
+		v.report(o, field, "%d methods; at most %d", len(list), maxMethods)
+		return
+	}
+	for i, m := range list {
+		switch {
+		case slices.Contains(neverIdempotent, m):
+			v.report(o, field, "%s is not idempotent", m)
+		case !slices.Contains(methods, m):
+			v.report(o, field, "%q is not a known method", m)
+		case slices.Contains(list[:i], m):
+			v.report(o, field, "%s is listed twice", m)
+		}
+	}
+}
+
+func (v *validation) dnsLabel(o *Object, field, s string) {
+	if len(s) > maxNameLength || !labelPattern.MatchString(s) {
+		v.report(o, field, "%q is not a DNS label of at most %d characters", s, maxNameLength)
+	}
+}
+
+// within reports a value outside 0..limit.
+func (v *validation) within(o *Object, field string, value, limit int64) {
+	if value < 0 || value > limit {
+		v.report(o, field, "%d is not within 0..%d", value, limit)
+	}
+}
+
+// reference reports a reference that is missing or does not resolve.
+func (v *validation) reference(o *Object, field string, kind Kind, name string, required bool) {
+	if name == "" {
+		if required {
+			v.report(o, field, "missing; want the name of a %s", kind)
+		}
+		return
+	}
+	if _, ok := v.byKey[Key{Kind: kind, Name: name}]; !ok {
+		v.report(o, field, "%s/%s does not exist", kind, name)
+	}
+}
+
+// samePrefix reports routes that match exactly the same requests.
+func (v *validation) samePrefix(set []*Object) {
+	type match struct{ host, prefix string }
+	first := make(map[match]string)
+	for _, o := range set {
+		if o.Route == nil {
+			continue
+		}
+		m := match{o.Route.Host, o.Route.PathPrefix}
+		other, ok := first[m]
+		switch {
+		case !ok:
+			first[m] = o.Name
+		case other != o.Name:
+			v.report(o, "spec.pathPrefix", "Route/%s has the same host %q and prefix %q", other, m.host, m.prefix)
+		}
+	}
+}
+
+// cycles reports every route whose fallbacks lead back to it.
+func (v *validation) cycles(set []*Object) {
+	state := make(map[string]int) // 0 unseen, otherwise the walk that reached the route
+	for walk, o := range set {
+		if o.Route == nil || v.byKey[o.Key()] != o {
+			continue
+		}
+		for r := o; r != nil && r.Route != nil; r = v.byKey[Key{Kind: KindRoute, Name: r.Route.Fallback}] {
+			seen := state[r.Name]
+			if seen == walk+1 {
+				v.reportCycle(r)
+			}
+			if seen != 0 {
+				break
+			}
+			state[r.Name] = walk + 1
+		}
+	}
+}
+
+// reportCycle names each route of the cycle that starts at r.
+func (v *validation) reportCycle(r *Object) {
+	var names []string
+	for o := r; len(names) == 0 || o != r; o = v.byKey[Key{Kind: KindRoute, Name: o.Route.Fallback}] {
+		names = append(names, o.Name)
+	}
+	chain := strings.Join(append(names, names[0]), " -> ")
+	for _, name := range names {
+		v.report(v.byKey[Key{Kind: KindRoute, Name: name}], "spec.fallback", "fallbacks form a cycle: %s", chain)
+	}
+}
