--- /dev/null
+++ b/publish/attempt.go
@@ -0,0 +1,319 @@
+package publish
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/joomcode/errorx"
+
+	"siskingw/faults"
+	"siskingw/object"
+	"siskingw/snapshot"
+)
+
+// errLostSwap reports that another writer swapped the head first.
+var errLostSwap = errorx.NewNamespace("publish").NewType("lost_swap", faults.Retriable)
+
+// Waits between the attempts of one batch, with full jitter.
+const (
+	firstRetry = 10 * time.Millisecond
+	maxRetry   = 500 * time.Millisecond
+)
+
+// newBackOff returns waits spread over 0 to twice a doubling interval, so that
+// acceptors that lost to the same swap do not meet again.
+func newBackOff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = firstRetry, maxRetry
+	b.Multiplier, b.RandomizationFactor = 2, 1
+	return b
+}
+
+// attempt brings one batch of requests to an outcome. try is repeated until
+// the outcome is certain.
+type attempt struct {
+	a         *Acceptor
+	batch     []*pending
+	outcomes  map[*pending]outcome // of the current try; missing: deferred
+	unsettled *published           // swap whose answer was lost
+}
+
+// published is a version that a swap put or may have put into the head.
+type published struct {
+	next     *snapshot.Snapshot
+	delta    *snapshot.Delta
+	swapped  int64 // mod revision of the head that the swap replaced
+	commit   *Commit
+	commitID snapshot.Digest
+}
+
+// try makes one attempt on the latest head. It returns nil when every request
+// has an outcome or is deferred, and errLostSwap when it must be repeated.
+func (t *attempt) try(ctx context.Context) error {
+	t.outcomes = make(map[*pending]outcome, len(t.batch))
+	head, rev, err := t.a.reader.Head(ctx)
+	if err != nil && !errorx.IsOfType(err, faults.NotFound) {
+		return err
+	}
+	if err := t.settle(ctx, head, rev); err != nil {
+		return err
+	}
+	if len(t.outcomes) == len(t.batch) {
+		return nil
+	}
+	base, err := t.a.base(ctx, head)
+	if errorx.IsOfType(err, faults.NotFound) {
+		return errLostSwap.Wrap(err, "the head moved on while its parts were read")
+	}
+	if err != nil {
+		return err
+	}
+	w := newWorking(base, max(head.Version, t.a.cur.Version())+1)
+	accepted := t.evaluate(w, head.Version)
+	if len(accepted) == 0 {
+		return nil
+	}
+	return t.swap(ctx, head, rev, w, accepted)
+}
+
+// settle gives the requests that the store already contains their version.
+func (t *attempt) settle(ctx context.Context, head Head, rev int64) error {
+	for _, p := range t.batch {
+		v, found, err := t.a.reader.findOperation(ctx, head, p.OperationID, p.Since)
+		switch {
+		case errorx.IsOfType(err, faults.StoreUnknown):
+			t.outcomes[p] = outcome{err: err}
+		case err != nil:
+			return err
+		case found:
+			t.outcomes[p] = outcome{result: Result{Version: v, Changed: true}}
+			t.confirm(head, v)
+		}
+	}
+	if t.unsettled != nil && t.unsettled.swapped != rev {
+		t.unsettled = nil // the head has changed, so the swap failed for good
+	}
+	return nil
+}
+
+// confirm reports the version of a swap whose answer was lost.
+func (t *attempt) confirm(head Head, version uint64) {
+	u := t.unsettled
+	if u == nil || u.next.Version() != version || (head.Version == version && head.Snapshot != u.next.Digest()) {
+		return
+	}
+	t.unsettled = nil
+	t.a.accepted(u)
+}
+
+// findOperation looks for an operation in the head and, where the head's list
+// does not reach back to since, in the commits. It returns StoreUnknown when
+// commits that could hold the operation have been collected.
+func (r *Reader) findOperation(ctx context.Context, h Head, id string, since uint64) (version uint64, found bool, err error) {
+	if v, ok := h.find(id); ok {
+		return v, true, nil
+	}
+	if since >= h.listsAfter() {
+		return 0, false, nil
+	}
+	oldest := h.Version
+	_, err = r.walk(ctx, h, func(_ snapshot.Digest, c *Commit) bool {
+		for _, o := range c.Operations {
+			if o.ID == id {
+				version, found = c.Version, true
+			}
+		}
+		oldest = c.ParentVersion
+		return !found && oldest > since
+	})
+	if err == nil && !found && since > 0 && oldest > since {
+		err = faults.StoreUnknown.New("operation %s may be part of versions %d to %d, which are no longer retained", id, since+1, oldest)
+	}
+	return version, found, err
+}
+
+// evaluate stages every request that has no outcome yet and returns those that
+// change something; w holds their changes.
+func (t *attempt) evaluate(w *working, current uint64) []*pending {
+	open := slices.DeleteFunc(slices.Clone(t.batch), func(p *pending) bool {
+		_, ok := t.outcomes[p]
+		return ok
+	})
+	verdicts, accepted := w.stageAll(open, current, nil)
+	if len(accepted) > 0 && w.validate(w.changed) != nil {
+		// At least one request is at fault: validate them one by one.
+		verdicts, accepted = w.stageAll(open, current, w.validate)
+	}
+	maps.Copy(t.outcomes, verdicts)
+	return accepted
+}
+
+// stageAll evaluates the requests in order and leaves the changes in w. It
+// returns the outcomes of those that change nothing and the list of those that
+// do. A request in neither must wait for the next version. validate, unless
+// nil, checks each request together with those accepted before it.
+func (w *working) stageAll(open []*pending, current uint64, validate func(map[object.Key]*object.Object) error) (map[*pending]outcome, []*pending) {
+	w.changed = make(map[object.Key]*object.Object)
+	verdicts := make(map[*pending]outcome)
+	var accepted []*pending
+	ids := make(map[string]bool)
+	for _, p := range open {
+		if ids[p.OperationID] || w.overlaps(p.Request) {
+			continue
+		}
+		ids[p.OperationID] = true
+		staged, err := w.stage(p.Request)
+		changed := maps.Clone(w.changed)
+		maps.Copy(changed, staged)
+		if err == nil && len(staged) > 0 && validate != nil {
+			err = validate(changed)
+		}
+		switch {
+		case err != nil:
+			verdicts[p] = outcome{err: err}
+		case len(staged) == 0:
+			verdicts[p] = outcome{result: Result{Version: current}}
+		default:
+			w.changed = changed
+			accepted = append(accepted, p)
+		}
+	}
+	return verdicts, accepted
+}
+
+// swap writes the parts of the next version and puts it into the head.
+func (t *attempt) swap(ctx context.Context, head Head, rev int64, w *working, accepted []*pending) error {
+	next, delta, err := w.next()
+	if err != nil {
+		return err
+	}
+	ops := t.a.operations(accepted)
+	u := &published{next: next, delta: delta, swapped: rev}
+	parts, err := u.parts(head, w.base, ops)
+	if err != nil {
+		return err
+	}
+	newHead := Head{
+		Version: next.Version(), Commit: u.commitID, Snapshot: next.Digest(),
+		GCEpoch: head.GCEpoch, Operations: head.withOperations(next.Version(), ops),
+	}
+	value, err := newHead.encode()
+	if err != nil {
+		return err
+	}
+	if err := putParts(ctx, t.a.st, parts); err != nil {
+		return err
+	}
+	_, err = t.a.st.CompareAndSwap(ctx, HeadKey, rev, value, 0)
+	switch {
+	case errorx.IsOfType(err, faults.Conflict):
+		return errLostSwap.Wrap(err, "version %d was not published", next.Version())
+	case errorx.IsOfType(err, faults.StoreUnknown):
+		t.unsettled = u
+		return errLostSwap.Wrap(err, "answer to the swap to version %d was lost", next.Version())
+	case err != nil:
+		return err
+	}
+	t.unsettled = nil
+	for _, p := range accepted {
+		t.outcomes[p] = outcome{result: Result{Version: next.Version(), Changed: true}}
+	}
+	t.a.accepted(u)
+	return nil
+}
+
+// parts returns the changed shards, the delta and the commit of a version. The
+// delta is left out when it does not fit into one value; readers then read the
+// changed shards.
+func (u *published) parts(head Head, base *snapshot.Snapshot, ops []Operation) ([]part, error) {
+	c := &Commit{
+		Version: u.next.Version(), Parent: head.Commit, ParentVersion: head.Version,
+		Snapshot: u.next.Digest(), Operations: ops,
+	}
+	var parts []part
+	for i := range c.Shards {
+		c.Shards[i] = u.next.ShardDigest(i)
+		if c.Shards[i] == base.ShardDigest(i) || c.Shards[i] == emptyPart {
+			continue
+		}
+		p, err := newPart(fmt.Sprintf("shard %d", i), u.next.ShardContent(i))
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, p)
+	}
+	if p, err := newJSONPart("delta", u.delta); err == nil {
+		c.Delta = p.digest
+		parts = append(parts, p)
+	} else if !errorx.IsOfType(err, faults.Invalid) {
+		return nil, err
+	}
+	p, err := newJSONPart("commit", c)
+	if err != nil {
+		return nil, err
+	}
+	u.commit, u.commitID = c, p.digest
+	return append(parts, p), nil
+}
+
+// deliver answers every request that has an outcome and returns the others.
+func (t *attempt) deliver() (deferred []*pending) {
+	for _, p := range t.batch {
+		if o, ok := t.outcomes[p]; ok {
+			p.done <- o
+		} else {
+			deferred = append(deferred, p)
+		}
+	}
+	return deferred
+}
+
+// fail answers every request with err; StoreUnknown when a swap is unsettled.
+func (t *attempt) fail(err error) {
+	if t.unsettled != nil {
+		err = faults.StoreUnknown.Wrap(err, "version %d may have been published", t.unsettled.next.Version())
+	}
+	for _, p := range t.batch {
+		p.done <- outcome{err: err}
+	}
+}
+
+// base returns the snapshot of the head's version.
+func (a *Acceptor) base(ctx context.Context, head Head) (*snapshot.Snapshot, error) {
+	if head.Version == 0 {
+		return snapshot.New(0, nil)
+	}
+	var local *snapshot.Snapshot
+	for _, s := range []*snapshot.Snapshot{a.last, a.cur.Load()} {
+		if s != nil && s.Version() <= head.Version && (local == nil || s.Version() > local.Version()) {
+			local = s
+		}
+	}
+	s, err := a.reader.Load(ctx, head, local)
+	if err == nil {
+		a.last = s
+	}
+	return s, err
+}
+
+// operations describes the accepted requests for the commit.
+func (a *Acceptor) operations(accepted []*pending) []Operation {
+	now := a.opts.Clock.Now().UTC().Truncate(time.Millisecond)
+	var ops []Operation
+	for _, p := range accepted {
+		ops = append(ops, Operation{ID: p.OperationID, Author: p.Author, Time: now, Summary: summary(p.Changes)})
+	}
+	return ops
+}
+
+// accepted reports a version that this node published.
+func (a *Acceptor) accepted(u *published) {
+	a.last = u.next
+	a.reader.remember(u.commitID, u.commit)
+	a.opts.Log.Info("version published", "version", u.next.Version(), "operations", len(u.commit.Operations))
+	a.opts.OnAccept(u.next, u.delta)
+}
--- /dev/null
+++ b/publish/publish_test.go
@@ -0,0 +1,366 @@
+package publish
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+	"siskingw/object"
+	"siskingw/snapshot"
+	"siskingw/store"
+	"siskingw/store/memstore"
+)
+
+// hookStore calls before and after around each write. An error of before keeps
+// the write from happening; an error of after replaces the answer.
+type hookStore struct {
+	store.Store
+	before, after func(key string) error
+}
+
+func (h *hookStore) around(key string, write func() error) error {
+	if h.before != nil {
+		if err := h.before(key); err != nil {
+			return err
+		}
+	}
+	err := write()
+	if h.after != nil {
+		if lost := h.after(key); lost != nil {
+			return lost
+		}
+	}
+	return err
+}
+
+func (h *hookStore) Put(ctx context.Context, key string, v []byte, id store.LeaseID) (rev int64, err error) {
+	err = h.around(key, func() error { rev, err = h.Store.Put(ctx, key, v, id); return err })
+	return rev, err
+}
+
+func (h *hookStore) CompareAndSwap(ctx context.Context, key string, mod int64, v []byte, id store.LeaseID) (rev int64, err error) {
+	err = h.around(key, func() error { rev, err = h.Store.CompareAndSwap(ctx, key, mod, v, id); return err })
+	return rev, err
+}
+
+// start runs an acceptor on st until the test ends.
+func start(t *testing.T, st store.Store, opts Options) *Acceptor {
+	t.Helper()
+	if opts.BatchWindow == 0 {
+		opts.BatchWindow = time.Millisecond
+	}
+	a := NewAcceptor(st, new(snapshot.Current), opts)
+	run(t, a)
+	return a
+}
+
+func run(t *testing.T, a *Acceptor) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = a.Run(ctx) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+func endpoints(name, announce string) *object.Object {
+	return &object.Object{Kind: object.KindEndpointSet, Name: name, EndpointSet: &object.EndpointSetSpec{Announce: announce}}
+}
+
+func service(name, set string) *object.Object {
+	return &object.Object{Kind: object.KindService, Name: name, Service: &object.ServiceSpec{EndpointSet: set}}
+}
+
+func request(id string, objects ...*object.Object) Request {
+	r := Request{OperationID: id, Author: "ann"}
+	for _, o := range objects {
+		r.Changes = append(r.Changes, Change{Object: o})
+	}
+	return r
+}
+
+// load reads the latest version from the store without a local copy.
+func load(t *testing.T, st store.Store) *snapshot.Snapshot {
+	t.Helper()
+	r := NewReader(st)
+	h, _, err := r.Head(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := r.Load(t.Context(), h, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against an acceptor that dies at any step and leaves half a version,
+// or whose repeat by another node applies an operation twice.
+func TestCrashAtEachStep(t *testing.T) {
+	const writes = 4 // shard, delta, commit and head of one change
+	for step := range writes {
+		for _, when := range []string{"before", "after"} {
+			t.Run(fmt.Sprintf("%s write %d", when, step), func(t *testing.T) {
+				is := is.New(t)
+				mem := memstore.New(memstore.Options{})
+				_, err := start(t, mem, Options{}).Apply(t.Context(), request("first", endpoints("a", "one")))
+				is.NoErr(err)
+				var n atomic.Int64
+				dead := faults.StoreUnavailable.New("the process has died")
+				h := &hookStore{Store: mem}
+				h.before = func(string) error {
+					if at := n.Add(1) - 1; at > int64(step) || (when == "before" && at == int64(step)) {
+						return dead
+					}
+					return nil
+				}
+				h.after = func(string) error {
+					if when == "after" && n.Load() > int64(step) {
+						return dead
+					}
+					return nil
+				}
+				_, err = start(t, h, Options{}).Apply(t.Context(), request("second", endpoints("a", "two")))
+				is.True(err != nil)
+				landed := when == "after" && step == writes-1
+				is.Equal(load(t, mem).Version(), map[bool]uint64{false: 1, true: 2}[landed])
+				res, err := start(t, mem, Options{}).Apply(t.Context(), request("second", endpoints("a", "two")))
+				is.NoErr(err)
+				is.Equal(res.Version, uint64(2))
+				is.Equal(load(t, mem).Version(), uint64(2))
+				is.Equal(load(t, mem).Get(endpoints("a", "").Key()).EndpointSet.Announce, "two")
+			})
+		}
+	}
+}
+
+// Guards against a guess when answers are lost: each write of a version takes
+// effect but its answer does not arrive, and the request still succeeds once.
+func TestLostAnswersAreSettled(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	var versions []uint64
+	a := start(t, mem, Options{OnAccept: func(s *snapshot.Snapshot, d *snapshot.Delta) {
+		is.Equal(d.Digest, s.Digest())
+		versions = append(versions, s.Version())
+	}})
+	for i := range 6 {
+		mem.SetFaults(memstore.Faults{LoseAnswers: i})
+		res, err := a.Apply(t.Context(), request(fmt.Sprint("op", i), endpoints("a", fmt.Sprint("v", i))))
+		is.NoErr(err)
+		is.Equal(res, Result{Version: uint64(i + 1), Changed: true})
+	}
+	is.Equal(versions, []uint64{1, 2, 3, 4, 5, 6})
+}
+
+// Guards against reporting "no effect" for a swap that may still take effect.
+func TestUnsettledSwapIsUnknown(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	h := &hookStore{Store: mem, after: func(key string) error {
+		if key != HeadKey {
+			return nil
+		}
+		mem.SetFaults(memstore.Faults{Down: true})
+		return faults.StoreUnknown.New("answer lost")
+	}}
+	a := start(t, h, Options{})
+	_, err := a.Apply(t.Context(), request("op", endpoints("a", "one")))
+	is.True(errorx.IsOfType(err, faults.StoreUnknown))
+	mem.SetFaults(memstore.Faults{})
+	h.after = nil
+	res, err := a.Apply(t.Context(), request("op", endpoints("a", "one")))
+	is.NoErr(err)
+	is.Equal(res.Version, uint64(1))
+}
+
+// Guards against an apply that blocks or lies while the store is down or slow.
+func TestStoreDownAndSlow(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	a := start(t, mem, Options{BatchTimeout: 50 * time.Millisecond, QueueLength: 1})
+	mem.SetFaults(memstore.Faults{Down: true})
+	_, err := a.Apply(t.Context(), request("op", endpoints("a", "one")))
+	is.True(errorx.IsOfType(err, faults.StoreUnavailable))
+	mem.SetFaults(memstore.Faults{HangUntilDone: true})
+	var wg sync.WaitGroup
+	var busy atomic.Int64
+	for i := range 8 {
+		wg.Go(func() {
+			_, err := a.Apply(t.Context(), request(fmt.Sprint("op", i), endpoints("a", "one")))
+			if errorx.IsOfType(err, faults.Busy) {
+				busy.Add(1)
+			} else if !errorx.IsOfType(err, faults.StoreUnavailable) {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+	wg.Wait()
+	mem.SetFaults(memstore.Faults{Latency: time.Millisecond})
+	res, err := a.Apply(t.Context(), request("op", endpoints("a", "one")))
+	is.NoErr(err)
+	is.Equal(res.Version, uint64(1))
+}
+
+// Guards against two operators who both believe that they changed an object.
+func TestConflictNamesObjectRevisionAndAuthor(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	acceptors := []*Acceptor{start(t, mem, Options{}), start(t, mem, Options{})}
+	_, err := acceptors[0].Apply(t.Context(), request("base", endpoints("a", "base")))
+	is.NoErr(err)
+	based := uint64(1)
+	var wins, losses atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			r := request(fmt.Sprint("op", i), endpoints("a", fmt.Sprint("by", i)))
+			r.Author, r.Changes[0].BasedOn = fmt.Sprint("op", i), &based
+			_, err := acceptors[i%2].Apply(t.Context(), r)
+			if err == nil {
+				wins.Add(1)
+				return
+			}
+			got := ConflictsOf(err)
+			if len(got) != 1 || got[0].Revision != 2 || got[0].Key.Name != "a" || !strings.HasPrefix(got[0].Author, "op") {
+				t.Errorf("got %v", err)
+			}
+			losses.Add(1)
+		})
+	}
+	wg.Wait()
+	is.Equal(wins.Load(), int64(1))
+	is.Equal(losses.Load(), int64(7))
+}
+
+// Guards against one bad request that spoils the others of its batch, and
+// against one head swap for each request.
+func TestBatchSharesOneSwap(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	a := NewAcceptor(mem, new(snapshot.Current), Options{BatchWindow: 200 * time.Millisecond})
+	const good = 20
+	results := make(chan error, good+1)
+	for i := range good + 1 {
+		r := request(fmt.Sprint("op", i), endpoints(fmt.Sprint("e", i), "x"))
+		if i == good {
+			r = request("bad", service("s", "none"))
+		}
+		go func() { _, err := a.Apply(t.Context(), r); results <- err }()
+	}
+	for a.queue.Len() < good+1 {
+		time.Sleep(time.Millisecond)
+	}
+	run(t, a)
+	refused := 0
+	for range good + 1 {
+		if err := <-results; err != nil {
+			is.Equal(object.FaultsOf(err)[0].Object, "Service/s")
+			refused++
+		}
+	}
+	is.Equal(refused, 1)
+	is.Equal(load(t, mem).Version(), uint64(1))
+	is.Equal(load(t, mem).Len(), good)
+}
+
+// Guards against a repeat that is applied again because its operation has left
+// the head's list, and against a repeat whose history is gone.
+func TestRepeatAfterOperationLeftTheHead(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	a := start(t, mem, Options{BatchWindow: time.Microsecond})
+	for i := range maxHeadOperations + 10 {
+		_, err := a.Apply(t.Context(), request(fmt.Sprint("op", i), endpoints("a", fmt.Sprint("v", i))))
+		is.NoErr(err)
+	}
+	r := request("op3", endpoints("a", "v3"))
+	for _, since := range []uint64{0, 2, 3} {
+		r.Since = since
+		res, err := start(t, mem, Options{}).Apply(t.Context(), r)
+		is.NoErr(err)
+		is.Equal(res.Version, uint64(4))
+	}
+	clock := clockwork.NewFakeClock()
+	c := NewCollector(mem, CollectorOptions{Clock: clock})
+	_, err := c.Collect(t.Context())
+	is.NoErr(err)
+	clock.Advance(defaultMinAge)
+	n, err := c.Collect(t.Context())
+	is.NoErr(err)
+	is.Equal(n, 10*3) // shard, delta and commit of the ten oldest versions
+	r.Since = 2
+	_, err = start(t, mem, Options{}).Apply(t.Context(), r)
+	is.True(errorx.IsOfType(err, faults.StoreUnknown))
+	is.Equal(load(t, mem).Version(), uint64(maxHeadOperations+10))
+	entries, err := a.History(t.Context(), 1000)
+	is.NoErr(err)
+	is.True(len(entries) >= maxHeadOperations)
+	is.Equal(entries[0].Operations[0].Summary, "EndpointSet/a")
+}
+
+// Guards against a collection that deletes a part which an acceptor, paused
+// between its parts and its swap, is about to publish.
+func TestPausedAcceptorAcrossCollection(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	_, err := start(t, mem, Options{}).Apply(t.Context(), request("first", endpoints("a", "one")))
+	is.NoErr(err)
+	paused, resume := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	h := &hookStore{Store: mem, before: func(key string) error {
+		if key == HeadKey {
+			once.Do(func() { close(paused); <-resume })
+		}
+		return nil
+	}}
+	result := make(chan error, 1)
+	a := start(t, h, Options{})
+	go func() {
+		_, err := a.Apply(t.Context(), request("second", endpoints("a", "two")))
+		result <- err
+	}()
+	<-paused
+	clock := clockwork.NewFakeClock()
+	c := NewCollector(mem, CollectorOptions{Clock: clock})
+	_, err = c.Collect(t.Context())
+	is.NoErr(err)
+	clock.Advance(defaultMinAge)
+	n, err := c.Collect(t.Context())
+	is.NoErr(err)
+	is.Equal(n, 3)
+	close(resume)
+	is.NoErr(<-result)
+	is.Equal(load(t, mem).Get(endpoints("a", "").Key()).EndpointSet.Announce, "two")
+	h2, _, err := NewReader(mem).Head(t.Context())
+	is.NoErr(err)
+	is.Equal(h2.GCEpoch, uint64(1))
+}
+
+// Guards against a shard that no value of the store can hold: it is refused,
+// nothing is published, and a delta that is too large is only left out.
+func TestPartTooLarge(t *testing.T) {
+	is := is.New(t)
+	noise := make([]byte, store.MaxValueBytes)
+	_, err := rand.Read(noise)
+	is.NoErr(err)
+	_, err = newPart("shard 7", noise)
+	is.True(errorx.IsOfType(err, faults.Invalid))
+	is.True(strings.Contains(err.Error(), "shard 7 compresses to"))
+	base, err := snapshot.New(0, nil)
+	is.NoErr(err)
+	u := &published{next: base, delta: &snapshot.Delta{Upserts: []*object.Object{endpoints("a", hex.EncodeToString(noise)+hex.EncodeToString(noise))}}}
+	parts, err := u.parts(Head{}, base, nil)
+	is.NoErr(err)
+	is.Equal(len(parts), 1)
+	is.Equal(u.commit.Delta, snapshot.Digest{})
+}
--- /dev/null
+++ b/publish/reader.go
@@ -0,0 +1,188 @@
+package publish
+
+import (
+	"context"
+	"sync"
+
+	"github.com/joomcode/errorx"
+	"golang.org/x/sync/errgroup"
+
+	"siskingw/faults"
+	"siskingw/snapshot"
+	"siskingw/store"
+)
+
+// maxCachedCommits bounds the commits that a Reader remembers; one takes about
+// 3 KB of memory.
+const maxCachedCommits = 128
+
+// Reader reads versions from the store. It is safe for concurrent use.
+type Reader struct {
+	st store.Store
+
+	mu      sync.Mutex
+	commits map[snapshot.Digest]*Commit
+	order   []snapshot.Digest // of commits, oldest first
+}
+
+// NewReader returns a Reader of the store.
+func NewReader(st store.Store) *Reader {
+	return &Reader{st: st, commits: make(map[snapshot.Digest]*Commit)}
+}
+
+// Head returns the head and its mod revision, or NotFound before the first
+// version.
+func (r *Reader) Head(ctx context.Context) (Head, int64, error) {
+	kv, err := r.st.Get(ctx, HeadKey)
+	if err != nil {
+		return Head{}, 0, err
+	}
+	h, err := DecodeHead(kv.Value)
+	return h, kv.ModRevision, err
+}
+
+// Commit returns the commit with the digest, or NotFound when it has been
+// collected. The result must not be changed.
+func (r *Reader) Commit(ctx context.Context, d snapshot.Digest) (*Commit, error) {
+	r.mu.Lock()
+	c := r.commits[d]
+	r.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	c = new(Commit)
+	if err := getJSONPart(ctx, r.st, d, c); err != nil {
+		return nil, err
+	}
+	r.remember(d, c)
+	return c, nil
+}
+
+// remember caches a commit, which never changes.
+func (r *Reader) remember(d snapshot.Digest, c *Commit) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.commits[d]; ok {
+		return
+	}
+	if len(r.order) == maxCachedCommits {
+		delete(r.commits, r.order[0])
+		r.order = r.order[1:]
+	}
+	r.commits[d] = c
+	r.order = append(r.order, d)
+}
+
+// walk calls visit for the head's commit and its ancestors, latest first,
+// until visit returns false or the ancestor has been collected. complete is
+// false in the latter case.
+func (r *Reader) walk(ctx context.Context, h Head, visit func(d snapshot.Digest, c *Commit) bool) (complete bool, err error) {
+	for d := h.Commit; d != (snapshot.Digest{}); {
+		c, err := r.Commit(ctx, d)
+		if errorx.IsOfType(err, faults.NotFound) && d != h.Commit {
+			return false, nil
+		}
+		if err != nil {
+			return false, err
+		}
+		if !visit(d, c) {
+			return true, nil
+		}
+		d = c.Parent
+	}
+	return true, nil
+}
+
+// Load returns the snapshot of the head's version. base may be nil; otherwise
+// only what differs from it is read, as deltas where that takes fewer reads
+// than shards. It returns NotFound when parts were collected because the head
+// has moved on; the caller reads the head again.
+func (r *Reader) Load(ctx context.Context, h Head, base *snapshot.Snapshot) (*snapshot.Snapshot, error) {
+	if base != nil && base.Version() == h.Version && base.Digest() == h.Snapshot {
+		return base, nil
+	}
+	c, err := r.Commit(ctx, h.Commit)
+	if err != nil {
+		return nil, err
+	}
+	if c.Version != h.Version || c.Snapshot != h.Snapshot {
+		return nil, faults.Corrupt.New("head names version %d, its commit version %d", h.Version, c.Version)
+	}
+	changed := changedShards(c, base)
+	if base != nil && base.Version() < h.Version {
+		next, err := r.loadDeltas(ctx, h, base, len(changed))
+		if next != nil || err != nil {
+			return next, err
+		}
+	}
+	return r.loadShards(ctx, c, base, changed)
+}
+
+// changedShards returns the shards that differ from base.
+func changedShards(c *Commit, base *snapshot.Snapshot) []int {
+	var changed []int
+	for i, d := range c.Shards {
+		if base == nil || base.ShardDigest(i) != d {
+			changed = append(changed, i)
+		}
+	}
+	return changed
+}
+
+// loadDeltas applies the deltas from base to the head. It returns nil when the
+// chain is broken or takes more reads than the shards do.
+func (r *Reader) loadDeltas(ctx context.Context, h Head, base *snapshot.Snapshot, shards int) (*snapshot.Snapshot, error) {
+	var chain []snapshot.Digest // of deltas, latest first
+	reached := false
+	_, err := r.walk(ctx, h, func(_ snapshot.Digest, c *Commit) bool {
+		chain = append(chain, c.Delta)
+		reached = c.ParentVersion == base.Version()
+		const readsPerStep = 2 // a delta and the next commit
+		return !reached && c.ParentVersion > base.Version() && c.Delta != (snapshot.Digest{}) && readsPerStep*len(chain) < shards
+	})
+	if err != nil || !reached {
+		return nil, err
+	}
+	next := base
+	for i := len(chain) - 1; i >= 0; i-- {
+		d := new(snapshot.Delta)
+		if chain[i] == (snapshot.Digest{}) {
+			return nil, nil
+		}
+		err := getJSONPart(ctx, r.st, chain[i], d)
+		if errorx.IsOfType(err, faults.NotFound) {
+			return nil, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if next, err = next.Apply(d); err != nil {
+			return nil, nil // base is not an ancestor of the head
+		}
+	}
+	if next.Digest() != h.Snapshot || next.Version() != h.Version {
+		return nil, nil
+	}
+	return next, nil
+}
+
+// loadShards reads the changed shards and takes the others from base.
+func (r *Reader) loadShards(ctx context.Context, c *Commit, base *snapshot.Snapshot, changed []int) (*snapshot.Snapshot, error) {
+	contents := make([][]byte, len(changed))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(maxParallelParts)
+	for n, i := range changed {
+		g.Go(func() (err error) {
+			contents[n], err = getPart(ctx, r.st, c.Shards[i])
+			return err
+		})
+	}
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	touched := make(map[int][]byte, len(changed))
+	for n, i := range changed {
+		touched[i] = contents[n]
+	}
+	return snapshot.Rebuild(base, c.Version, c.Snapshot, touched)
+}
--- /dev/null
+++ b/publish/working.go
@@ -0,0 +1,123 @@
+package publish
+
+import (
+	"maps"
+	"slices"
+
+	"siskingw/faults"
+	"siskingw/object"
+	"siskingw/snapshot"
+)
+
+// working is the set under construction for the next version.
+type working struct {
+	base    *snapshot.Snapshot
+	version uint64
+	changed map[object.Key]*object.Object // nil: deleted
+}
+
+func newWorking(base *snapshot.Snapshot, version uint64) *working {
+	return &working{base: base, version: version, changed: make(map[object.Key]*object.Object)}
+}
+
+// overlaps reports whether the request changes an object that an earlier
+// request of the same version changes. Such a request waits for a later
+// version, or both authors would hold the same revision of the object.
+func (w *working) overlaps(r Request) bool {
+	return slices.ContainsFunc(r.Changes, func(c Change) bool {
+		_, ok := w.changed[c.Key()]
+		return ok
+	})
+}
+
+// stage returns what the request changes, or a Conflict or NotFound error.
+// Changes that make no difference are left out.
+func (w *working) stage(r Request) (map[object.Key]*object.Object, error) {
+	staged := make(map[object.Key]*object.Object)
+	var conflicts []ObjectConflict
+	for _, c := range r.Changes {
+		k := c.Key()
+		old := w.base.Get(k)
+		if conflict := compareRevision(c, old); conflict != nil {
+			conflicts = append(conflicts, *conflict)
+			continue
+		}
+		switch {
+		case c.Delete != nil && old == nil:
+			return nil, faults.NotFound.New("%s does not exist", k)
+		case c.Delete != nil:
+			staged[k] = nil
+		case old == nil || !old.SameSpec(c.Object):
+			next := *c.Object
+			next.Revision, next.Author = w.version, r.Author
+			staged[k] = &next
+		}
+	}
+	if len(conflicts) > 0 {
+		return nil, NewConflict(conflicts)
+	}
+	return staged, nil
+}
+
+// compareRevision returns the conflict of a change with the current object.
+func compareRevision(c Change, current *object.Object) *ObjectConflict {
+	if c.BasedOn == nil {
+		return nil
+	}
+	found := ObjectConflict{Key: c.Key(), BasedOn: *c.BasedOn}
+	if current != nil {
+		found.Revision, found.Author = current.Revision, current.Author
+	}
+	if found.Revision == found.BasedOn {
+		return nil
+	}
+	return &found
+}
+
+// validate checks the whole set with the given changes. Faults that the base
+// already has do not count: a release with stricter rules must not block
+// unrelated changes.
+func (w *working) validate(changed map[object.Key]*object.Object) error {
+	err := object.Validate(w.objects(changed))
+	if err == nil {
+		return nil
+	}
+	known := object.FaultsOf(object.Validate(w.base.Objects()))
+	return object.NewInvalid(slices.DeleteFunc(object.FaultsOf(err), func(f object.Fault) bool {
+		return slices.Contains(known, f)
+	}))
+}
+
+// objects returns the base with the given changes.
+func (w *working) objects(changed map[object.Key]*object.Object) []*object.Object {
+	var set []*object.Object
+	for _, o := range w.base.Objects() {
+		if _, ok := changed[o.Key()]; !ok {
+			set = append(set, o)
+		}
+	}
+	for _, o := range changed {
+		if o != nil {
+			set = append(set, o)
+		}
+	}
+	return set
+}
+
+// next returns the snapshot of the next version and the delta to it.
+func (w *working) next() (*snapshot.Snapshot, *snapshot.Delta, error) {
+	d := &snapshot.Delta{BaseVersion: w.base.Version(), BaseDigest: w.base.Digest(), Version: w.version}
+	for _, k := range slices.SortedFunc(maps.Keys(w.changed), object.Key.Compare) {
+		if o := w.changed[k]; o != nil {
+			d.Upserts = append(d.Upserts, o)
+		} else {
+			d.Deletes = append(d.Deletes, k)
+		}
+	}
+	next, err := w.base.With(w.version, d.Upserts, d.Deletes)
+	if err != nil {
+		return nil, nil, err
+	}
+	d.Digest = next.Digest()
+	return next, d, nil
+}
--- a/snapshot/codec.go
+++ b/snapshot/codec.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"encoding/json"
+	"slices"
 
 	"github.com/klauspost/compress/zstd"
 
@@ -51,6 +52,9 @@
 	if err := json.Unmarshal(raw, d); err != nil {
 		return nil, faults.Corrupt.Wrap(err, "delta cannot be decoded")
 	}
+	if slices.Contains(d.Upserts, nil) {
+		return nil, faults.Corrupt.New("delta to version %d holds an empty object", d.Version)
+	}
 	return d, nil
 }
 
@@ -95,33 +99,64 @@
 // FromShards builds a snapshot from the canonical content of its shards and
 // checks the digest and every reference.
 func FromShards(version uint64, want Digest, contents [ShardCount][]byte) (*Snapshot, error) {
-	var all []*object.Object
+	touched := make(map[int][]byte, ShardCount)
 	for i, content := range contents {
-		objects, err := decodeShard(i, content)
+		touched[i] = content
+	}
+	return Rebuild(nil, version, want, touched)
+}
+
+// Rebuild builds a snapshot from the canonical content of the touched shards
+// and takes the other shards from base; base may be nil when every shard is
+// touched. It checks the digest and every reference and returns a Corrupt or
+// Dangling error.
+func Rebuild(base *Snapshot, version uint64, want Digest, touched map[int][]byte) (*Snapshot, error) {
+	next := &Snapshot{version: version}
+	if base != nil {
+		next.shards = base.shards
+	}
+	for i, content := range touched {
+		sh, err := decodeShard(i, content)
 		if err != nil {
 			return nil, err
 		}
-		all = append(all, objects...)
+		next.shards[i] = sh
 	}
-	s, err := New(version, all)
-	if err != nil {
-		return nil, err
+	if i := slices.Index(next.shards[:], nil); i >= 0 {
+		return nil, faults.Internal.New("shard %d of version %d is missing", i, version)
 	}
-	if s.digest != want {
-		return nil, faults.Corrupt.New("version %d has digest %s, want %s", version, s.digest, want)
+	if got := digestOf(&next.shards); got != want {
+		return nil, faults.Corrupt.New("version %d has digest %s, want %s", version, got, want)
 	}
-	return s, nil
+	if err := next.seal(); err != nil {
+		return nil, err
+	}
+	return next, nil
 }
 
-// decodeShard reads one shard's lines.
-func decodeShard(i int, content []byte) ([]*object.Object, error) {
+// decodeShard reads one shard's lines, which must be canonical, in order and
+// of this shard.
+func decodeShard(i int, content []byte) (*shard, error) {
 	var objects []*object.Object
 	for line := range bytes.Lines(content) {
 		o := new(object.Object)
-		if err := json.Unmarshal(line, o); err != nil {
+		if err := o.UnmarshalJSON(line); err != nil {
 			return nil, faults.Corrupt.Wrap(err, "shard %d cannot be decoded", i)
 		}
+		if ShardOf(o.Key()) != i {
+			return nil, faults.Corrupt.New("%s does not belong to shard %d", o.Key(), i)
+		}
+		if n := len(objects); n > 0 && compareObjects(objects[n-1], o) >= 0 {
+			return nil, faults.Corrupt.New("%s is out of order in shard %d", o.Key(), i)
+		}
 		objects = append(objects, o)
 	}
-	return objects, nil
+	sh, err := newShard(objects)
+	if err != nil {
+		return nil, faults.Corrupt.Wrap(err, "shard %d cannot be encoded", i)
+	}
+	if !bytes.Equal(sh.content, content) {
+		return nil, faults.Corrupt.New("shard %d is not in canonical form", i)
+	}
+	return sh, nil
 }
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -6,7 +6,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -18,6 +17,10 @@
 // and must not change between releases.
 const ShardCount = 64
 
+// maxKeyLength is the length of the longest valid kind/name in bytes; hashing a
+// longer one allocates.
+const maxKeyLength = 80
+
 // Digest is a SHA-256 digest.
 type Digest [sha256.Size]byte
 
@@ -50,7 +53,9 @@
 
 // ShardOf returns the shard that holds the key.
 func ShardOf(k object.Key) int {
-	return int(xxhash.Sum64String(k.String()) % ShardCount)
+	var buf [maxKeyLength]byte
+	b := append(append(append(buf[:0], k.Kind...), '/'), k.Name...)
+	return int(xxhash.Sum64(b) % ShardCount)
 }
 
 // shard is an immutable group of objects, sorted by key.
@@ -154,7 +159,7 @@
 func (s *Snapshot) Get(k object.Key) *object.Object {
 	sh := s.shards[ShardOf(k)]
 	i, ok := slices.BinarySearchFunc(sh.objects, k, func(o *object.Object, k object.Key) int {
-		return strings.Compare(o.Key().String(), k.String())
+		return o.Key().Compare(k)
 	})
 	if !ok {
 		return nil
@@ -173,7 +178,7 @@
 }
 
 func compareObjects(a, b *object.Object) int {
-	return strings.Compare(a.Key().String(), b.Key().String())
+	return a.Key().Compare(b.Key())
 }
 
 // firstDuplicate returns an object of a sorted group whose key occurs twice.
