--- /dev/null
+++ b/cli/change.go
@@ -0,0 +1,208 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"github.com/google/uuid"
+	"github.com/joomcode/errorx"
+
+	"siskingw/admin"
+	"siskingw/faults"
+	"siskingw/object"
+	"siskingw/publish"
+)
+
+// checkCommand validates files without changing anything.
+type checkCommand struct {
+	files paths
+	live  bool
+}
+
+func (*checkCommand) name() string     { return "check" }
+func (*checkCommand) synopsis() string { return "validate objects in files" }
+func (*checkCommand) usage() string {
+	return `-f FILE|DIRECTORY ...
+
+Reports every fault of the objects at once. Without -live the files must hold
+everything that they refer to and no node is asked.`
+}
+
+func (c *checkCommand) flags(f *flag.FlagSet) {
+	f.Var(&c.files, "f", "file, or directory whose .json files are read; may be repeated")
+	f.BoolVar(&c.live, "live", false, "validate together with the objects in force on the node")
+}
+
+func (c *checkCommand) run(ctx context.Context, e *env, args []string) error {
+	set, err := readObjects(append(c.files, args...))
+	if err != nil {
+		return err
+	}
+	declared := len(set)
+	if c.live {
+		live, err := e.client.Objects(ctx, "")
+		if err != nil {
+			return err
+		}
+		set = overlay(live.Objects, set)
+	}
+	if err := object.Validate(set); err != nil {
+		return err
+	}
+	return e.print(map[string]int{"objects": declared}, [][]string{{fmt.Sprintf("%d objects are valid", declared)}})
+}
+
+// overlay returns set and the live objects that set does not replace.
+func overlay(live, set []*object.Object) []*object.Object {
+	declared := make(map[object.Key]bool, len(set))
+	for _, o := range set {
+		declared[o.Key()] = true
+	}
+	for _, o := range live {
+		if !declared[o.Key()] {
+			set = append(set, o)
+		}
+	}
+	return set
+}
+
+// changeFlags are the flags of commands that change objects.
+type changeFlags struct {
+	author    string
+	operation string
+	overwrite bool
+	wait      bool
+}
+
+func (c *changeFlags) flags(f *flag.FlagSet) {
+	f.StringVar(&c.author, "author", os.Getenv("USER"), "name that history shows")
+	f.StringVar(&c.operation, "operation", "", "operation id of an earlier attempt whose outcome is unknown; it is not applied twice")
+	f.BoolVar(&c.overwrite, "overwrite", false, "do not refuse objects that another operator has changed")
+	f.BoolVar(&c.wait, "wait", false, "wait until the change is in force in every failure domain")
+}
+
+// applyCommand declares the objects of files.
+type applyCommand struct {
+	changeFlags
+	files paths
+}
+
+func (*applyCommand) name() string     { return "apply" }
+func (*applyCommand) synopsis() string { return "declare objects from files" }
+func (*applyCommand) usage() string {
+	return `-f FILE|DIRECTORY ...
+
+All objects take effect together or not at all; objects that are not in the
+files stay as they are. An object with a revision, as written by get, is
+refused when it has changed since; one without is refused when it changes
+while apply runs.`
+}
+
+func (c *applyCommand) flags(f *flag.FlagSet) {
+	c.changeFlags.flags(f)
+	f.Var(&c.files, "f", "file, or directory whose .json files are read; may be repeated")
+}
+
+func (c *applyCommand) run(ctx context.Context, e *env, args []string) error {
+	set, err := readObjects(append(c.files, args...))
+	if err != nil {
+		return err
+	}
+	var changes []publish.Change
+	for _, o := range set {
+		change := publish.Change{Object: o}
+		if o.Revision > 0 {
+			change.BasedOn = &o.Revision
+		}
+		changes = append(changes, change)
+	}
+	return c.publish(ctx, e, changes)
+}
+
+// deleteCommand deletes objects.
+type deleteCommand struct{ changeFlags }
+
+func (*deleteCommand) name() string     { return "delete" }
+func (*deleteCommand) synopsis() string { return "delete objects" }
+func (*deleteCommand) usage() string {
+	return `KIND/NAME ...
+
+Deletes the objects together. Refused while another object refers to one.`
+}
+
+func (c *deleteCommand) run(ctx context.Context, e *env, args []string) error {
+	if len(args) == 0 {
+		return usageError("no object is given")
+	}
+	var changes []publish.Change
+	for _, arg := range args {
+		k, err := parseKey(arg)
+		if err != nil {
+			return err
+		}
+		changes = append(changes, publish.Change{Delete: &k})
+	}
+	return c.publish(ctx, e, changes)
+}
+
+// publish sends the changes and reports the version that contains them.
+func (c *changeFlags) publish(ctx context.Context, e *env, changes []publish.Change) error {
+	if c.author == "" {
+		return usageError("no author is known; use -author")
+	}
+	req := publish.Request{OperationID: c.operation, Author: c.author, Changes: changes}
+	if req.OperationID == "" {
+		live, err := e.client.Objects(ctx, "")
+		if err != nil {
+			return err
+		}
+		req.OperationID, req.Since = uuid.NewString(), live.Version
+		setRevisions(changes, live)
+	}
+	if c.overwrite {
+		for i := range changes {
+			changes[i].BasedOn = nil
+		}
+	}
+	res, err := e.client.Apply(ctx, req)
+	if err != nil {
+		if errorx.IsOfType(err, faults.StoreUnknown) {
+			fmt.Fprintf(e.err, "the outcome is unknown; repeat the command with -operation %s\n", req.OperationID)
+		}
+		return err
+	}
+	if err := c.report(e, req.OperationID, res); err != nil || !c.wait {
+		return err
+	}
+	return e.waitFor(ctx, res.Version)
+}
+
+// setRevisions bases changes without a stated revision on the live objects. An
+// absent object that is to be deleted is left to the node, which refuses it.
+func setRevisions(changes []publish.Change, live admin.Objects) {
+	revisions := make(map[object.Key]uint64, len(live.Objects))
+	for _, o := range live.Objects {
+		revisions[o.Key()] = o.Revision
+	}
+	for i := range changes {
+		revision, exists := revisions[changes[i].Key()]
+		if changes[i].BasedOn == nil && (exists || changes[i].Object != nil) {
+			changes[i].BasedOn = &revision
+		}
+	}
+}
+
+func (c *changeFlags) report(e *env, id string, res publish.Result) error {
+	text := "already as declared"
+	if res.Changed {
+		text = "accepted"
+	}
+	return e.print(struct {
+		publish.Result
+		OperationID string `json:"operationId"`
+	}{res, id}, [][]string{{"version " + strconv.FormatUint(res.Version, 10) + " " + strings.TrimSpace(text)}})
+}
--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,197 @@
+// Package cli holds the operators' commands: check, apply, get, delete,
+// history, status and version. Exit codes are those of package faults.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/joomcode/errorx"
+
+	"siskingw/admin"
+	"siskingw/faults"
+	"siskingw/object"
+)
+
+// DefaultNode is the address of the admin listener that commands ask.
+const DefaultNode = "127.0.0.1:7701"
+
+// nodeVariable is the environment variable that replaces DefaultNode.
+const nodeVariable = "SISKINGW_NODE"
+
+const (
+	defaultTimeout = 30 * time.Second
+	// pollInterval is the time between two questions for the status.
+	pollInterval = 200 * time.Millisecond
+	groupName    = "operator commands"
+)
+
+// streams is where commands write.
+type streams struct {
+	out, err io.Writer
+	progress bool // err is a terminal
+}
+
+// Register adds the operators' commands to the commander.
+func Register(c *subcommands.Commander) {
+	register(c, streams{out: os.Stdout, err: os.Stderr, progress: isTerminal(os.Stderr)})
+}
+
+func register(c *subcommands.Commander, s streams) {
+	for _, cmd := range []command{
+		new(checkCommand), new(applyCommand), new(getCommand), new(deleteCommand),
+		new(historyCommand), new(statusCommand), new(versionCommand),
+	} {
+		c.Register(&adapter{command: cmd, s: s}, groupName)
+	}
+}
+
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+// command is one operator command. run returns a typed error, from which the
+// exit code follows.
+type command interface {
+	name() string
+	synopsis() string
+	usage() string // arguments and explanation, without the flags
+	flags(f *flag.FlagSet)
+	run(ctx context.Context, e *env, args []string) error
+}
+
+// env is what every command gets: the node's client, output and flags.
+type env struct {
+	streams
+	client  *admin.Client
+	format  string
+	timeout time.Duration
+}
+
+// adapter makes a command a subcommands.Command with the common flags.
+type adapter struct {
+	command
+	s       streams
+	node    string
+	format  string
+	timeout time.Duration
+}
+
+func (a *adapter) Name() string     { return a.name() }
+func (a *adapter) Synopsis() string { return a.synopsis() }
+func (a *adapter) Usage() string {
+	return "siskingw " + a.name() + " [flags] " + a.usage() + "\n\nFlags:\n"
+}
+
+func (a *adapter) SetFlags(f *flag.FlagSet) {
+	node := DefaultNode
+	if v := os.Getenv(nodeVariable); v != "" {
+		node = v
+	}
+	f.StringVar(&a.node, "node", node, "address of any node's admin listener; the default can be set in "+nodeVariable)
+	f.StringVar(&a.format, "o", "table", "output format: table or json")
+	f.DurationVar(&a.timeout, "timeout", defaultTimeout, "give up after this time")
+	a.flags(f)
+}
+
+func (a *adapter) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if a.format != "table" && a.format != "json" {
+		fmt.Fprintf(a.s.err, "siskingw %s: -o %q is neither table nor json\n", a.name(), a.format)
+		return subcommands.ExitStatus(faults.ExitUsage)
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.timeout)
+	defer cancel()
+	e := &env{streams: a.s, client: admin.NewClient(a.node), format: a.format, timeout: a.timeout}
+	defer e.client.Close()
+	err := a.run(ctx, e, f.Args())
+	if _, ok := errorx.ExtractProperty(err, usageProperty); ok {
+		fmt.Fprintf(a.s.err, "siskingw %s: %s\n\n%s", a.name(), admin.ErrorOf(err).Message, a.Usage())
+		f.SetOutput(a.s.err)
+		f.PrintDefaults()
+		return subcommands.ExitStatus(faults.ExitUsage)
+	}
+	if err != nil {
+		e.printError(a.name(), err)
+	}
+	return subcommands.ExitStatus(faults.ExitCode(err))
+}
+
+// usageProperty marks an Invalid error about the command line itself.
+var usageProperty = errorx.RegisterProperty("usage")
+
+// usageError reports arguments that the command cannot use.
+func usageError(format string, args ...any) error {
+	return faults.Invalid.New(format, args...).WithProperty(usageProperty, true)
+}
+
+// printError writes the failure with one line for each fault or conflict.
+func (e *env) printError(command string, err error) {
+	body := admin.ErrorOf(err)
+	if e.format == "json" {
+		_ = json.NewEncoder(e.err).Encode(body)
+		return
+	}
+	switch {
+	case len(body.Faults) > 0:
+		fmt.Fprintf(e.err, "siskingw %s: %d faults\n", command, len(body.Faults))
+		for _, f := range body.Faults {
+			fmt.Fprintf(e.err, "  %s\n", f)
+		}
+	case len(body.Conflicts) > 0:
+		fmt.Fprintf(e.err, "siskingw %s: another operator was first; read the objects again\n", command)
+		for _, c := range body.Conflicts {
+			fmt.Fprintf(e.err, "  %s\n", c)
+		}
+	default:
+		fmt.Fprintf(e.err, "siskingw %s: %s (%s)\n", command, body.Message, body.Type)
+	}
+}
+
+// print writes v as JSON, or the rows as a table whose first row is the head.
+func (e *env) print(v any, rows [][]string) error {
+	if e.format == "json" {
+		enc := json.NewEncoder(e.out)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(v); err != nil {
+			return faults.Internal.Wrap(err, "output cannot be written")
+		}
+		return nil
+	}
+	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
+	for _, row := range rows {
+		fmt.Fprintln(w, strings.Join(row, "\t"))
+	}
+	if err := w.Flush(); err != nil {
+		return faults.Internal.Wrap(err, "output cannot be written")
+	}
+	return nil
+}
+
+// parseKind accepts a kind in any case.
+func parseKind(s string) (object.Kind, error) {
+	for _, k := range object.Kinds {
+		if strings.EqualFold(string(k), s) {
+			return k, nil
+		}
+	}
+	return "", usageError("%q is not a kind; want one of %v", s, object.Kinds)
+}
+
+// parseKey reads kind/name.
+func parseKey(s string) (object.Key, error) {
+	kind, name, ok := strings.Cut(s, "/")
+	if !ok || name == "" {
+		return object.Key{}, usageError("%q is not kind/name", s)
+	}
+	k, err := parseKind(kind)
+	return object.Key{Kind: k, Name: name}, err
+}
--- /dev/null
+++ b/cli/read.go
@@ -0,0 +1,220 @@
+package cli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"siskingw/admin"
+	"siskingw/faults"
+	"siskingw/object"
+)
+
+// getCommand reads objects.
+type getCommand struct{}
+
+func (*getCommand) name() string          { return "get" }
+func (*getCommand) synopsis() string      { return "read objects in force on the node" }
+func (*getCommand) flags(f *flag.FlagSet) {}
+func (*getCommand) usage() string {
+	return `[KIND | KIND/NAME ...]
+
+Without argument it lists every object. The JSON output can be edited and
+given to apply, which then refuses objects that have changed since.`
+}
+
+func (*getCommand) run(ctx context.Context, e *env, args []string) error {
+	set, err := get(ctx, e, args)
+	if err != nil {
+		return err
+	}
+	rows := [][]string{{"KIND", "NAME", "REVISION", "AUTHOR"}}
+	for _, o := range set {
+		rows = append(rows, []string{string(o.Kind), o.Name, strconv.FormatUint(o.Revision, 10), o.Author})
+	}
+	return e.print(map[string][]*object.Object{"objects": set}, rows)
+}
+
+func get(ctx context.Context, e *env, args []string) ([]*object.Object, error) {
+	if len(args) <= 1 && !strings.Contains(strings.Join(args, ""), "/") {
+		var kind object.Kind
+		var err error
+		if len(args) == 1 {
+			if kind, err = parseKind(args[0]); err != nil {
+				return nil, err
+			}
+		}
+		out, err := e.client.Objects(ctx, kind)
+		return out.Objects, err
+	}
+	var set []*object.Object
+	for _, arg := range args {
+		k, err := parseKey(arg)
+		if err != nil {
+			return nil, err
+		}
+		o, err := e.client.Object(ctx, k)
+		if err != nil {
+			return nil, err
+		}
+		set = append(set, o)
+	}
+	return set, nil
+}
+
+// historyCommand reads the latest versions.
+type historyCommand struct{ limit int }
+
+func (*historyCommand) name() string     { return "history" }
+func (*historyCommand) synopsis() string { return "list the latest versions and who made them" }
+func (*historyCommand) usage() string    { return "" }
+func (c *historyCommand) flags(f *flag.FlagSet) {
+	f.IntVar(&c.limit, "n", 20, "number of versions; the store keeps at least 64")
+}
+
+func (c *historyCommand) run(ctx context.Context, e *env, _ []string) error {
+	if c.limit < 1 {
+		return usageError("-n must be at least 1")
+	}
+	out, err := e.client.History(ctx, c.limit)
+	if err != nil {
+		return err
+	}
+	rows := [][]string{{"VERSION", "TIME", "AUTHOR", "CHANGE", "OPERATION"}}
+	for _, v := range out.Entries {
+		for _, o := range v.Operations {
+			rows = append(rows, []string{strconv.FormatUint(v.Version, 10), o.Time.Format(time.RFC3339), o.Author, o.Summary, o.ID})
+		}
+	}
+	return e.print(out, rows)
+}
+
+// versionCommand reads the version in force on the node.
+type versionCommand struct{}
+
+func (*versionCommand) name() string          { return "version" }
+func (*versionCommand) synopsis() string      { return "show the version in force on the node" }
+func (*versionCommand) usage() string         { return "" }
+func (*versionCommand) flags(f *flag.FlagSet) {}
+
+func (*versionCommand) run(ctx context.Context, e *env, _ []string) error {
+	v, err := e.client.Version(ctx)
+	if err != nil {
+		return err
+	}
+	return e.print(v, [][]string{{"VERSION", "DIGEST"}, {strconv.FormatUint(v.Version, 10), v.Digest.String()}})
+}
+
+// statusCommand tells where a version is in force.
+type statusCommand struct {
+	version uint64
+	wait    bool
+}
+
+func (*statusCommand) name() string     { return "status" }
+func (*statusCommand) synopsis() string { return "show in which failure domains a version is in force" }
+func (*statusCommand) usage() string {
+	return `
+
+A failure domain is "in force" when each of its members has confirmed the
+version, "pending" while one has not, and "unreachable" while it cannot be
+asked. With -wait the exit code is 6 when the version is not in force
+everywhere within -timeout.`
+}
+
+func (c *statusCommand) flags(f *flag.FlagSet) {
+	f.Uint64Var(&c.version, "version", 0, "version to ask for; 0 is the one in force on the node")
+	f.BoolVar(&c.wait, "wait", false, "wait until the version is in force everywhere")
+}
+
+func (c *statusCommand) run(ctx context.Context, e *env, _ []string) error {
+	st, err := e.client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	version := c.version
+	if version == 0 {
+		version = st.Version
+	}
+	if c.wait {
+		return e.waitFor(ctx, version)
+	}
+	return e.printStatus(st, version)
+}
+
+func (e *env) printStatus(st admin.Status, version uint64) error {
+	rows := [][]string{{"FAILURE DOMAIN", "REGION", "STATE", "IN FORCE", "CONFIRMED", "LAGGARDS"}}
+	for _, d := range st.Domains {
+		state := string(d.StateOf(version))
+		if d.UnreachableSince != nil {
+			state += " since " + d.UnreachableSince.Format(time.RFC3339)
+		}
+		rows = append(rows, []string{
+			d.Name, d.Region, state, strconv.FormatUint(d.InForce, 10),
+			fmt.Sprintf("%d of %d", d.Confirmed, d.Members), strings.Join(d.Laggards, " "),
+		})
+	}
+	return e.print(st, rows)
+}
+
+// waitFor polls the status until the version is in force everywhere. It prints
+// the last status and returns a Timeout error when ctx ends first. A node that
+// does not answer for a while is asked again.
+func (e *env) waitFor(ctx context.Context, version uint64) error {
+	started := time.Now()
+	var last admin.Status
+	for {
+		st, err := e.client.Status(ctx)
+		if err == nil {
+			last = st
+			e.showProgress(st, version, time.Since(started))
+		}
+		if err == nil && st.InForce(version) {
+			e.endProgress()
+			return e.printStatus(st, version)
+		}
+		if err != nil && ctx.Err() == nil && !errorx.HasTrait(err, faults.Retriable) && !errorx.IsOfType(err, faults.Timeout) {
+			e.endProgress()
+			return err
+		}
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			e.endProgress()
+			if err := e.printStatus(last, version); err != nil {
+				return err
+			}
+			return faults.Timeout.New("version %d is not in force everywhere after %s", version, e.timeout)
+		}
+	}
+}
+
+// showProgress rewrites one line on a terminal.
+func (e *env) showProgress(st admin.Status, version uint64, waited time.Duration) {
+	if !e.progress {
+		return
+	}
+	inForce := 0
+	var open []string
+	for _, d := range st.Domains {
+		if d.StateOf(version) == admin.StateInForce {
+			inForce++
+		} else {
+			open = append(open, fmt.Sprintf("%s (%s, %d of %d)", d.Name, d.StateOf(version), d.Confirmed, d.Members))
+		}
+	}
+	const clearLine = "\r\x1b[K"
+	fmt.Fprintf(e.err, "%sversion %d: in force in %d of %d failure domains after %s %s", clearLine, version,
+		inForce, len(st.Domains), waited.Truncate(pollInterval/2), strings.Join(open, ", "))
+}
+
+func (e *env) endProgress() {
+	if e.progress {
+		fmt.Fprintln(e.err)
+	}
+}
--- a/object/object.go
+++ b/object/object.go
@@ -17,6 +17,9 @@
 	KindPolicy      Kind = "Policy"
 )
 
+// Kinds lists every kind in alphabetical order.
+var Kinds = []Kind{KindEndpointSet, KindPolicy, KindRoute, KindService}
+
 // Key identifies an object within a set.
 type Key struct {
 	Kind Kind   `json:"kind"`
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -11,8 +11,8 @@
 	"testing"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"github.com/jonboulle/clockwork"
+	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
 
 	"siskingw/faults"
