--- a/faults/faults.go
+++ b/faults/faults.go
@@ -40,6 +40,8 @@
 var (
 	// StoreUnavailable reports a store call that certainly had no effect.
 	StoreUnavailable = storage.NewType("unavailable", Retriable)
+	// StoreLimited reports a call that the store refused because of its rate limit.
+	StoreLimited = StoreUnavailable.NewSubtype("rate_limited")
 	// StoreUnknown reports a store write whose effect is unknown; settle it by reading.
 	StoreUnknown = storage.NewType("unknown")
 	// StoreCompacted reports a watch that cannot resume; the reader must read again.
--- /dev/null
+++ b/store/etcd/etcd.go
@@ -0,0 +1,213 @@
+// Package etcd implements store.Store over the published etcd v3 gRPC API. It
+// uses the KV, Lease and Watch services only.
+package etcd
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"siskingw/faults"
+	"siskingw/store"
+	pb "siskingw/store/etcd/etcdpb"
+)
+
+const (
+	defaultCallTimeout = 2 * time.Second
+	maxBackoff         = 2 * time.Second
+	maxMsgBytes        = 8 << 20 // a range of parts can exceed gRPC's default of 4 MB
+)
+
+// Options configures a Client.
+type Options struct {
+	Endpoint    string        // host:port of the store
+	CallTimeout time.Duration // bound of one call, default 2 s
+}
+
+// Client is a store.Store that talks to one endpoint.
+type Client struct {
+	cc      *grpc.ClientConn
+	kv      pb.KVClient
+	lease   pb.LeaseClient
+	watch   pb.WatchClient
+	timeout time.Duration
+}
+
+var _ store.Store = (*Client)(nil)
+
+// New returns a client. It does not wait for the connection; calls fail with
+// faults.StoreUnavailable while the store cannot be reached.
+func New(opts Options) (*Client, error) {
+	if opts.CallTimeout == 0 {
+		opts.CallTimeout = defaultCallTimeout
+	}
+	retry := backoff.DefaultConfig
+	retry.BaseDelay, retry.MaxDelay = 100*time.Millisecond, maxBackoff
+	cc, err := grpc.NewClient("passthrough:///"+opts.Endpoint,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: opts.CallTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMsgBytes)),
+		grpc.WithDisableRetry(),
+		grpc.WithDisableServiceConfig(),
+	)
+	if err != nil {
+		return nil, faults.Invalid.Wrap(err, "store endpoint %q", opts.Endpoint)
+	}
+	return &Client{cc: cc, kv: pb.NewKVClient(cc), lease: pb.NewLeaseClient(cc), watch: pb.NewWatchClient(cc), timeout: opts.CallTimeout}, nil
+}
+
+// Close implements store.Store.
+func (c *Client) Close() error { return c.cc.Close() }
+
+// Get implements store.Store.
+func (c *Client) Get(ctx context.Context, key string) (store.KeyValue, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	resp, err := c.kv.Range(ctx, &pb.RangeRequest{Key: []byte(key)})
+	if err != nil {
+		return store.KeyValue{}, readError(err, "get %q", key)
+	}
+	if len(resp.Kvs) == 0 {
+		return store.KeyValue{}, faults.NotFound.New("key %q does not exist", key)
+	}
+	return fromProto(resp.Kvs[0]), nil
+}
+
+// Range implements store.Store.
+func (c *Client) Range(ctx context.Context, prefix string, keysOnly bool) ([]store.KeyValue, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	resp, err := c.kv.Range(ctx, &pb.RangeRequest{
+		Key: []byte(prefix), RangeEnd: PrefixEnd(prefix), KeysOnly: keysOnly,
+		SortOrder: pb.RangeRequest_ASCEND, SortTarget: pb.RangeRequest_KEY,
+	})
+	if err != nil {
+		return nil, 0, readError(err, "range %q", prefix)
+	}
+	kvs := make([]store.KeyValue, len(resp.Kvs))
+	for i, kv := range resp.Kvs {
+		kvs[i] = fromProto(kv)
+	}
+	return kvs, resp.GetHeader().GetRevision(), nil
+}
+
+// Put implements store.Store.
+func (c *Client) Put(ctx context.Context, key string, value []byte, id store.LeaseID) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if err := checkSize(key, value); err != nil {
+		return 0, err
+	}
+	resp, err := c.kv.Put(ctx, &pb.PutRequest{Key: []byte(key), Value: value, Lease: int64(id)})
+	if err != nil {
+		return 0, writeError(err, "put %q", key)
+	}
+	return resp.GetHeader().GetRevision(), nil
+}
+
+// CompareAndSwap implements store.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, modRevision int64, value []byte, id store.LeaseID) (int64, error) {
+	if err := checkSize(key, value); err != nil {
+		return 0, err
+	}
+	put := &pb.RequestOp{Request: &pb.RequestOp_RequestPut{RequestPut: &pb.PutRequest{Key: []byte(key), Value: value, Lease: int64(id)}}}
+	return c.swap(ctx, key, modRevision, put)
+}
+
+// CompareAndDelete implements store.Store.
+func (c *Client) CompareAndDelete(ctx context.Context, key string, modRevision int64) error {
+	del := &pb.RequestOp{Request: &pb.RequestOp_RequestDeleteRange{RequestDeleteRange: &pb.DeleteRangeRequest{Key: []byte(key)}}}
+	_, err := c.swap(ctx, key, modRevision, del)
+	return err
+}
+
+// swap runs op if key still has the mod revision.
+func (c *Client) swap(ctx context.Context, key string, modRevision int64, op *pb.RequestOp) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	resp, err := c.kv.Txn(ctx, &pb.TxnRequest{
+		Compare: []*pb.Compare{{
+			Result: pb.Compare_EQUAL, Target: pb.Compare_MOD, Key: []byte(key),
+			TargetUnion: &pb.Compare_ModRevision{ModRevision: modRevision},
+		}},
+		Success: []*pb.RequestOp{op},
+	})
+	if err != nil {
+		return 0, writeError(err, "swap %q", key)
+	}
+	if !resp.Succeeded {
+		return 0, faults.Conflict.New("key %q no longer has mod revision %d", key, modRevision)
+	}
+	return resp.GetHeader().GetRevision(), nil
+}
+
+// Grant implements store.Store. The TTL is rounded up to whole seconds.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	resp, err := c.lease.LeaseGrant(ctx, &pb.LeaseGrantRequest{TTL: seconds})
+	if err != nil {
+		return 0, writeError(err, "grant a lease of %s", ttl)
+	}
+	return store.LeaseID(resp.ID), nil
+}
+
+// KeepAlive implements store.Store.
+func (c *Client) KeepAlive(ctx context.Context, id store.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	stream, err := c.lease.LeaseKeepAlive(ctx)
+	if err != nil {
+		return readError(err, "renew lease %d", id)
+	}
+	if err := stream.Send(&pb.LeaseKeepAliveRequest{ID: int64(id)}); err != nil {
+		return readError(err, "renew lease %d", id)
+	}
+	resp, err := stream.Recv()
+	if err != nil {
+		return readError(err, "renew lease %d", id)
+	}
+	if resp.TTL <= 0 {
+		return faults.NotFound.New("lease %d has lapsed", id)
+	}
+	return nil
+}
+
+// Revoke implements store.Store.
+func (c *Client) Revoke(ctx context.Context, id store.LeaseID) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	_, err := c.lease.LeaseRevoke(ctx, &pb.LeaseRevokeRequest{ID: int64(id)})
+	return writeError(err, "revoke lease %d", id)
+}
+
+// checkSize refuses values that the store would refuse.
+func checkSize(key string, value []byte) error {
+	if len(value) > store.MaxValueBytes {
+		return faults.Invalid.New("value of key %q has %d bytes, at most %d are allowed", key, len(value), store.MaxValueBytes)
+	}
+	return nil
+}
+
+// PrefixEnd returns the first key after every key with the prefix.
+func PrefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0} // by the API: every key from the start of the range
+}
+
+func fromProto(kv *pb.KeyValue) store.KeyValue {
+	return store.KeyValue{
+		Key: string(kv.Key), Value: kv.Value, ModRevision: kv.ModRevision,
+		CreateRevision: kv.CreateRevision, Lease: store.LeaseID(kv.Lease),
+	}
+}
--- /dev/null
+++ b/store/etcd/watch.go
@@ -0,0 +1,75 @@
+package etcd
+
+import (
+	"context"
+
+	"siskingw/faults"
+	"siskingw/store"
+	pb "siskingw/store/etcd/etcdpb"
+)
+
+// Watch implements store.Store. Each watch has its own stream, so that its end
+// is the end of the stream.
+func (c *Client) Watch(ctx context.Context, prefix string, fromRevision int64) <-chan store.WatchBatch {
+	out := make(chan store.WatchBatch, 1)
+	go func() {
+		defer close(out)
+		if err := c.runWatch(ctx, prefix, fromRevision, out); err != nil && ctx.Err() == nil {
+			send(ctx, out, store.WatchBatch{Err: err})
+		}
+	}()
+	return out
+}
+
+// runWatch forwards events until the stream ends or ctx does.
+func (c *Client) runWatch(ctx context.Context, prefix string, from int64, out chan<- store.WatchBatch) error {
+	stream, err := c.watch.Watch(ctx)
+	if err != nil {
+		return readError(err, "watch %q", prefix)
+	}
+	create := &pb.WatchCreateRequest{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix), StartRevision: from + 1}
+	if err := stream.Send(&pb.WatchRequest{RequestUnion: &pb.WatchRequest_CreateRequest{CreateRequest: create}}); err != nil {
+		return readError(err, "watch %q", prefix)
+	}
+	for {
+		resp, err := stream.Recv()
+		if err != nil {
+			return readError(err, "watch %q", prefix)
+		}
+		if err := watchEnded(resp, prefix); err != nil {
+			return err
+		}
+		if batch := fromEvents(resp); len(batch.Events) > 0 && !send(ctx, out, batch) {
+			return nil
+		}
+	}
+}
+
+// watchEnded returns the reason if the store cancelled the watch.
+func watchEnded(resp *pb.WatchResponse, prefix string) error {
+	switch {
+	case resp.CompactRevision > 0:
+		return faults.StoreCompacted.New("watch of %q starts before revision %d, which is the oldest", prefix, resp.CompactRevision)
+	case resp.Canceled:
+		return faults.StoreUnavailable.New("watch of %q was cancelled: %s", prefix, resp.CancelReason)
+	}
+	return nil
+}
+
+func fromEvents(resp *pb.WatchResponse) store.WatchBatch {
+	batch := store.WatchBatch{Revision: resp.GetHeader().GetRevision()}
+	for _, e := range resp.Events {
+		batch.Events = append(batch.Events, store.Event{KeyValue: fromProto(e.Kv), Deleted: e.Type == pb.Event_DELETE})
+	}
+	return batch
+}
+
+// send reports whether the batch was taken before ctx ended.
+func send(ctx context.Context, out chan<- store.WatchBatch, b store.WatchBatch) bool {
+	select {
+	case out <- b:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/store/memstore/faults.go
+++ b/store/memstore/faults.go
@@ -108,9 +108,13 @@
 	if ctx.Err() != nil {
 		return faults.StoreUnavailable.Wrap(ctx.Err(), "store call ended before it was sent")
 	}
-	if f.Down || (limit != nil && !limit.Allow()) {
+	if f.Down {
+		i.refused.Add(1)
+		return faults.StoreUnavailable.New("store is down")
+	}
+	if limit != nil && !limit.Allow() {
 		i.refused.Add(1)
-		return faults.StoreUnavailable.New("store refuses calls (down: %t)", f.Down)
+		return faults.StoreLimited.New("store is at its limit of %v calls a second", limit.Limit())
 	}
 	return nil
 }
