--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,116 @@
+package settings
+
+import (
+	"net/netip"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"siskingw/faults"
+)
+
+// Bounds of settings.
+const (
+	maxSlots     = 100_000
+	maxVerbosity = 2
+)
+
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
+
+// checker collects faults as "field: reason".
+type checker struct{ found []string }
+
+func (c *checker) add(field, reason string) { c.found = append(c.found, field+": "+reason) }
+
+// check returns one Invalid error that lists every fault.
+func (s *Settings) check() error {
+	var c checker
+	c.name("id", s.ID)
+	c.name("region", s.Region)
+	c.name("failureDomain", s.FailureDomain)
+	c.listeners(s.Listen)
+	c.advertised("advertise.inbound", s.Advertise.Inbound)
+	c.advertised("advertise.peer", s.Advertise.Peer)
+	if s.Target != nil {
+		c.target(s.Target)
+	}
+	if s.Store.Endpoint != "" {
+		c.advertised("store.endpoint", s.Store.Endpoint)
+	}
+	if s.Store.Endpoint == "" && len(s.Seeds) == 0 {
+		c.add("seeds", "a node needs a store endpoint or at least one seed")
+	}
+	for i, seed := range s.Seeds {
+		c.seed("seeds["+strconv.Itoa(i)+"]", seed)
+	}
+	c.within("log.verbosity", s.Log.Verbosity, 0, maxVerbosity)
+	if s.Trace.SampleRatio < 0 || s.Trace.SampleRatio > 1 {
+		c.add("trace.sampleRatio", "must be from 0 to 1")
+	}
+	c.within("stop.drainMs", s.Stop.DrainMs, 1, 3_600_000)
+	if len(c.found) > 0 {
+		return faults.Invalid.New("%d faults: %s", len(c.found), strings.Join(c.found, "; "))
+	}
+	return nil
+}
+
+func (c *checker) name(field, v string) {
+	if !namePattern.MatchString(v) {
+		c.add(field, strconv.Quote(v)+" is not a DNS label of at most 63 lower-case characters")
+	}
+}
+
+func (c *checker) within(field string, v, low, high int) {
+	if v < low || v > high {
+		c.add(field, strconv.Itoa(v)+" is not from "+strconv.Itoa(low)+" to "+strconv.Itoa(high))
+	}
+}
+
+// listeners checks that the four addresses are valid and differ.
+func (c *checker) listeners(l Listen) {
+	seen := make(map[string]string)
+	for _, a := range []struct{ field, addr string }{
+		{"listen.outbound", l.Outbound}, {"listen.inbound", l.Inbound},
+		{"listen.peer", l.Peer}, {"listen.admin", l.Admin},
+	} {
+		if _, ok := c.address(a.field, a.addr); !ok {
+			continue
+		}
+		if other, taken := seen[a.addr]; taken {
+			c.add(a.field, a.addr+" is the address of "+other)
+		}
+		seen[a.addr] = a.field
+	}
+}
+
+// address reports whether addr is an IP address with a port.
+func (c *checker) address(field, addr string) (netip.AddrPort, bool) {
+	ap, err := netip.ParseAddrPort(addr)
+	if err != nil || ap.Port() == 0 {
+		c.add(field, strconv.Quote(addr)+" is not an IP address with a port")
+		return ap, false
+	}
+	return ap, true
+}
+
+// advertised checks an address that other processes must be able to reach.
+func (c *checker) advertised(field, addr string) {
+	if ap, ok := c.address(field, addr); ok && ap.Addr().IsUnspecified() {
+		c.add(field, addr+" cannot be reached from other instances")
+	}
+}
+
+func (c *checker) target(t *Target) {
+	c.name("target.service", t.Service)
+	c.advertised("target.address", t.Address)
+	c.within("target.slots", t.Slots, 1, maxSlots)
+	c.within("target.connections", t.Connections, 1, maxSlots)
+	c.within("target.queueLength", t.QueueLength, 0, maxSlots)
+	c.within("target.queueMs", t.QueueMs, 1, 60_000)
+}
+
+func (c *checker) seed(field string, s Seed) {
+	c.advertised(field+".address", s.Address)
+	c.name(field+".region", s.Region)
+	c.name(field+".failureDomain", s.FailureDomain)
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,151 @@
+// Package settings reads and checks the JSON settings of a node.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"time"
+
+	"siskingw/faults"
+)
+
+// Settings configures one node. Every address is an IP address with a port.
+type Settings struct {
+	ID            string `json:"id"`            // unique in the fleet
+	Region        string `json:"region"`        // region of the instance
+	FailureDomain string `json:"failureDomain"` // failure domain of the instance
+
+	Listen    Listen    `json:"listen"`
+	Advertise Advertise `json:"advertise"`
+	Target    *Target   `json:"target,omitempty"` // absent on a node without a target
+	Store     Store     `json:"store"`
+	Seeds     []Seed    `json:"seeds"`
+	Log       Log       `json:"log"`
+	Trace     Trace     `json:"trace"`
+	Stop      Stop      `json:"stop"`
+}
+
+// Listen holds the addresses that the node listens on.
+type Listen struct {
+	Outbound string `json:"outbound"` // calls of this instance to services
+	Inbound  string `json:"inbound"`  // calls from other nodes to this instance's target
+	Peer     string `json:"peer"`     // gRPC between nodes
+	Admin    string `json:"admin"`    // operators, metrics and health
+}
+
+// Advertise holds the addresses under which other nodes reach this one.
+// Empty addresses mean those of Listen.
+type Advertise struct {
+	Inbound string `json:"inbound,omitempty"`
+	Peer    string `json:"peer,omitempty"`
+}
+
+// Target describes the target of this instance.
+type Target struct {
+	Service     string `json:"service"`               // announced service name
+	Address     string `json:"address"`               // host:port of the target
+	Slots       int    `json:"slots"`                 // calls that the target runs at once
+	Connections int    `json:"connections,omitempty"` // connections that the target accepts, default 128
+	QueueLength int    `json:"queueLength,omitempty"` // calls that wait for a slot, default four for each slot
+	QueueMs     int    `json:"queueMs,omitempty"`     // longest wait for a slot, default 100 ms
+}
+
+// Store locates the platform's store.
+type Store struct {
+	Endpoint string `json:"endpoint"` // host:port of the etcd v3 gRPC API
+	Region   string `json:"region"`   // the region whose relays read the store
+}
+
+// Seed is a node that may be asked for membership and configuration at start.
+type Seed struct {
+	Address       string `json:"address"` // host:port of the peer listener
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
+}
+
+// Log configures the log.
+type Log struct {
+	Verbosity int `json:"verbosity"` // 0 to 2
+}
+
+// Trace configures traces.
+type Trace struct {
+	SampleRatio float64 `json:"sampleRatio"`        // 0 to 1, default 0
+	Endpoint    string  `json:"endpoint,omitempty"` // OTLP gRPC collector; empty: standard error
+}
+
+// Stop configures the graceful stop.
+type Stop struct {
+	DrainMs int `json:"drainMs,omitempty"` // longest wait for work in flight, default 30,000 ms
+}
+
+// DrainTimeout returns the longest wait for work in flight.
+func (s Stop) DrainTimeout() time.Duration { return time.Duration(s.DrainMs) * time.Millisecond }
+
+// Defaults of optional settings.
+const (
+	defaultConnections  = 128
+	defaultQueuePerSlot = 4
+	defaultQueueMs      = 100
+	defaultDrainMs      = 30_000
+)
+
+// Load reads the file at path, fills in the defaults and checks the result.
+// It returns one Invalid error that lists every fault.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, faults.Invalid.Wrap(err, "settings file %q cannot be read", path)
+	}
+	s, err := Parse(b)
+	if err != nil {
+		return nil, faults.Invalid.Wrap(err, "settings file %q", path)
+	}
+	return s, nil
+}
+
+// Parse reads settings from JSON, fills in the defaults and checks the result.
+func Parse(b []byte) (*Settings, error) {
+	d := json.NewDecoder(bytes.NewReader(b))
+	d.DisallowUnknownFields()
+	s := new(Settings)
+	if err := d.Decode(s); err != nil {
+		return nil, faults.Invalid.Wrap(err, "settings are not valid JSON")
+	}
+	if d.More() {
+		return nil, faults.Invalid.New("settings have content after the JSON object")
+	}
+	s.fillDefaults()
+	return s, s.check()
+}
+
+func (s *Settings) fillDefaults() {
+	if s.Advertise.Inbound == "" {
+		s.Advertise.Inbound = s.Listen.Inbound
+	}
+	if s.Advertise.Peer == "" {
+		s.Advertise.Peer = s.Listen.Peer
+	}
+	if s.Store.Region == "" {
+		s.Store.Region = s.Region
+	}
+	if s.Stop.DrainMs == 0 {
+		s.Stop.DrainMs = defaultDrainMs
+	}
+	if t := s.Target; t != nil {
+		t.fillDefaults()
+	}
+}
+
+func (t *Target) fillDefaults() {
+	if t.Connections == 0 {
+		t.Connections = defaultConnections
+	}
+	if t.QueueLength == 0 {
+		t.QueueLength = defaultQueuePerSlot * t.Slots
+	}
+	if t.QueueMs == 0 {
+		t.QueueMs = defaultQueueMs
+	}
+}
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+)
+
+const valid = `{"id":"sask-a-1","region":"sask","failureDomain":"sask-a",
+ "listen":{"outbound":"127.0.0.1:1","inbound":"127.0.0.1:2","peer":"127.0.0.1:3","admin":"127.0.0.1:4"},
+ "target":{"service":"auction-floor","address":"127.0.0.1:5","slots":9},
+ "store":{"endpoint":"127.0.0.1:6"}}`
+
+func TestParseFillsDefaults(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse([]byte(valid))
+	is.NoErr(err)
+	is.Equal(s.Advertise.Peer, "127.0.0.1:3")
+	is.Equal(s.Store.Region, "sask")
+	is.Equal(s.Target.QueueLength, 36)
+}
+
+// Guards against a check that stops at the first fault, so that an operator
+// has to start the node once for each.
+func TestParseListsEveryFault(t *testing.T) {
+	is := is.New(t)
+	bad := strings.NewReplacer(`"sask-a-1"`, `"Bad_ID"`, `127.0.0.1:2"`, `127.0.0.1:1"`, `"slots":9`, `"slots":0`, `127.0.0.1:6`, `0.0.0.0:6`).Replace(valid)
+	_, err := Parse([]byte(bad))
+	is.True(errorx.IsOfType(err, faults.Invalid))
+	for _, want := range []string{"id:", "listen.inbound:", "target.slots:", "store.endpoint:"} {
+		is.True(strings.Contains(err.Error(), want)) // each fault is listed
+	}
+	_, err = Parse([]byte(`{"idd":"x"}`))
+	is.True(errorx.IsOfType(err, faults.Invalid)) // unknown fields are refused
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := Parse(b)
+		if err == nil && (s.ID == "" || s.FailureDomain == "") {
+			t.Fatalf("settings without identity are accepted: %q", b)
+		}
+	})
+}
