member: add the directory with merge, digests and ranked lists

Readers take no locks: buckets, ranked lists and service lists are immutable and replaced as a whole. Digests are sums of record fingerprints, so a change costs O(1). They cover live records only, because tombstones are dropped at different times on different nodes.

--- /dev/null
+++ b/member/digest.go
@@ -0,0 +1,55 @@
+package member
+
+// Digests cover the live records only: tombstones are dropped at different
+// times on different nodes and must not make two nodes compare again. A node
+// that misses a departure still holds the live record, so its digest differs.
+
+// Root returns the digest over all live records.
+func (d *Directory) Root() uint64 { return d.root.Load() }
+
+// Digests returns the digest of every bucket, shortened to 32 bits.
+func (d *Directory) Digests() []uint32 {
+	digests := make([]uint32, BucketCount)
+	for i := range d.buckets {
+		digests[i] = shorten(d.buckets[i].digest.Load())
+	}
+	return digests
+}
+
+// Differing returns the buckets whose digests differ from those of a peer.
+func (d *Directory) Differing(theirs []uint32) []int {
+	var differing []int
+	for i := range min(len(theirs), BucketCount) {
+		if theirs[i] != shorten(d.buckets[i].digest.Load()) {
+			differing = append(differing, i)
+		}
+	}
+	return differing
+}
+
+// Bucket returns the records of one bucket, departed ones included.
+func (d *Directory) Bucket(i int) []*Record { return d.buckets[i].load() }
+
+// All returns every record, departed ones included.
+func (d *Directory) All() []*Record {
+	var all []*Record
+	for i := range d.buckets {
+		all = append(all, d.buckets[i].load()...)
+	}
+	return all
+}
+
+// Live returns the number of live records.
+func (d *Directory) Live() int {
+	n := 0
+	for _, dom := range d.loadDomains() {
+		n += len(dom.load())
+	}
+	return n
+}
+
+func shorten(digest uint64) uint32 { return uint32(digest>>32) ^ uint32(digest) }
+
+func (d *Directory) bucketOf(id string) *bucket {
+	return &d.buckets[RankHash(id)%BucketCount]
+}
--- /dev/null
+++ b/member/directory.go
@@ -0,0 +1,314 @@
+package member
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+const (
+	// BucketCount is the number of groups whose digests two nodes compare. It
+	// is part of the protocol and must not change between releases.
+	BucketCount = 256
+
+	defaultTombstoneTTL = time.Hour
+	defaultTombstoneMax = 4096
+)
+
+// DirectoryOptions configures a Directory.
+type DirectoryOptions struct {
+	Clock        clockwork.Clock // default: the real clock
+	TombstoneTTL time.Duration   // how long departed members are kept, default 1 h
+	TombstoneMax int             // departed members kept at most, default 4096
+}
+
+// Directory holds every known record. Readers take no locks: each list is
+// immutable and replaced as a whole. A changed record copies its bucket (1/256
+// of the records), its failure domain's ranked list and its service's list.
+type Directory struct {
+	opts       DirectoryOptions
+	generation atomic.Uint64
+	self       atomic.Pointer[Record]
+	root       atomic.Uint64
+	buckets    [BucketCount]bucket
+	domains    atomic.Pointer[[]*domain] // by region, then name
+	services   sync.Map                  // service name to *list
+
+	mu         sync.Mutex        // serializes writers
+	names      map[string]string // one copy of each domain, region and service name
+	tombstones []*Record         // by DepartedMs
+	listeners  atomic.Pointer[[]func([]*Record)]
+}
+
+// bucket holds the records whose id hashes to it.
+type bucket struct {
+	records atomic.Pointer[[]*Record] // sorted by id
+	digest  atomic.Uint64             // sum of the fingerprints of the live records
+}
+
+// list is a replaceable list of live records in rank order.
+type list struct {
+	records atomic.Pointer[[]*Record]
+}
+
+func (l *list) load() []*Record {
+	if p := l.records.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// domain is one failure domain as this node sees it.
+type domain struct {
+	list
+	name, region string
+	unreachable  atomic.Bool
+	sinceMs      atomic.Int64
+}
+
+// NewDirectory returns a directory that holds only this node's own record.
+func NewDirectory(self Record, opts DirectoryOptions) *Directory {
+	if opts.Clock == nil {
+		opts.Clock = clockwork.NewRealClock()
+	}
+	if opts.TombstoneTTL == 0 {
+		opts.TombstoneTTL = defaultTombstoneTTL
+	}
+	if opts.TombstoneMax == 0 {
+		opts.TombstoneMax = defaultTombstoneMax
+	}
+	if self.State == 0 {
+		self.State = Alive
+	}
+	d := &Directory{opts: opts, names: make(map[string]string)}
+	d.self.Store(&Record{ID: self.ID})
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	b := newBatch()
+	d.put(&self, b)
+	d.publish(b)
+	return d
+}
+
+// Self returns this node's own record.
+func (d *Directory) Self() *Record { return d.self.Load() }
+
+// Generation rises with every change of any record.
+func (d *Directory) Generation() uint64 { return d.generation.Load() }
+
+// Lookup returns the record of a node, departed ones included, or nil.
+func (d *Directory) Lookup(id string) *Record {
+	records := d.bucketOf(id).load()
+	i, ok := findID(records, id)
+	if !ok {
+		return nil
+	}
+	return records[i]
+}
+
+// Ranked returns the live members of a failure domain in rank order.
+func (d *Directory) Ranked(failureDomain string) []*Record {
+	if dom := d.domain(failureDomain); dom != nil {
+		return dom.load()
+	}
+	return nil
+}
+
+// Endpoints returns the live members that announce the service.
+func (d *Directory) Endpoints(service string) []*Record {
+	if l, ok := d.services.Load(service); ok {
+		return l.(*list).load()
+	}
+	return nil
+}
+
+// FailureDomains returns the known failure domains by region, both sorted.
+func (d *Directory) FailureDomains() []DomainInfo {
+	domains := d.loadDomains()
+	infos := make([]DomainInfo, len(domains))
+	for i, dom := range domains {
+		infos[i] = DomainInfo{
+			Name: dom.name, Region: dom.region, Live: len(dom.load()),
+			Unreachable: dom.unreachable.Load(), SinceMs: dom.sinceMs.Load(),
+		}
+	}
+	return infos
+}
+
+// SetUnreachable records whether this node can reach a failure domain; since
+// is the time of the last answer or change. It reports whether that changed.
+// The records of the failure domain stay as they are.
+func (d *Directory) SetUnreachable(failureDomain string, unreachable bool, since time.Time) bool {
+	dom := d.domain(failureDomain)
+	if dom == nil {
+		return false
+	}
+	dom.sinceMs.Store(since.UnixMilli())
+	if dom.unreachable.Swap(unreachable) == unreachable {
+		return false
+	}
+	d.generation.Add(1)
+	return true
+}
+
+// OnChange registers f, which is called after records changed, outside of any
+// lock. Calls for concurrent merges may overlap and come in any order.
+func (d *Directory) OnChange(f func(changed []*Record)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var next []func([]*Record)
+	if p := d.listeners.Load(); p != nil {
+		next = slices.Clone(*p)
+	}
+	next = append(next, f)
+	d.listeners.Store(&next)
+}
+
+// Merge takes each record that supersedes the known one and returns the
+// records that changed. A statement by others about this node is refuted: the
+// own record is kept and raised above the statement.
+func (d *Directory) Merge(records []Record) []*Record {
+	d.mu.Lock()
+	b := newBatch()
+	for i := range records {
+		d.mergeOne(&records[i], b)
+	}
+	d.dropTombstones()
+	d.publish(b)
+	d.mu.Unlock()
+	d.notify(b.changed)
+	return b.changed
+}
+
+// UpdateSelf changes this node's own record and raises its sequence. change
+// must not touch id, incarnation or sequence.
+func (d *Directory) UpdateSelf(change func(*Record)) *Record {
+	d.mu.Lock()
+	next := *d.Self()
+	change(&next)
+	next.Sequence++
+	b := newBatch()
+	d.put(&next, b)
+	d.publish(b)
+	d.mu.Unlock()
+	d.notify(b.changed)
+	return d.Self()
+}
+
+func (d *Directory) notify(changed []*Record) {
+	if p := d.listeners.Load(); p != nil && len(changed) > 0 {
+		for _, f := range *p {
+			f(changed)
+		}
+	}
+}
+
+// mergeOne takes one record if it supersedes the known one.
+func (d *Directory) mergeOne(r *Record, b *batch) {
+	if r.ID == "" || r.State < Alive || r.State > Left {
+		return
+	}
+	if r.ID == d.Self().ID {
+		d.refute(r, b)
+		return
+	}
+	old := d.Lookup(r.ID)
+	if old != nil && !r.Supersedes(old) {
+		return
+	}
+	next := *r
+	if !next.Departed() {
+		next.DepartedMs = 0
+	} else {
+		next.DepartedMs = d.departedAt(&next, old)
+		if old == nil && d.expired(&next) {
+			return
+		}
+	}
+	d.put(&next, b)
+}
+
+// departedAt returns the time from which a tombstone's age counts.
+func (d *Directory) departedAt(next, old *Record) int64 {
+	now := d.opts.Clock.Now().UnixMilli()
+	if old != nil && old.Departed() && old.Incarnation == next.Incarnation {
+		return old.DepartedMs
+	}
+	if next.DepartedMs == 0 || next.DepartedMs > now {
+		return now
+	}
+	return next.DepartedMs
+}
+
+func (d *Directory) expired(r *Record) bool {
+	return d.opts.Clock.Now().UnixMilli()-r.DepartedMs >= d.opts.TombstoneTTL.Milliseconds()
+}
+
+// refute raises the own record above a statement that supersedes it. A process
+// that has left refutes nothing that its final record does not already precede.
+func (d *Directory) refute(r *Record, b *batch) {
+	self := d.Self()
+	if !r.Supersedes(self) {
+		return
+	}
+	next := *self
+	next.Sequence = r.Sequence + 1
+	if r.Incarnation > self.Incarnation {
+		next.Incarnation, next.Sequence = r.Incarnation+1, 1
+	}
+	d.put(&next, b)
+}
+
+// put replaces one record in its bucket and notes the lists that change.
+func (d *Directory) put(r *Record, b *batch) {
+	next := *r
+	next.FailureDomain = d.intern(r.FailureDomain)
+	next.Region = d.intern(r.Region)
+	next.Service = d.intern(r.Service)
+	old := d.bucketOf(r.ID).replace(&next)
+	d.count(old, &next)
+	if old != nil {
+		b.drop(old, &next)
+		d.removeTombstone(old)
+	}
+	if next.Departed() {
+		d.addTombstone(&next)
+	}
+	b.add(&next)
+	if next.ID == d.Self().ID {
+		d.self.Store(&next)
+	}
+}
+
+// count moves the digests from old to next; either may be nil.
+func (d *Directory) count(old, next *Record) {
+	var diff uint64
+	var id string
+	if old != nil && old.Live() {
+		diff -= old.Fingerprint()
+		id = old.ID
+	}
+	if next != nil && next.Live() {
+		diff += next.Fingerprint()
+		id = next.ID
+	}
+	if id != "" {
+		d.bucketOf(id).digest.Add(diff)
+		d.root.Add(diff)
+	}
+	d.generation.Add(1)
+}
+
+// intern returns one shared copy of a name that many records carry.
+func (d *Directory) intern(s string) string {
+	if known, ok := d.names[s]; ok {
+		return known
+	}
+	s = strings.Clone(s)
+	d.names[s] = s
+	return s
+}
--- /dev/null
+++ b/member/directory_test.go
@@ -0,0 +1,130 @@
+package member
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func drawRecord(t *rapid.T) Record {
+	id := rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "id")
+	r := Record{
+		ID: id, Incarnation: uint64(rapid.IntRange(1, 3).Draw(t, "incarnation")),
+		Sequence: uint64(rapid.IntRange(1, 3).Draw(t, "sequence")),
+		State:    State(rapid.IntRange(int(Alive), int(Left)).Draw(t, "state")),
+	}
+	// The owner fixes the content of one incarnation and sequence.
+	r.FailureDomain = fmt.Sprintf("fd%d", (r.Incarnation+r.Sequence)%2)
+	r.Service = fmt.Sprintf("svc%d", r.Sequence%2)
+	return r
+}
+
+func contents(d *Directory) []string {
+	var out []string
+	for _, r := range d.All() {
+		if r.Live() {
+			out = append(out, fmt.Sprintf("%s/%d/%d/%s", r.ID, r.Incarnation, r.Sequence, r.State))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+func newTestDirectory() *Directory {
+	return NewDirectory(Record{ID: "self", Incarnation: 1, Sequence: 1, FailureDomain: "fd0"},
+		DirectoryOptions{Clock: clockwork.NewFakeClock()})
+}
+
+// Guards against copies that depend on the order, grouping or repetition of
+// merges, and against digests that differ for equal sets or agree for others.
+func TestMergeConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOfN(rapid.Custom(drawRecord), 1, 20).Draw(t, "records")
+		a, b, c := newTestDirectory(), newTestDirectory(), newTestDirectory()
+		a.Merge(records)
+		for _, r := range rapid.Permutation(records).Draw(t, "order") {
+			b.Merge([]Record{r})
+		}
+		b.Merge(records) // repetition
+		cut := rapid.IntRange(0, len(records)).Draw(t, "cut")
+		c.Merge(records[cut:])
+		if got, same := slices.Equal(contents(a), contents(c)), a.Root() == c.Root(); got != same {
+			t.Fatalf("sets equal: %v, roots equal: %v", got, same)
+		}
+		if len(a.Differing(c.Digests())) > 0 != (a.Root() != c.Root()) {
+			t.Fatal("bucket digests and root disagree")
+		}
+		c.Merge(records[:cut])
+		for _, d := range []*Directory{b, c} {
+			if !slices.Equal(contents(a), contents(d)) || a.Root() != d.Root() {
+				t.Fatalf("%v and %v differ", contents(a), contents(d))
+			}
+		}
+		checkLists(t, a)
+	})
+}
+
+// checkLists compares the ranked and service lists with the records.
+func checkLists(t *rapid.T, d *Directory) {
+	var byDomain, byService, live int
+	for _, r := range d.All() {
+		if !r.Live() {
+			continue
+		}
+		live++
+		if slices.Contains(d.Ranked(r.FailureDomain), r) {
+			byDomain++
+		}
+		if r.Service == "" || slices.Contains(d.Endpoints(r.Service), r) {
+			byService++
+		}
+	}
+	total := 0
+	for _, info := range d.FailureDomains() {
+		total += info.Live
+		if !slices.IsSortedFunc(d.Ranked(info.Name), CompareRank) {
+			t.Fatal("list is not in rank order")
+		}
+	}
+	if byDomain != live || byService != live || total != live || d.Live() != live {
+		t.Fatalf("live %d, by domain %d of %d, by service %d", live, byDomain, total, byService)
+	}
+}
+
+// Guards against a node that accepts its own death or an older incarnation of itself.
+func TestOwnerRefutes(t *testing.T) {
+	is := is.New(t)
+	d := newTestDirectory()
+	changed := d.Merge([]Record{{ID: "self", Incarnation: 1, Sequence: 1, State: Dead, FailureDomain: "fd0"}})
+	is.Equal(len(changed), 1)
+	is.Equal(d.Self().State, Alive)
+	is.Equal(d.Self().Sequence, uint64(2))
+	d.Merge([]Record{{ID: "self", Incarnation: 7, Sequence: 4, State: Alive, FailureDomain: "fd0"}})
+	is.Equal(d.Self().Incarnation, uint64(8))
+	d.UpdateSelf(func(r *Record) { r.State = Left })
+	is.Equal(len(d.Merge([]Record{*d.Self()})), 0)
+}
+
+// Guards against tombstones that grow without bound or never expire.
+func TestTombstonesAreBounded(t *testing.T) {
+	is := is.New(t)
+	clock := clockwork.NewFakeClock()
+	d := NewDirectory(Record{ID: "self", Incarnation: 1}, DirectoryOptions{Clock: clock, TombstoneMax: 10})
+	root := d.Root()
+	for i := range 25 {
+		d.Merge([]Record{{ID: fmt.Sprint(i), Incarnation: 1, State: Dead}})
+	}
+	is.Equal(d.Tombstones(), 10)
+	is.True(d.Lookup("24") != nil)
+	is.True(d.Lookup("3") == nil)
+	is.Equal(d.Root(), root) // departed members are no part of the digests
+	clock.Advance(time.Hour)
+	is.Equal(d.Tombstones(), 0)
+	old := clock.Now().Add(-2 * time.Hour).UnixMilli()
+	is.Equal(len(d.Merge([]Record{{ID: "x", Incarnation: 1, State: Dead, DepartedMs: old}})), 0)
+}
--- /dev/null
+++ b/member/lists.go
@@ -0,0 +1,226 @@
+package member
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// batch collects what one merge changes, so that each list is replaced once.
+type batch struct {
+	changed  []*Record
+	domains  map[string][]listChange
+	services map[string][]listChange
+}
+
+// listChange puts a live record into a list or removes it.
+type listChange struct {
+	record *Record
+	remove bool
+}
+
+func newBatch() *batch {
+	return &batch{domains: make(map[string][]listChange), services: make(map[string][]listChange)}
+}
+
+// add notes a new record for the lists that it belongs to.
+func (b *batch) add(r *Record) {
+	b.changed = append(b.changed, r)
+	c := listChange{record: r, remove: !r.Live()}
+	b.domains[r.FailureDomain] = append(b.domains[r.FailureDomain], c)
+	if r.Service != "" {
+		b.services[r.Service] = append(b.services[r.Service], c)
+	}
+}
+
+// drop notes the removal of old from the lists that its successor is not in.
+func (b *batch) drop(old, next *Record) {
+	c := listChange{record: old, remove: true}
+	if old.FailureDomain != next.FailureDomain {
+		b.domains[old.FailureDomain] = append(b.domains[old.FailureDomain], c)
+	}
+	if old.Service != next.Service && old.Service != "" {
+		b.services[old.Service] = append(b.services[old.Service], c)
+	}
+}
+
+// publish replaces every list that the batch changes.
+func (d *Directory) publish(b *batch) {
+	for name, changes := range b.domains {
+		dom := d.domain(name)
+		if dom == nil {
+			dom = d.addDomain(changes[0].record)
+		}
+		next := applyChanges(dom.load(), changes)
+		dom.records.Store(&next)
+	}
+	for name, changes := range b.services {
+		v, ok := d.services.Load(name)
+		if !ok {
+			v = new(list)
+			d.services.Store(d.intern(name), v)
+		}
+		next := applyChanges(v.(*list).load(), changes)
+		v.(*list).records.Store(&next)
+		if len(next) == 0 {
+			d.services.Delete(name)
+		}
+	}
+	d.generation.Add(1)
+}
+
+// sortThreshold is the number of changes from which sorting the whole list
+// costs less than inserting each record.
+const sortThreshold = 32
+
+// applyChanges returns a copy of ranked with the changes made, in order.
+func applyChanges(ranked []*Record, changes []listChange) []*Record {
+	if len(changes) < sortThreshold {
+		next := append(make([]*Record, 0, len(ranked)+len(changes)), ranked...)
+		for _, c := range changes {
+			next = applyChange(next, c)
+		}
+		return next
+	}
+	last := make(map[string]listChange, len(changes))
+	for _, c := range changes {
+		last[c.record.ID] = c
+	}
+	next := make([]*Record, 0, len(ranked)+len(last))
+	for _, r := range ranked {
+		if _, ok := last[r.ID]; !ok {
+			next = append(next, r)
+		}
+	}
+	for _, c := range last {
+		if !c.remove {
+			next = append(next, c.record)
+		}
+	}
+	slices.SortFunc(next, CompareRank)
+	return slices.Clip(next)
+}
+
+func applyChange(ranked []*Record, c listChange) []*Record {
+	i, ok := slices.BinarySearchFunc(ranked, c.record, CompareRank)
+	switch {
+	case ok && c.remove:
+		return slices.Delete(ranked, i, i+1)
+	case ok:
+		ranked[i] = c.record
+	case !c.remove:
+		return slices.Insert(ranked, i, c.record)
+	}
+	return ranked
+}
+
+func (d *Directory) loadDomains() []*domain {
+	if p := d.domains.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// domain returns the failure domain of the given name, or nil.
+func (d *Directory) domain(name string) *domain {
+	for _, dom := range d.loadDomains() {
+		if dom.name == name {
+			return dom
+		}
+	}
+	return nil
+}
+
+func (d *Directory) addDomain(r *Record) *domain {
+	dom := &domain{name: r.FailureDomain, region: r.Region}
+	dom.sinceMs.Store(d.opts.Clock.Now().UnixMilli())
+	next := append(slices.Clone(d.loadDomains()), dom)
+	slices.SortFunc(next, func(a, b *domain) int {
+		return cmp.Or(strings.Compare(a.region, b.region), strings.Compare(a.name, b.name))
+	})
+	d.domains.Store(&next)
+	return dom
+}
+
+func (b *bucket) load() []*Record {
+	if p := b.records.Load(); p != nil {
+		return *p
+	}
+	return nil
+}
+
+// replace puts r into the bucket and returns the record that it replaces, or nil.
+func (b *bucket) replace(r *Record) *Record {
+	records := b.load()
+	i, ok := findID(records, r.ID)
+	if ok {
+		old := records[i]
+		next := slices.Clone(records)
+		next[i] = r
+		b.records.Store(&next)
+		return old
+	}
+	next := make([]*Record, 0, len(records)+1)
+	next = append(append(append(next, records[:i]...), r), records[i:]...)
+	b.records.Store(&next)
+	return nil
+}
+
+// remove takes the record with the id out of the bucket.
+func (b *bucket) remove(id string) {
+	records := b.load()
+	if i, ok := findID(records, id); ok {
+		next := slices.Concat(records[:i], records[i+1:])
+		b.records.Store(&next)
+	}
+}
+
+func findID(records []*Record, id string) (int, bool) {
+	return slices.BinarySearchFunc(records, id, func(r *Record, id string) int {
+		return strings.Compare(r.ID, id)
+	})
+}
+
+// addTombstone keeps the order by the time of departure.
+func (d *Directory) addTombstone(r *Record) {
+	i, _ := slices.BinarySearchFunc(d.tombstones, r.DepartedMs+1, compareDeparted)
+	d.tombstones = slices.Insert(d.tombstones, i, r)
+}
+
+func (d *Directory) removeTombstone(r *Record) {
+	if !r.Departed() {
+		return
+	}
+	i, _ := slices.BinarySearchFunc(d.tombstones, r.DepartedMs, compareDeparted)
+	for ; i < len(d.tombstones) && d.tombstones[i].DepartedMs == r.DepartedMs; i++ {
+		if d.tombstones[i] == r {
+			d.tombstones = slices.Delete(d.tombstones, i, i+1)
+			return
+		}
+	}
+}
+
+func compareDeparted(r *Record, ms int64) int { return cmp.Compare(r.DepartedMs, ms) }
+
+// dropTombstones drops the oldest departed members beyond the limits.
+func (d *Directory) dropTombstones() {
+	n := max(0, len(d.tombstones)-d.opts.TombstoneMax)
+	for n < len(d.tombstones) && d.expired(d.tombstones[n]) {
+		n++
+	}
+	for _, r := range d.tombstones[:n] {
+		d.bucketOf(r.ID).remove(r.ID)
+	}
+	if n > 0 {
+		d.tombstones = slices.Delete(d.tombstones, 0, n)
+		d.generation.Add(1)
+	}
+}
+
+// Tombstones returns the number of departed members that are kept.
+func (d *Directory) Tombstones() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.dropTombstones()
+	return len(d.tombstones)
+}
--- a/member/record.go
+++ b/member/record.go
@@ -3,9 +3,12 @@
 package member
 
 import (
+	"encoding/binary"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"siskingw/peer"
 )
 
 // State is the condition of a member as its record states it.
@@ -51,6 +54,11 @@
 	InboundAddr   string // host:port of the listener for calls to the target
 	Service       string // announced service name, empty for a node without a target
 	Slots         uint32 // calls that the target runs at once
+
+	// DepartedMs is when this node learned that the member was Dead or Left, in
+	// ms since 1970, less the age that the sender stated. It is no part of the
+	// order or the digests, and 0 for live members.
+	DepartedMs int64
 }
 
 // Supersedes reports whether r replaces old: by incarnation, then sequence,
@@ -70,6 +78,39 @@
 	return r.State == Alive || r.State == Draining || r.State == Suspect
 }
 
+// Departed reports whether the record is a tombstone.
+func (r *Record) Departed() bool { return r.State == Dead || r.State == Left }
+
+// Place returns where the node runs.
+func (r *Record) Place() peer.Place {
+	return peer.Place{Region: r.Region, FailureDomain: r.FailureDomain}
+}
+
+// IncarnationHash identifies one process of a node; status reports are combined from it.
+func (r *Record) IncarnationHash() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], r.Incarnation)
+	_, _ = d.Write(b[:])
+	_, _ = d.WriteString(r.ID)
+	return d.Sum64()
+}
+
+// Fingerprint identifies the record's content. The owner changes its content
+// only together with its sequence, so id, order and state are enough.
+func (r *Record) Fingerprint() uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	var b [17]byte
+	binary.LittleEndian.PutUint64(b[:8], r.Incarnation)
+	binary.LittleEndian.PutUint64(b[8:16], r.Sequence)
+	b[16] = byte(r.State)
+	_, _ = d.Write(b[:])
+	_, _ = d.WriteString(r.ID)
+	return d.Sum64()
+}
+
 // RankHash orders the members of a failure domain; every node computes the same order.
 func RankHash(id string) uint64 { return xxhash.Sum64String(id) }
 
