member: add tree positions, relays and region heads

Distribution of versions, dissemination of records and status reports use the same tree. It is computed from View, so that every node with the same records computes the same tree. A failure domain that this node cannot reach comes last in the order of region heads.

--- /dev/null
+++ b/member/tree.go
@@ -0,0 +1,129 @@
+package member
+
+import (
+	"slices"
+)
+
+const (
+	// Fanout is the number of children of a tree position; 4 keeps the depth at
+	// 6 for a failure domain of 2,222 nodes and the load of a parent small.
+	Fanout = 4
+	// RelayCount is the number of ranks that serve as relays of a failure domain.
+	RelayCount = 3
+)
+
+// Position returns the tree position of a node in its failure domain, which is
+// its rank, or -1 when it is no live member.
+func Position(v View, id string) int {
+	r := v.Lookup(id)
+	if r == nil || !r.Live() {
+		return -1
+	}
+	return positionIn(v.Ranked(r.FailureDomain), r)
+}
+
+func positionIn(ranked []*Record, r *Record) int {
+	i, ok := slices.BinarySearchFunc(ranked, r, CompareRank)
+	if !ok {
+		return -1
+	}
+	return i
+}
+
+// ParentPosition returns the position above p, or -1 for position 0.
+func ParentPosition(p int) int {
+	if p <= 0 {
+		return -1
+	}
+	return (p - 1) / Fanout
+}
+
+// Parent returns the tree parent of a node, or nil for position 0 and for a
+// node that is no live member.
+func Parent(v View, id string) *Record {
+	r := v.Lookup(id)
+	if r == nil || !r.Live() {
+		return nil
+	}
+	ranked := v.Ranked(r.FailureDomain)
+	p := ParentPosition(positionIn(ranked, r))
+	if p < 0 || p >= len(ranked) {
+		return nil
+	}
+	return ranked[p]
+}
+
+// Children returns the tree children of a node.
+func Children(v View, id string) []*Record {
+	r := v.Lookup(id)
+	if r == nil || !r.Live() {
+		return nil
+	}
+	ranked := v.Ranked(r.FailureDomain)
+	return childrenIn(ranked, positionIn(ranked, r))
+}
+
+// childrenIn returns the children of position p.
+func childrenIn(ranked []*Record, p int) []*Record {
+	first := Fanout*p + 1
+	if p < 0 || first >= len(ranked) {
+		return nil
+	}
+	return ranked[first:min(first+Fanout, len(ranked))]
+}
+
+// Relays returns the members of the first ranks of a failure domain.
+func Relays(v View, failureDomain string) []*Record {
+	ranked := v.Ranked(failureDomain)
+	return ranked[:min(RelayCount, len(ranked))]
+}
+
+// IsRelay reports whether a node is a relay of its failure domain.
+func IsRelay(v View, id string) bool {
+	p := Position(v, id)
+	return p >= 0 && p < RelayCount
+}
+
+// RegionRelays returns the relays of a region in the order in which they serve
+// as its head: failure domains by name, those that this node cannot reach
+// last, and ranks within each.
+func RegionRelays(v View, region string) []*Record {
+	var reachable, unreachable []*Record
+	for _, d := range v.FailureDomains() {
+		switch {
+		case d.Region != region:
+		case d.Unreachable:
+			unreachable = append(unreachable, Relays(v, d.Name)...)
+		default:
+			reachable = append(reachable, Relays(v, d.Name)...)
+		}
+	}
+	return append(reachable, unreachable...)
+}
+
+// RegionHead returns the first relay of a region, or nil.
+func RegionHead(v View, region string) *Record {
+	if relays := RegionRelays(v, region); len(relays) > 0 {
+		return relays[0]
+	}
+	return nil
+}
+
+// IsRegionHead reports whether a node is the head of its region.
+func IsRegionHead(v View, id string) bool {
+	r := v.Lookup(id)
+	if r == nil {
+		return false
+	}
+	head := RegionHead(v, r.Region)
+	return head != nil && head.ID == id
+}
+
+// Regions returns the names of the known regions, sorted.
+func Regions(v View) []string {
+	var regions []string
+	for _, d := range v.FailureDomains() {
+		regions = append(regions, d.Region)
+	}
+	return slices.Compact(regions)
+}
