Add pooled exchanges, outcomes, retries, keyed work and tracing to the proxy

The outbound handler retries under a token budget, sends keyed work to its owner, follows one moved key and mints keys; the inbound handler asks the ledger before the gate and drains.

--- a/proxy/body.go
+++ b/proxy/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -23,7 +24,7 @@
 	reader   bytes.Reader
 	buffered bool
 	streamed bool
-	touched  bool // a byte of a streamed body was read, or may have been
+	touched  atomic.Bool // a byte of a streamed body was read, or may have been
 }
 
 // load classifies the body and reads a small one into memory.
@@ -37,6 +38,11 @@
 		b.streamed = true
 		return nil
 	}
+	return b.buffer(w, r)
+}
+
+// buffer reads a body of known length into memory.
+func (b *body) buffer(w http.ResponseWriter, r *http.Request) *refusal {
 	n := int(r.ContentLength)
 	if cap(b.buf) < n {
 		b.buf = make([]byte, max(n, connBufferBytes))
@@ -53,7 +59,7 @@
 }
 
 // replayable reports whether the call can be sent again in full.
-func (b *body) replayable() bool { return !b.touched }
+func (b *body) replayable() bool { return !b.touched.Load() }
 
 // attach gives the body to the request to the next hop.
 func (b *body) attach(out *http.Request, in *http.Request) {
@@ -73,5 +79,3 @@
 		out.Body = http.NoBody
 	}
 }
-
-var chunked = []string{"chunked"}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -21,20 +23,34 @@
 	voucher  string
 	first    bool // the caller states that the keyed request is no repeat
 
-	body   body
-	header http.Header  // header of the request to the next hop
-	out    http.Request // request to the next hop
-
-	answered bool // the answer's header was passed to the caller's connection
-	waited   time.Duration
+	body    body
+	maxBody int64        // bytes, 0 without a limit
+	header  http.Header  // header of the request to the next hop
+	out     http.Request // request to the next hop
+
+	ctx      context.Context   // ends with the caller's connection; carries the span
+	tracer   *Tracer           // set while a span is open
+	outside  bool              // the caller is no node
+	expects  bool              // the caller waits for 100 Continue
+	extra    func(http.Header) // adds this node's headers to the answer; may be nil
+	answered bool              // the answer's header was passed to the caller's connection
+	refused  *refusal          // how the call ended, nil for an answer
+	status   int               // status of the last attempt's answer
+	load     float64           // load that the last attempt's answer states, or noLoad
+	waited   time.Duration     // time spent waiting for answers' headers
 }
 
+// noLoad marks an answer that states no load.
+const noLoad = -1
+
 var callPool = sync.Pool{New: func() any { return &call{header: make(http.Header)} }}
 
 // newCall returns a call for a request.
 func newCall(w http.ResponseWriter, r *http.Request) *call {
 	c := callPool.Get().(*call)
-	c.w, c.r, c.start = w, r, time.Now()
+	c.w, c.r, c.start, c.ctx = w, r, time.Now(), r.Context()
+	c.expects = len(r.Header["Expect"]) > 0
+	c.load = noLoad
 	return c
 }
 
@@ -67,8 +83,27 @@
 	return nil
 }
 
-// noUserAgent keeps Request.Write from adding a User-Agent of its own.
-var noUserAgent = []string{""}
+// readKey reads the headers about repeats.
+func (c *call) readKey() {
+	if v := c.r.Header[HeaderKey]; len(v) > 0 {
+		c.key = v[0]
+		c.first = c.r.Header.Get(HeaderFirst) == valueTrue
+	}
+}
+
+// keyedRefusal corrects a refusal of keyed work. The request may be a repeat
+// of an attempt that ran, so only the owner of the key can state not-run, or
+// the caller that this is the first attempt.
+func (c *call) keyedRefusal(f *refusal) *refusal {
+	if f == nil || c.key == "" || f.stated || c.first || f.outcome != OutcomeNotRun {
+		return f
+	}
+	f.outcome = OutcomeUnknown
+	if f.status == http.StatusServiceUnavailable {
+		f.status = http.StatusBadGateway
+	}
+	return f
+}
 
 // prepare builds the request to the next hop. Header names that begin with
 // Siskingw- never pass from one side to the other by themselves.
@@ -85,6 +120,7 @@
 		c.header["User-Agent"] = noUserAgent
 	}
 	c.header[HeaderDeadline] = []string{strconv.FormatInt(max(c.left().Milliseconds(), 0), 10)}
+	c.tracer.inject(c)
 	c.out = http.Request{
 		Method:     c.r.Method,
 		URL:        c.r.URL,
@@ -97,6 +133,17 @@
 	c.body.attach(&c.out, c.r)
 }
 
+// nodeHeader adds what the target's node needs to know.
+func (c *call) nodeHeader() {
+	c.header[HeaderKind] = kindValues[c.kind]
+	if c.voucher != "" {
+		c.header[HeaderVoucher] = []string{c.voucher}
+	}
+	if c.expects {
+		c.header[HeaderExpect] = headerTrue
+	}
+}
+
 // refusal is the end of a call without an answer of the target.
 type refusal struct {
 	status   int
@@ -106,8 +153,12 @@
 	draining bool
 	movedTo  string // new owner of the key, with voucher
 	voucher  string
-	aborted  bool // the answer has begun: the caller's connection must be cut
-	took     bool // the next hop itself refused; false for a hop that failed to take the call
+	load     []string // header value for the caller's node
+	aborted  bool     // the answer has begun: the caller's connection must be cut
+	stated   bool     // the target's node itself refused, for keyed work the owner
+	// callerFault marks a failure that the caller caused, such as a body that
+	// did not arrive.
+	callerFault bool
 }
 
 // notRun refuses a call that certainly did not reach the target's handler.
@@ -139,7 +190,7 @@
 // refuse answers the caller with a refusal.
 func (c *call) refuse(f *refusal) {
 	if f.aborted || c.answered {
-		panic(http.ErrAbortHandler)
+		c.cut()
 	}
 	h := c.w.Header()
 	clear(h)
@@ -154,12 +205,32 @@
 		h.Set(HeaderMovedTo, f.movedTo)
 		h.Set(HeaderVoucher, f.voucher)
 	}
+	if f.load != nil {
+		h[HeaderLoad] = f.load
+	}
 	if f.draining {
-		h.Set(HeaderDraining, valueTrue)
-		h.Set("Connection", "close")
+		h[HeaderDraining] = headerTrue
+		h["Connection"] = connectionClose
+	}
+	if c.body.streamed {
+		h["Connection"] = connectionClose
+		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(drainWait))
 	}
 	c.w.WriteHeader(f.status)
 	if c.r.Method != http.MethodHead {
 		_, _ = c.w.Write([]byte(f.reason + "\n")) // the caller may be gone
 	}
 }
+
+// cut ends the handler and resets the caller's connection, so that an answer
+// that has begun never looks complete. A plain close would look like the end
+// of an answer to an HTTP/1.0 caller.
+func (c *call) cut() {
+	if tc, ok := c.r.Context().Value(connKey{}).(*net.TCPConn); ok {
+		_ = tc.SetLinger(0) // the connection may be closed already
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// connKey is the context key of the caller's connection.
+type connKey struct{}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -3,11 +3,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"os"
-	"sync"
 	"time"
 
 	"siskingw/faults"
@@ -18,10 +16,14 @@
 
 // exchange is one request and its answer on a pooled connection.
 type exchange struct {
-	pool *Pool
-	conn *conn
-	resp *http.Response
-	stop func() bool // ends the watch for cancellation; false when it was too late
+	pool       *Pool
+	expect     bool // a streamed body waits for 100 Continue
+	conn       *conn
+	resp       *http.Response
+	upload     *upload     // nil unless the body is streamed
+	stop       func() bool // ends the watch for cancellation; false when it was too late
+	callerGone bool        // the caller's connection failed
+	prefix     []byte      // part of the answer's body that was read already
 }
 
 // start sends the request and reads the header of the answer. A refusal ends
@@ -38,26 +40,47 @@
 	}
 	x.stop = context.AfterFunc(ctx, cn.abort)
 	if err := x.send(c); err != nil {
-		sent := cn.sent
-		x.finish(false)
-		if sent == 0 {
-			return notRun("no byte of the request was sent", err)
-		}
-		return unknown("the request was not sent in full", err)
+		return x.fail("the request was not sent in full", err)
 	}
 	sentAt := time.Now()
 	resp, err := x.receive(c)
 	c.waited += time.Since(sentAt)
 	if err != nil {
-		x.finish(false)
-		return unknown("no answer", err)
+		return x.fail("no answer", err)
 	}
-	x.resp = resp
+	x.resp, c.status = resp, resp.StatusCode
 	return nil
 }
 
-// send writes the whole request.
+// fail ends the exchange without an answer.
+func (x *exchange) fail(reason string, err error) *refusal {
+	u, cn := x.upload, x.conn
+	if u != nil {
+		u.cancel()
+		x.upload = nil
+	}
+	sent := cn.sent
+	x.finish(false)
+	if u != nil && u.source != nil {
+		reason, err = "the body did not arrive in full", u.source
+	}
+	f := unknown(reason, err)
+	if sent == 0 {
+		f = notRun(reason, err)
+	}
+	f.callerFault = u != nil && u.source != nil
+	return f
+}
+
+// send writes the whole request, or starts the upload that does.
 func (x *exchange) send(c *call) error {
+	if c.body.streamed {
+		if x.expect {
+			c.header["Expect"] = expectContinue
+		}
+		x.upload = startUpload(c, x.conn, x.expect)
+		return nil
+	}
 	if err := c.out.Write(x.conn.bw); err != nil {
 		return err
 	}
@@ -73,19 +96,52 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode >= http.StatusOK {
-			return resp, nil
+		switch code := resp.StatusCode; {
+		case code == http.StatusContinue:
+			x.proceed()
+		case code == http.StatusSwitchingProtocols || code < http.StatusContinue:
+			return nil, faults.OutcomeUnknown.New("answer with status %d", code)
+		case code < http.StatusOK:
+			c.interim(resp)
+		default:
+			return resp, checkFraming(c.r.Method, resp)
 		}
 	}
 	return nil, faults.OutcomeUnknown.New("more than %d interim answers", maxInterimAnswers)
 }
 
+// proceed lets a streamed body move that waits for 100 Continue.
+func (x *exchange) proceed() {
+	if x.expect && x.upload != nil {
+		x.expect = false
+		close(x.upload.proceed)
+	}
+}
+
+// checkFraming refuses an answer whose end only the end of the connection
+// marks: a cut answer would look complete.
+func checkFraming(method string, resp *http.Response) error {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || method == http.MethodHead ||
+		resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
+		return nil
+	}
+	return faults.OutcomeUnknown.New("answer with neither a length nor chunked encoding")
+}
+
+// complete reports whether nothing of the request is left to send.
+func (x *exchange) complete() bool { return x.upload == nil || x.upload.ended() }
+
 // finish ends the exchange. The connection is used again only when the
 // exchange was complete in both directions and nothing was left over.
 func (x *exchange) finish(complete bool) {
 	if x.conn == nil {
 		return
 	}
+	if x.upload != nil && !x.complete() {
+		complete = false
+		x.upload.cancel()
+		x.upload = nil
+	}
 	watched := x.stop()
 	if complete && watched && !x.resp.Close && x.conn.br.Buffered() == 0 {
 		x.pool.put(x.conn)
@@ -95,32 +151,6 @@
 	x.conn = nil
 }
 
-var copyBuffers = sync.Pool{New: func() any { return new([32 << 10]byte) }}
-
-// relayBody copies the answer's body to the caller. It returns nil only when
-// the body was complete and the caller took all of it.
-func (x *exchange) relayBody(w http.ResponseWriter) error {
-	if x.resp.Body == http.NoBody || x.resp.ContentLength == 0 {
-		return nil
-	}
-	buf := copyBuffers.Get().(*[32 << 10]byte)
-	defer copyBuffers.Put(buf)
-	for {
-		n, err := x.resp.Body.Read(buf[:])
-		if n > 0 {
-			if _, werr := w.Write(buf[:n]); werr != nil {
-				return werr
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // isTimeout reports whether err is a deadline that passed.
 func isTimeout(err error) bool {
 	if err == nil {
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -39,6 +39,10 @@
 	HeaderVoucher = "Siskingw-Voucher"
 	// HeaderMovedTo names the new owner of a key in a refusal.
 	HeaderMovedTo = "Siskingw-Moved-To"
+	// HeaderReplay is "true" on a stored answer to a repeat of keyed work.
+	HeaderReplay = "Siskingw-Replay"
+	// HeaderExpect is "true" when the caller itself waits for 100 Continue.
+	HeaderExpect = "Siskingw-Expect"
 	// HeaderKey identifies repeats of one request.
 	HeaderKey = "Idempotency-Key"
 )
@@ -55,6 +59,36 @@
 	valueDone    = "done"
 )
 
+// Shared values of headers; nothing may change them.
+var (
+	headerTrue      = []string{valueTrue}
+	connectionClose = []string{"close"}
+	expectContinue  = []string{"100-continue"}
+	chunked         = []string{"chunked"}
+	noUserAgent     = []string{""} // keeps Request.Write from adding its own
+	kindValues      = map[object.WorkKind][]string{
+		object.WorkBid: {"bid"}, object.WorkUpload: {"upload"}, object.WorkPage: {"page"},
+	}
+	loadValues = newLoadValues()
+)
+
+// newLoadValues formats the usual loads in steps of 0.01.
+func newLoadValues() [201][]string {
+	var v [201][]string
+	for i := range v {
+		v[i] = []string{strconv.FormatFloat(float64(i)/100, 'f', 2, 64)}
+	}
+	return v
+}
+
+// loadValue returns the header value for a load.
+func loadValue(load float64) []string {
+	if i := int(load * 100); load >= 0 && i < len(loadValues) {
+		return loadValues[i]
+	}
+	return []string{strconv.FormatFloat(load, 'f', 2, 64)}
+}
+
 // maxDeadline bounds the time that a caller may ask for; longer values are
 // cut to it. It also keeps the arithmetic on durations from overflowing.
 const maxDeadline = time.Hour
@@ -169,6 +203,9 @@
 	if _, ok := r.Header["Upgrade"]; ok {
 		return http.StatusNotImplemented, "upgrades are not supported"
 	}
+	if v, ok := r.Header[HeaderKey]; ok && (len(v) != 1 || v[0] == "") {
+		return http.StatusBadRequest, "header " + HeaderKey + " needs exactly one value"
+	}
 	if len(r.Header["Connection"]) == 0 {
 		return 0, ""
 	}
--- /dev/null
+++ b/proxy/keyed.go
@@ -0,0 +1,128 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/joomcode/errorx"
+
+	"siskingw/faults"
+)
+
+// maxStoredAnswer bounds the answer's body that the ledger stores. A keyed
+// call with a larger answer gets it in full, but its repeats are unknown.
+const maxStoredAnswer = 256 << 10
+
+// passKeyed asks the ledger what to do with the call. The ledger comes before
+// the gate: a repeat that waits or gets a stored answer needs no slot, and a
+// refusal by the gate can state that the key never ran.
+func (in *Inbound) passKeyed(c *call) *refusal {
+	if in.opts.Ledger == nil {
+		return notRun("the target's node keeps no ledger", nil)
+	}
+	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
+	defer cancel()
+	d, err := in.opts.Ledger.Begin(ctx, c.key, c.voucher)
+	switch {
+	case errorx.IsOfType(err, faults.Invalid):
+		return badRequest(err.Error())
+	case errorx.IsOfType(err, faults.NotRun):
+		return notRun("the ledger refuses the key", err)
+	case err != nil:
+		return unknown("the key may have run", err)
+	}
+	switch d.Action {
+	case Run:
+		return in.runKeyed(ctx, c)
+	case Replay:
+		in.answerHeader(c)
+		c.replay(d.Answer)
+		return nil
+	case Moved:
+		f := notRun("another node owns the key now", nil)
+		f.movedTo, f.voucher = d.Owner, d.Voucher
+		return f
+	case Refused:
+		return notRun("the ledger refuses the key", nil)
+	}
+	return unknown("the key may have run", nil)
+}
+
+// runKeyed runs a key and settles it in the ledger on every path. A run that
+// was sent ends by its deadline only: the caller may be gone, but a repeat
+// needs the answer.
+func (in *Inbound) runKeyed(ctx context.Context, c *call) *refusal {
+	settle := in.opts.Ledger.Lost
+	defer func() { settle(c.key) }()
+	ticket, err := in.opts.Gate.Enter(ctx, c.kind)
+	if err != nil {
+		settle = in.opts.Ledger.NotRun
+		return notRun("the target's node refuses the call", err)
+	}
+	defer ticket.Leave()
+	x := exchange{pool: in.opts.Pool}
+	if f := in.start(&x, c, context.WithoutCancel(ctx)); f != nil {
+		if f.outcome == OutcomeNotRun {
+			settle = in.opts.Ledger.NotRun
+		}
+		return f
+	}
+	in.answerHeader(c)
+	a, err := x.store()
+	if err != nil {
+		x.finish(false)
+		return unknown("the answer is not complete", err)
+	}
+	if a == nil {
+		return x.relay(c)
+	}
+	x.finish(true)
+	settle = func(key string) { in.opts.Ledger.Finish(key, a) }
+	c.writeAnswer(a)
+	return nil
+}
+
+// store reads the whole answer. It returns nil for one that is too large and
+// leaves it to be relayed.
+func (x *exchange) store() (*Answer, error) {
+	h := make(http.Header)
+	x.copyAnswerHeader(h)
+	delete(h, "Trailer") // a stored answer has no trailers
+	prefix, err := io.ReadAll(io.LimitReader(x.resp.Body, maxStoredAnswer+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(prefix) > maxStoredAnswer {
+		x.prefix = prefix
+		return nil, nil
+	}
+	return &Answer{Status: x.resp.StatusCode, Header: h, Body: prefix}, nil
+}
+
+// replay gives the stored answer to a repeat.
+func (c *call) replay(a *Answer) {
+	c.w.Header()[HeaderReplay] = headerTrue
+	c.writeAnswer(a)
+}
+
+// writeAnswer gives a complete answer to the caller.
+func (c *call) writeAnswer(a *Answer) {
+	h := c.w.Header()
+	for k, v := range a.Header {
+		h[k] = v
+	}
+	if c.extra != nil {
+		c.extra(h)
+	}
+	if c.r.Method != http.MethodHead && a.Status != http.StatusNoContent && a.Status != http.StatusNotModified {
+		h["Content-Length"] = []string{strconv.Itoa(len(a.Body))}
+	}
+	if c.body.streamed {
+		h["Connection"] = connectionClose
+	}
+	c.answered = true
+	c.w.WriteHeader(a.Status)
+	_, _ = c.w.Write(a.Body) // the server closes the connection of a caller that is gone
+}
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -3,26 +3,36 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
+	"siskingw/member"
 	"siskingw/object"
 	"siskingw/snapshot"
 )
 
 // OutboundOptions configures the handler at the caller's node.
 type OutboundOptions struct {
-	Current  *snapshot.Current
-	Balancer Balancer
-	Pool     *Pool    // connections to other nodes
-	SelfID   string   // id of this node
-	Local    *Inbound // target of this instance, or nil
+	Current    *snapshot.Current
+	Balancer   Balancer
+	View       member.View          // finds the owners of keys
+	Keys       Keys                 // nil refuses keyed work and mints nothing
+	Pool       *Pool                // connections to other nodes; default: a new pool
+	Local      *Inbound             // target of this instance, or nil
+	OnDraining func(*member.Record) // told when a target's node states that it drains; may be nil
+	Metrics    *Metrics             // nil counts nothing
+	Tracer     *Tracer              // nil traces nothing
 }
 
 // Outbound routes the calls of this instance's callers.
 type Outbound struct {
-	opts OutboundOptions
+	opts    OutboundOptions
+	budgets sync.Map // service name to *budget
 }
 
+// reservedPrefix is the part of the path space that belongs to the node.
+const reservedPrefix = "/siskingw/"
+
 // NewOutbound returns the handler of the outbound listener.
 func NewOutbound(opts OutboundOptions) *Outbound {
 	if opts.Pool == nil {
@@ -33,9 +43,20 @@
 
 // ServeHTTP routes one call.
 func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, reservedPrefix) {
+		o.serveOwn(w, r)
+		return
+	}
 	c := newCall(w, r)
+	c.outside = true
 	defer c.free()
-	if f := o.serve(c); f != nil {
+	defer o.opts.Tracer.begin(c, "outbound")()
+	c.readKey()
+	f := c.keyedRefusal(o.serve(c))
+	c.refused = f
+	o.opts.Metrics.observe(sideOutbound, c, f)
+	if f != nil {
+		f.draining, f.movedTo = false, "" // matters of the nodes
 		c.refuse(f)
 	}
 }
@@ -54,48 +75,123 @@
 	if res == nil {
 		return &refusal{status: http.StatusNotFound, outcome: OutcomeNotRun, reason: "no route matches"}
 	}
-	if f := c.setDeadline(timeoutOf(res.Policy)); f != nil {
+	c.kind = ParseKind(string(res.Route.Kind))
+	if f := c.setDeadline(timeoutOf(res.Policy, c.kind)); f != nil {
 		return f
 	}
-	c.kind = ParseKind(string(res.Route.Kind))
-	if f := c.body.load(c.w, c.r, maxBody(res.Policy)); f != nil {
+	c.maxBody = maxBody(res.Policy)
+	if f := c.body.load(c.w, c.r, c.maxBody); f != nil {
 		return f
 	}
-	return o.attempt(c, res)
+	if c.key != "" {
+		return o.routeKeyed(c, res)
+	}
+	return o.route(c, res)
 }
 
-// attempt sends the call to one endpoint.
-func (o *Outbound) attempt(c *call, res *snapshot.Resolved) *refusal {
-	var ejection *object.EjectionSpec
-	if res.Policy != nil {
-		ejection = res.Policy.Ejection
-	}
-	picked, err := o.opts.Balancer.Pick(res.EndpointSet, ejection, nil)
-	if err != nil {
-		return notRun("no endpoint is left", err)
+// route sends the call to endpoints until one answers or no retry is allowed.
+func (o *Outbound) route(c *call, res *snapshot.Resolved) *refusal {
+	b := o.budgetOf(res.ServiceName)
+	b.deposit(budgetPercent(res.Policy))
+	var last *refusal
+	var skip []string
+	for retry := 0; ; {
+		picked, err := o.opts.Balancer.Pick(res.EndpointSet, ejectionOf(res.Policy), skip)
+		if err != nil {
+			if res.Fallback != nil {
+				res = res.Fallback
+				continue
+			}
+			if last == nil {
+				last = notRun("no endpoint is left", err)
+			}
+			return last
+		}
+		rec := picked.Target()
+		f := o.send(c, rec)
+		picked.Done(c.report(f))
+		if f == nil || f.aborted {
+			return f
+		}
+		last = c.merge(last, f)
+		last.retried = last.retried || retry > 0
+		if retry >= retriesOf(res.Policy) || !mayRetry(c, res.Policy, f) || !b.withdraw() {
+			return last
+		}
+		retry++
+		o.opts.Metrics.retry()
+		skip = append(skip, rec.ID)
 	}
-	rec := picked.Target()
-	if o.opts.Local != nil && rec.ID == o.opts.SelfID {
-		f := o.opts.Local.pass(c)
-		picked.Done(Report{Refused: f != nil, Load: -1})
-		return f
+}
+
+// send passes the call to the node of the chosen endpoint and its answer back.
+func (o *Outbound) send(c *call, rec *member.Record) *refusal {
+	c.load, c.status = noLoad, 0
+	if o.opts.Local != nil && rec.ID == o.opts.View.Self().ID {
+		return o.opts.Local.pass(c)
 	}
 	c.prepare()
-	c.header[HeaderKind] = []string{string(c.kind)}
-	x := exchange{pool: o.opts.Pool}
-	if f := x.start(c.r.Context(), c, rec.InboundAddr); f != nil {
-		picked.Done(Report{Failed: true, Load: -1})
+	c.nodeHeader()
+	x := exchange{pool: o.opts.Pool, expect: true}
+	if f := x.start(c.ctx, c, rec.InboundAddr); f != nil {
 		return f
 	}
-	picked.Done(Report{Load: -1, Duration: c.waited})
+	c.status = x.resp.StatusCode
+	if v := x.resp.Header[HeaderLoad]; len(v) > 0 {
+		if load, ok := ParseLoad(v[0]); ok {
+			c.load = load
+		}
+	}
+	if len(x.resp.Header[HeaderDraining]) > 0 {
+		o.drained(rec)
+	}
+	if v := x.resp.Header[HeaderOutcome]; len(v) > 0 {
+		return x.refusal(c, v[0])
+	}
 	return x.relay(c)
 }
 
-func timeoutOf(p *object.PolicySpec) time.Duration {
-	if p == nil || p.TimeoutMs <= 0 {
-		return defaultTimeout
+// drained gives up the idle connections to a node that leaves.
+func (o *Outbound) drained(rec *member.Record) {
+	o.opts.Pool.Forget(rec.InboundAddr)
+	if o.opts.OnDraining != nil {
+		o.opts.OnDraining(rec)
 	}
-	return time.Duration(p.TimeoutMs) * time.Millisecond
+}
+
+// report tells the balancer how the attempt went. What the caller caused is
+// no failure of the endpoint.
+func (c *call) report(f *refusal) Report {
+	r := Report{Load: c.load, Duration: c.waited}
+	switch {
+	case f == nil:
+		r.Failed = c.status >= http.StatusInternalServerError
+	case f.callerFault || c.ctx.Err() != nil:
+	case f.stated && f.outcome == OutcomeNotRun:
+		r.Refused = true
+	default:
+		r.Failed = true
+	}
+	return r
+}
+
+// merge joins the refusals of two attempts. Once an attempt may have run, the
+// call is never reported as not run.
+func (c *call) merge(earlier, f *refusal) *refusal {
+	if earlier != nil && earlier.outcome == OutcomeUnknown && f.outcome == OutcomeNotRun {
+		f.outcome, f.status = OutcomeUnknown, http.StatusBadGateway
+	}
+	return f
+}
+
+func timeoutOf(p *object.PolicySpec, kind object.WorkKind) time.Duration {
+	switch {
+	case p != nil && p.TimeoutMs > 0:
+		return min(time.Duration(p.TimeoutMs)*time.Millisecond, maxDeadline)
+	case kind == object.WorkUpload:
+		return defaultUploadTimeout
+	}
+	return defaultTimeout
 }
 
 func maxBody(p *object.PolicySpec) int64 {
@@ -105,11 +201,17 @@
 	return p.MaxBodyBytes
 }
 
-// hostName returns the host of a Host header without the port.
+func ejectionOf(p *object.PolicySpec) *object.EjectionSpec {
+	if p == nil {
+		return nil
+	}
+	return p.Ejection
+}
+
+// hostName returns the host of a Host header in lower case, without the port.
 func hostName(host string) string {
-	i := strings.LastIndexByte(host, ':')
-	if i < 0 || strings.HasSuffix(host, "]") {
-		return host
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
 	}
-	return host[:i]
+	return strings.ToLower(host)
 }
--- /dev/null
+++ b/proxy/owner.go
@@ -0,0 +1,117 @@
+package proxy
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"siskingw/member"
+	"siskingw/object"
+	"siskingw/snapshot"
+)
+
+// routeKeyed sends the call to the owner that its key names, and nowhere else,
+// unless the owner states that it moved the key.
+func (o *Outbound) routeKeyed(c *call, res *snapshot.Resolved) *refusal {
+	if o.opts.Keys == nil {
+		return notRun("this node takes no keyed work", nil)
+	}
+	id, incarnation, err := o.opts.Keys.Owner(c.key)
+	if err != nil {
+		f := badRequest(err.Error())
+		f.stated = true // no owner can have run it
+		return f
+	}
+	owner := o.opts.View.Lookup(id)
+	if owner == nil || owner.Incarnation != incarnation || owner.State == member.Dead || owner.State == member.Left {
+		return notRun("the owner of the key is gone", nil)
+	}
+	if owner.Service != res.EndpointSet.Announce {
+		return badRequest("the key belongs to another service")
+	}
+	b := o.budgetOf(res.ServiceName)
+	b.deposit(budgetPercent(res.Policy))
+	f := o.sendOwner(c, owner, res.Policy, b)
+	if f == nil || f.movedTo == "" {
+		return f
+	}
+	next := o.opts.View.Lookup(f.movedTo)
+	if next == nil || next.Service != owner.Service {
+		// A repeat can have reached the new owner through another node.
+		return notRun("the new owner of the key is not known", nil)
+	}
+	c.voucher = f.voucher
+	f2 := o.sendOwner(c, next, res.Policy, b)
+	if f2 != nil && f2.movedTo != "" {
+		f2.movedTo = "" // followed once only
+	}
+	return f2
+}
+
+// sendOwner sends keyed work to one node, again only if that may help: the
+// ledger makes repeats safe.
+func (o *Outbound) sendOwner(c *call, rec *member.Record, p *object.PolicySpec, b *budget) *refusal {
+	var last *refusal
+	for retry := 0; ; retry++ {
+		f := o.send(c, rec)
+		if f == nil || f.aborted || f.movedTo != "" {
+			return f
+		}
+		last = c.merge(last, f)
+		last.retried = last.retried || retry > 0
+		if retry >= retriesOf(p) || f.stated || !mayRetry(c, p, f) || !b.withdraw() {
+			return last
+		}
+		o.opts.Metrics.retry()
+	}
+}
+
+// serveOwn answers requests to the node itself.
+func (o *Outbound) serveOwn(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != reservedPrefix+"keys":
+		ownError(w, http.StatusNotFound, "no such resource")
+	case r.Method != http.MethodPost:
+		w.Header().Set("Allow", http.MethodPost)
+		ownError(w, http.StatusMethodNotAllowed, "keys are minted with POST")
+	default:
+		o.mint(w, r.URL.Query().Get("service"))
+	}
+}
+
+// mint answers with a new key whose owner is an endpoint of the service.
+func (o *Outbound) mint(w http.ResponseWriter, service string) {
+	snap := o.opts.Current.Load()
+	if snap == nil || o.opts.Keys == nil {
+		ownError(w, http.StatusServiceUnavailable, "no configuration is in force yet")
+		return
+	}
+	svc := snap.Get(object.Key{Kind: object.KindService, Name: service})
+	if svc == nil {
+		ownError(w, http.StatusNotFound, "service does not exist")
+		return
+	}
+	set := snap.Get(object.Key{Kind: object.KindEndpointSet, Name: svc.Service.EndpointSet})
+	picked, err := o.opts.Balancer.Pick(set.EndpointSet, nil, nil)
+	if err != nil {
+		ownError(w, http.StatusServiceUnavailable, "the service has no endpoint")
+		return
+	}
+	owner := picked.Target()
+	picked.Done(Report{Load: noLoad})
+	writeJSON(w, http.StatusCreated, map[string]string{
+		"key": o.opts.Keys.Mint(owner, time.Now()), "owner": owner.ID,
+	})
+}
+
+func ownError(w http.ResponseWriter, status int, reason string) {
+	w.Header().Set(HeaderOutcome, OutcomeNotRun)
+	writeJSON(w, status, map[string]string{"error": reason})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the caller may be gone
+}
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -1,29 +1,136 @@
 package proxy
 
 import (
+	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"time"
 )
 
-// relay passes the answer on and ends the exchange.
+// relay passes the answer on and ends the exchange. It returns a refusal with
+// aborted set when the caller's connection must be cut.
 func (x *exchange) relay(c *call) *refusal {
-	complete := false
-	defer func() { x.finish(complete) }()
+	done := false
+	defer func() { x.finish(done) }()
 	h := c.w.Header()
-	copyHeader(h, x.resp.Header)
-	if _, ok := h["Content-Type"]; !ok {
-		h["Content-Type"] = nil // keeps the server from guessing one
+	x.copyAnswerHeader(h)
+	if c.body.streamed && (!x.complete() || c.outside && c.r.ContentLength < 0) {
+		// The rest of the body would be read as the next request. A chunked
+		// request may have carried a Content-Length as well, which the server
+		// drops; RFC 9112, section 6.1 asks to close the connection then.
+		h["Connection"] = connectionClose
 	}
-	for k := range x.resp.Header {
-		if strings.HasPrefix(k, headerPrefix) {
-			delete(h, k)
-		}
+	if c.extra != nil {
+		c.extra(h)
 	}
 	c.answered = true
 	c.w.WriteHeader(x.resp.StatusCode)
-	if err := x.relayBody(c.w); err != nil {
-		return &refusal{status: http.StatusBadGateway, outcome: OutcomeUnknown, reason: err.Error(), aborted: true}
+	if err := x.relayBody(c); err != nil {
+		f := unknown("the answer was not passed on in full", err)
+		f.aborted, f.callerFault = true, x.callerGone
+		return f
+	}
+	for k, v := range x.resp.Trailer {
+		h[k] = v
 	}
-	complete = true
+	done = true
 	return nil
 }
+
+// copyAnswerHeader copies the end-to-end headers of the answer. What nodes
+// tell each other stays with the nodes, and a target cannot forge it; only
+// HeaderRetry passes, so that callers further up do not retry again.
+func (x *exchange) copyAnswerHeader(h http.Header) {
+	src := x.resp.Header
+	copyHeader(h, src)
+	for k := range src {
+		if strings.HasPrefix(k, headerPrefix) && k != HeaderRetry && k != HeaderReplay {
+			delete(h, k)
+		}
+	}
+	if _, ok := h["Content-Type"]; !ok {
+		h["Content-Type"] = nil // keeps the server from guessing one
+	}
+	for k := range x.resp.Trailer {
+		h["Trailer"] = append(h["Trailer"], k)
+	}
+}
+
+type copyBuffer [32 << 10]byte
+
+var copyBuffers = sync.Pool{New: func() any { return new(copyBuffer) }}
+
+// relayBody copies the answer's body to the caller. It returns nil only when
+// the body was complete and the caller's connection took all of it.
+func (x *exchange) relayBody(c *call) error {
+	if x.resp.Body == http.NoBody || x.resp.ContentLength == 0 {
+		return nil
+	}
+	if len(x.prefix) > 0 {
+		if _, err := c.w.Write(x.prefix); err != nil {
+			x.callerGone = true
+			return err
+		}
+	}
+	buf := copyBuffers.Get().(*copyBuffer)
+	defer copyBuffers.Put(buf)
+	rc := http.NewResponseController(c.w)
+	armed := c.start
+	for {
+		if now := time.Now(); now.Sub(armed) > rearmInterval {
+			armed = now
+			_ = x.conn.SetReadDeadline(earlier(c.deadline, now.Add(stallTimeout)))
+			_ = rc.SetWriteDeadline(now.Add(stallTimeout))
+		}
+		n, err := x.resp.Body.Read(buf[:])
+		if n > 0 {
+			if _, werr := c.w.Write(buf[:n]); werr != nil {
+				x.callerGone = true
+				return werr
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if x.resp.ContentLength < 0 && x.conn.br.Buffered() == 0 {
+			if err := rc.Flush(); err != nil {
+				x.callerGone = true
+				return err
+			}
+		}
+	}
+}
+
+// interim passes a 1xx answer on.
+func (c *call) interim(resp *http.Response) {
+	h := c.w.Header()
+	copyHeader(h, resp.Header)
+	c.w.WriteHeader(resp.StatusCode)
+	clear(h)
+}
+
+// maxReason bounds the reason that a refusal of another node states.
+const maxReason = 1 << 10
+
+// refusal reads the next hop's refusal and ends the exchange.
+func (x *exchange) refusal(c *call, outcome string) *refusal {
+	reason, err := io.ReadAll(io.LimitReader(x.resp.Body, maxReason+1))
+	h := x.resp.Header
+	f := &refusal{
+		status: x.resp.StatusCode, outcome: OutcomeUnknown, stated: true,
+		reason:   strings.TrimSuffix(string(reason), "\n"),
+		retried:  h.Get(HeaderRetry) == valueDone,
+		draining: h.Get(HeaderDraining) == valueTrue,
+		movedTo:  h.Get(HeaderMovedTo),
+		voucher:  h.Get(HeaderVoucher),
+	}
+	if o, perr := ParseOutcome(outcome); perr == nil {
+		f.outcome = o
+	}
+	x.finish(err == nil && len(reason) <= maxReason)
+	return f
+}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 )
@@ -39,5 +41,8 @@
 		WriteTimeout:                 stallTimeout, // extended while an answer moves
 		IdleTimeout:                  opts.IdleTimeout,
 		MaxHeaderBytes:               opts.MaxHeaderBytes,
+		ConnContext: func(ctx context.Context, nc net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, nc)
+		},
 	}
 }
