--- /dev/null
+++ b/spread/compare.go
@@ -0,0 +1,119 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"siskingw/peer"
+	"siskingw/peer/peerpb"
+)
+
+// class returns the class of the link to a peer.
+func (n *Node) class(p Peer) peer.LinkClass {
+	self := n.view.Self()
+	return peer.Class(peer.Place{Region: self.Region, FailureDomain: self.FailureDomain}, p.Place())
+}
+
+// Compare exchanges versions with a peer; the side that is behind fetches what
+// it lacks. It fails with PeerUnavailable.
+func (n *Node) Compare(ctx context.Context, p Peer) error {
+	_, err := n.compareWithin(ctx, p, callTimeout)
+	return err
+}
+
+// compare is Compare with a time limit; it returns the peer's answer.
+func (n *Node) compare(p Peer, timeout time.Duration) (*peerpb.HeadReply, error) {
+	return n.compareWithin(n.ctx, p, timeout)
+}
+
+func (n *Node) compareWithin(ctx context.Context, p Peer, timeout time.Duration) (*peerpb.HeadReply, error) {
+	reply, err := n.askHead(ctx, p, timeout)
+	if err != nil {
+		return nil, err
+	}
+	p.ID = reply.Id
+	n.hear(p, reply.StoreAgeMs)
+	n.summary(p, reply.Version, reply.Digest)
+	return reply, nil
+}
+
+// askHead asks a peer for the version it has in force.
+func (n *Node) askHead(ctx context.Context, p Peer, timeout time.Duration) (*peerpb.HeadReply, error) {
+	ctx, cancel := within(ctx, timeout)
+	defer cancel()
+	r := &peerpb.HeadRequest{Sender: n.view.Self().ID, StoreAgeMs: n.storeAge()}
+	if s := n.cur.Load(); s != nil {
+		d := s.Digest()
+		r.Version, r.Digest = s.Version(), d[:]
+	}
+	n.stats.compares.Inc()
+	return n.opts.Transport.Head(ctx, p, r)
+}
+
+// runComparer repairs what pushes between failure domains missed. Heartbeats
+// do the same within a failure domain.
+func (n *Node) runComparer() {
+	for sleep(n.ctx, jittered(n.opts.CompareEvery)) {
+		t := n.topology()
+		if t.isRelay() {
+			n.compareRegion(t)
+		}
+	}
+}
+
+// compareRegion compares with the region's head. The head itself, or whoever
+// finds none before it, compares with a relay of the region and with the head
+// of each other region.
+func (n *Node) compareRegion(t *topology) {
+	for _, p := range t.head[:t.rank] {
+		if _, err := n.compare(p, takeoverAfter); err == nil {
+			return
+		}
+	}
+	if rest := t.head[t.rank+1:]; len(rest) > 0 {
+		_, _ = n.compare(rest[rand.IntN(len(rest))], takeoverAfter)
+	}
+	for _, g := range t.regions {
+		n.tasks.spawn(func() { n.compareGroup(g) })
+	}
+}
+
+// compareGroup compares with the first member of the group that answers.
+func (n *Node) compareGroup(g group) {
+	for _, p := range g.order {
+		if _, err := n.compare(p, takeoverAfter); err == nil || n.ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// hear notes that a peer answered, and how long ago that peer heard of the
+// store's region (ageMs is that time plus 1, or 0 for never).
+func (n *Node) hear(p Peer, ageMs uint32) {
+	now := time.Now().UnixMilli()
+	switch {
+	case p.Region == n.opts.StoreRegion:
+		raise(&n.heard, now)
+	case ageMs > 1:
+		raise(&n.heard, now-int64(ageMs-1))
+	}
+}
+
+// storeAge returns the time since the node heard of the store's region in ms
+// plus 1, or 0 for never.
+func (n *Node) storeAge() uint32 {
+	if n.view.Self().Region == n.opts.StoreRegion {
+		return 1
+	}
+	at := n.heard.Load()
+	if at == 0 {
+		return 0
+	}
+	return uint32(min(max(time.Now().UnixMilli()-at, 0), 1<<30)) + 1
+}
+
+// jittered returns d changed at random by up to a tenth.
+func jittered(d time.Duration) time.Duration {
+	return d - d/10 + rand.N(d/5+1)
+}
--- /dev/null
+++ b/spread/history.go
@@ -0,0 +1,111 @@
+package spread
+
+import (
+	"sync"
+
+	"siskingw/snapshot"
+)
+
+const (
+	// maxChainDeltas and maxChainBytes bound the deltas that a node keeps for
+	// peers that are behind. The deltas are kept in encoded form.
+	maxChainDeltas = 64
+	maxChainBytes  = 1 << 20
+)
+
+// entry is one delta in encoded form.
+type entry struct {
+	base       uint64
+	baseDigest snapshot.Digest
+	version    uint64
+	data       []byte
+}
+
+// newEntry returns the entry for a delta whose encoding is data.
+func newEntry(d *snapshot.Delta, data []byte) entry {
+	return entry{base: d.BaseVersion, baseDigest: d.BaseDigest, version: d.Version, data: data}
+}
+
+// history holds the latest deltas, each based on the one before, and the
+// encoding of one snapshot.
+type history struct {
+	mu      sync.Mutex
+	entries []entry
+	bytes   int
+
+	encodeMu sync.Mutex // held while a snapshot is encoded, so that a herd encodes it once
+	encoded  []byte
+	version  uint64
+}
+
+// add appends entries. An entry that does not follow the last one starts the
+// history anew, and one that is already held is ignored.
+func (h *history) add(entries ...entry) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, e := range entries {
+		if n := len(h.entries); n > 0 {
+			last := h.entries[n-1].version
+			if e.version <= last {
+				continue
+			}
+			if e.base != last {
+				h.entries, h.bytes = nil, 0
+			}
+		}
+		h.entries = append(h.entries, e)
+		h.bytes += len(e.data)
+		for len(h.entries) > maxChainDeltas || h.bytes > maxChainBytes {
+			h.bytes -= len(h.entries[0].data)
+			h.entries = h.entries[1:]
+		}
+	}
+}
+
+// chain returns the deltas from the exact base to the version, or nil.
+func (h *history) chain(base uint64, digest snapshot.Digest, version uint64) [][]byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i, e := range h.entries {
+		if e.base == base && e.baseDigest == digest {
+			return h.upTo(i, version)
+		}
+	}
+	return nil
+}
+
+// chainFrom is chain for a base of which only the version is known; with
+// base 0 it returns the last delta alone.
+func (h *history) chainFrom(base, version uint64) [][]byte {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for i, e := range h.entries {
+		if e.base == base || base == 0 && e.version == version {
+			return h.upTo(i, version)
+		}
+	}
+	return nil
+}
+
+// upTo returns the encodings from index i to the version, or nil when the
+// history does not end there.
+func (h *history) upTo(i int, version uint64) [][]byte {
+	if h.entries[len(h.entries)-1].version != version {
+		return nil
+	}
+	var out [][]byte
+	for _, e := range h.entries[i:] {
+		out = append(out, e.data)
+	}
+	return out
+}
+
+// encode returns the encoding of s; the encoding of the latest version is kept.
+func (h *history) encode(s *snapshot.Snapshot) []byte {
+	h.encodeMu.Lock()
+	defer h.encodeMu.Unlock()
+	if h.version != s.Version() {
+		h.encoded, h.version = s.Encode(), s.Version()
+	}
+	return h.encoded
+}
--- /dev/null
+++ b/spread/node.go
@@ -0,0 +1,244 @@
+// Package spread carries configuration versions to every node: a tree of
+// pushes within each failure domain, one transfer for each pair of regions,
+// anti-entropy as repair, the store reader duty and recovery at start.
+//
+// Safety never depends on rank, membership or timing: a version enters force
+// only through snapshot.Current, which refuses everything that is not newer.
+package spread
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+	"github.com/joomcode/errorx"
+
+	"siskingw/faults"
+	"siskingw/member"
+	"siskingw/ring"
+	"siskingw/snapshot"
+)
+
+const (
+	// takeoverAfter is how long a node waits for another before it does the
+	// other's part.
+	takeoverAfter = 300 * time.Millisecond
+	// callTimeout bounds every call to a peer except snapshot transfers.
+	callTimeout = 2 * time.Second
+	// maxPushBytes is the most that is pushed in one offer; more is announced
+	// and fetched by the receiver.
+	maxPushBytes = 64 << 10
+	// maxTransfers is the number of snapshots that a node sends at a time.
+	maxTransfers = 4
+	// maxWants bounds the versions that wait to be fetched. Older ones are
+	// dropped first; the next heartbeat or comparison names them again.
+	maxWants = 32
+	// defaultCompareEvery is the period of comparisons between relays.
+	defaultCompareEvery = 2 * time.Second
+)
+
+// Options configures a Node. View, Current and Transport are required.
+type Options struct {
+	View        member.View
+	Current     *snapshot.Current
+	Transport   Transport
+	Source      Source // the platform's store; nil for a node that never reads it
+	StoreRegion string // region of the store
+	Seeds       []Peer // nodes to ask at start, from the settings
+	// SeedHints returns further nodes to ask at start. It may be nil.
+	SeedHints func(ctx context.Context) []Peer
+	Log       logr.Logger
+	Metrics   *metrics.Set // nil for a private set
+	// CompareEvery is the period of comparisons between relays; negative
+	// turns them off. The default is 2 s.
+	CompareEvery time.Duration
+}
+
+// Node spreads versions. Its methods are safe for concurrent use.
+type Node struct {
+	opts  Options
+	view  member.View
+	cur   *snapshot.Current
+	log   logr.Logger
+	stats stats
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  tasks
+
+	mu     sync.Mutex // serializes changes of cur
+	spread uint64     // highest version handed to forward
+
+	hist      history
+	links     links
+	pending   pendingGroups
+	wants     *ring.Ring[want]
+	transfers chan struct{}
+	served    recipients
+	recovery  recovery
+	heard     atomic.Int64 // when the store's region was last heard of, in unix ms; 0 for never
+	topo      atomic.Pointer[cachedTopology]
+}
+
+type cachedTopology struct {
+	generation uint64
+	topology   topology
+}
+
+// New returns a node that serves its peers at once; Run starts its duties.
+func New(opts Options) *Node {
+	if opts.CompareEvery == 0 {
+		opts.CompareEvery = defaultCompareEvery
+	}
+	if opts.Metrics == nil {
+		opts.Metrics = metrics.NewSet()
+	}
+	if opts.Log.GetSink() == nil {
+		opts.Log = logr.Discard()
+	}
+	n := &Node{
+		opts: opts, view: opts.View, cur: opts.Current, log: opts.Log, stats: newStats(opts.Metrics),
+		wants:     ring.New[want](maxWants, ring.DropOldest),
+		transfers: make(chan struct{}, maxTransfers),
+	}
+	n.recovery.wake = make(chan struct{}, 1)
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	return n
+}
+
+// Run recovers the version in force from peers or the store and works until
+// ctx ends. A node runs once.
+func (n *Node) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, n.cancel)
+	defer stop()
+	n.tasks.spawn(n.runPuller)
+	n.tasks.spawn(n.runRecovery)
+	if n.opts.CompareEvery > 0 {
+		n.tasks.spawn(n.runComparer)
+	}
+	if n.opts.Source != nil {
+		n.tasks.spawn(n.runStoreReader)
+	}
+	<-n.ctx.Done()
+	n.tasks.close()
+	return nil
+}
+
+// Ready reports whether a version is in force.
+func (n *Node) Ready() bool { return n.cur.Version() > 0 }
+
+// Offer puts a version that was accepted at this node in force and spreads it.
+// d leads to next; it is nil for the first version.
+func (n *Node) Offer(next *snapshot.Snapshot, d *snapshot.Delta) {
+	n.enter(next, d, "accepted here")
+}
+
+// enter puts a version that comes from the store in force and spreads it. The
+// store's head is the highest version there is, so recovery is done.
+func (n *Node) enter(next *snapshot.Snapshot, d *snapshot.Delta, how string) {
+	var entries []entry
+	if d != nil {
+		data, err := snapshot.EncodeDelta(d)
+		if err != nil {
+			n.log.Error(err, "delta is not pushed", "version", next.Version())
+		} else {
+			entries = append(entries, newEntry(d, data))
+		}
+	}
+	n.recovery.finish()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	// The acceptor may have advanced the shared Current itself.
+	if err := n.cur.Advance(next); err != nil && !errorx.IsOfType(err, faults.Stale) {
+		n.stats.refuse(err)
+		n.log.Error(err, "version refused", "version", next.Version(), "how", how)
+		return
+	}
+	n.hist.add(entries...)
+	if next.Version() <= n.spread {
+		return
+	}
+	n.spread = next.Version()
+	n.forward(event{origin: n.view.Self().Region, fresh: true, entered: true})
+}
+
+// put puts next in force and forwards it. It returns a Stale error when it is
+// not newer. The caller holds n.mu.
+func (n *Node) put(next *snapshot.Snapshot, entries []entry, ev event) error {
+	if err := n.cur.Advance(next); err != nil {
+		return err
+	}
+	n.hist.add(entries...)
+	n.spread = max(n.spread, next.Version())
+	n.forward(ev)
+	return nil
+}
+
+// topology returns the current topology. It is computed once for each
+// generation of the view.
+func (n *Node) topology() *topology {
+	g := n.view.Generation()
+	if c := n.topo.Load(); c != nil && c.generation == g {
+		return &c.topology
+	}
+	c := &cachedTopology{generation: g, topology: topologyOf(n.view)}
+	n.topo.Store(c)
+	return &c.topology
+}
+
+// peerByID returns the address of a member, or false when the view lacks it.
+func (n *Node) peerByID(id string) (Peer, bool) {
+	r := n.view.Lookup(id)
+	if r == nil || r.PeerAddr == "" {
+		return Peer{}, false
+	}
+	return PeerOf(r), true
+}
+
+// within returns a context that ends with the node, with ctx or after d. It has
+// no deadline, because gRPC would send one to the peer with every call, which
+// costs about 20 bytes on a paid link.
+func within(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	t := time.AfterFunc(d, cancel)
+	return ctx, func() { t.Stop(); cancel() }
+}
+
+// sleep waits for d and reports false when ctx ends first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// tasks tracks the goroutines of a node.
+type tasks struct {
+	mu     sync.Mutex
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// spawn runs f unless the tasks are closed.
+func (t *tasks) spawn(f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.closed {
+		t.wg.Go(f)
+	}
+}
+
+// close waits for every goroutine; later ones are not started.
+func (t *tasks) close() {
+	t.mu.Lock()
+	t.closed = true
+	t.mu.Unlock()
+	t.wg.Wait()
+}
--- /dev/null
+++ b/spread/pull.go
@@ -0,0 +1,191 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"siskingw/faults"
+	"siskingw/member"
+	"siskingw/peer/peerpb"
+	"siskingw/snapshot"
+)
+
+const (
+	// pullJitter spreads the pulls that follow heartbeats, so that a version
+	// that is on its way down the tree arrives first.
+	pullJitter = 100 * time.Millisecond
+	// maxFetchAttempts bounds the tries for one snapshot; the next heartbeat
+	// starts over.
+	maxFetchAttempts = 8
+	// Full jitter between tries: a random time up to a limit that doubles.
+	retryBase = 50 * time.Millisecond
+	retryMax  = 2 * time.Second
+)
+
+// want is a version that a peer has and this node lacks.
+type want struct {
+	from    Peer
+	version uint64
+	event   event
+	jitter  bool // wait a little, the version may arrive by itself
+	full    bool // a delta did not fit; fetch the snapshot
+}
+
+// want queues a version to be fetched.
+func (n *Node) want(w want) {
+	if w.from.Addr == "" {
+		return // the sender is not in the view yet; a heartbeat names another source
+	}
+	_ = n.wants.Push(n.ctx, w) // drops the oldest, never fails
+}
+
+// runPuller fetches missing versions, one at a time.
+func (n *Node) runPuller() {
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case w := <-n.wants.C():
+			n.pull(w)
+		}
+	}
+}
+
+// OnSummary compares the version of a peer, as a heartbeat states it, with the
+// one in force here. The side that is behind fetches what it lacks.
+func (n *Node) OnSummary(p *member.Record, version uint64, digest snapshot.Digest) {
+	n.summary(PeerOf(p), version, digest[:])
+}
+
+func (n *Node) summary(p Peer, version uint64, digest []byte) {
+	n.links.of(p.ID).confirm(version)
+	s := n.cur.Load()
+	switch {
+	case version == 0:
+	case !n.recovery.finished():
+		n.recovery.hint(p, version)
+	case s == nil || version > s.Version():
+		n.want(want{from: p, version: version, event: event{fresh: true}, jitter: true})
+	case version == s.Version():
+		if d := s.Digest(); string(digest) != string(d[:]) {
+			err := faults.Corrupt.New("version %d has digest %x at peer %s, %s here", version, digest, p.ID, d)
+			n.stats.refuse(err)
+			n.log.Error(err, "versions differ in content", "peer", p.ID)
+		}
+	}
+}
+
+// pull fetches one missing version unless it has arrived meanwhile.
+func (n *Node) pull(w want) {
+	if w.version <= n.cur.Version() {
+		return
+	}
+	if w.jitter && !sleep(n.ctx, rand.N(pullJitter)) {
+		return
+	}
+	base := n.cur.Load()
+	if !n.recovery.finished() || base != nil && w.version <= base.Version() {
+		return
+	}
+	n.stats.pulls.Inc()
+	if base != nil && !w.full && n.pullDeltas(w, base) {
+		return
+	}
+	if err := n.fetchSnapshot(n.ctx, []Peer{w.from}, w.version, w.event); err != nil {
+		n.log.Info("snapshot not fetched", "peer", w.from.ID, "version", w.version, "cause", cause(err), "error", err.Error())
+	}
+}
+
+// pullDeltas fetches a delta chain and reports whether that settled the matter;
+// otherwise the snapshot is needed.
+func (n *Node) pullDeltas(w want, base *snapshot.Snapshot) bool {
+	ctx, cancel := within(n.ctx, callTimeout)
+	defer cancel()
+	digest := base.Digest()
+	reply, err := n.opts.Transport.FetchDeltas(ctx, w.from, &peerpb.FetchDeltasRequest{Version: base.Version(), Digest: digest[:]})
+	if err != nil {
+		n.log.V(1).Info("deltas not fetched", "peer", w.from.ID, "error", err.Error())
+		return true
+	}
+	if reply.NeedSnapshot {
+		return false
+	}
+	if len(reply.Deltas) == 0 {
+		return true
+	}
+	if err := n.applyDeltas(reply.Deltas, w.event); err != nil && !isStale(err) {
+		n.stats.refuse(err)
+		n.log.Info("delta chain refused", "peer", w.from.ID, "cause", cause(err), "error", err.Error())
+		return false
+	}
+	return true
+}
+
+// fetchSnapshot fetches the snapshot of at least the version from one of the
+// sources. A busy source names further ones.
+func (n *Node) fetchSnapshot(ctx context.Context, sources []Peer, version uint64, ev event) error {
+	var last error
+	limit := retryBase
+	for range maxFetchAttempts {
+		if n.cur.Version() >= version {
+			return nil
+		}
+		i := rand.IntN(len(sources))
+		busy, err := n.fetchFrom(ctx, sources[i], ev)
+		if err == nil && busy == nil {
+			return nil
+		}
+		if err != nil {
+			last = err
+		} else {
+			last = faults.Busy.New("peer %s sends to %d others", sources[i].Addr, maxTransfers)
+			sources = n.mergeSources(sources, busy.Peers)
+			limit = max(limit, time.Duration(busy.RetryMs)*time.Millisecond)
+		}
+		if !sleep(ctx, rand.N(limit)) {
+			return faults.Stopped.New("fetching version %d", version)
+		}
+		limit = min(2*limit, retryMax)
+	}
+	return last
+}
+
+// fetchFrom fetches the snapshot of one peer and puts it in force. A snapshot
+// that is not newer is no error.
+func (n *Node) fetchFrom(ctx context.Context, from Peer, ev event) (*peerpb.Busy, error) {
+	self := n.view.Self()
+	caller := &peerpb.Source{Id: self.ID, Addr: self.PeerAddr, Region: self.Region, FailureDomain: self.FailureDomain}
+	data, busy, err := n.opts.Transport.FetchSnapshot(ctx, from, &peerpb.FetchSnapshotRequest{Caller: caller})
+	if err != nil || busy != nil {
+		return busy, err
+	}
+	n.stats.snapshots.Inc()
+	n.hear(from, 1)
+	if err := n.applySnapshot(data, ev); err != nil && !isStale(err) {
+		n.stats.refuse(err)
+		n.log.Info("snapshot refused", "peer", from.Addr, "cause", cause(err), "error", err.Error())
+		return nil, err
+	}
+	return nil, nil
+}
+
+// maxSources bounds the peers that one fetch tries.
+const maxSources = 16
+
+// mergeSources adds the peers that a busy source names. Peers across a more
+// expensive link than every known source are left out.
+func (n *Node) mergeSources(sources []Peer, more []*peerpb.Source) []Peer {
+	limit := n.class(sources[0])
+	for _, p := range sources {
+		limit = max(limit, n.class(p))
+	}
+	for _, s := range more {
+		p := Peer{ID: s.Id, Addr: s.Addr, Region: s.Region, FailureDomain: s.FailureDomain}
+		known := p.ID == n.view.Self().ID || hasAddr(sources, p.Addr)
+		if !known && n.class(p) <= limit && len(sources) < maxSources {
+			sources = append(sources, p)
+		}
+	}
+	return sources
+}
--- /dev/null
+++ b/spread/receive.go
@@ -0,0 +1,127 @@
+package spread
+
+import (
+	"siskingw/faults"
+	"siskingw/peer/peerpb"
+	"siskingw/snapshot"
+)
+
+// HandleOffer answers a push or an announcement of a peer. A repeated or older
+// offer changes nothing and costs one comparison.
+func (n *Node) HandleOffer(r *peerpb.OfferRequest) *peerpb.OfferReply {
+	from, known := n.peerByID(r.Sender)
+	if known {
+		n.links.of(from.ID).confirm(r.Version)
+		n.hear(from, 1)
+	}
+	now := n.cur.Version()
+	if r.Version <= now {
+		n.stats.have.Inc()
+		if r.Version < now {
+			n.stats.refuse(faults.Stale.New("version %d is older than %d", r.Version, now))
+		}
+		return n.reply(peerpb.OfferReply_HAVE)
+	}
+	ev := event{from: r.Sender, origin: r.OriginRegion, fresh: true, asRoot: r.AsRoot, asHead: r.AsHead}
+	w := want{from: from, version: r.Version, event: ev}
+	if !n.recovery.finished() {
+		n.recovery.hint(from, r.Version)
+		return n.reply(peerpb.OfferReply_WANT)
+	}
+	if len(r.Deltas) == 0 {
+		return n.replyWant(w)
+	}
+	return n.receiveDeltas(r, w)
+}
+
+// receiveDeltas applies pushed deltas. What cannot be applied is fetched.
+func (n *Node) receiveDeltas(r *peerpb.OfferRequest, w want) *peerpb.OfferReply {
+	err := n.applyDeltas(r.Deltas, w.event)
+	switch {
+	case err == nil && n.cur.Version() >= r.Version:
+		n.stats.applied.Inc()
+		return n.reply(peerpb.OfferReply_APPLIED)
+	case err == nil:
+		err = faults.Corrupt.New("deltas lead to version %d, not to %d", n.cur.Version(), r.Version)
+	case isStale(err):
+		n.stats.have.Inc()
+		return n.reply(peerpb.OfferReply_HAVE)
+	}
+	n.stats.refuse(err)
+	n.log.Info("offer refused", "cause", cause(err), "error", err.Error(), "sender", r.Sender, "version", r.Version)
+	if cause(err) == cause(faults.BaseMismatch.NewWithNoMessage()) {
+		return n.replyWant(w)
+	}
+	w.full = true
+	n.want(w)
+	return n.reply(peerpb.OfferReply_REFUSED)
+}
+
+func (n *Node) reply(s peerpb.OfferReply_Status) *peerpb.OfferReply {
+	return &peerpb.OfferReply{Status: s, Version: n.cur.Version()}
+}
+
+func (n *Node) replyWant(w want) *peerpb.OfferReply {
+	n.want(w)
+	return n.reply(peerpb.OfferReply_WANT)
+}
+
+// applyDeltas applies a chain of encoded deltas. Deltas up to the version in
+// force are skipped. When one fails, those before it stay in force and its
+// error is returned; a Stale error means that nothing was newer.
+func (n *Node) applyDeltas(chain [][]byte, ev event) error {
+	deltas := make([]*snapshot.Delta, len(chain))
+	for i, data := range chain {
+		d, err := snapshot.DecodeDelta(data)
+		if err != nil {
+			return err
+		}
+		deltas[i] = d
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	next, entries, failed := applyAll(n.cur.Load(), deltas, chain)
+	if next == nil {
+		return failed
+	}
+	if err := n.put(next, entries, ev); err != nil {
+		return err
+	}
+	return failed
+}
+
+// applyAll applies the deltas that are newer than base. It returns the last
+// good result, or nil, and the error that stopped it.
+func applyAll(base *snapshot.Snapshot, deltas []*snapshot.Delta, chain [][]byte) (*snapshot.Snapshot, []entry, error) {
+	if base == nil {
+		return nil, nil, faults.BaseMismatch.New("no version is in force yet")
+	}
+	var next *snapshot.Snapshot
+	var entries []entry
+	for i, d := range deltas {
+		if d.Version <= base.Version() {
+			continue
+		}
+		s, err := base.Apply(d)
+		if err != nil {
+			return next, entries, err
+		}
+		base, next = s, s
+		entries = append(entries, newEntry(d, chain[i]))
+	}
+	if next == nil {
+		return nil, nil, faults.Stale.New("version %d is in force, the deltas lead to nothing newer", base.Version())
+	}
+	return next, entries, nil
+}
+
+// applySnapshot decodes a whole snapshot and puts it in force.
+func (n *Node) applySnapshot(data []byte, ev event) error {
+	next, err := snapshot.Decode(data)
+	if err != nil {
+		return err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.put(next, nil, ev)
+}
--- /dev/null
+++ b/spread/recovery.go
@@ -0,0 +1,333 @@
+package spread
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"siskingw/member"
+	"siskingw/peer"
+)
+
+const (
+	// wantSources is the number of answers that a starting node waits for, so
+	// that one source that is behind does not decide its version.
+	wantSources = 3
+	// askTimeout bounds the questions of one round over all link classes.
+	askTimeout = time.Second
+	// askStep is the time for which nearer sources are asked alone.
+	askStep = 250 * time.Millisecond
+	// maxAsked bounds the sources of one link class that are asked in a round.
+	maxAsked = 6
+	// recoverBase and recoverMax bound the full jitter between rounds.
+	recoverBase = 200 * time.Millisecond
+	recoverMax  = 2 * time.Second
+	// crossStep is the stagger between the first-ranked starting nodes of a
+	// failure domain that may fetch across its boundary.
+	crossStep = time.Second
+	// storeAfter is how long the first-ranked starting nodes look for a peer
+	// before they read the store.
+	storeAfter = time.Second
+	// aloneAfter is how long any other starting node waits for a local copy
+	// before it fetches across the boundary too.
+	aloneAfter = 30 * time.Second
+)
+
+// recovery is the state of a node that starts. Until it is finished, offers
+// are only hints: the first offer may come from a peer that is behind.
+type recovery struct {
+	mu    sync.Mutex
+	done  bool
+	hints map[string]answer // by address
+	wake  chan struct{}
+}
+
+// answer is what a source said.
+type answer struct {
+	peer    Peer
+	version uint64
+}
+
+func (r *recovery) finished() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.done
+}
+
+func (r *recovery) finish() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.done = true
+	r.poke()
+}
+
+// hint notes that a peer has a version.
+func (r *recovery) hint(p Peer, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.Addr == "" {
+		return
+	}
+	if r.hints == nil || len(r.hints) >= maxSources {
+		r.hints = make(map[string]answer)
+	}
+	r.hints[p.Addr] = answer{peer: p, version: version}
+	r.poke()
+}
+
+func (r *recovery) poke() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *recovery) takeHints() []answer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]answer, 0, len(r.hints))
+	for _, a := range r.hints {
+		out = append(out, a)
+	}
+	r.hints = nil
+	return out
+}
+
+// runRecovery finds the highest version that several sources have and fetches
+// it. It ends when a version is in force.
+func (n *Node) runRecovery() {
+	if n.cur.Version() > 0 {
+		n.recovery.finish()
+	}
+	started := time.Now()
+	limit := recoverBase
+	answered := true
+	for n.ctx.Err() == nil && !n.recovery.finished() {
+		answers := n.askSources(!answered)
+		answered = len(answers) > 0
+		if n.recover(answers, time.Since(started)) {
+			n.recovery.finish()
+			n.log.Info("recovered", "version", n.cur.Version(), "sources", len(answers), "duration", time.Since(started).String())
+			return
+		}
+		n.waitRetry(rand.N(limit))
+		limit = min(2*limit, recoverMax)
+	}
+}
+
+// waitRetry waits for d, or less when a hint arrives.
+func (n *Node) waitRetry(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-n.recovery.wake:
+		sleep(n.ctx, rand.N(retryBase)) // hints come in bursts
+	case <-n.ctx.Done():
+	}
+}
+
+// recover fetches the highest version among the answers and reports whether a
+// version is in force.
+func (n *Node) recover(answers []answer, waited time.Duration) bool {
+	highest := uint64(0)
+	for _, a := range answers {
+		highest = max(highest, a.version)
+	}
+	rank := n.startRank(answers)
+	if highest == 0 {
+		if rank < relays && waited >= storeAfter+time.Duration(rank)*crossStep {
+			n.recoverFromStore()
+		}
+		return n.cur.Version() > 0
+	}
+	sources := n.nearest(answers, highest)
+	if n.class(sources[0]) != peer.SameDomain && !mayCross(rank, waited) {
+		return false
+	}
+	if err := n.fetchSnapshot(n.ctx, sources, highest, event{}); err != nil {
+		n.log.Info("not recovered yet", "version", highest, "cause", cause(err), "error", err.Error())
+	}
+	return n.cur.Version() >= highest
+}
+
+// mayCross reports whether a starting node may fetch across the boundary of
+// its failure domain: the first-ranked ones by turns, the others late.
+func mayCross(rank int, waited time.Duration) bool {
+	if rank < relays {
+		return waited >= time.Duration(rank)*crossStep
+	}
+	return waited >= aloneAfter
+}
+
+// recoverFromStore loads the head of the store, the last source.
+func (n *Node) recoverFromStore() {
+	if n.opts.Source == nil {
+		return
+	}
+	h, err := n.readHead(n.ctx)
+	if err == nil {
+		err = n.loadOnce(h)
+	}
+	if err != nil {
+		n.log.Info("not recovered from the store", "cause", cause(err), "error", err.Error())
+	}
+}
+
+// nearest returns the sources of the version over the cheapest link class.
+func (n *Node) nearest(answers []answer, version uint64) []Peer {
+	var out []Peer
+	for _, a := range answers {
+		if a.version == version {
+			out = append(out, a.peer)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Peer) int { return cmp.Compare(n.class(a), n.class(b)) })
+	best := n.class(out[0])
+	return slices.DeleteFunc(out, func(p Peer) bool { return n.class(p) != best })
+}
+
+// startRank returns this node's rank among the starting nodes of its failure
+// domain. All nodes of a failure domain have the same seeds, so these come
+// first, ordered by the hash of their address. Without seeds in the failure
+// domain the membership view decides.
+func (n *Node) startRank(answers []answer) int {
+	self := PeerOf(n.view.Self())
+	starting := func(addr string) bool {
+		return slices.ContainsFunc(answers, func(a answer) bool { return a.peer.Addr == addr && a.version == 0 })
+	}
+	var seeds []Peer
+	for _, p := range n.opts.Seeds {
+		if p.FailureDomain == self.FailureDomain && (p.Addr == self.Addr || starting(p.Addr)) {
+			seeds = append(seeds, p)
+		}
+	}
+	if len(seeds) > 0 {
+		slices.SortFunc(seeds, func(a, b Peer) int {
+			return cmp.Compare(member.RankHash(a.Addr), member.RankHash(b.Addr))
+		})
+		if i := slices.IndexFunc(seeds, func(p Peer) bool { return p.Addr == self.Addr }); i >= 0 {
+			return i
+		}
+		return relays
+	}
+	rank := 0
+	for _, p := range n.topology().ranked {
+		if p.ID == self.ID {
+			break
+		}
+		if starting(p.Addr) {
+			rank++
+		}
+	}
+	return rank
+}
+
+// askSources asks for versions: the own failure domain first, and farther
+// sources when fewer than wantSources have a version or when time passes. The
+// store's seed hints are read only when nobody answered the round before.
+func (n *Node) askSources(hints bool) []answer {
+	deadline := time.Now().Add(askTimeout)
+	answers := n.recovery.takeHints()
+	for class, peers := range n.candidates(hints) {
+		if len(peers) == 0 {
+			continue
+		}
+		step := askStep
+		if peer.LinkClass(class) == peer.CrossRegion {
+			step = time.Until(deadline)
+		}
+		answers = append(answers, n.ask(peers, min(step, time.Until(deadline)))...)
+		if withVersion(answers) >= wantSources {
+			break
+		}
+	}
+	return answers
+}
+
+func withVersion(answers []answer) int {
+	n := 0
+	for _, a := range answers {
+		if a.version > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// ask asks the peers at once and returns the answers that arrive in time.
+func (n *Node) ask(peers []Peer, timeout time.Duration) []answer {
+	got := make(chan answer, len(peers))
+	for _, p := range peers {
+		n.tasks.spawn(func() {
+			reply, err := n.askHead(n.ctx, p, timeout)
+			if err != nil {
+				got <- answer{}
+				return
+			}
+			n.hear(p, reply.StoreAgeMs)
+			p.ID = reply.Id
+			got <- answer{peer: p, version: reply.Version}
+		})
+	}
+	var answers []answer
+	late := time.NewTimer(timeout)
+	defer late.Stop()
+	for range peers {
+		select {
+		case a := <-got:
+			if a.peer.Addr != "" {
+				answers = append(answers, a)
+			}
+		case <-late.C:
+			return answers
+		case <-n.ctx.Done():
+			return answers
+		}
+	}
+	return answers
+}
+
+// candidates returns the sources to ask by link class: the first ranks and the
+// seeds, then others at random, at most maxAsked of each class. With hints it
+// also reads the store's seed hints.
+func (n *Node) candidates(hints bool) [peer.CrossRegion + 1][]Peer {
+	var byClass [peer.CrossRegion + 1][]Peer
+	self := n.view.Self()
+	add := func(peers []Peer) {
+		for _, p := range peers {
+			c := n.class(p)
+			if p.Addr != self.PeerAddr && p.Addr != "" && !hasAddr(byClass[c], p.Addr) && len(byClass[c]) < maxAsked {
+				byClass[c] = append(byClass[c], p)
+			}
+		}
+	}
+	t := n.topology()
+	add(t.ranked[:min(relays, len(t.ranked))])
+	add(shuffled(n.opts.Seeds))
+	if n.opts.SeedHints != nil && hints {
+		ctx, cancel := within(n.ctx, askStep)
+		add(n.opts.SeedHints(ctx))
+		cancel()
+	}
+	add(shuffled(t.ranked))
+	for _, g := range slices.Concat(t.domains, t.regions) {
+		add(g.order[:1])
+	}
+	for _, g := range shuffled(slices.Concat(t.domains, t.regions)) {
+		add(g.order)
+	}
+	return byClass
+}
+
+func shuffled[T any](in []T) []T {
+	out := slices.Clone(in)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+func hasAddr(peers []Peer, addr string) bool {
+	return slices.ContainsFunc(peers, func(p Peer) bool { return p.Addr == addr })
+}
--- /dev/null
+++ b/spread/serve.go
@@ -0,0 +1,104 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"siskingw/peer"
+	"siskingw/peer/peerpb"
+	"siskingw/snapshot"
+)
+
+const (
+	// busyRetryMs is the shortest delay that a busy node asks for. A transfer
+	// of a few hundred KB within a region takes tens of milliseconds.
+	busyRetryMs = 100
+	// maxServed is the number of recent recipients that a node remembers.
+	maxServed = 16
+	// maxBusyPeers is the number of other sources that a Busy answer names.
+	maxBusyPeers = 4
+)
+
+// HandleFetchDeltas answers with the chain from the caller's base.
+func (n *Node) HandleFetchDeltas(r *peerpb.FetchDeltasRequest) *peerpb.FetchDeltasReply {
+	s := n.cur.Load()
+	if s == nil || s.Version() <= r.Version {
+		return &peerpb.FetchDeltasReply{Version: n.cur.Version()}
+	}
+	reply := &peerpb.FetchDeltasReply{Version: s.Version(), NeedSnapshot: true}
+	if len(r.Digest) == len(snapshot.Digest{}) {
+		reply.Deltas = n.hist.chain(r.Version, snapshot.Digest(r.Digest), s.Version())
+		reply.NeedSnapshot = reply.Deltas == nil
+	}
+	return reply
+}
+
+// HandleFetchSnapshot returns the encoded snapshot in force, which is empty
+// before the first, or Busy. The caller runs release when the transfer ended.
+func (n *Node) HandleFetchSnapshot(r *peerpb.FetchSnapshotRequest) (data []byte, release func(done bool), busy *peerpb.Busy) {
+	select {
+	case n.transfers <- struct{}{}:
+	default:
+		n.stats.busy.Inc()
+		return nil, nil, &peerpb.Busy{RetryMs: busyRetryMs, Peers: n.served.sample(r.Caller)}
+	}
+	release = func(done bool) {
+		<-n.transfers
+		if done && r.Caller != nil && r.Caller.Addr != "" {
+			n.served.add(r.Caller)
+		}
+	}
+	if s := n.cur.Load(); s != nil {
+		data = n.hist.encode(s)
+	}
+	return data, release, nil
+}
+
+// HandleHead exchanges versions with a peer. It also serves as a summary.
+func (n *Node) HandleHead(r *peerpb.HeadRequest) *peerpb.HeadReply {
+	if p, ok := n.peerByID(r.Sender); ok {
+		n.hear(p, r.StoreAgeMs)
+		n.summary(p, r.Version, r.Digest)
+	}
+	reply := &peerpb.HeadReply{Id: n.view.Self().ID, StoreAgeMs: n.storeAge(), Undelivered: n.pending.names()}
+	if s := n.cur.Load(); s != nil {
+		d := s.Digest()
+		reply.Version, reply.Digest = s.Version(), d[:]
+	}
+	return reply
+}
+
+// recipients remembers the nodes that fetched a snapshot here most recently.
+// They are the other sources that a Busy answer names.
+type recipients struct {
+	mu   sync.Mutex
+	list []*peerpb.Source
+}
+
+func (r *recipients) add(s *peerpb.Source) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = slices.DeleteFunc(r.list, func(o *peerpb.Source) bool { return o.Addr == s.Addr })
+	r.list = append(r.list, s)
+	if len(r.list) > maxServed {
+		r.list = r.list[1:]
+	}
+}
+
+// sample returns some recipients, those nearest to the caller first.
+func (r *recipients) sample(caller *peerpb.Source) []*peerpb.Source {
+	r.mu.Lock()
+	list := slices.Clone(r.list)
+	r.mu.Unlock()
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	place := placeOf(caller)
+	slices.SortStableFunc(list, func(a, b *peerpb.Source) int {
+		return int(peer.Class(place, placeOf(a))) - int(peer.Class(place, placeOf(b)))
+	})
+	return list[:min(len(list), maxBusyPeers)]
+}
+
+func placeOf(s *peerpb.Source) peer.Place {
+	return peer.Place{Region: s.GetRegion(), FailureDomain: s.GetFailureDomain()}
+}
--- /dev/null
+++ b/spread/stats.go
@@ -0,0 +1,54 @@
+package spread
+
+import (
+	"strings"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/joomcode/errorx"
+
+	"siskingw/faults"
+)
+
+// stats counts what a node does. All counters are totals.
+type stats struct {
+	set         *metrics.Set
+	offers      *metrics.Counter // offers sent
+	have        *metrics.Counter // offers received for a version in force already
+	applied     *metrics.Counter // offers received and put in force
+	missed      *metrics.Counter // offers that were not answered in time
+	pulls       *metrics.Counter // delta chains and snapshots fetched
+	snapshots   *metrics.Counter // snapshots fetched
+	busy        *metrics.Counter // transfers refused because of the limit
+	compares    *metrics.Counter // comparisons sent
+	storeReads  *metrics.Counter // versions loaded from the store
+	storeErrors *metrics.Counter // store calls that failed
+	takeovers   *metrics.Counter // parts of another node that this node did
+}
+
+func newStats(set *metrics.Set) stats {
+	c := func(name string) *metrics.Counter {
+		return set.GetOrCreateCounter("siskingw_spread_" + name + "_total")
+	}
+	return stats{
+		set: set, offers: c("offers"), have: c("offers_have"), applied: c("offers_applied"), missed: c("offers_missed"),
+		pulls: c("pulls"), snapshots: c("snapshots_fetched"), busy: c("busy"), compares: c("compares"),
+		storeReads: c("store_reads"), storeErrors: c("store_errors"), takeovers: c("takeovers"),
+	}
+}
+
+// refuse counts a version that was not put in force, by cause.
+func (s *stats) refuse(err error) {
+	s.set.GetOrCreateCounter(`siskingw_spread_refused_total{cause="` + cause(err) + `"}`).Inc()
+}
+
+// cause returns the name of the error's type.
+func cause(err error) string {
+	if e := errorx.Cast(err); e != nil {
+		name := e.Type().FullName()
+		return name[strings.LastIndexByte(name, '.')+1:]
+	}
+	return "unknown"
+}
+
+// isStale reports whether err says that a version is not newer.
+func isStale(err error) bool { return errorx.IsOfType(err, faults.Stale) }
--- /dev/null
+++ b/spread/storereader.go
@@ -0,0 +1,209 @@
+package spread
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"siskingw/faults"
+	"siskingw/snapshot"
+)
+
+// Head is the head of the store as a Source read it.
+type Head struct {
+	Version  uint64
+	Revision int64 // store revision of the head's last write
+	Value    []byte
+}
+
+// HeadEvent is a change of the head, or the error that ended the watch.
+type HeadEvent struct {
+	Head Head
+	Err  error // StoreCompacted or StoreUnavailable; the channel closes after it
+}
+
+// Source reads versions from the platform's store.
+type Source interface {
+	// Head returns the latest version, or NotFound before the first one.
+	Head(ctx context.Context) (Head, error)
+	// Load returns the snapshot of a head. base, which may be nil, saves reads.
+	Load(ctx context.Context, h Head, base *snapshot.Snapshot) (*snapshot.Snapshot, error)
+	// Watch sends every head after a store revision until ctx ends or the
+	// watch breaks; the last event then has Err set.
+	Watch(ctx context.Context, fromRevision int64) <-chan HeadEvent
+}
+
+const (
+	// readGrace is how long even the first reader waits for a change to arrive
+	// from the node that accepted it. That node pushes at once, so the store
+	// is read only when it failed, and a change is not sent into the other
+	// regions from two sides.
+	readGrace = 100 * time.Millisecond
+	// storeSilence is how long the store's region may be silent before relays
+	// of other regions watch the head.
+	storeSilence = 5 * time.Second
+	// dutyCheck is the period at which a node checks whether it is a reader.
+	dutyCheck = 500 * time.Millisecond
+	// pollEvery is the period at which a reader reads the head although its
+	// watch reports nothing, in case the watch stalled.
+	pollEvery = 30 * time.Second
+	// storeTimeout bounds one store call. The store answers in milliseconds,
+	// and several seconds when it is slow.
+	storeTimeout = 5 * time.Second
+	// storeRetryBase and storeRetryMax bound the full jitter between tries
+	// while the store fails. With 27 relays the store sees at most a few calls
+	// a second from them during an outage.
+	storeRetryBase = 500 * time.Millisecond
+	storeRetryMax  = 10 * time.Second
+)
+
+// runStoreReader watches the head of the store while this node has the duty.
+func (n *Node) runStoreReader() {
+	retry := storeRetryBase
+	for n.ctx.Err() == nil {
+		if !n.isReader() {
+			sleep(n.ctx, dutyCheck)
+			continue
+		}
+		started := time.Now()
+		err := n.watchStore()
+		if err == nil || n.ctx.Err() != nil {
+			continue // no longer a reader, or stopped
+		}
+		n.stats.storeErrors.Inc()
+		n.log.Info("store watch ended", "cause", cause(err), "error", err.Error())
+		if time.Since(started) > storeRetryMax {
+			retry = storeRetryBase
+		}
+		sleep(n.ctx, rand.N(retry))
+		retry = min(2*retry, storeRetryMax)
+	}
+}
+
+// isReader reports whether this node watches the store: the relays of the
+// store's region do, and others when nothing was heard from that region.
+func (n *Node) isReader() bool {
+	t := n.topology()
+	if !t.isRelay() {
+		return false
+	}
+	if t.self.Region == n.opts.StoreRegion {
+		return true
+	}
+	age := n.storeAge()
+	if age == 0 { // never heard of; count from the start of the process
+		raise(&n.heard, time.Now().UnixMilli())
+		return false
+	}
+	return time.Duration(age)*time.Millisecond > storeSilence
+}
+
+// watchStore reads the head and follows it. It returns nil when the duty ends
+// and otherwise the error that broke the watch. After a gap the head is read
+// again, so a change that the watch lost is found at the next start.
+func (n *Node) watchStore() error {
+	ctx, cancel := context.WithCancel(n.ctx)
+	defer cancel()
+	h, err := n.readHead(ctx)
+	if err != nil && !errorx.IsOfType(err, faults.NotFound) {
+		return err
+	}
+	n.considerHead(h)
+	events := n.opts.Source.Watch(ctx, h.Revision)
+	duty := time.NewTicker(dutyCheck)
+	defer duty.Stop()
+	poll := time.NewTimer(jittered(pollEvery))
+	defer poll.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e, ok := <-events:
+			if !ok {
+				return faults.StoreUnavailable.New("watch ended without an error")
+			}
+			if e.Err != nil {
+				return e.Err
+			}
+			n.considerHead(e.Head)
+		case <-duty.C:
+			if !n.isReader() {
+				return nil
+			}
+		case <-poll.C:
+			h, err := n.readHead(ctx)
+			if err != nil && !errorx.IsOfType(err, faults.NotFound) {
+				return err
+			}
+			n.considerHead(h)
+			poll.Reset(jittered(pollEvery))
+		}
+	}
+}
+
+func (n *Node) readHead(ctx context.Context) (Head, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return n.opts.Source.Head(ctx)
+}
+
+// considerHead loads a head that is newer than the version in force, in its
+// own goroutine, when no peer delivers it first.
+func (n *Node) considerHead(h Head) {
+	if h.Version > n.cur.Version() {
+		n.tasks.spawn(func() { n.loadHead(h) })
+	}
+}
+
+// loadHead waits for this reader's turn and loads the head. It tries again
+// while the store fails and the version is still missing.
+func (n *Node) loadHead(h Head) {
+	retry := storeRetryBase
+	turn := readGrace + time.Duration(max(0, n.topology().rank))*takeoverAfter
+	if n.cur.Load() == nil {
+		turn -= readGrace // nothing is pushed to a node that starts
+	}
+	for sleep(n.ctx, turn) && n.cur.Version() < h.Version {
+		err := n.loadOnce(h)
+		if err == nil {
+			return
+		}
+		n.stats.storeErrors.Inc()
+		n.log.Info("version not loaded from the store", "version", h.Version, "cause", cause(err), "error", err.Error())
+		turn = rand.N(retry)
+		retry = min(2*retry, storeRetryMax)
+		if latest, err := n.readHead(n.ctx); err == nil && latest.Version > h.Version {
+			h = latest // the parts of the old head may be gone
+		}
+	}
+}
+
+// loadOnce loads a head from the store and spreads it.
+func (n *Node) loadOnce(h Head) error {
+	base := n.cur.Load()
+	ctx, cancel := context.WithTimeout(n.ctx, 2*storeTimeout)
+	defer cancel()
+	n.stats.storeReads.Inc()
+	next, err := n.opts.Source.Load(ctx, h, base)
+	if err != nil {
+		return err
+	}
+	var d *snapshot.Delta
+	if base != nil && next.Version() > base.Version() {
+		d = snapshot.Diff(base, next)
+	}
+	n.enter(next, d, "store")
+	return nil
+}
+
+// raise sets a to v if that is higher.
+func raise(a *atomic.Int64, v int64) {
+	for old := a.Load(); v > old; old = a.Load() {
+		if a.CompareAndSwap(old, v) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/spread/topology.go
@@ -0,0 +1,105 @@
+package spread
+
+import (
+	"slices"
+
+	"siskingw/member"
+	"siskingw/peer"
+)
+
+const (
+	fanout = 4 // children of a position in the tree
+	relays = 3 // first ranks of a failure domain
+)
+
+// Peer is the address of a node and where it runs.
+type Peer struct {
+	ID            string // empty when only the address is known
+	Addr          string
+	Region        string
+	FailureDomain string
+}
+
+// Place returns where the peer runs.
+func (p Peer) Place() peer.Place {
+	return peer.Place{Region: p.Region, FailureDomain: p.FailureDomain}
+}
+
+// PeerOf returns the address of a member.
+func PeerOf(r *member.Record) Peer {
+	return Peer{ID: r.ID, Addr: r.PeerAddr, Region: r.Region, FailureDomain: r.FailureDomain}
+}
+
+// children returns the positions below p in a tree of n nodes.
+func children(p, n int) []int {
+	var out []int
+	for c := fanout*p + 1; c <= fanout*p+fanout && c < n; c++ {
+		out = append(out, c)
+	}
+	return out
+}
+
+// group is a set of nodes of which one, the first that answers, must get a version.
+type group struct {
+	name   string
+	region bool   // the members are the relays of another region
+	order  []Peer // from the first choice to the last
+}
+
+// topology is the node's place in the tree as its view shows it at one moment.
+type topology struct {
+	self     Peer
+	ranked   []Peer // own failure domain
+	position int    // own position in ranked, or -1
+	head     []Peer // relays of the own region in order of succession
+	rank     int    // own index in head, or -1
+	domains  []group
+	regions  []group
+}
+
+// topologyOf computes the topology of a view.
+func topologyOf(v member.View) topology {
+	t := topology{self: PeerOf(v.Self())}
+	t.ranked = rankedOf(v, t.self.FailureDomain)
+	t.position = indexOfPeer(t.ranked, t.self.ID)
+	byRegion := make(map[string][]Peer)
+	var regions []string
+	for _, d := range v.FailureDomains() {
+		ranked := rankedOf(v, d.Name)
+		first := ranked[:min(relays, len(ranked))]
+		if len(first) == 0 {
+			continue
+		}
+		if !slices.Contains(regions, d.Region) {
+			regions = append(regions, d.Region)
+		}
+		byRegion[d.Region] = append(byRegion[d.Region], first...)
+		if d.Region == t.self.Region && d.Name != t.self.FailureDomain {
+			t.domains = append(t.domains, group{name: d.Name, order: first})
+		}
+	}
+	for _, r := range regions {
+		if r != t.self.Region {
+			t.regions = append(t.regions, group{name: r, region: true, order: byRegion[r]})
+		}
+	}
+	t.head = byRegion[t.self.Region]
+	t.rank = indexOfPeer(t.head, t.self.ID)
+	return t
+}
+
+// isRelay reports whether the node is a relay of its failure domain.
+func (t *topology) isRelay() bool { return t.rank >= 0 }
+
+func rankedOf(v member.View, domain string) []Peer {
+	records := v.Ranked(domain)
+	out := make([]Peer, len(records))
+	for i, r := range records {
+		out[i] = PeerOf(r)
+	}
+	return out
+}
+
+func indexOfPeer(peers []Peer, id string) int {
+	return slices.IndexFunc(peers, func(p Peer) bool { return p.ID == id })
+}
--- /dev/null
+++ b/spread/transport.go
@@ -0,0 +1,167 @@
+package spread
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"siskingw/faults"
+	"siskingw/peer"
+	"siskingw/peer/peerpb"
+)
+
+// Transport reaches the Spread service of other nodes. Failures to reach a
+// peer are PeerUnavailable errors.
+type Transport interface {
+	Offer(ctx context.Context, to Peer, r *peerpb.OfferRequest) (*peerpb.OfferReply, error)
+	FetchDeltas(ctx context.Context, to Peer, r *peerpb.FetchDeltasRequest) (*peerpb.FetchDeltasReply, error)
+	// FetchSnapshot returns the encoded snapshot, or Busy when the peer is at its limit.
+	FetchSnapshot(ctx context.Context, to Peer, r *peerpb.FetchSnapshotRequest) ([]byte, *peerpb.Busy, error)
+	Head(ctx context.Context, to Peer, r *peerpb.HeadRequest) (*peerpb.HeadReply, error)
+}
+
+const (
+	// chunkBytes is the size of one message of a snapshot transfer.
+	chunkBytes = 32 << 10
+	// maxSnapshotBytes bounds an encoded snapshot that a node accepts.
+	maxSnapshotBytes = 64 << 20
+	// stallTimeout ends a snapshot transfer that makes no progress.
+	stallTimeout = 2 * time.Second
+)
+
+// grpcTransport is the Transport over the connection cache of package peer.
+type grpcTransport struct{ pool *peer.Pool }
+
+// NewTransport returns the Transport over a connection pool.
+func NewTransport(pool *peer.Pool) Transport { return grpcTransport{pool} }
+
+func (t grpcTransport) client(to Peer) (peerpb.SpreadClient, error) {
+	cc, err := t.pool.Conn(to.Addr, to.Place())
+	if err != nil {
+		return nil, err
+	}
+	return peerpb.NewSpreadClient(cc), nil
+}
+
+func (t grpcTransport) Offer(ctx context.Context, to Peer, r *peerpb.OfferRequest) (*peerpb.OfferReply, error) {
+	return call(ctx, t, to, r, peerpb.SpreadClient.Offer)
+}
+
+func (t grpcTransport) FetchDeltas(ctx context.Context, to Peer, r *peerpb.FetchDeltasRequest) (*peerpb.FetchDeltasReply, error) {
+	return call(ctx, t, to, r, peerpb.SpreadClient.FetchDeltas)
+}
+
+func (t grpcTransport) Head(ctx context.Context, to Peer, r *peerpb.HeadRequest) (*peerpb.HeadReply, error) {
+	return call(ctx, t, to, r, peerpb.SpreadClient.Head)
+}
+
+// call runs one unary call.
+func call[Q, R any](ctx context.Context, t grpcTransport, to Peer, r Q,
+	f func(peerpb.SpreadClient, context.Context, Q, ...grpc.CallOption) (R, error)) (R, error) {
+	var zero R
+	c, err := t.client(to)
+	if err != nil {
+		return zero, err
+	}
+	reply, err := f(c, ctx, r)
+	if err != nil {
+		return zero, unavailable(err, to)
+	}
+	return reply, nil
+}
+
+func unavailable(err error, to Peer) error {
+	return faults.PeerUnavailable.Wrap(err, "peer %s at %s", to.ID, to.Addr)
+}
+
+func (t grpcTransport) FetchSnapshot(ctx context.Context, to Peer, r *peerpb.FetchSnapshotRequest) ([]byte, *peerpb.Busy, error) {
+	c, err := t.client(to)
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stall := time.AfterFunc(stallTimeout, cancel)
+	defer stall.Stop()
+	stream, err := c.FetchSnapshot(ctx, r)
+	if err != nil {
+		return nil, nil, unavailable(err, to)
+	}
+	return readChunks(stream, to, func() { stall.Reset(stallTimeout) })
+}
+
+// readChunks collects a snapshot transfer and calls progress for each chunk.
+// It returns a Corrupt error when the stream ends before the stated size.
+func readChunks(stream grpc.ServerStreamingClient[peerpb.SnapshotChunk], to Peer, progress func()) ([]byte, *peerpb.Busy, error) {
+	var data []byte
+	var size uint64
+	for {
+		chunk, err := stream.Recv()
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return nil, nil, unavailable(err, to)
+		}
+		if chunk.Busy != nil {
+			return nil, chunk.Busy, nil
+		}
+		progress()
+		size = max(size, chunk.Size)
+		if size > maxSnapshotBytes || uint64(len(data)+len(chunk.Data)) > size {
+			return nil, nil, faults.Corrupt.New("snapshot of %d bytes from %s exceeds its stated size or the limit", size, to.Addr)
+		}
+		data = append(data, chunk.Data...)
+	}
+	if uint64(len(data)) != size {
+		return nil, nil, faults.Corrupt.New("snapshot from %s ends after %d of %d bytes", to.Addr, len(data), size)
+	}
+	return data, nil, nil
+}
+
+// server adapts a Node to the generated service.
+type server struct {
+	peerpb.UnimplementedSpreadServer
+	node *Node
+}
+
+// Register adds the Spread service of n to a gRPC server.
+func (n *Node) Register(s grpc.ServiceRegistrar) { peerpb.RegisterSpreadServer(s, server{node: n}) }
+
+func (s server) Offer(_ context.Context, r *peerpb.OfferRequest) (*peerpb.OfferReply, error) {
+	return s.node.HandleOffer(r), nil
+}
+
+func (s server) FetchDeltas(_ context.Context, r *peerpb.FetchDeltasRequest) (*peerpb.FetchDeltasReply, error) {
+	return s.node.HandleFetchDeltas(r), nil
+}
+
+func (s server) Head(_ context.Context, r *peerpb.HeadRequest) (*peerpb.HeadReply, error) {
+	return s.node.HandleHead(r), nil
+}
+
+func (s server) FetchSnapshot(r *peerpb.FetchSnapshotRequest, stream grpc.ServerStreamingServer[peerpb.SnapshotChunk]) error {
+	data, release, busy := s.node.HandleFetchSnapshot(r)
+	if busy != nil {
+		return stream.Send(&peerpb.SnapshotChunk{Busy: busy})
+	}
+	done := false
+	defer func() { release(done) }()
+	if len(data) == 0 {
+		return status.Error(codes.Unavailable, "no version is in force yet")
+	}
+	size := uint64(len(data))
+	for len(data) > 0 {
+		n := min(chunkBytes, len(data))
+		if err := stream.Send(&peerpb.SnapshotChunk{Data: data[:n], Size: size}); err != nil {
+			return err
+		}
+		data, size = data[n:], 0
+	}
+	done = true
+	return nil
+}
