Add the target's gate and the ledger of keyed calls

Calls to a target need a bound on concurrency and a record of keyed calls so that a repeat never runs twice. admit: slots, one queue per kind of work with strict priority, bounded length and time, early refusal by deadline, drain. idem: keys that name their owner, a ledger with a counted memory bound, hand-over of unseen keys by voucher, expiry by issue time.

--- /dev/null
+++ b/admit/gate.go
@@ -0,0 +1,237 @@
+// Package admit is the gate in front of a node's target. It admits at most as
+// many concurrent calls as the target has slots, queues a bounded number of
+// calls for a bounded time, and refuses the rest early and cheaply, the least
+// important kinds of work first.
+package admit
+
+import (
+	"context"
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskingw/faults"
+	"siskingw/object"
+)
+
+// Defaults of Options.
+const (
+	DefaultSlots        = 8
+	DefaultQueueTimeout = 250 * time.Millisecond
+	// queuePerSlot sets the default queue length: two calls per slot.
+	queuePerSlot = 2
+)
+
+// Discipline selects which waiting call of a kind is admitted next.
+type Discipline int
+
+// The disciplines.
+const (
+	// FIFO admits the call that has waited longest.
+	FIFO Discipline = iota
+	// LIFO admits the newest call while the gate is overloaded and the oldest otherwise.
+	LIFO
+	// CoDel admits the oldest call, but refuses calls that waited longer than
+	// CoDelTarget while the gate is overloaded.
+	CoDel
+)
+
+const (
+	// overloadInterval is how long the queue must stay non-empty before the
+	// gate counts as overloaded. Shorter intervals react to single bursts.
+	overloadInterval = 100 * time.Millisecond
+	// codelShare is the part of the queue timeout that a call may wait under
+	// overload with CoDel.
+	codelShare = 10
+)
+
+// Options sets the limits of a gate. Zero values select the defaults.
+type Options struct {
+	Slots        int           // calls that the target runs at once
+	Connections  int           // connections that the target accepts, 0 for no limit
+	QueueLength  int           // waiting calls of all kinds together, negative for no queue
+	QueueTimeout time.Duration // longest wait of one call
+	Discipline   Discipline
+	Now          func() time.Time // clock; nil for time.Now
+}
+
+func (o Options) withDefaults() Options {
+	if o.Slots <= 0 {
+		o.Slots = DefaultSlots
+	}
+	if o.Connections > 0 {
+		o.Slots = min(o.Slots, o.Connections)
+	}
+	if o.QueueLength == 0 {
+		o.QueueLength = queuePerSlot * o.Slots
+	}
+	o.QueueLength = max(o.QueueLength, 0)
+	if o.QueueTimeout <= 0 {
+		o.QueueTimeout = DefaultQueueTimeout
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	return o
+}
+
+// Refusals. They are made once because a stack trace for each refusal costs
+// more than admitting a call.
+var (
+	errDraining  = faults.NotRun.New("target is draining")
+	errQueueFull = faults.NotRun.New("target's queue is full")
+	errDeadline  = faults.NotRun.New("call cannot start before its deadline")
+	errTimeout   = faults.NotRun.New("call waited longer than the queue timeout")
+	errDisplaced = faults.NotRun.New("call gave up its queue place to more important work")
+	errCanceled  = faults.NotRun.New("caller gave up while the call was queued")
+)
+
+// Gate admits calls to one target. All methods may be used concurrently.
+type Gate struct {
+	opts Options
+
+	mu          sync.Mutex
+	inFlight    int
+	queued      int
+	queues      [kinds]queue
+	draining    bool
+	busySince   time.Time // since when the queue is not empty, zero when it is empty
+	serviceTime ewma
+	idle        chan struct{} // closed when inFlight and queued are zero; nil unless awaited
+	stats       Stats
+
+	load atomic.Uint64 // bits of the float64 that Load returns
+}
+
+// New returns an open gate.
+func New(opts Options) *Gate {
+	return &Gate{opts: opts.withDefaults()}
+}
+
+// Ticket is the right to run one call on the target.
+type Ticket struct {
+	gate  *Gate
+	since time.Time
+	left  atomic.Bool
+}
+
+// Enter admits a call of the given kind, waiting in the queue when no slot is
+// free. It returns a NotRun error when the call is refused or ctx ends first.
+// The caller must call Leave on the ticket.
+func (g *Gate) Enter(ctx context.Context, kind object.WorkKind) (*Ticket, error) {
+	now := g.opts.Now()
+	p := priority(kind)
+	g.mu.Lock()
+	if err := g.refuseEarly(ctx, p, now); err != nil {
+		g.stats.Kinds[p].Refused++
+		g.mu.Unlock()
+		return nil, err
+	}
+	if g.inFlight < g.opts.Slots && g.queued == 0 {
+		t := g.admit(p, now)
+		g.mu.Unlock()
+		return t, nil
+	}
+	w, err := g.enqueue(p, now)
+	g.publish()
+	g.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	return g.wait(ctx, w)
+}
+
+// refuseEarly returns the reason to refuse a call before it is queued, or nil.
+func (g *Gate) refuseEarly(ctx context.Context, p int, now time.Time) error {
+	if g.draining {
+		return errDraining
+	}
+	if ctx.Err() != nil {
+		return errCanceled
+	}
+	if deadline, ok := ctx.Deadline(); ok && deadline.Sub(now) < g.expectedWait(p) {
+		return errDeadline
+	}
+	return nil
+}
+
+// expectedWait estimates how long a new call of priority p will be queued.
+func (g *Gate) expectedWait(p int) time.Duration {
+	if g.inFlight < g.opts.Slots {
+		return 0
+	}
+	ahead := 1
+	for i := range p + 1 {
+		ahead += g.queues[i].len()
+	}
+	return time.Duration(float64(ahead) * g.serviceTime.value / float64(g.opts.Slots))
+}
+
+// admit takes a slot. The gate is locked.
+func (g *Gate) admit(p int, now time.Time) *Ticket {
+	g.inFlight++
+	g.stats.Kinds[p].Admitted++
+	g.publish()
+	return &Ticket{gate: g, since: now}
+}
+
+// Leave gives the slot back. Only the first call has an effect.
+func (t *Ticket) Leave() {
+	if !t.left.CompareAndSwap(false, true) {
+		return
+	}
+	g := t.gate
+	now := g.opts.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+	g.serviceTime.add(float64(now.Sub(t.since)))
+	g.dispatch(now)
+	g.publish()
+}
+
+// Drain refuses new and queued calls from now on. Calls in flight go on.
+func (g *Gate) Drain() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.draining = true
+	for i := range g.queues {
+		for w := g.queues[i].popOldest(); w != nil; w = g.queues[i].popOldest() {
+			g.refuse(w, errDraining)
+		}
+	}
+	g.publish()
+}
+
+// Wait returns nil when no call is in flight, or a Timeout error when ctx ends first.
+func (g *Gate) Wait(ctx context.Context) error {
+	g.mu.Lock()
+	if g.inFlight == 0 && g.queued == 0 {
+		g.mu.Unlock()
+		return nil
+	}
+	if g.idle == nil {
+		g.idle = make(chan struct{})
+	}
+	idle := g.idle
+	g.mu.Unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return faults.Timeout.Wrap(ctx.Err(), "calls are still in flight")
+	}
+}
+
+// Load returns the calls in flight and queued, divided by the slots.
+func (g *Gate) Load() float64 { return math.Float64frombits(g.load.Load()) }
+
+// publish updates what Load and Wait observe. The gate is locked.
+func (g *Gate) publish() {
+	g.load.Store(math.Float64bits(float64(g.inFlight+g.queued) / float64(g.opts.Slots)))
+	if g.inFlight == 0 && g.queued == 0 && g.idle != nil {
+		close(g.idle)
+		g.idle = nil
+	}
+}
--- /dev/null
+++ b/admit/gate_test.go
@@ -0,0 +1,46 @@
+package admit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+	"siskingw/object"
+)
+
+// Guards against a draining target that still takes new or queued work, and
+// against a drain that cuts off the calls in flight.
+func TestDrainRefusesQueuedAndNewWork(t *testing.T) {
+	is := is.New(t)
+	g := New(Options{Slots: 1, QueueLength: 1, QueueTimeout: time.Minute})
+	running, err := g.Enter(context.Background(), object.WorkBid)
+	is.NoErr(err)
+	queued := make(chan error)
+	go func() {
+		_, err := g.Enter(context.Background(), object.WorkBid)
+		queued <- err
+	}()
+	waitQueued(g, 1)
+	g.Drain()
+	is.True(errorx.IsOfType(<-queued, faults.NotRun))
+	_, err = g.Enter(context.Background(), object.WorkBid)
+	is.True(errorx.IsOfType(err, faults.NotRun))
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.True(errorx.IsOfType(g.Wait(ended), faults.Timeout)) // one call is in flight
+	running.Leave()
+	running.Leave() // has no effect
+	is.NoErr(g.Wait(context.Background()))
+	is.Equal(g.Load(), 0.0)
+}
+
+// waitQueued waits until n calls are queued.
+func waitQueued(g *Gate, n int) {
+	for g.Stats().Queued != n {
+		time.Sleep(100 * time.Microsecond)
+	}
+}
--- /dev/null
+++ b/admit/queue.go
@@ -0,0 +1,180 @@
+package admit
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"siskingw/object"
+)
+
+// kinds is the number of priorities; 0 is the most important.
+const kinds = 3
+
+// priority returns the priority of a kind; unknown kinds count as pages.
+func priority(kind object.WorkKind) int {
+	switch kind {
+	case object.WorkBid:
+		return 0
+	case object.WorkUpload:
+		return 1
+	}
+	return kinds - 1
+}
+
+// waiter is one queued call. The gate's lock guards all fields but done.
+type waiter struct {
+	priority int
+	since    time.Time
+	ticket   *Ticket       // set when admitted
+	err      error         // set when refused
+	done     chan struct{} // closed once ticket or err is set
+}
+
+// queue holds the waiters of one priority, the oldest first.
+type queue struct{ waiters []*waiter }
+
+func (q *queue) len() int { return len(q.waiters) }
+
+// popOldest removes and returns the oldest waiter, or nil.
+func (q *queue) popOldest() *waiter {
+	if len(q.waiters) == 0 {
+		return nil
+	}
+	w := q.waiters[0]
+	q.waiters = slices.Delete(q.waiters, 0, 1)
+	return w
+}
+
+// popNewest removes and returns the newest waiter, or nil.
+func (q *queue) popNewest() *waiter {
+	if len(q.waiters) == 0 {
+		return nil
+	}
+	w := q.waiters[len(q.waiters)-1]
+	q.waiters = slices.Delete(q.waiters, len(q.waiters)-1, len(q.waiters))
+	return w
+}
+
+// remove takes w out of the queue and reports whether it was there.
+func (q *queue) remove(w *waiter) bool {
+	i := slices.Index(q.waiters, w)
+	if i < 0 {
+		return false
+	}
+	q.waiters = slices.Delete(q.waiters, i, i+1)
+	return true
+}
+
+// enqueue adds a waiter. When the queue is full, the newest waiter of the least
+// important kind below p gives up its place. The gate is locked.
+func (g *Gate) enqueue(p int, now time.Time) (*waiter, error) {
+	if g.queued >= g.opts.QueueLength && !g.displace(p) {
+		g.stats.Kinds[p].Refused++
+		return nil, errQueueFull
+	}
+	if g.queued == 0 {
+		g.busySince = now
+	}
+	w := &waiter{priority: p, since: now, done: make(chan struct{})}
+	g.queues[p].waiters = append(g.queues[p].waiters, w)
+	g.queued++
+	return w, nil
+}
+
+// displace refuses one queued call that is less important than p, if there is one.
+func (g *Gate) displace(p int) bool {
+	for i := kinds - 1; i > p; i-- {
+		if w := g.queues[i].popNewest(); w != nil {
+			g.refuse(w, errDisplaced)
+			return true
+		}
+	}
+	return false
+}
+
+// wait returns the answer for w: exactly one of a ticket and an error.
+func (g *Gate) wait(ctx context.Context, w *waiter) (*Ticket, error) {
+	timer := time.NewTimer(g.opts.QueueTimeout)
+	defer timer.Stop()
+	var reason error
+	select {
+	case <-w.done:
+		return w.ticket, w.err
+	case <-timer.C:
+		reason = errTimeout
+	case <-ctx.Done():
+		reason = errCanceled
+	}
+	g.mu.Lock()
+	if g.queues[w.priority].remove(w) {
+		g.refuse(w, reason)
+		g.publish()
+	}
+	g.mu.Unlock()
+	return w.ticket, w.err
+}
+
+// refuse answers a waiter that was taken out of its queue. The gate is locked.
+func (g *Gate) refuse(w *waiter, reason error) {
+	w.err = reason
+	g.stats.Kinds[w.priority].Refused++
+	g.answer(w)
+}
+
+// answer wakes a waiter that was taken out of its queue. The gate is locked.
+func (g *Gate) answer(w *waiter) {
+	g.queued--
+	if g.queued == 0 {
+		g.busySince = time.Time{}
+	}
+	close(w.done)
+}
+
+// dispatch fills free slots from the queues in order of priority. The gate is locked.
+func (g *Gate) dispatch(now time.Time) {
+	for g.inFlight < g.opts.Slots && g.queued > 0 {
+		w := g.next(now)
+		if w == nil {
+			return
+		}
+		w.ticket = g.admit(w.priority, now)
+		g.answer(w)
+	}
+}
+
+// next takes the waiter to admit out of its queue, refusing those that waited
+// too long. It returns nil when the queues are empty.
+func (g *Gate) next(now time.Time) *waiter {
+	for i := range g.queues {
+		for g.queues[i].len() > 0 {
+			w := g.take(&g.queues[i], now)
+			if now.Sub(w.since) <= g.allowedWait(now) {
+				return w
+			}
+			g.refuse(w, errTimeout)
+		}
+	}
+	return nil
+}
+
+// take removes the next waiter of a non-empty queue by the discipline.
+func (g *Gate) take(q *queue, now time.Time) *waiter {
+	if g.opts.Discipline == LIFO && g.overloaded(now) {
+		return q.popNewest()
+	}
+	return q.popOldest()
+}
+
+// allowedWait returns how long a call may have waited to be admitted at now.
+func (g *Gate) allowedWait(now time.Time) time.Duration {
+	if g.opts.Discipline == CoDel && g.overloaded(now) {
+		return g.opts.QueueTimeout / codelShare
+	}
+	return g.opts.QueueTimeout
+}
+
+// overloaded reports whether the queue has not been empty for overloadInterval.
+func (g *Gate) overloaded(now time.Time) bool {
+	return !g.busySince.IsZero() && now.Sub(g.busySince) > overloadInterval
+}
--- /dev/null
+++ b/idem/expiry.go
@@ -0,0 +1,70 @@
+package idem
+
+import "time"
+
+const msPerSecond = 1000
+
+// expiryList files entries by the second of their issue time.
+type expiryList struct {
+	buckets map[int64]*entry // newest entry of each second
+	oldest  int64            // no second before this one is filled
+}
+
+// add files e under the second of its issue time.
+func (x *expiryList) add(e *entry) {
+	if x.buckets == nil {
+		x.buckets = make(map[int64]*entry)
+	}
+	second := e.key.IssuedMs / msPerSecond
+	if len(x.buckets) == 0 || second < x.oldest {
+		x.oldest = second
+	}
+	if head := x.buckets[second]; head != nil {
+		e.older, head.newer = head, e
+	}
+	x.buckets[second] = e
+}
+
+// remove takes e out of its bucket.
+func (x *expiryList) remove(e *entry) {
+	second := e.key.IssuedMs / msPerSecond
+	if e.older != nil {
+		e.older.newer = e.newer
+	}
+	switch {
+	case e.newer != nil:
+		e.newer.older = e.older
+	case e.older != nil:
+		x.buckets[second] = e.older
+	default:
+		delete(x.buckets, second)
+	}
+	e.older, e.newer = nil, nil
+}
+
+// due removes the buckets of all seconds that ended at or before ms and calls f
+// with each of their entries.
+func (x *expiryList) due(ms int64, f func(*entry)) {
+	for len(x.buckets) > 0 && (x.oldest+1)*msPerSecond <= ms {
+		e := x.buckets[x.oldest]
+		delete(x.buckets, x.oldest)
+		x.oldest++
+		for e != nil {
+			older := e.older
+			e.older, e.newer = nil, nil
+			f(e)
+			e = older
+		}
+	}
+}
+
+// expire forgets the keys that are no longer accepted. Running keys stay until
+// they are settled, so that those waiting for them are answered.
+func (l *Ledger) expire(now time.Time) {
+	l.expiry.due(now.Add(-keyLifetime).UnixMilli(), func(e *entry) {
+		e.expired = true
+		if e.state != running {
+			l.forget(e)
+		}
+	})
+}
--- /dev/null
+++ b/idem/ledger.go
@@ -0,0 +1,252 @@
+package idem
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"siskingw/faults"
+	"siskingw/member"
+)
+
+const (
+	// maxAhead is how far the issue time may lie in the owner's future.
+	maxAhead = 5 * time.Second
+	// keyLifetime is how long after its issue time a key is accepted and remembered.
+	keyLifetime = 10 * time.Minute
+	// DefaultMaxBytes bounds the memory of a ledger.
+	DefaultMaxBytes = 16 << 20
+	// MaxAnswerBytes bounds the body and header of one held answer.
+	MaxAnswerBytes = 64 << 10
+	// answerShare is the part of the memory bound, in percent, that held
+	// answers may fill. The rest stays free to record that further keys ran.
+	answerShare = 50
+	// entryBytes is the cost of one entry without its answer: the key, the entry
+	// and its share of the map and of the expiry list.
+	entryBytes = 256
+)
+
+// Action is what the node does with a keyed request.
+type Action int
+
+// The actions.
+const (
+	// Run: this request runs the key; Finish, Lost or NotRun must follow.
+	Run Action = iota + 1
+	// Replay: the key ran; Decision.Answer is its answer.
+	Replay
+	// Moved: the key was handed over to Decision.Owner with Decision.Voucher.
+	Moved
+	// Refused: the key certainly never ran.
+	Refused
+	// Unknown: the key may have run.
+	Unknown
+	// Ran: the key ran and was answered in full, but the answer is not held.
+	Ran
+)
+
+// String returns the action's name.
+func (a Action) String() string {
+	names := [...]string{Run: "run", Replay: "replay", Moved: "moved", Refused: "refused", Unknown: "unknown", Ran: "ran"}
+	if a < Run || a > Ran {
+		return "invalid"
+	}
+	return names[a]
+}
+
+// Answer is a target's complete response. It is immutable once handed to Finish.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// size returns the bytes that the answer is counted with.
+func (a *Answer) size() int {
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name) + headerOverhead
+		for _, v := range values {
+			n += len(v) + headerOverhead
+		}
+	}
+	return n
+}
+
+// headerOverhead approximates the string and map headers of one header field.
+const headerOverhead = 32
+
+// Decision tells the node how to go on with a keyed request.
+type Decision struct {
+	Action  Action
+	Answer  *Answer        // for Replay
+	Owner   *member.Record // for Moved
+	Voucher string         // for Moved
+}
+
+// Options sets the limits of a ledger. Zero values select the defaults.
+type Options struct {
+	MaxBytes int
+	Secret   []byte           // shared by the fleet, signs vouchers
+	Now      func() time.Time // must never go back; nil for a clock that starts from wall time and advances by monotonic time
+}
+
+// Ledger records the keys that this process ran. It never forgets a key while
+// the key is accepted; when its memory is full it refuses new keys instead.
+type Ledger struct {
+	owner       string
+	incarnation uint64
+	opts        Options
+
+	mu          sync.Mutex
+	entries     map[Key]*entry
+	expiry      expiryList
+	bytes       int // counted memory of entries and answers
+	answerBytes int // part of bytes held by answers
+	next        func(Key) *member.Record
+}
+
+// state is the progress of one key.
+type state uint8
+
+const (
+	running  state = iota + 1
+	finished       // ran, answer held or not
+	lost           // may have run
+	moved          // handed over, will never run here
+)
+
+// entry is what the ledger knows of one key. The ledger's lock guards it.
+type entry struct {
+	key          Key
+	state        state
+	expired      bool // no longer filed for expiry
+	answer       *Answer
+	to           *member.Record
+	settled      chan struct{} // closed when a running key leaves that state; nil until awaited
+	older, newer *entry        // neighbours in the expiry list
+}
+
+// NewLedger returns an empty ledger of the process with the given identity.
+func NewLedger(ownerID string, incarnation uint64, opts Options) *Ledger {
+	if opts.MaxBytes <= 0 {
+		opts.MaxBytes = DefaultMaxBytes
+	}
+	if opts.Now == nil {
+		opts.Now = processClock()
+	}
+	return &Ledger{owner: ownerID, incarnation: incarnation, opts: opts, entries: make(map[Key]*entry)}
+}
+
+// Drain makes the ledger hand over keys that it has not run. next selects the
+// new owner for a key and returns nil when there is none.
+func (l *Ledger) Drain(next func(Key) *member.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.next = next
+}
+
+// Begin decides about a keyed request and waits while the key runs. The error
+// is a NotRun error with Refused, an OutcomeUnknown error with Unknown, and nil
+// otherwise. After Run the caller must call Finish, Lost or NotRun.
+func (l *Ledger) Begin(ctx context.Context, k Key, v string) (Decision, error) {
+	for {
+		l.mu.Lock()
+		d, wait, err := l.decide(k, v)
+		l.mu.Unlock()
+		if wait == nil {
+			return d, err
+		}
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return Decision{Action: Unknown}, faults.OutcomeUnknown.Wrap(ctx.Err(), "key is still running")
+		}
+	}
+}
+
+// decide returns the decision for k, or a channel to wait for. The ledger is locked.
+func (l *Ledger) decide(k Key, v string) (Decision, <-chan struct{}, error) {
+	now := l.opts.Now()
+	l.expire(now)
+	if now.Add(-keyLifetime).UnixMilli() >= k.IssuedMs {
+		return unknown(errExpired)
+	}
+	if e, ok := l.entries[k]; ok {
+		return l.known(e)
+	}
+	if !l.owns(k, v) {
+		return unknown(errForeign)
+	}
+	if now.Add(maxAhead).UnixMilli() < k.IssuedMs {
+		return refused(errFuture)
+	}
+	if l.bytes+entryBytes > l.opts.MaxBytes {
+		return refused(errFull)
+	}
+	if l.next != nil {
+		return l.move(k)
+	}
+	l.add(&entry{key: k, state: running})
+	return Decision{Action: Run}, nil, nil
+}
+
+// owns reports whether this process may run k: it is named in the key, or the
+// voucher hands the key over to it.
+func (l *Ledger) owns(k Key, v string) bool {
+	if k.Owner == l.owner && k.Incarnation == l.incarnation {
+		return true
+	}
+	return validVoucher(l.opts.Secret, v, k, l.owner, l.incarnation)
+}
+
+// move hands an unseen key over to another owner.
+func (l *Ledger) move(k Key) (Decision, <-chan struct{}, error) {
+	to := l.next(k)
+	if to == nil || to.ID == l.owner {
+		return refused(errNoOwner)
+	}
+	e := &entry{key: k, state: moved, to: to}
+	l.add(e)
+	return l.known(e)
+}
+
+// known returns the decision for a recorded key.
+func (l *Ledger) known(e *entry) (Decision, <-chan struct{}, error) {
+	switch e.state {
+	case running:
+		if e.settled == nil {
+			e.settled = make(chan struct{})
+		}
+		return Decision{}, e.settled, nil
+	case finished:
+		if e.answer == nil {
+			return Decision{Action: Ran}, nil, nil
+		}
+		return Decision{Action: Replay, Answer: e.answer}, nil, nil
+	case moved:
+		v := voucher(l.opts.Secret, e.key, e.to.ID, e.to.Incarnation)
+		return Decision{Action: Moved, Owner: e.to, Voucher: v}, nil, nil
+	}
+	return unknown(errLost)
+}
+
+// Reasons of decisions. They are made once because a stack trace for each
+// refusal costs more than the decision.
+var (
+	errExpired = faults.OutcomeUnknown.New("key has expired")
+	errForeign = faults.OutcomeUnknown.New("key belongs to another process")
+	errLost    = faults.OutcomeUnknown.New("an earlier attempt may have run")
+	errFuture  = faults.NotRun.New("key was issued in the future")
+	errFull    = faults.NotRun.New("ledger is full")
+	errNoOwner = faults.NotRun.New("owner is draining and knows no other owner")
+)
+
+func unknown(reason error) (Decision, <-chan struct{}, error) {
+	return Decision{Action: Unknown}, nil, reason
+}
+
+func refused(reason error) (Decision, <-chan struct{}, error) {
+	return Decision{Action: Refused}, nil, reason
+}
--- /dev/null
+++ b/idem/ledger_test.go
@@ -0,0 +1,54 @@
+package idem
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskingw/member"
+)
+
+var (
+	ownerA = &member.Record{ID: "a", Incarnation: 1}
+	ownerB = &member.Record{ID: "b", Incarnation: 2}
+)
+
+// Guards against a repeat that runs again instead of getting the first answer.
+func TestRepeatGetsStoredAnswer(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger("a", 1, Options{})
+	k := Mint(ownerA, time.Now())
+	d, err := l.Begin(context.Background(), k, "")
+	is.NoErr(err)
+	is.Equal(d.Action, Run)
+	answer := &Answer{Status: 200, Body: []byte("sold")}
+	l.Finish(k, answer)
+	d, err = l.Begin(context.Background(), k, "")
+	is.NoErr(err)
+	is.Equal(d.Action, Replay)
+	is.Equal(d.Answer, answer)
+}
+
+// Guards against a key that both the draining owner and the new owner run.
+func TestDrainingOwnerHandsUnseenKeyOver(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	a, b := NewLedger("a", 1, Options{}), NewLedger("b", 2, Options{})
+	a.Drain(func(Key) *member.Record { return ownerB })
+	k := Mint(ownerA, time.Now())
+	d, err := b.Begin(ctx, k, "")
+	is.True(err != nil)
+	is.Equal(d.Action, Unknown) // without a voucher
+	moved, err := a.Begin(ctx, k, "")
+	is.NoErr(err)
+	is.Equal(moved.Action, Moved)
+	is.Equal(moved.Owner, ownerB)
+	d, err = b.Begin(ctx, k, moved.Voucher)
+	is.NoErr(err)
+	is.Equal(d.Action, Run)
+	b.Lost(k)
+	d, _ = b.Begin(ctx, k, moved.Voucher)
+	is.Equal(d.Action, Unknown)
+}
