Add endpoint selection and the target stand-in

Calls need a target from the nearest locality with capacity, and tests and measurements need a target whose faults can be set. balance: localities by failure domain and region with proportional overflow, two random choices by calls in flight, failures and reported load, slow start, ejection with backoff, a panic rule, and state that is dropped after idle time.

--- /dev/null
+++ b/balance/choice.go
@@ -0,0 +1,171 @@
+package balance
+
+import (
+	"math"
+	"slices"
+)
+
+// choice is one selection.
+type choice struct {
+	b     *Balancer
+	now   int64
+	skip  []string
+	panic bool // ejection has stopped
+}
+
+// maxDraws bounds the random draws for one of the two candidates. After that a
+// scan finds a usable endpoint if there is one.
+const maxDraws = 4
+
+// reportWeight is the weight of reported load against what the node's own calls
+// show. Below 1, so that a report can only decide between targets whose calls
+// look alike.
+const reportWeight = 0.5
+
+// maxReport bounds a report in the comparison, so that a target that reports
+// too much is still tried.
+const maxReport = 2.0
+
+// evidenceScore is the score of a target whose calls all fail or are refused,
+// in calls per slot.
+const evidenceScore = 4.0
+
+// pick returns an endpoint, or nil when none is left.
+func (c *choice) pick(t *table) *endpoint {
+	if l := c.locality(t); l != nil {
+		if e := c.twoChoices(l); e != nil {
+			return e
+		}
+	}
+	for _, l := range t.near {
+		if e := c.twoChoices(l); e != nil {
+			return e
+		}
+	}
+	if l := c.region(t); l != nil {
+		if e := c.twoChoices(l); e != nil {
+			return e
+		}
+	}
+	return c.last(t)
+}
+
+// last selects when no healthy endpoint is left: suspects, other regions that
+// are full, ejected endpoints, and unreachable failure domains.
+func (c *choice) last(t *table) *endpoint {
+	for _, l := range t.regions {
+		if e := c.twoChoices(l); e != nil {
+			return e
+		}
+	}
+	if e := c.twoChoices(t.suspects); e != nil {
+		return e
+	}
+	c.panic = true
+	for _, l := range t.localities() {
+		if e := c.twoChoices(l); e != nil {
+			return e
+		}
+	}
+	if e := c.twoChoices(t.suspects); e != nil {
+		return e
+	}
+	return c.twoChoices(t.unreachable)
+}
+
+// locality selects where the call goes, or returns nil when every locality is
+// full; the nearest then takes the call, because a refusal there costs least.
+func (c *choice) locality(t *table) *locality {
+	for _, l := range t.near {
+		spill := l.spill()
+		if spill == 0 || spill < 1 && c.float() >= spill {
+			return l
+		}
+	}
+	return c.region(t)
+}
+
+// region selects another region in proportion to the slots that are left there.
+func (c *choice) region(t *table) *locality {
+	var sum float64
+	for _, l := range t.regions {
+		sum += l.left()
+	}
+	if sum <= 0 {
+		return nil
+	}
+	at := c.float() * sum
+	for _, l := range t.regions {
+		if at -= l.left(); at < 0 {
+			return l
+		}
+	}
+	return nil
+}
+
+// twoChoices returns the better of two random usable endpoints.
+func (c *choice) twoChoices(l *locality) *endpoint {
+	if len(l.endpoints) == 0 {
+		return nil
+	}
+	x := c.draw(l, nil)
+	if x == nil || len(l.endpoints) == 1 {
+		return x
+	}
+	y := c.draw(l, x)
+	if y == nil || c.score(x) <= c.score(y) {
+		return x
+	}
+	return y
+}
+
+// draw returns a random usable endpoint other than not. Endpoints in slow start
+// are drawn in proportion to their ramp against the highest of the locality, so
+// that a locality that starts as a whole shares its calls evenly.
+func (c *choice) draw(l *locality, not *endpoint) *endpoint {
+	n := len(l.endpoints)
+	highest := math.Float64frombits(l.maxRamp.Load())
+	for range maxDraws {
+		e := l.endpoints[c.intn(n)]
+		if e == not || !c.usable(e) {
+			continue
+		}
+		if ramp := e.ramp(c.now); ramp >= highest || c.float()*highest < ramp {
+			return e
+		}
+	}
+	return c.scan(l, not)
+}
+
+// scan returns the first usable endpoint from a random position.
+func (c *choice) scan(l *locality, not *endpoint) *endpoint {
+	n := len(l.endpoints)
+	at := c.intn(n)
+	for i := range n {
+		if e := l.endpoints[(at+i)%n]; e != not && c.usable(e) {
+			return e
+		}
+	}
+	return nil
+}
+
+// usable reports whether the endpoint may be selected.
+func (c *choice) usable(e *endpoint) bool {
+	if !c.panic && e.bad(c.now) {
+		return false
+	}
+	return len(c.skip) == 0 || !slices.Contains(c.skip, e.record.Load().ID)
+}
+
+// score rates an endpoint; lower is better. The unit is calls per slot.
+func (c *choice) score(e *endpoint) float64 {
+	own := float64(e.inFlight.Load()) / e.slots()
+	reported := min(e.reported(c.now, c.b.opts.LoadMaxAge), maxReport)
+	return own + evidenceScore*e.shown(c.now) + reportWeight*reported
+}
+
+// intn returns a random number below n.
+func (c *choice) intn(n int) int { return int(c.b.opts.Rand() >> 1 % uint64(n)) }
+
+// float returns a random number in [0, 1).
+func (c *choice) float() float64 { return float64(c.b.opts.Rand()>>11) / (1 << 53) }
--- /dev/null
+++ b/balance/endpoint.go
@@ -0,0 +1,185 @@
+package balance
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskingw/member"
+	"siskingw/object"
+)
+
+// Defaults of object.EjectionSpec and constants of ejection.
+const (
+	defaultFailures = 5 // consecutive failures that eject a target
+	defaultEject    = time.Second
+	defaultPercent  = 30
+	// maxEjectShift bounds the backoff to 64 times the base time.
+	maxEjectShift = 6
+	// probationCalls successful calls end an ejection and reset the backoff.
+	probationCalls = 10
+)
+
+// Weights of what calls show. A call moves an average by callWeight, and the
+// average halves every evidenceHalfLife without calls, so that a target that
+// gets no calls is tried again.
+const (
+	callWeight       = 0.2
+	evidenceHalfLife = 2 * time.Second
+)
+
+// ejection is an EjectionSpec with its defaults applied.
+type ejection struct {
+	failures uint32
+	base     time.Duration
+	percent  int
+}
+
+func newEjection(spec *object.EjectionSpec) ejection {
+	e := ejection{failures: defaultFailures, base: defaultEject, percent: defaultPercent}
+	if spec == nil {
+		return e
+	}
+	if spec.ConsecutiveFailures > 0 {
+		e.failures = uint32(spec.ConsecutiveFailures)
+	}
+	if spec.BaseMs > 0 {
+		e.base = time.Duration(spec.BaseMs) * time.Millisecond
+	}
+	if spec.MaxPercent > 0 {
+		e.percent = spec.MaxPercent
+	}
+	return e
+}
+
+// endpoint is what this node knows of one target. Times are ns of the balancer's clock.
+type endpoint struct {
+	service  *service
+	record   atomic.Pointer[member.Record]
+	inFlight atomic.Int64
+	rampFrom atomic.Int64 // start of slow start
+	badUntil atomic.Int64 // the target looks bad until then; 0 when it never failed
+
+	load   atomic.Uint64 // float64 bits of the last reported load
+	loadAt atomic.Int64
+
+	evidence   atomic.Uint64 // float64 bits of the average of failures and refusals, 0..1
+	evidenceAt atomic.Int64
+
+	mu        sync.Mutex // guards the fields below; taken only for failures and probation
+	failures  uint32     // consecutive failures
+	shift     uint32     // backoff exponent of the next ejection
+	probation atomic.Int32
+	failing   atomic.Bool // failures > 0
+}
+
+// slots returns the number of calls that the target runs at once.
+func (e *endpoint) slots() float64 { return float64(max(e.record.Load().Slots, 1)) }
+
+// bad reports whether the target is to be left out at now.
+func (e *endpoint) bad(now int64) bool { return now < e.badUntil.Load() }
+
+// ramp returns the share of calls, 0..1, that slow start grants at now.
+func (e *endpoint) ramp(now int64) float64 {
+	elapsed := now - e.rampFrom.Load()
+	if elapsed >= e.service.slowStart {
+		return 1
+	}
+	return max(minRamp, float64(elapsed)/float64(e.service.slowStart))
+}
+
+// minRamp is the share of calls at the start of slow start.
+const minRamp = 0.05
+
+// reported returns the last reported load, or 0 when it is older than maxAge.
+func (e *endpoint) reported(now int64, maxAge time.Duration) float64 {
+	at := e.loadAt.Load()
+	if at == 0 || now-at > int64(maxAge) {
+		return 0
+	}
+	return math.Float64frombits(e.load.Load())
+}
+
+// shown returns the decayed average of failures and refusals, 0..1.
+func (e *endpoint) shown(now int64) float64 {
+	v := math.Float64frombits(e.evidence.Load())
+	if v == 0 {
+		return 0
+	}
+	age := max(now-e.evidenceAt.Load(), 0)
+	return v * math.Exp2(-float64(age)/float64(evidenceHalfLife))
+}
+
+// observe records the report of one call.
+func (e *endpoint) observe(r Report, ej ejection, now int64, random func() uint64) {
+	if r.Load > 0 && r.Load <= math.MaxFloat64 {
+		e.load.Store(math.Float64bits(r.Load))
+		e.loadAt.Store(max(now, 1))
+	}
+	failed := r.Failed || r.Unreachable
+	e.addEvidence(failed || r.Refused, now)
+	switch {
+	case failed:
+		e.fail(r.Unreachable, ej, now, random)
+	case !r.Refused && (e.failing.Load() || e.probation.Load() > 0):
+		e.succeed()
+	}
+}
+
+// addEvidence moves the average towards 1 for bad calls and towards 0 for good ones.
+func (e *endpoint) addEvidence(bad bool, now int64) {
+	v := e.shown(now)
+	if v == 0 && !bad {
+		return // the usual case writes nothing
+	}
+	v -= callWeight * v
+	if bad {
+		v += callWeight
+	}
+	if v < negligibleEvidence {
+		v = 0
+	}
+	e.evidence.Store(math.Float64bits(v))
+	e.evidenceAt.Store(now)
+}
+
+// negligibleEvidence is where the average counts as 0 and is no longer written.
+const negligibleEvidence = 1e-3
+
+// fail counts a failure and ejects the target when it failed often enough, at
+// once when it is unreachable or on probation.
+func (e *endpoint) fail(unreachable bool, ej ejection, now int64, random func() uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.bad(now) {
+		return // calls that were in flight at the ejection do not lengthen it
+	}
+	e.failures++
+	e.failing.Store(true)
+	if e.failures < ej.failures && !unreachable && e.probation.Load() == 0 {
+		return
+	}
+	length := int64(ej.base) << min(e.shift, maxEjectShift)
+	length += int64(random() % uint64(length/4+1)) // callers must not return all at once
+	e.shift = min(e.shift+1, maxEjectShift)
+	e.failures = 0
+	e.failing.Store(false)
+	e.probation.Store(probationCalls)
+	e.rampFrom.Store(now + length)
+	e.badUntil.Store(now + length)
+	e.service.ejectedUntil(now + length)
+}
+
+// succeed ends a run of failures and, after enough successes, the ejection and
+// the probation. An ejected target gets calls while ejection has stopped.
+func (e *endpoint) succeed() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failures = 0
+	e.failing.Store(false)
+	if e.probation.Load() > 0 && e.probation.Add(-1) == 0 {
+		e.shift = 0
+		e.badUntil.Store(0)
+	}
+}
