--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -100,7 +100,7 @@
 	in := &Instance{Name: fmt.Sprintf("%s-%d", domain.Name, i+1), Domain: domain, IP: ip, opts: &f.opts}
 	in.Settings = f.settings(in)
 	in.Target = f.process(in.Name+".target", "targetstub", append([]string{
-		"-addr", in.addr(portTarget), "-name", in.Name, "-slots", fmt.Sprint(domain.Slots)}, f.opts.TargetArgs...)...)
+		"-listen", in.addr(portTarget)}, f.opts.TargetArgs...)...)
 	in.Node = f.process(in.Name, "siskingw", "node", "-config", in.configPath())
 	return in
 }
