Test spreading under faults and keep requests to stand in

A node that asked a relay to stand in for a silent root or head lost the request when the relay had the version already, so some failure domains waited for the next heartbeat (2 to 3 s on a fake clock). Such requests are now always sent and honoured.

--- /dev/null
+++ b/spread/fake_test.go
@@ -0,0 +1,485 @@
+package spread
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"siskingw/faults"
+	"siskingw/member"
+	"siskingw/object"
+	"siskingw/peer"
+	"siskingw/peer/peerpb"
+	"siskingw/snapshot"
+)
+
+// fleet is a set of nodes on a fake transport and a fake store. It runs within
+// a synctest bubble, so its clock is fake.
+type fleet struct {
+	mu      sync.Mutex
+	rng     *rand.Rand
+	records []*member.Record
+	procs   map[string]*proc // by address
+	source  *fakeSource
+	gen     uint64
+
+	// Fault probabilities and rules of the transport.
+	lose, double, corrupt, delay float64
+	cut                          func(a, b Peer) bool
+	lostFirst                    func(kind string, from, to Peer) bool
+	sent                         map[string]int // messages by kind and link class
+
+	published map[uint64]*snapshot.Snapshot
+	faults    []string // broken invariants
+}
+
+// proc is one process of a node.
+type proc struct {
+	node *Node
+	cur  *snapshot.Current
+	stop context.CancelFunc
+	high uint64
+	done chan struct{}
+}
+
+func newFleet(seed uint64, regions, domains, nodes int) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 1)), procs: make(map[string]*proc), gen: 1,
+		sent: make(map[string]int), published: make(map[uint64]*snapshot.Snapshot)}
+	for r := range regions {
+		for d := range domains {
+			for i := range nodes {
+				id := fmt.Sprintf("r%d-d%d-n%d", r, d, i)
+				f.records = append(f.records, &member.Record{ID: id, Incarnation: 1, State: member.Alive,
+					Region: fmt.Sprintf("r%d", r), FailureDomain: fmt.Sprintf("r%d-d%d", r, d), PeerAddr: id + ":1"})
+			}
+		}
+	}
+	f.source = &fakeSource{fleet: f}
+	first, err := snapshot.New(1, baseObjects())
+	if err != nil {
+		panic(err)
+	}
+	f.publish(first)
+	return f
+}
+
+func baseObjects() []*object.Object {
+	var out []*object.Object
+	for i := range 4 {
+		name := fmt.Sprintf("s%d", i)
+		out = append(out, &object.Object{Kind: object.KindEndpointSet, Name: name, EndpointSet: &object.EndpointSetSpec{Announce: name}},
+			&object.Object{Kind: object.KindService, Name: name, Service: &object.ServiceSpec{EndpointSet: name}})
+	}
+	return out
+}
+
+// run runs body with every node started at version 1, and stops all after it.
+func (f *fleet) run(t *testing.T, body func()) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		for _, r := range f.records {
+			f.start(r, f.published[1])
+		}
+		go f.heartbeats(ctx)
+		synctest.Wait()
+		body()
+		cancel()
+		for _, r := range f.records {
+			f.kill(r)
+		}
+		synctest.Wait()
+	})
+	for _, s := range f.faults {
+		t.Error(s)
+	}
+}
+
+// start starts a process of the node with a snapshot in force, or none.
+func (f *fleet) start(r *member.Record, s *snapshot.Snapshot) *proc {
+	p := &proc{cur: new(snapshot.Current), done: make(chan struct{})}
+	p.cur.OnAdvance(func(s *snapshot.Snapshot) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		want := f.published[s.Version()]
+		if s.Version() <= p.high || want == nil || want.Digest() != s.Digest() {
+			f.faults = append(f.faults, fmt.Sprintf("%s went from version %d to %d with digest %s", r.ID, p.high, s.Version(), s.Digest()))
+		}
+		p.high = s.Version()
+	})
+	if s != nil {
+		_ = p.cur.Advance(s)
+	}
+	p.node = New(Options{View: fakeView{f, r}, Current: p.cur, Transport: fakeTransport{f, PeerOf(r)},
+		Source: f.source, StoreRegion: "r0"})
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	f.mu.Lock()
+	f.procs[r.PeerAddr] = p
+	f.mu.Unlock()
+	go func() {
+		defer close(p.done)
+		_ = p.node.Run(ctx)
+	}()
+	return p
+}
+
+// kill ends the process of the node without notice.
+func (f *fleet) kill(r *member.Record) {
+	f.mu.Lock()
+	p := f.procs[r.PeerAddr]
+	delete(f.procs, r.PeerAddr)
+	f.mu.Unlock()
+	if p != nil {
+		p.stop()
+		<-p.done
+	}
+}
+
+func (f *fleet) proc(r *member.Record) *proc {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.procs[r.PeerAddr]
+}
+
+// heartbeats exchanges summaries as the membership does: once a second with
+// one other node of the same failure domain.
+func (f *fleet) heartbeats(ctx context.Context) {
+	for sleep(ctx, time.Second) {
+		for _, r := range f.records {
+			p := f.proc(r)
+			var others []*member.Record
+			for _, o := range f.records {
+				if o.FailureDomain == r.FailureDomain && o != r {
+					others = append(others, o)
+				}
+			}
+			if p == nil || len(others) == 0 {
+				continue
+			}
+			to := others[f.intN(len(others))]
+			go func() { _ = p.node.Compare(ctx, PeerOf(to)) }()
+		}
+	}
+}
+
+func (f *fleet) intN(n int) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rng.IntN(n)
+}
+
+// publish records a version as accepted by the store.
+func (f *fleet) publish(s *snapshot.Snapshot) {
+	f.mu.Lock()
+	f.published[s.Version()] = s
+	f.mu.Unlock()
+	f.source.set(s)
+}
+
+// change accepts a new version based on the latest one and returns it.
+func (f *fleet) change() (*snapshot.Snapshot, *snapshot.Delta) {
+	base := f.source.latest()
+	next, err := base.With(base.Version()+1, []*object.Object{{Kind: object.KindRoute, Name: "r", Revision: base.Version() + 1,
+		Route: &object.RouteSpec{PathPrefix: fmt.Sprintf("/%d", base.Version()), Service: "s1"}}}, nil)
+	if err != nil {
+		panic(err)
+	}
+	f.publish(next)
+	return next, snapshot.Diff(base, next)
+}
+
+// accept publishes a change at the node.
+func (f *fleet) accept(r *member.Record) uint64 {
+	next, d := f.change()
+	if p := f.proc(r); p != nil {
+		p.node.Offer(next, d)
+	}
+	return next.Version()
+}
+
+// behind returns the running nodes that are not at the version.
+func (f *fleet) behind(version uint64) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for _, r := range f.records {
+		if p := f.procs[r.PeerAddr]; p != nil && p.cur.Version() != version {
+			out = append(out, fmt.Sprintf("%s@%d", r.ID, p.cur.Version()))
+		}
+	}
+	return out
+}
+
+// converge waits until every running node is at the version and returns the
+// time that it took, or fails after limit.
+func (f *fleet) converge(t *testing.T, version uint64, limit time.Duration) time.Duration {
+	t.Helper()
+	start := time.Now()
+	for len(f.behind(version)) > 0 {
+		if time.Since(start) > limit {
+			t.Fatalf("not at version %d after %s: %v", version, limit, f.behind(version))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// at returns the node at a rank of a failure domain.
+func (f *fleet) at(domain string, rank int) *member.Record {
+	return (fakeView{f, f.records[0]}).Ranked(domain)[rank]
+}
+
+type fakeView struct {
+	fleet *fleet
+	self  *member.Record
+}
+
+func (v fakeView) Self() *member.Record                      { return v.self }
+func (v fakeView) Endpoints(string) []*member.Record         { return nil }
+func (v fakeView) Generation() uint64                        { return v.fleet.gen }
+func (v fakeView) OnChange(f func(changed []*member.Record)) {}
+
+func (v fakeView) Ranked(domain string) []*member.Record {
+	var out []*member.Record
+	for _, r := range v.fleet.records {
+		if r.FailureDomain == domain {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, member.CompareRank)
+	return out
+}
+
+func (v fakeView) FailureDomains() []member.DomainInfo {
+	var out []member.DomainInfo
+	for _, r := range v.fleet.records {
+		if d := (member.DomainInfo{Name: r.FailureDomain, Region: r.Region}); !slices.Contains(out, d) {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (v fakeView) Lookup(id string) *member.Record {
+	for _, r := range v.fleet.records {
+		if r.ID == id {
+			return r
+		}
+	}
+	return nil
+}
+
+// fakeTransport calls the handlers of the other nodes with faults on the way.
+type fakeTransport struct {
+	fleet *fleet
+	self  Peer
+}
+
+// send runs handle on the peer after the link's latency and applies faults. A
+// lost message or answer ends with the caller's context, like on a dead link.
+func (t fakeTransport) send(ctx context.Context, kind string, to Peer, handle func(n *Node)) error {
+	f := t.fleet
+	class := peer.Class(t.self.Place(), to.Place())
+	latency := [...]time.Duration{200 * time.Microsecond, time.Millisecond, 20 * time.Millisecond}[class]
+	f.mu.Lock()
+	f.sent[kind+" "+class.String()]++
+	lost := f.rng.Float64() < f.lose || f.cut != nil && f.cut(t.self, to) || f.lostFirst != nil && f.lostFirst(kind, t.self, to)
+	lostAnswer, twice := f.rng.Float64() < f.lose, f.rng.Float64() < f.double
+	if f.rng.Float64() < f.delay {
+		latency += time.Duration(f.rng.IntN(1500)) * time.Millisecond
+	}
+	f.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return faults.PeerUnavailable.Wrap(ctx.Err(), "message lost")
+	}
+	if !sleep(ctx, latency) {
+		return faults.PeerUnavailable.Wrap(ctx.Err(), "message late")
+	}
+	f.mu.Lock()
+	p := f.procs[to.Addr]
+	f.mu.Unlock()
+	if p == nil {
+		return faults.PeerUnavailable.New("connection refused")
+	}
+	handle(p.node)
+	if twice {
+		handle(p.node)
+	}
+	if lostAnswer {
+		<-ctx.Done()
+	}
+	if !sleep(ctx, latency) {
+		return faults.PeerUnavailable.Wrap(ctx.Err(), "answer late")
+	}
+	return nil
+}
+
+// damage flips one bit of b with the probability of the fleet.
+func (t fakeTransport) damage(b []byte) []byte {
+	t.fleet.mu.Lock()
+	defer t.fleet.mu.Unlock()
+	if len(b) == 0 || t.fleet.rng.Float64() >= t.fleet.corrupt {
+		return b
+	}
+	out := slices.Clone(b)
+	out[t.fleet.rng.IntN(len(out))] ^= 1 << t.fleet.rng.IntN(8)
+	return out
+}
+
+func (t fakeTransport) Offer(ctx context.Context, to Peer, r *peerpb.OfferRequest) (reply *peerpb.OfferReply, err error) {
+	r = proto.Clone(r).(*peerpb.OfferRequest)
+	kind := "announce"
+	for i := range r.Deltas {
+		kind = "push"
+		r.Deltas[i] = t.damage(r.Deltas[i])
+	}
+	err = t.send(ctx, kind, to, func(n *Node) { reply = n.HandleOffer(r) })
+	return reply, err
+}
+
+func (t fakeTransport) FetchDeltas(ctx context.Context, to Peer, r *peerpb.FetchDeltasRequest) (reply *peerpb.FetchDeltasReply, err error) {
+	err = t.send(ctx, "deltas", to, func(n *Node) { reply = n.HandleFetchDeltas(r) })
+	if reply != nil {
+		reply = proto.Clone(reply).(*peerpb.FetchDeltasReply)
+		for i := range reply.Deltas {
+			reply.Deltas[i] = t.damage(reply.Deltas[i])
+		}
+	}
+	return reply, err
+}
+
+func (t fakeTransport) FetchSnapshot(ctx context.Context, to Peer, r *peerpb.FetchSnapshotRequest) (data []byte, busy *peerpb.Busy, err error) {
+	var free func(bool)
+	defer func() {
+		if free != nil {
+			free(err == nil)
+		}
+	}()
+	ctx, cancel := within(ctx, stallTimeout)
+	defer cancel()
+	err = t.send(ctx, "snapshot", to, func(n *Node) {
+		if free != nil {
+			free(false)
+		}
+		data, free, busy = n.HandleFetchSnapshot(r)
+	})
+	if err == nil && busy == nil && !sleep(ctx, 10*time.Millisecond) {
+		err = faults.PeerUnavailable.Wrap(ctx.Err(), "transfer cut off")
+	}
+	return t.damage(data), busy, err
+}
+
+func (t fakeTransport) Head(ctx context.Context, to Peer, r *peerpb.HeadRequest) (reply *peerpb.HeadReply, err error) {
+	err = t.send(ctx, "head", to, func(n *Node) { reply = n.HandleHead(r) })
+	return reply, err
+}
+
+// fakeSource is the store: one head, watches, and outages.
+type fakeSource struct {
+	fleet *fleet
+	mu    sync.Mutex
+	head  *snapshot.Snapshot
+	down  bool
+	gap   bool // watches miss changes without an error
+	calls int
+	loads int
+	feeds []chan HeadEvent
+}
+
+func (s *fakeSource) latest() *snapshot.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.head
+}
+
+func (s *fakeSource) set(next *snapshot.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.head = next
+	if s.gap || s.down {
+		return
+	}
+	for _, c := range s.feeds {
+		c <- HeadEvent{Head: headOf(next)}
+	}
+}
+
+// setDown breaks every watch and call, or ends the outage.
+func (s *fakeSource) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	if down {
+		s.breakWatches(faults.StoreUnavailable.New("store is down"))
+	}
+}
+
+// breakWatches ends every watch with err. The caller holds s.mu.
+func (s *fakeSource) breakWatches(err error) {
+	for _, c := range s.feeds {
+		c <- HeadEvent{Err: err}
+		close(c)
+	}
+	s.feeds = nil
+}
+
+func headOf(s *snapshot.Snapshot) Head {
+	return Head{Version: s.Version(), Revision: int64(s.Version())}
+}
+
+func (s *fakeSource) Head(ctx context.Context) (Head, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return Head{}, faults.StoreUnavailable.New("store is down")
+	}
+	return headOf(s.head), nil
+}
+
+func (s *fakeSource) Load(ctx context.Context, h Head, base *snapshot.Snapshot) (*snapshot.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, faults.StoreUnavailable.New("store is down")
+	}
+	s.loads++
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return s.fleet.published[h.Version], nil
+}
+
+func (s *fakeSource) Watch(ctx context.Context, from int64) <-chan HeadEvent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	c := make(chan HeadEvent, 64)
+	if s.down {
+		c <- HeadEvent{Err: faults.StoreUnavailable.New("store is down")}
+		close(c)
+		return c
+	}
+	if h := headOf(s.head); h.Revision > from {
+		c <- HeadEvent{Head: h}
+	}
+	s.feeds = append(s.feeds, c)
+	context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.feeds = slices.DeleteFunc(s.feeds, func(o chan HeadEvent) bool { return o == c })
+	})
+	return c
+}
+
+// The encoder makes its channel at first use, and that must not be in a bubble.
+var _ = snapshot.Compress(nil)
--- a/spread/forward.go
+++ b/spread/forward.go
@@ -29,14 +29,13 @@
 	if t.position >= 0 {
 		n.pushChildren(t, t.position, next)
 	}
-	if ev.asRoot && t.position > 0 {
-		n.pushChildren(t, 0, next)
-	}
+	n.standIn(t, ev)
 	if !ev.fresh {
 		return
 	}
 	switch {
-	case t.rank == 0 || ev.asHead:
+	case ev.asHead:
+	case t.rank == 0:
 		n.distribute(t, next)
 	case t.isRelay():
 		version := n.cur.Version()
@@ -47,6 +46,17 @@
 	}
 }
 
+// standIn does the part of the tree's root or of the region's head, if a node
+// that could not reach them asks for it.
+func (n *Node) standIn(t *topology, ev event) {
+	if ev.asRoot && t.position > 0 {
+		n.pushChildren(t, 0, ev.onward())
+	}
+	if ev.asHead {
+		n.distribute(t, ev.onward())
+	}
+}
+
 // pushChildren pushes to the children of position p. The children of a child
 // that does not answer are pushed to directly.
 func (n *Node) pushChildren(t *topology, p int, ev event) {
@@ -192,10 +202,12 @@
 	return l.version
 }
 
-func (l *link) setFailing(v bool) {
+// setFailing notes whether the peer answers and returns the push that waits.
+func (l *link) setFailing(v bool) *push {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failing = v
+	return l.next
 }
 
 // begin claims the link for p. When a push is under way p is left for after it.
@@ -247,7 +259,10 @@
 // deliver pushes the version in force to a peer without waiting for it.
 func (n *Node) deliver(to Peer, ev event, done func(uint64), miss func()) {
 	l := n.links.of(to.ID)
-	p := &push{event: ev, done: done, miss: miss}
+	p := &push{event: ev, done: done}
+	if miss != nil {
+		p.miss = sync.OnceFunc(miss)
+	}
 	started, failing := l.begin(p)
 	if !started {
 		if failing {
@@ -270,14 +285,17 @@
 	if s == nil {
 		return
 	}
-	if l.confirmed() >= s.Version() {
+	if l.confirmed() >= s.Version() && !p.event.asRoot && !p.event.asHead {
 		p.succeed(s.Version())
 		return
 	}
 	miss := sync.OnceFunc(func() {
-		l.setFailing(true)
+		waiting := l.setFailing(true)
 		n.stats.missed.Inc()
 		p.fail()
+		if waiting != nil {
+			waiting.fail() // it would wait behind this one for up to callTimeout
+		}
 	})
 	late := time.AfterFunc(takeoverAfter, miss)
 	ctx, cancel := within(n.ctx, callTimeout)
@@ -307,8 +325,10 @@
 	if to.Region == self.Region {
 		r.OriginRegion = ev.origin
 	}
-	r.Deltas = n.hist.chainFrom(confirmed, s.Version())
-	if r.Deltas == nil {
+	if confirmed < s.Version() {
+		r.Deltas = n.hist.chainFrom(confirmed, s.Version())
+	}
+	if r.Deltas == nil && confirmed < s.Version() {
 		r.Deltas = n.hist.chainFrom(0, s.Version())
 	}
 	if len(r.Deltas) > 0 && totalBytes(r.Deltas) <= maxPushBytes {
--- a/spread/receive.go
+++ b/spread/receive.go
@@ -14,15 +14,16 @@
 		n.links.of(from.ID).confirm(r.Version)
 		n.hear(from, 1)
 	}
-	now := n.cur.Version()
-	if r.Version <= now {
+	ev := event{from: r.Sender, origin: r.OriginRegion, fresh: true, asRoot: r.AsRoot, asHead: r.AsHead}
+	if now := n.cur.Version(); r.Version <= now {
 		n.stats.have.Inc()
 		if r.Version < now {
 			n.stats.refuse(faults.Stale.New("version %d is older than %d", r.Version, now))
+		} else {
+			n.standIn(n.topology(), ev)
 		}
 		return n.reply(peerpb.OfferReply_HAVE)
 	}
-	ev := event{from: r.Sender, origin: r.OriginRegion, fresh: true, asRoot: r.AsRoot, asHead: r.AsHead}
 	w := want{from: from, version: r.Version, event: ev}
 	if !n.recovery.finished() {
 		n.recovery.hint(from, r.Version)
--- /dev/null
+++ b/spread/recovery_test.go
@@ -0,0 +1,239 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"siskingw/member"
+	"siskingw/peer/peerpb"
+)
+
+// restart replaces the processes of the records by new ones without state.
+func (f *fleet) restart(records []*member.Record) {
+	for _, r := range records {
+		f.kill(r)
+	}
+	for _, r := range records {
+		f.start(r, nil)
+	}
+}
+
+// Guards against a node that starts with the version of one lagging source and
+// so serves an older version than its process served before.
+func TestStartTakesHighestOfSeveralSources(t *testing.T) {
+	f := newFleet(20, 1, 1, 6)
+	f.run(t, func() {
+		is := is.New(t)
+		lagging, starting := f.at("r0-d0", 0), f.at("r0-d0", 5)
+		f.cut = func(a, b Peer) bool {
+			return a.ID == lagging.ID && b.ID != starting.ID || b.ID == lagging.ID && a.ID != starting.ID
+		}
+		f.source.setDown(true)
+		f.accept(f.at("r0-d0", 1))
+		time.Sleep(time.Second)
+		is.Equal(f.proc(lagging).cur.Version(), uint64(1))
+		f.restart([]*member.Record{starting})
+		p := f.proc(starting)
+		is.True(!p.node.Ready())
+		for !p.node.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(p.cur.Version(), uint64(2)) // the first version that is in force
+	})
+}
+
+// Guards against a restarting failure domain whose nodes all fetch over the
+// paid link, against more than the allowed transfers, and against a need for
+// the store.
+func TestRestartedDomainFetchesAcrossOnce(t *testing.T) {
+	f := newFleet(21, 2, 2, 40)
+	f.run(t, func() {
+		is := is.New(t)
+		f.source.setDown(true)
+		version := f.accept(f.records[0])
+		f.converge(t, version, time.Second)
+		f.restart(f.records[40:80])
+		took := f.converge(t, version, 20*time.Second)
+		t.Logf("took %s, messages %v", took, f.sent)
+		is.True(took < 10*time.Second)
+		if n := f.sent["snapshot same-region"]; n == 0 || n > relays {
+			t.Errorf("%d transfers across the boundary of the failure domain", n)
+		}
+		is.Equal(f.sent["snapshot cross-region"], 0)
+	})
+}
+
+// Guards against a fleet that does not come back after all nodes restart while
+// the store is down, and against a herd on the store after the outage.
+func TestWholeFleetRestartsDuringStoreOutage(t *testing.T) {
+	f := newFleet(22, 3, 2, 20)
+	f.run(t, func() {
+		version := f.accept(f.records[0])
+		f.converge(t, version, time.Second)
+		f.source.setDown(true)
+		f.restart(f.records)
+		time.Sleep(30 * time.Second)
+		if n := len(f.behind(0)); n != 0 {
+			t.Errorf("%d nodes are ready without any source", n)
+		}
+		f.source.setDown(false)
+		f.source.mu.Lock()
+		calls, loads := f.source.calls, f.source.loads
+		f.source.mu.Unlock()
+		took := f.converge(t, version, 30*time.Second)
+		t.Logf("took %s after the outage, %d store calls, %d loads, messages %v",
+			took, f.source.calls-calls, f.source.loads-loads, f.sent)
+		if took > 15*time.Second {
+			t.Errorf("took %s", took)
+		}
+		if n := f.source.calls - calls; n > 100 {
+			t.Errorf("%d store calls after the outage", n)
+		}
+	})
+}
+
+// Guards against a source that serves any number of transfers at once.
+func TestBusySourceNamesOthers(t *testing.T) {
+	f := newFleet(23, 1, 1, 1)
+	f.run(t, func() {
+		is := is.New(t)
+		n := f.proc(f.records[0]).node
+		var releases []func(bool)
+		for range maxTransfers {
+			data, release, busy := n.HandleFetchSnapshot(caller("a"))
+			is.True(len(data) > 0 && busy == nil)
+			releases = append(releases, release)
+		}
+		_, _, busy := n.HandleFetchSnapshot(caller("b"))
+		is.True(busy != nil && busy.RetryMs > 0)
+		releases[0](true)
+		data, release, _ := n.HandleFetchSnapshot(caller("b"))
+		is.True(len(data) > 0)
+		_, _, busy = n.HandleFetchSnapshot(caller("c"))
+		is.Equal(busy.Peers[0].Addr, "a:1")
+		release(true)
+	})
+}
+
+// step is one action of the stateful test.
+type step struct {
+	kind string
+	node int
+	wait int // ms after the action
+}
+
+// Guards against any order of changes, faults, restarts and partitions that
+// moves a node back, puts content in force that was never published, or leaves
+// nodes apart after the faults end.
+func TestAnyFaultsKeepVersionsExactAndConverge(t *testing.T) {
+	kinds := []string{"accept", "accept", "accept", "orphan", "kill", "start", "cut", "heal", "noise", "quiet", "storeDown", "storeUp", "replay"}
+	steps := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{rapid.SampledFrom(kinds).Draw(t, "kind"), rapid.IntRange(0, 8).Draw(t, "node"), rapid.IntRange(0, 1200).Draw(t, "wait")}
+	}), 1, 25)
+	rapid.Check(t, func(rt *rapid.T) {
+		regions, domains := rapid.IntRange(1, 3).Draw(rt, "regions"), rapid.IntRange(1, 2).Draw(rt, "domains")
+		nodes := max(1, rapid.IntRange(5, 9).Draw(rt, "nodes")/(regions*domains))
+		f := newFleet(rapid.Uint64().Draw(rt, "seed"), regions, domains, nodes)
+		plan := steps.Draw(rt, "steps")
+		failure := ""
+		f.run(t, func() {
+			for _, s := range plan {
+				f.do(s)
+				time.Sleep(time.Duration(s.wait) * time.Millisecond)
+				if failure = f.check(); failure != "" {
+					return
+				}
+			}
+			failure = f.settle()
+		})
+		if failure != "" {
+			rt.Fatal(failure)
+		}
+	})
+}
+
+// do performs one step.
+func (f *fleet) do(s step) {
+	r := f.records[s.node%len(f.records)]
+	switch s.kind {
+	case "accept":
+		f.accept(r)
+	case "orphan": // the acceptor dies before it pushes
+		f.change()
+		f.kill(r)
+	case "kill":
+		f.kill(r)
+	case "start":
+		if f.proc(r) == nil {
+			f.start(r, nil)
+		}
+	case "cut":
+		f.setRules(func() { f.cut = func(a, b Peer) bool { return (a.ID < r.ID) != (b.ID < r.ID) } })
+	case "heal":
+		f.setRules(func() { f.cut = nil })
+	case "noise":
+		f.setRules(func() { f.lose, f.double, f.corrupt, f.delay = 0.2, 0.2, 0.2, 0.2 })
+	case "quiet":
+		f.setRules(func() { f.lose, f.double, f.corrupt, f.delay = 0, 0, 0, 0 })
+	case "storeDown":
+		f.source.setDown(true)
+	case "storeUp":
+		f.source.setDown(false)
+	case "replay": // a relay that was paused at version 1 resumes
+		if p := f.proc(r); p != nil {
+			p.node.HandleOffer(p.node.offerFor(PeerOf(r), f.published[1], 0, event{asRoot: true, asHead: true}))
+		}
+	}
+}
+
+func (f *fleet) setRules(set func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	set()
+}
+
+// check returns the first broken invariant. Each advance is checked where it
+// happens; this compares what is in force now.
+func (f *fleet) check() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.faults) > 0 {
+		return f.faults[0]
+	}
+	for addr, p := range f.procs {
+		s := p.cur.Load()
+		if s == nil {
+			continue
+		}
+		if want := f.published[s.Version()]; want == nil || want.Digest() != s.Digest() || s.Version() < p.high {
+			return fmt.Sprintf("%s has version %d with digest %s in force", addr, s.Version(), s.Digest())
+		}
+	}
+	return ""
+}
+
+// settle ends all faults, starts every node and waits for convergence.
+func (f *fleet) settle() string {
+	for _, kind := range []string{"heal", "quiet", "storeUp"} {
+		f.do(step{kind: kind})
+	}
+	for i := range f.records {
+		f.do(step{kind: "start", node: i})
+	}
+	version := f.source.latest().Version()
+	for range 60 {
+		time.Sleep(time.Second)
+		if len(f.behind(version)) == 0 {
+			return f.check()
+		}
+	}
+	return fmt.Sprintf("not at version %d after 60 s without faults: %v", version, f.behind(version))
+}
+
+func caller(id string) *peerpb.FetchSnapshotRequest {
+	return &peerpb.FetchSnapshotRequest{Caller: &peerpb.Source{Id: id, Addr: id + ":1"}}
+}
--- /dev/null
+++ b/spread/spread_test.go
@@ -0,0 +1,273 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+	"siskingw/object"
+	"siskingw/peer/peerpb"
+	"siskingw/snapshot"
+)
+
+// Guards against nodes that a change does not reach, and against a change that
+// crosses a pair of regions more than once.
+func TestChangeReachesAllAndCrossesEachRegionOnce(t *testing.T) {
+	f := newFleet(1, 3, 2, 12)
+	f.run(t, func() {
+		for i, r := range []*[2]int{{0, 0}, {1, 7}, {3, 11}} {
+			before := f.sent["push cross-region"] + f.sent["announce cross-region"]
+			domain := []string{"r0-d0", "r0-d1", "r1-d0", "r1-d1"}[r[0]]
+			took := f.converge(t, f.accept(f.at(domain, r[1])), time.Second)
+			if took > 300*time.Millisecond {
+				t.Errorf("change %d took %s", i, took)
+			}
+			time.Sleep(3 * time.Second)
+			if n := f.sent["push cross-region"] + f.sent["announce cross-region"] - before; n != 2 {
+				t.Errorf("change %d crossed regions %d times, want 2", i, n)
+			}
+		}
+		if f.source.loads != 0 {
+			t.Errorf("%d loads from the store although every change was pushed", f.source.loads)
+		}
+	})
+}
+
+// Guards against messages that the network loses, doubles, delays, reorders
+// (by delay) or corrupts.
+func TestConvergesUnderMessageFaults(t *testing.T) {
+	for name, set := range map[string]func(f *fleet){
+		"lost":      func(f *fleet) { f.lose = 0.3 },
+		"doubled":   func(f *fleet) { f.double = 0.5 },
+		"reordered": func(f *fleet) { f.delay = 0.5 },
+		"corrupted": func(f *fleet) { f.corrupt = 0.4 },
+		"all":       func(f *fleet) { f.lose, f.double, f.delay, f.corrupt = 0.1, 0.2, 0.2, 0.2 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(2, 2, 2, 6)
+			set(f)
+			f.run(t, func() {
+				var last uint64
+				for i := range 10 {
+					last = f.accept(f.records[i*2])
+					time.Sleep(100 * time.Millisecond)
+				}
+				f.converge(t, last, 60*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a delta that lands on another base, and against a lagging
+// node that fetches a whole snapshot where a chain of deltas suffices.
+func TestLaggingNodeFetchesChainThenSnapshot(t *testing.T) {
+	f := newFleet(3, 1, 1, 5)
+	f.run(t, func() {
+		is := is.New(t)
+		victim := f.at("r0-d0", 4)
+		f.cut = func(a, b Peer) bool { return a.ID == victim.ID || b.ID == victim.ID }
+		for range 3 {
+			f.converge2(t, f.accept(f.at("r0-d0", 0)), victim)
+		}
+		is.Equal(f.proc(victim).cur.Version(), uint64(1))
+		f.cut = nil
+		f.converge(t, 4, 3*time.Second)
+		is.Equal(f.sent["snapshot same-domain"], 0)
+
+		f.cut = func(a, b Peer) bool { return a.ID == victim.ID || b.ID == victim.ID }
+		for range maxChainDeltas + 1 {
+			f.converge2(t, f.accept(f.at("r0-d0", 0)), victim)
+		}
+		f.cut = nil
+		f.converge(t, 4+maxChainDeltas+1, 3*time.Second)
+		is.Equal(f.sent["snapshot same-domain"], 1)
+	})
+}
+
+// converge2 is converge for all nodes but one.
+func (f *fleet) converge2(t *testing.T, version uint64, but interface{ Live() bool }) {
+	t.Helper()
+	for i := 0; len(f.behind(version)) > 1; i++ {
+		if i > 2000 {
+			t.Fatalf("not at version %d: %v", version, f.behind(version))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against corrupt, inconsistent or older offers that change a node, and
+// against refusals that leave no trace in the counters.
+func TestRefusedOffersAreCountedByCause(t *testing.T) {
+	f := newFleet(4, 1, 1, 1)
+	f.run(t, func() {
+		is := is.New(t)
+		p := f.proc(f.records[0])
+		v2, d2 := f.change()
+		v3, d3 := f.change()
+		wrong := *d3
+		wrong.Digest[0] ^= 1
+		dangling := *d2
+		dangling.Deletes = []object.Key{{Kind: object.KindEndpointSet, Name: "s1"}}
+		offer := func(version uint64, d *snapshot.Delta) peerpb.OfferReply_Status {
+			data, err := snapshot.EncodeDelta(d)
+			is.NoErr(err)
+			return p.node.HandleOffer(&peerpb.OfferRequest{Sender: "x", Version: version, Deltas: [][]byte{data}}).Status
+		}
+		is.Equal(offer(2, &dangling), peerpb.OfferReply_REFUSED)
+		is.Equal(offer(3, d3), peerpb.OfferReply_WANT) // base 2 is not in force
+		is.Equal(p.cur.Version(), uint64(1))
+		is.Equal(offer(2, d2), peerpb.OfferReply_APPLIED)
+		is.Equal(offer(2, d2), peerpb.OfferReply_HAVE)
+		is.Equal(offer(3, &wrong), peerpb.OfferReply_REFUSED)
+		half := p.node.HandleOffer(&peerpb.OfferRequest{Version: 3, Deltas: [][]byte{{1, 2, 3}}})
+		is.Equal(half.Status, peerpb.OfferReply_REFUSED)
+		is.Equal(p.cur.Load().Digest(), v2.Digest())
+		is.Equal(offer(3, d3), peerpb.OfferReply_APPLIED)
+		is.Equal(offer(2, d2), peerpb.OfferReply_HAVE) // a paused relay resumes
+		is.Equal(p.cur.Load().Digest(), v3.Digest())
+		for c, want := range map[string]uint64{"dangling": 1, "base_mismatch": 1, "corrupt": 2, "stale": 1} {
+			got := p.node.stats.set.GetOrCreateCounter(`siskingw_spread_refused_total{cause="` + c + `"}`).Get()
+			if got != want {
+				t.Errorf("cause %s counted %d times, want %d", c, got, want)
+			}
+		}
+	})
+}
+
+// Guards against dead or silent tree roots, region heads and inner nodes that
+// hold a change back for longer than a stagger and a heartbeat.
+func TestDeadRelaysAreBypassed(t *testing.T) {
+	for name, silent := range map[string]bool{"dead": false, "silent": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(5, 3, 2, 9)
+			f.run(t, func() {
+				gone := make(map[string]bool)
+				for _, d := range []string{"r0-d0", "r1-d0", "r2-d1"} {
+					for _, rank := range []int{0, 4} {
+						r := f.at(d, rank)
+						gone[r.ID] = true
+						f.kill(r)
+					}
+				}
+				if silent {
+					f.cut = func(a, b Peer) bool { return gone[a.ID] || gone[b.ID] }
+				}
+				for _, origin := range []int{8, 10, 30, 50} {
+					version := f.accept(f.records[origin])
+					took := f.converge(t, version, 10*time.Second)
+					if limit := 1300 * time.Millisecond; took > limit {
+						t.Errorf("change accepted at %s took %s, limit %s", f.records[origin].ID, took, limit)
+					}
+					time.Sleep(5 * time.Second)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a region's head that takes a version and dies before it
+// passes it on.
+func TestNextRelayTakesOverDistribution(t *testing.T) {
+	f := newFleet(6, 3, 2, 5)
+	f.run(t, func() {
+		head := f.at("r0-d0", 0)
+		f.lostFirst = func(kind string, from, to Peer) bool {
+			return kind == "push" && from.ID == head.ID && from.FailureDomain != to.FailureDomain
+		}
+		version := f.accept(head)
+		time.Sleep(10 * time.Millisecond)
+		f.kill(head)
+		if took := f.converge(t, version, 10*time.Second); took > 800*time.Millisecond {
+			t.Errorf("took %s", took)
+		}
+	})
+}
+
+// Guards against halves of a partition that stay apart, or that exchange
+// snapshots where deltas suffice.
+func TestPartitionHealsThroughDeltas(t *testing.T) {
+	f := newFleet(7, 3, 2, 5)
+	f.run(t, func() {
+		is := is.New(t)
+		f.cut = func(a, b Peer) bool { return (a.Region == "r2") != (b.Region == "r2") }
+		f.source.setDown(true)
+		var version uint64
+		for range 3 {
+			version = f.accept(f.records[0])
+			time.Sleep(time.Second)
+		}
+		is.Equal(len(f.behind(version)), 10)
+		f.cut = nil
+		f.converge(t, version, 5*time.Second)
+		for _, class := range []string{"same-domain", "same-region", "cross-region"} {
+			is.Equal(f.sent["snapshot "+class], 0)
+		}
+	})
+}
+
+// Guards against an acceptor that dies before it pushes its version: the store
+// readers must find it, one after the other when the first is dead.
+func TestStoreReadersFindVersionThatNobodyPushed(t *testing.T) {
+	f := newFleet(8, 2, 2, 6)
+	f.run(t, func() {
+		is := is.New(t)
+		next, _ := f.change()
+		is.True(f.converge(t, next.Version(), 5*time.Second) < 500*time.Millisecond)
+		is.Equal(f.source.loads, 1)
+		f.kill(f.at("r0-d0", 0))
+		next, _ = f.change()
+		is.True(f.converge(t, next.Version(), 5*time.Second) < time.Second)
+	})
+}
+
+// Guards against versions that are lost in a gap of the watch or accepted while
+// the readers cannot reach the store, and against calls that rise in an outage.
+func TestStoreOutageAndWatchGap(t *testing.T) {
+	f := newFleet(9, 2, 2, 6)
+	f.run(t, func() {
+		is := is.New(t)
+		f.source.setDown(true)
+		next, _ := f.change()
+		before := f.source.calls
+		time.Sleep(60 * time.Second)
+		is.Equal(len(f.behind(next.Version())), len(f.records))
+		if n := f.source.calls - before; n > 60*3 {
+			t.Errorf("%d store calls in an outage of 60 s", n)
+		}
+		f.source.setDown(false)
+		f.converge(t, next.Version(), storeRetryMax+2*time.Second)
+
+		time.Sleep(20 * time.Second)
+		f.source.gap = true
+		next, _ = f.change()
+		time.Sleep(time.Second)
+		f.source.gap = false
+		f.source.mu.Lock()
+		f.source.breakWatches(faults.StoreCompacted.New("watch has a gap"))
+		f.source.mu.Unlock()
+		f.converge(t, next.Version(), storeRetryMax+2*time.Second)
+
+		f.source.gap = true // a watch that stalls without an error
+		next, _ = f.change()
+		f.converge(t, next.Version(), pollEvery*12/10)
+	})
+}
+
+// Guards against regions that learn nothing when the store's region is gone.
+func TestOtherRegionsWatchWhenStoreRegionIsSilent(t *testing.T) {
+	f := newFleet(10, 2, 2, 5)
+	f.run(t, func() {
+		time.Sleep(5 * time.Second)
+		if n := len(f.source.feeds); n != 6 {
+			t.Errorf("%d watches, want those of the 6 relays of the store's region", n)
+		}
+		for _, r := range f.records[:10] {
+			f.kill(r)
+		}
+		time.Sleep(15 * time.Second)
+		next, _ := f.change()
+		f.converge(t, next.Version(), 2*time.Second)
+	})
+}
