Use the real gate, ledger and balancer in the proxy; test each failure position

The stand-in interfaces are gone now that balance, admit and idem exist. The tests drive raw targets that count runs: a table gives the outcome for 13 failure positions, others cover truncated and late answers, stale connections, cancellation, deadlines, smuggling and headers. They found that a refusal of a request with suspicious framing left the caller's connection open, so that bytes behind it were served; such refusals now close it.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -36,12 +36,21 @@
 	answered bool              // the answer's header was passed to the caller's connection
 	refused  *refusal          // how the call ended, nil for an answer
 	status   int               // status of the last attempt's answer
-	load     float64           // load that the last attempt's answer states, or noLoad
-	waited   time.Duration     // time spent waiting for answers' headers
+	load     float64           // load that the last attempt's answer states, or 0
+	gateCtx  deadlineContext
+	sentAt   time.Time     // when the last attempt began
+	waited   time.Duration // time spent waiting for answers' headers
 }
 
-// noLoad marks an answer that states no load.
-const noLoad = -1
+// deadlineContext tells the gate the deadline without the cost of a timer: the
+// gate bounds its own wait, and connections enforce the deadline after it.
+type deadlineContext struct {
+	context.Context
+	deadline time.Time
+}
+
+// Deadline returns the time at which the call is of no more use.
+func (d *deadlineContext) Deadline() (time.Time, bool) { return d.deadline, true }
 
 var callPool = sync.Pool{New: func() any { return &call{header: make(http.Header)} }}
 
@@ -50,7 +59,6 @@
 	c := callPool.Get().(*call)
 	c.w, c.r, c.start, c.ctx = w, r, time.Now(), r.Context()
 	c.expects = len(r.Header["Expect"]) > 0
-	c.load = noLoad
 	return c
 }
 
@@ -159,6 +167,8 @@
 	// callerFault marks a failure that the caller caused, such as a body that
 	// did not arrive.
 	callerFault bool
+	hangUp      bool // what follows on the caller's connection is not trusted
+	unreachable bool // no connection to the next hop could be made
 }
 
 // notRun refuses a call that certainly did not reach the target's handler.
@@ -212,6 +222,9 @@
 		h[HeaderDraining] = headerTrue
 		h["Connection"] = connectionClose
 	}
+	if f.hangUp {
+		h["Connection"] = connectionClose
+	}
 	if c.body.streamed {
 		h["Connection"] = connectionClose
 		_ = http.NewResponseController(c.w).SetReadDeadline(time.Now().Add(drainWait))
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -8,6 +8,8 @@
 	"os"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"siskingw/faults"
 )
 
@@ -31,7 +33,9 @@
 func (x *exchange) start(ctx context.Context, c *call, addr string) *refusal {
 	cn, err := x.pool.get(ctx, addr, c.deadline)
 	if err != nil {
-		return notRun("the next hop does not take the call", err)
+		f := notRun("the next hop does not take the call", err)
+		f.unreachable = errorx.IsOfType(err, faults.PeerUnavailable)
+		return f
 	}
 	x.conn = cn
 	if err := cn.begin(c.deadline); err != nil {
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -5,16 +5,19 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"siskingw/admit"
+	"siskingw/idem"
 )
 
 // InboundOptions configures the handler at the target's node.
 type InboundOptions struct {
 	Target  string // host:port of the target
-	Gate    Gate
-	Ledger  Ledger   // nil refuses keyed work
-	Pool    *Pool    // connections to the target; default: a new pool
-	Metrics *Metrics // nil counts nothing
-	Tracer  *Tracer  // nil traces nothing
+	Gate    *admit.Gate
+	Ledger  *idem.Ledger // nil refuses keyed work
+	Pool    *Pool        // connections to the target; default: a new pool
+	Metrics *Metrics     // nil counts nothing
+	Tracer  *Tracer      // nil traces nothing
 }
 
 // Inbound passes calls of other nodes to the target of this instance.
@@ -89,7 +92,7 @@
 
 func (in *Inbound) check(c *call) *refusal {
 	if status, reason := checkRequest(c.r); status != 0 {
-		return &refusal{status: status, outcome: OutcomeNotRun, reason: reason}
+		return &refusal{status: status, outcome: OutcomeNotRun, reason: reason, hangUp: true}
 	}
 	if f := c.setDeadline(maxDeadline); f != nil {
 		return f
@@ -117,7 +120,8 @@
 
 // passPlain passes a call without a key.
 func (in *Inbound) passPlain(c *call) *refusal {
-	ticket, err := in.opts.Gate.Enter(c.ctx, c.kind)
+	c.gateCtx = deadlineContext{Context: c.ctx, deadline: c.deadline}
+	ticket, err := in.opts.Gate.Enter(&c.gateCtx, c.kind)
 	if err != nil {
 		return notRun("the target's node refuses the call", err)
 	}
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -9,11 +9,12 @@
 	"github.com/joomcode/errorx"
 
 	"siskingw/faults"
+	"siskingw/idem"
 )
 
 // maxStoredAnswer bounds the answer's body that the ledger stores. A keyed
 // call with a larger answer gets it in full, but its repeats are unknown.
-const maxStoredAnswer = 256 << 10
+const maxStoredAnswer = idem.MaxAnswerBytes
 
 // passKeyed asks the ledger what to do with the call. The ledger comes before
 // the gate: a repeat that waits or gets a stored answer needs no slot, and a
@@ -24,28 +25,30 @@
 	}
 	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
 	defer cancel()
-	d, err := in.opts.Ledger.Begin(ctx, c.key, c.voucher)
-	switch {
-	case errorx.IsOfType(err, faults.Invalid):
+	key, err := idem.Parse(c.key)
+	if err != nil {
 		return badRequest(err.Error())
+	}
+	d, err := in.opts.Ledger.Begin(ctx, key, c.voucher)
+	switch {
 	case errorx.IsOfType(err, faults.NotRun):
 		return notRun("the ledger refuses the key", err)
 	case err != nil:
 		return unknown("the key may have run", err)
 	}
 	switch d.Action {
-	case Run:
-		return in.runKeyed(ctx, c)
-	case Replay:
+	case idem.Run:
+		return in.runKeyed(ctx, c, key)
+	case idem.Replay:
 		in.answerHeader(c)
 		c.replay(d.Answer)
 		return nil
-	case Moved:
+	case idem.Moved:
 		f := notRun("another node owns the key now", nil)
-		f.movedTo, f.voucher = d.Owner, d.Voucher
+		f.movedTo, f.voucher = d.Owner.ID, d.Voucher
 		return f
-	case Refused:
-		return notRun("the ledger refuses the key", nil)
+	case idem.Ran:
+		return unknown("the key ran, but its answer is not held any more", nil)
 	}
 	return unknown("the key may have run", nil)
 }
@@ -53,9 +56,9 @@
 // runKeyed runs a key and settles it in the ledger on every path. A run that
 // was sent ends by its deadline only: the caller may be gone, but a repeat
 // needs the answer.
-func (in *Inbound) runKeyed(ctx context.Context, c *call) *refusal {
+func (in *Inbound) runKeyed(ctx context.Context, c *call, key idem.Key) *refusal {
 	settle := in.opts.Ledger.Lost
-	defer func() { settle(c.key) }()
+	defer func() { settle(key) }()
 	ticket, err := in.opts.Gate.Enter(ctx, c.kind)
 	if err != nil {
 		settle = in.opts.Ledger.NotRun
@@ -79,14 +82,14 @@
 		return x.relay(c)
 	}
 	x.finish(true)
-	settle = func(key string) { in.opts.Ledger.Finish(key, a) }
+	settle = func(k idem.Key) { in.opts.Ledger.Finish(k, a) }
 	c.writeAnswer(a)
 	return nil
 }
 
 // store reads the whole answer. It returns nil for one that is too large and
 // leaves it to be relayed.
-func (x *exchange) store() (*Answer, error) {
+func (x *exchange) store() (*idem.Answer, error) {
 	h := make(http.Header)
 	x.copyAnswerHeader(h)
 	delete(h, "Trailer") // a stored answer has no trailers
@@ -98,17 +101,17 @@
 		x.prefix = prefix
 		return nil, nil
 	}
-	return &Answer{Status: x.resp.StatusCode, Header: h, Body: prefix}, nil
+	return &idem.Answer{Status: x.resp.StatusCode, Header: h, Body: prefix}, nil
 }
 
 // replay gives the stored answer to a repeat.
-func (c *call) replay(a *Answer) {
+func (c *call) replay(a *idem.Answer) {
 	c.w.Header()[HeaderReplay] = headerTrue
 	c.writeAnswer(a)
 }
 
 // writeAnswer gives a complete answer to the caller.
-func (c *call) writeAnswer(a *Answer) {
+func (c *call) writeAnswer(a *idem.Answer) {
 	h := c.w.Header()
 	for k, v := range a.Header {
 		h[k] = v
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"siskingw/balance"
 	"siskingw/member"
 	"siskingw/object"
 	"siskingw/snapshot"
@@ -14,9 +15,8 @@
 // OutboundOptions configures the handler at the caller's node.
 type OutboundOptions struct {
 	Current    *snapshot.Current
-	Balancer   Balancer
+	Balancer   *balance.Balancer
 	View       member.View          // finds the owners of keys
-	Keys       Keys                 // nil refuses keyed work and mints nothing
 	Pool       *Pool                // connections to other nodes; default: a new pool
 	Local      *Inbound             // target of this instance, or nil
 	OnDraining func(*member.Record) // told when a target's node states that it drains; may be nil
@@ -65,7 +65,7 @@
 // sends the call.
 func (o *Outbound) serve(c *call) *refusal {
 	if status, reason := checkRequest(c.r); status != 0 {
-		return &refusal{status: status, outcome: OutcomeNotRun, reason: reason}
+		return &refusal{status: status, outcome: OutcomeNotRun, reason: reason, hangUp: true}
 	}
 	snap := o.opts.Current.Load()
 	if snap == nil {
@@ -107,7 +107,7 @@
 			}
 			return last
 		}
-		rec := picked.Target()
+		rec := picked.Record
 		f := o.send(c, rec)
 		picked.Done(c.report(f))
 		if f == nil || f.aborted {
@@ -126,7 +126,7 @@
 
 // send passes the call to the node of the chosen endpoint and its answer back.
 func (o *Outbound) send(c *call, rec *member.Record) *refusal {
-	c.load, c.status = noLoad, 0
+	c.load, c.status, c.sentAt = 0, 0, time.Now()
 	if o.opts.Local != nil && rec.ID == o.opts.View.Self().ID {
 		return o.opts.Local.pass(c)
 	}
@@ -161,12 +161,16 @@
 
 // report tells the balancer how the attempt went. What the caller caused is
 // no failure of the endpoint.
-func (c *call) report(f *refusal) Report {
-	r := Report{Load: c.load, Duration: c.waited}
+func (c *call) report(f *refusal) balance.Report {
+	r := balance.Report{Load: c.load, Duration: time.Since(c.sentAt)}
 	switch {
 	case f == nil:
 		r.Failed = c.status >= http.StatusInternalServerError
-	case f.callerFault || c.ctx.Err() != nil:
+	case f.callerFault:
+	case f.unreachable:
+		r.Unreachable = true
+	case c.ctx.Err() != nil:
+		r.Refused = true // shows nothing good, but no failure either
 	case f.stated && f.outcome == OutcomeNotRun:
 		r.Refused = true
 	default:
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"siskingw/balance"
+	"siskingw/idem"
 	"siskingw/member"
 	"siskingw/object"
 	"siskingw/snapshot"
@@ -13,17 +15,14 @@
 // routeKeyed sends the call to the owner that its key names, and nowhere else,
 // unless the owner states that it moved the key.
 func (o *Outbound) routeKeyed(c *call, res *snapshot.Resolved) *refusal {
-	if o.opts.Keys == nil {
-		return notRun("this node takes no keyed work", nil)
-	}
-	id, incarnation, err := o.opts.Keys.Owner(c.key)
+	key, err := idem.Parse(c.key)
 	if err != nil {
 		f := badRequest(err.Error())
 		f.stated = true // no owner can have run it
 		return f
 	}
-	owner := o.opts.View.Lookup(id)
-	if owner == nil || owner.Incarnation != incarnation || owner.State == member.Dead || owner.State == member.Left {
+	owner := o.opts.View.Lookup(key.Owner)
+	if owner == nil || owner.Incarnation != key.Incarnation || owner.State == member.Dead || owner.State == member.Left {
 		return notRun("the owner of the key is gone", nil)
 	}
 	if owner.Service != res.EndpointSet.Announce {
@@ -82,7 +81,7 @@
 // mint answers with a new key whose owner is an endpoint of the service.
 func (o *Outbound) mint(w http.ResponseWriter, service string) {
 	snap := o.opts.Current.Load()
-	if snap == nil || o.opts.Keys == nil {
+	if snap == nil {
 		ownError(w, http.StatusServiceUnavailable, "no configuration is in force yet")
 		return
 	}
@@ -97,10 +96,10 @@
 		ownError(w, http.StatusServiceUnavailable, "the service has no endpoint")
 		return
 	}
-	owner := picked.Target()
-	picked.Done(Report{Load: noLoad})
+	owner := picked.Record
+	picked.Done(balance.Report{})
 	writeJSON(w, http.StatusCreated, map[string]string{
-		"key": o.opts.Keys.Mint(owner, time.Now()), "owner": owner.ID,
+		"key": idem.Mint(owner, time.Now()).String(), "owner": owner.ID,
 	})
 }
 
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -59,7 +59,8 @@
 }
 
 // get returns a connection to addr that is idle and alive, or a new one. It
-// returns a NotRun error when the limit is reached or the dial fails.
+// returns a NotRun error when the limit is reached and a PeerUnavailable error
+// when the dial fails.
 func (p *Pool) get(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
 	for {
 		c, err := p.takeIdle(addr)
@@ -109,7 +110,7 @@
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.release(addr)
-		return nil, faults.NotRun.Wrap(err, "no connection to %s", addr)
+		return nil, faults.PeerUnavailable.Wrap(err, "no connection to %s", addr)
 	}
 	return newConn(nc, addr), nil
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -1,155 +1,343 @@
 package proxy
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
-	"siskingw/faults"
-	"siskingw/member"
 	"siskingw/object"
-	"siskingw/snapshot"
 )
 
-// fakeBalancer offers its records in order and keeps the reports.
-type fakeBalancer struct {
-	mu      sync.Mutex
-	records []*member.Record
-	reports []Report
-}
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
-type fakePick struct {
-	b *fakeBalancer
-	r *member.Record
+// reset makes the next close of the connection a reset.
+func reset(nc net.Conn) bool {
+	nc.(*net.TCPConn).SetLinger(0)
+	return false
 }
 
-func (p *fakePick) Target() *member.Record { return p.r }
-func (p *fakePick) Done(r Report) {
-	p.b.mu.Lock()
-	defer p.b.mu.Unlock()
-	p.b.reports = append(p.b.reports, r)
+// Guards against a call through both nodes that changes method, body or answer.
+func TestCallThroughBothNodes(t *testing.T) {
+	is := is.New(t)
+	big := strings.Repeat("scan", 64<<10)
+	r := newRig(t, nil, serveOn(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		w.Header().Set("Method", r.Method)
+		w.Header().Set(HeaderOutcome, OutcomeNotRun) // forged
+		w.WriteHeader(http.StatusCreated)
+		w.Write(b)
+	})))
+	for _, body := range []string{"", "bid", big} {
+		for range 3 {
+			resp, got := r.do(t, "POST", "/bids?lot=1", body)
+			is.Equal(resp.StatusCode, http.StatusCreated)
+			is.Equal(resp.Header.Get("Method"), "POST")
+			is.Equal(resp.Header.Get(HeaderOutcome), "")
+			is.True(got == body)
+		}
+	}
 }
 
-func (b *fakeBalancer) Pick(_ *object.EndpointSetSpec, _ *object.EjectionSpec, skip []string) (Picked, error) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-next:
-	for _, r := range b.records {
-		for _, s := range skip {
-			if s == r.ID {
-				continue next
+// Guards against a wrong outcome in each position at which a call can fail,
+// and against any second run of a POST.
+func TestOutcomeByFailurePosition(t *testing.T) {
+	say := func(answer string, keep bool) func(net.Conn, *http.Request, int32) bool {
+		return func(nc net.Conn, _ *http.Request, _ int32) bool { io.WriteString(nc, answer); return keep }
+	}
+	hang := make(chan struct{})
+	t.Cleanup(func() { close(hang) })
+	for _, tc := range []struct {
+		name    string
+		serve   func(net.Conn, *http.Request, int32) bool // nil: nothing listens
+		setup   func(*rig)
+		status  int
+		outcome string
+	}{
+		{"connection refused", nil, nil, 503, OutcomeNotRun},
+		{"node refuses", say(okAnswer, true), func(r *rig) { r.gates[0].Drain() }, 503, OutcomeNotRun},
+		{"node is down", say(okAnswer, true), func(r *rig) { r.servers[0].Close() }, 503, OutcomeNotRun},
+		{"reset after the request", func(nc net.Conn, _ *http.Request, _ int32) bool { return reset(nc) }, nil, 502, OutcomeUnknown},
+		{"closed after the request", say("", false), nil, 502, OutcomeUnknown},
+		{"reset within the header", func(nc net.Conn, _ *http.Request, _ int32) bool {
+			io.WriteString(nc, "HTTP/1.1 200 OK\r\nConte")
+			return reset(nc)
+		}, nil, 502, OutcomeUnknown},
+		{"no HTTP", say("hello\r\n\r\n", false), nil, 502, OutcomeUnknown},
+		{"no framing", say("HTTP/1.1 200 OK\r\n\r\nhalf", false), nil, 502, OutcomeUnknown},
+		{"upgrade", say("HTTP/1.1 101 Switching Protocols\r\n\r\n", true), nil, 502, OutcomeUnknown},
+		{"status too low", say("HTTP/1.1 099 Low\r\nContent-Length: 0\r\n\r\n", true), nil, 502, OutcomeUnknown},
+		{"endless header", say("HTTP/1.1 200 OK\r\nA: "+strings.Repeat("a", maxAnswerHeaderBytes), true), nil, 502, OutcomeUnknown},
+		{"endless interim answers", say(strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 50), true), nil, 502, OutcomeUnknown},
+		{"no answer", func(net.Conn, *http.Request, int32) bool { <-hang; return false }, nil, 504, OutcomeUnknown},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			addr := closedAddr(t)
+			rt := &rawTarget{}
+			if tc.serve != nil {
+				rt = newRawTarget(t, tc.serve)
+				addr = rt.addr
 			}
-		}
-		return &fakePick{b, r}, nil
+			r := newRig(t, &object.PolicySpec{TimeoutMs: 300, Retries: 3}, addr)
+			if tc.setup != nil {
+				tc.setup(r)
+			}
+			resp, _ := r.do(t, "POST", "/bids", "bid")
+			is.Equal(resp.Header.Get(HeaderOutcome), tc.outcome)
+			is.Equal(resp.StatusCode, tc.status)
+			if tc.outcome == OutcomeNotRun {
+				is.Equal(rt.runs.Load(), int32(0))
+			} else {
+				is.Equal(rt.runs.Load(), int32(1))
+			}
+		})
 	}
-	return nil, faults.NotRun.New("no endpoint")
 }
 
-// fakeGate admits everything until it is told to drain.
-type fakeGate struct {
-	draining atomic.Bool
-	calls    sync.WaitGroup
+// Guards against a truncated answer that looks complete to the caller.
+func TestTruncatedAnswerCutsTheCaller(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n",
+	} {
+		is := is.New(t)
+		rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool { io.WriteString(nc, answer); return false })
+		r := newRig(t, nil, rt.addr)
+		resp, err := r.client.Post("http://"+r.addr+"/", "text/plain", strings.NewReader("bid"))
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			resp.Body.Close()
+		}
+		// The caller must notice: a cut answer, or a refusal when the cut came early.
+		is.True(err != nil || resp.Header.Get(HeaderOutcome) == OutcomeUnknown)
+		is.Equal(rt.runs.Load(), int32(1)) // and the call is not repeated
+		nc, err := net.Dial("tcp", r.addr) // an HTTP/1.0 caller reads until the end of the connection
+		is.NoErr(err)
+		defer nc.Close()
+		fmt.Fprint(nc, "POST / HTTP/1.0\r\nContent-Length: 0\r\n\r\n")
+		old, err := io.ReadAll(nc)
+		is.True(err != nil || strings.Contains(string(old), OutcomeUnknown)) // a reset, not an end
+	}
 }
 
-type fakeTicket struct{ g *fakeGate }
-
-func (t fakeTicket) Leave() { t.g.calls.Done() }
-func (g *fakeGate) Enter(context.Context, object.WorkKind) (Ticket, error) {
-	if g.draining.Load() {
-		return nil, faults.NotRun.New("draining")
+// Guards against an answer that reaches another request: one that arrives
+// late, and bytes that nobody asked for on an idle connection.
+func TestLateAnswerNeverReachesAnotherCall(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	rt := newRawTarget(t, func(nc net.Conn, r *http.Request, n int32) bool {
+		answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(r.URL.Path), r.URL.Path)
+		switch r.URL.Path {
+		case "/late":
+			<-release
+		case "/twice":
+			answer += answer
+		case "/spaced":
+			io.WriteString(nc, answer)
+			time.Sleep(20 * time.Millisecond)
+		}
+		io.WriteString(nc, answer)
+		return true
+	})
+	r := newRig(t, nil, rt.addr)
+	resp, _ := r.do(t, "POST", "/late", "", HeaderDeadline, "50")
+	is.Equal(resp.Header.Get(HeaderOutcome), OutcomeUnknown)
+	close(release)
+	for _, path := range []string{"/1", "/twice", "/2", "/spaced"} {
+		_, got := r.do(t, "POST", path, "")
+		is.Equal(got, path)
 	}
-	g.calls.Add(1)
-	return fakeTicket{g}, nil
+	time.Sleep(40 * time.Millisecond) // the second answer of /spaced arrives
+	_, got := r.do(t, "POST", "/3", "")
+	is.Equal(got, "/3")
 }
-func (g *fakeGate) Drain()                     { g.draining.Store(true) }
-func (g *fakeGate) Wait(context.Context) error { g.calls.Wait(); return nil }
-func (g *fakeGate) Load() float64              { return 0.5 }
-
-// serveOn runs a server for the length of the test and returns its address.
-func serveOn(t *testing.T, h http.Handler) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+
+// Guards against a POST on a pooled connection that the target has closed.
+func TestStaleConnectionIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, n int32) bool {
+		io.WriteString(nc, okAnswer) // promises to stay open
+		return n%2 == 0
+	})
+	r := newRig(t, nil, rt.addr)
+	for range 6 {
+		resp, got := r.do(t, "POST", "/bids", "bid")
+		is.Equal(resp.StatusCode, 200)
+		is.Equal(got, "ok")
+		time.Sleep(10 * time.Millisecond)
 	}
-	srv := NewServer(h, ServerOptions{})
-	go srv.Serve(l)
-	t.Cleanup(func() { srv.Close() })
-	return l.Addr().String()
+	is.Equal(rt.runs.Load(), int32(6))
 }
 
-// rig is an outbound node in front of inbound nodes, one for each target.
-type rig struct {
-	addr     string // of the outbound listener
-	current  snapshot.Current
-	balancer *fakeBalancer
-	inbounds []*Inbound
-	out      *Outbound
+// Guards against a caller that goes away while its call keeps the target busy.
+func TestCancellationReachesTheTarget(t *testing.T) {
+	is := is.New(t)
+	started, ended := make(chan struct{}), make(chan struct{})
+	r := newRig(t, nil, serveOn(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(ended)
+	})))
+	ctx, cancel := context.WithCancel(t.Context())
+	req, err := http.NewRequestWithContext(ctx, "POST", "http://"+r.addr+"/", nil)
+	is.NoErr(err)
+	go func() { <-started; cancel() }()
+	_, err = r.client.Do(req)
+	is.True(err != nil)
+	select {
+	case <-ended:
+	case <-time.After(3 * time.Second):
+		t.Fatal("the target was not told")
+	}
 }
 
-// newRig starts nodes for targets that listen on the addresses.
-func newRig(t *testing.T, policy *object.PolicySpec, targets ...string) *rig {
-	t.Helper()
-	r := &rig{balancer: &fakeBalancer{}}
-	for i, target := range targets {
-		in := NewInbound(InboundOptions{Target: target, Gate: &fakeGate{}})
-		r.inbounds = append(r.inbounds, in)
-		r.balancer.records = append(r.balancer.records, &member.Record{
-			ID: string(rune('a' + i)), Incarnation: 1, State: member.Alive, InboundAddr: serveOn(t, in), Service: "floor",
-		})
+// Guards against a deadline that does not shrink along the hops or is ignored.
+func TestDeadlineIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	got := make(chan string, 8)
+	r := newRig(t, &object.PolicySpec{TimeoutMs: 2000}, serveOn(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		got <- r.Header.Get(HeaderDeadline)
+	})))
+	for _, tc := range []struct {
+		sent string
+		max  time.Duration
+	}{{"", 2 * time.Second}, {"700", 700 * time.Millisecond}, {"99999", 2 * time.Second}} {
+		r.do(t, "GET", "/", "", HeaderDeadline, tc.sent)
+		if tc.sent == "" {
+			continue // an empty value is refused below
+		}
+		d, err := ParseDeadline(<-got)
+		is.NoErr(err)
+		is.True(d <= tc.max && d > tc.max/2)
 	}
-	set := []*object.Object{
-		{Kind: object.KindEndpointSet, Name: "floor", EndpointSet: &object.EndpointSetSpec{Announce: "floor"}},
-		{Kind: object.KindPolicy, Name: "p", Policy: policy},
-		{Kind: object.KindService, Name: "floor", Service: &object.ServiceSpec{EndpointSet: "floor", Policy: "p"}},
-		{Kind: object.KindRoute, Name: "all", Route: &object.RouteSpec{PathPrefix: "/", Service: "floor", Kind: object.WorkBid}},
+	for _, bad := range []string{"", "-1", "1e3", "0x1", " 1"} {
+		resp := rawCall(t, r.addr, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"+HeaderDeadline+": x"+bad+"\r\n\r\n")
+		is.True(strings.HasPrefix(resp, "HTTP/1.1 400 "))
 	}
-	if policy == nil {
-		set[1].Policy = &object.PolicySpec{}
+	resp, _ := r.do(t, "GET", "/", "", HeaderDeadline, "0")
+	is.Equal(resp.Header.Get(HeaderOutcome), OutcomeNotRun)
+}
+
+// Guards against bodies on answers that have none, and against lost trailers,
+// interim answers and lengths.
+func TestAnswersWithoutBodyAndWithTrailers(t *testing.T) {
+	is := is.New(t)
+	answers := map[string]string{
+		"/head":    "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n",
+		"/204":     "HTTP/1.1 204 No Content\r\n\r\n",
+		"/304":     "HTTP/1.1 304 Not Modified\r\nContent-Length: 7\r\nEtag: \"x\"\r\n\r\n",
+		"/trailer": "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: Sum\r\nConnection: X-Hop\r\nX-Hop: 1\r\n\r\n2\r\nok\r\n0\r\nSum: 1\r\n\r\n",
 	}
-	s, err := snapshot.New(1, set)
-	if err != nil {
-		t.Fatal(err)
+	rt := newRawTarget(t, func(nc net.Conn, r *http.Request, _ int32) bool { io.WriteString(nc, answers[r.URL.Path]); return true })
+	r := newRig(t, nil, rt.addr)
+	resp, body := r.do(t, "HEAD", "/head", "")
+	is.Equal(resp.ContentLength, int64(7))
+	is.Equal(body, "")
+	for path, status := range map[string]int{"/204": 204, "/304": 304} {
+		resp, body = r.do(t, "GET", path, "")
+		is.Equal(resp.StatusCode, status)
+		is.Equal(body, "")
 	}
-	if err := r.current.Advance(s); err != nil {
-		t.Fatal(err)
+	var hints textproto.MIMEHeader
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, h textproto.MIMEHeader) error { hints = h; return nil },
+	})
+	req, err := http.NewRequestWithContext(ctx, "GET", "http://"+r.addr+"/trailer", nil)
+	is.NoErr(err)
+	resp, err = r.client.Do(req)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(b), "ok")
+	is.Equal(resp.Trailer.Get("Sum"), "1")
+	is.Equal(resp.Header.Get("X-Hop"), "")
+	is.Equal(hints.Get("Link"), "</a>")
+	is.Equal(rt.conns.Load(), int32(1)) // each exchange left the connection usable
+}
+
+// Guards against a message that the caller's node and the target frame
+// differently, and against callers that strip or forge headers of the nodes.
+func TestSmuggledRequestsDoNotReachTheTarget(t *testing.T) {
+	const inner = "GET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n"
+	for name, tc := range map[string]struct{ head, body string }{
+		"length and chunked":  {"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n" + inner},
+		"two lengths":         {"Content-Length: 0\r\nContent-Length: 40\r\n", inner},
+		"unknown encoding":    {"Transfer-Encoding: xchunked\r\n", "0\r\n\r\n" + inner},
+		"two encodings":       {"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", "0\r\n\r\n" + inner},
+		"signed length":       {"Content-Length: +0\r\n", inner},
+		"space before colon":  {"Transfer-Encoding : chunked\r\n", "0\r\n\r\n" + inner},
+		"length as hop":       {"Connection: close, Content-Length\r\nContent-Length: 0\r\n", inner},
+		"key as hop":          {"Connection: idempotency-key\r\nIdempotency-Key: a.1.x\r\n", inner},
+		"deadline as hop":     {"Connection: Siskingw-Deadline-Ms\r\n", inner},
+		"upgrade":             {"Connection: upgrade\r\nUpgrade: websocket\r\n", inner},
+		"two keys":            {"Idempotency-Key: a.1.x\r\nIdempotency-Key: a.1.y\r\n", inner},
+		"NUL in a value":      {"X: a\x00b\r\n", inner},
+		"folded header":       {"X: a\r\n Transfer-Encoding: chunked\r\n", ""},
+		"second request line": {"X: a\rGET /smuggled HTTP/1.1\r\n", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rt := newRawTarget(t, func(nc net.Conn, r *http.Request, _ int32) bool {
+				if r.URL.Path != "/" || r.Header.Get("Transfer-Encoding") != "" || r.Header.Get("Upgrade") != "" {
+					t.Errorf("the target got %s %v", r.URL.Path, r.Header)
+				}
+				io.WriteString(nc, okAnswer)
+				return true
+			})
+			r := newRig(t, nil, rt.addr)
+			got := rawCall(t, r.addr, "POST / HTTP/1.1\r\nHost: x\r\n"+tc.head+"\r\n"+tc.body)
+			if n := strings.Count(got, "HTTP/1.1 "); n != 1 {
+				t.Errorf("%d answers: %q", n, got)
+			}
+		})
 	}
-	r.out = NewOutbound(OutboundOptions{Current: &r.current, Balancer: r.balancer})
-	r.addr = serveOn(t, r.out)
-	return r
 }
 
-// Guards against a call through both nodes that changes method, body or answer.
-func TestCallThroughBothNodes(t *testing.T) {
+// Guards against nodes that add a User-Agent, keep hop-by-hop headers or pass
+// a caller's statements about nodes to the target.
+func TestRequestHeadersAtTheTarget(t *testing.T) {
 	is := is.New(t)
-	big := strings.Repeat("scan", 64<<10)
-	target := serveOn(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		b, _ := io.ReadAll(r.Body)
-		w.Header().Set("Method", r.Method)
-		w.WriteHeader(http.StatusCreated)
-		w.Write(b)
-	}))
-	r := newRig(t, nil, target)
-	client := &http.Client{Transport: &http.Transport{}, Timeout: 10 * time.Second}
-	for _, body := range []string{"", "bid", big} {
-		for range 3 {
-			resp, err := client.Post("http://"+r.addr+"/bids?lot=1", "text/plain", bytes.NewReader([]byte(body)))
-			is.NoErr(err)
-			got, err := io.ReadAll(resp.Body)
-			is.NoErr(err)
-			resp.Body.Close()
-			is.Equal(resp.StatusCode, http.StatusCreated)
-			is.Equal(resp.Header.Get("Method"), "POST")
-			is.True(string(got) == body)
-		}
+	got := make(chan http.Header, 1)
+	r := newRig(t, nil, serveOn(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got <- r.Header })))
+	nc, err := net.Dial("tcp", r.addr)
+	is.NoErr(err)
+	defer nc.Close()
+	fmt.Fprint(nc, "GET / HTTP/1.1\r\nHost: x\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nKeep-Alive: 5\r\nTe: trailers\r\nX: 1\r\nX: 2\r\nSiskingw-Voucher: v\r\nSiskingw-Kind: bid\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(nc), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, 200)
+	h := <-got
+	is.Equal(h["X"], []string{"1", "2"})
+	h.Del("X")
+	h.Del(HeaderDeadline)
+	is.Equal(h, http.Header{})
+}
+
+// Guards against a body beyond the policy's limit that reaches the target whole.
+func TestBodyLimit(t *testing.T) {
+	is := is.New(t)
+	rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool { io.WriteString(nc, okAnswer); return true })
+	r := newRig(t, &object.PolicySpec{MaxBodyBytes: 100 << 10}, rt.addr)
+	resp, _ := r.do(t, "POST", "/", strings.Repeat("a", 101<<10))
+	is.Equal(resp.StatusCode, http.StatusRequestEntityTooLarge)
+	is.Equal(resp.Header.Get(HeaderOutcome), OutcomeNotRun)
+	req, err := http.NewRequest("POST", "http://"+r.addr+"/", io.MultiReader(bytes.NewReader(make([]byte, 200<<10)))) // chunked
+	is.NoErr(err)
+	if resp, err := r.client.Do(req); err == nil {
+		resp.Body.Close()
+		is.Equal(resp.Header.Get(HeaderOutcome), OutcomeUnknown)
 	}
+	is.Equal(rt.runs.Load(), int32(0))
 }
