member: add the membership service over gRPC

Probing, indirect probes, joins, comparison of digests and spreading of changed records keep the directories alike. Decisions (whom to probe, when to suspect, over which edges records go, what the byte budget allows) are plain types without clock or transport.

A peer in backoff is tried at once on each probe, because gRPC's backoff of up to 2 min would keep a healed link unused.

--- /dev/null
+++ b/member/cluster_test.go
@@ -0,0 +1,251 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"siskingw/faults"
+	"siskingw/peer"
+)
+
+// links decides which connections of a test cluster work.
+type links struct {
+	mu    sync.Mutex
+	where map[string]string // peer address to failure domain
+	cut   map[[2]string]bool
+	open  map[net.Conn][2]string
+}
+
+// set cuts or heals the direction from one failure domain to another.
+func (l *links) set(from, to string, cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut[[2]string{from, to}] = cut
+	for c, link := range l.open {
+		if l.cut[link] {
+			_ = c.Close()
+			delete(l.open, c)
+		}
+	}
+}
+
+func (l *links) dialer(from string) func(context.Context, string, peer.LinkClass) (net.Conn, error) {
+	return func(ctx context.Context, addr string, _ peer.LinkClass) (net.Conn, error) {
+		l.mu.Lock()
+		link := [2]string{from, l.where[addr]}
+		cut := l.cut[link]
+		l.mu.Unlock()
+		if cut {
+			return nil, faults.PeerUnavailable.New("link %v is cut", link)
+		}
+		c, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		l.mu.Lock()
+		l.open[c] = link
+		l.mu.Unlock()
+		return c, nil
+	}
+}
+
+// testNode is one node of a test cluster over loopback gRPC.
+type testNode struct {
+	dir     *Directory
+	service *Service
+	server  *grpc.Server
+	pool    *peer.Pool
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+// stop ends the node without a word, as a crash does.
+func (n *testNode) stop() {
+	n.cancel()
+	n.server.Stop()
+	n.pool.Close()
+	<-n.done
+}
+
+type cluster struct {
+	t     *testing.T
+	links *links
+	nodes map[string]*testNode
+	seeds []Seed
+}
+
+func newCluster(t *testing.T) *cluster {
+	c := &cluster{t: t, nodes: make(map[string]*testNode), links: &links{
+		where: make(map[string]string), cut: make(map[[2]string]bool), open: make(map[net.Conn][2]string),
+	}}
+	t.Cleanup(func() {
+		for _, n := range c.nodes {
+			n.stop()
+		}
+	})
+	return c
+}
+
+// start runs a node and returns after it joined. link names the node's side of
+// cut links; it is the failure domain unless a test splits that.
+func (c *cluster) start(id, failureDomain, region, link string) *testNode {
+	c.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	c.links.mu.Lock()
+	c.links.where[addr] = link
+	c.links.mu.Unlock()
+	self := Record{ID: id, Incarnation: uint64(time.Now().UnixMilli()), Sequence: 1, FailureDomain: failureDomain,
+		Region: region, PeerAddr: addr, Service: "svc", Slots: 1}
+	n := &testNode{dir: NewDirectory(self, DirectoryOptions{}), done: make(chan struct{})}
+	n.pool = peer.NewPool(self.Place(), &peer.Traffic{}, peer.Options{Dial: c.links.dialer(link)})
+	n.service = NewService(n.dir, Options{
+		Connect: n.pool.Conn, Seeds: c.seeds, Heartbeat: 200 * time.Millisecond, SuspectTimeout: time.Second,
+		BatchDelay: 20 * time.Millisecond,
+	})
+	n.server = peer.NewServer()
+	n.service.Register(n.server)
+	go func() { _ = n.server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		defer close(n.done)
+		_ = n.service.Run(ctx)
+	}()
+	c.nodes[id] = n
+	joinCtx, cancelJoin := context.WithTimeout(ctx, 4*time.Second)
+	defer cancelJoin()
+	if err := n.service.Join(joinCtx); err != nil {
+		c.t.Fatalf("%s did not join: %v", id, err)
+	}
+	if len(c.seeds) < 4 {
+		c.seeds = append(c.seeds, Seed{Addr: addr, Place: self.Place()})
+	}
+	return n
+}
+
+// within waits until every node fulfils the condition, which names what is missing.
+func (c *cluster) within(limit time.Duration, what string, condition func(n *testNode) string) time.Duration {
+	c.t.Helper()
+	began := time.Now()
+	for {
+		missing := ""
+		for id, n := range c.nodes {
+			if m := condition(n); m != "" {
+				missing = id + ": " + m
+			}
+		}
+		if missing == "" {
+			return time.Since(began)
+		}
+		if time.Since(began) > limit {
+			c.t.Fatalf("%s: not within %s: %s", what, limit, missing)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// build starts the nodes one after the other. Each but the first also has a
+// stale seed at which nobody listens.
+func (c *cluster) build(domains, each int) {
+	for i := range domains * each {
+		if i == 1 {
+			c.seeds = append(c.seeds, Seed{Addr: "127.0.0.1:1"})
+		}
+		fd := fmt.Sprintf("fd-%d", i%domains)
+		c.start(fmt.Sprintf("n%02d", i), fd, fmt.Sprintf("region-%d", i%domains/2), fd)
+	}
+}
+
+func holdsLive(live int) func(n *testNode) string {
+	return func(n *testNode) string {
+		if got := n.dir.Live(); got != live {
+			return fmt.Sprintf("%d live of %d", got, live)
+		}
+		return ""
+	}
+}
+
+func holdsState(id string, want State) func(n *testNode) string {
+	return func(n *testNode) string {
+		if r := n.dir.Lookup(id); r == nil || r.State != want {
+			return fmt.Sprintf("%s is %v", id, r)
+		}
+		return ""
+	}
+}
+
+// Guards against joins through stale seeds that fail, deaths and departures
+// that stay unknown somewhere, and a cut failure domain whose members are dropped.
+func TestClusterLifecycle(t *testing.T) {
+	const domains, each = 3, 10
+	c := newCluster(t)
+	c.build(domains, each)
+	live := domains * each
+	t.Logf("all joined after %s", c.within(4*time.Second, "join", holdsLive(live)))
+
+	victim := "n13"
+	c.nodes[victim].stop()
+	delete(c.nodes, victim)
+	live--
+	t.Logf("death known after %s", c.within(4*time.Second, "death", holdsState(victim, Dead)))
+
+	leaver := c.nodes["n20"]
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	leaver.service.Drain(ctx)
+	t.Logf("draining known after %s", c.within(2*time.Second, "drain", holdsState("n20", Draining)))
+	leaver.service.Leave(ctx)
+	leaver.stop()
+	delete(c.nodes, "n20")
+	live--
+	t.Logf("departure known after %s", c.within(2*time.Second, "leave", holdsState("n20", Left)))
+
+	c.cut("fd-2", true)
+	t.Logf("cut known after %s", c.within(4*time.Second, "cut", func(n *testNode) string {
+		for _, d := range n.dir.FailureDomains() {
+			cutOff := (d.Name == "fd-2") != (n.dir.Self().FailureDomain == "fd-2")
+			if d.Unreachable != cutOff {
+				return fmt.Sprintf("%s unreachable: %v", d.Name, d.Unreachable)
+			}
+		}
+		return holdsLive(live)(n)
+	}))
+
+	c.start("late", "fd-2", "region-1", "fd-2") // joins while its failure domain is cut off
+	live++
+	c.cut("fd-2", false)
+	t.Logf("healed after %s", c.within(4*time.Second, "heal", func(n *testNode) string {
+		for _, d := range n.dir.FailureDomains() {
+			if d.Unreachable {
+				return d.Name + " unreachable"
+			}
+		}
+		return holdsLive(live)(n)
+	}))
+	c.within(4*time.Second, "equal digests", func(n *testNode) string {
+		if n.dir.Root() != c.nodes["n00"].dir.Root() {
+			return "digest differs"
+		}
+		return ""
+	})
+}
+
+// cut separates one failure domain from the others, or heals it.
+func (c *cluster) cut(name string, cut bool) {
+	for _, other := range []string{"fd-0", "fd-1", "fd-2"} {
+		if other != name {
+			c.links.set(name, other, cut)
+			c.links.set(other, name, cut)
+		}
+	}
+}
--- /dev/null
+++ b/member/codec.go
@@ -0,0 +1,128 @@
+package member
+
+import (
+	"sync"
+	"time"
+
+	"github.com/klauspost/compress/zstd"
+	"google.golang.org/protobuf/proto"
+
+	"siskingw/faults"
+	"siskingw/peer/peerpb"
+)
+
+const (
+	// chunkRecords keeps a chunk of a join under 100 KB before compression.
+	chunkRecords = 1000
+	// compressBytes is the size from which compression saves more than it adds.
+	compressBytes = 200
+	// maxBatchBytes bounds what a received batch may decompress to.
+	maxBatchBytes = 8 << 20
+	// codecWindow bounds the compressor's memory; repeated names lie close together.
+	codecWindow = 64 << 10
+)
+
+// The coders are safe for concurrent use and shared by the whole process,
+// because each holds a window of memory.
+var (
+	encoder = sync.OnceValue(func() *zstd.Encoder {
+		e, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(codecWindow),
+			zstd.WithLowerEncoderMem(true), zstd.WithEncoderLevel(zstd.SpeedFastest))
+		if err != nil {
+			panic(err) // the options are constants
+		}
+		return e
+	})
+	decoder = sync.OnceValue(func() *zstd.Decoder {
+		d, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true),
+			zstd.WithDecoderMaxMemory(maxBatchBytes))
+		if err != nil {
+			panic(err) // the options are constants
+		}
+		return d
+	})
+)
+
+// codec converts records between memory and wire; ages count from now.
+type codec struct {
+	now time.Time
+}
+
+func (c codec) toProto(r *Record) *peerpb.MemberRecord {
+	p := &peerpb.MemberRecord{
+		Id: r.ID, Incarnation: r.Incarnation, Sequence: r.Sequence, State: uint32(r.State),
+		FailureDomain: r.FailureDomain, Region: r.Region, PeerAddr: r.PeerAddr,
+		InboundAddr: r.InboundAddr, Service: r.Service, Slots: r.Slots,
+	}
+	if r.Departed() {
+		p.DepartedAgeS = uint32(max(0, c.now.UnixMilli()-r.DepartedMs) / 1000)
+	}
+	return p
+}
+
+func (c codec) fromProto(p *peerpb.MemberRecord) Record {
+	r := Record{
+		ID: p.Id, Incarnation: p.Incarnation, Sequence: p.Sequence, State: State(min(p.State, uint32(Left)+1)),
+		FailureDomain: p.FailureDomain, Region: p.Region, PeerAddr: p.PeerAddr,
+		InboundAddr: p.InboundAddr, Service: p.Service, Slots: p.Slots,
+	}
+	if r.Departed() {
+		r.DepartedMs = c.now.UnixMilli() - int64(p.DepartedAgeS)*1000
+	}
+	return r
+}
+
+// encode returns a batch of records, compressed where that saves bytes.
+func (c codec) encode(records []*Record) (*peerpb.RecordBatch, error) {
+	msg := &peerpb.MemberRecords{Records: make([]*peerpb.MemberRecord, len(records))}
+	for i, r := range records {
+		msg.Records[i] = c.toProto(r)
+	}
+	data, err := proto.Marshal(msg)
+	if err != nil {
+		return nil, faults.Corrupt.Wrap(err, "%d membership records cannot be encoded", len(records))
+	}
+	if len(data) < compressBytes {
+		return &peerpb.RecordBatch{Data: data}, nil
+	}
+	return &peerpb.RecordBatch{Data: encoder().EncodeAll(data, nil), Compressed: true}, nil
+}
+
+// decode returns the records of a batch, or a Corrupt error.
+func (c codec) decode(b *peerpb.RecordBatch) ([]Record, error) {
+	if b == nil {
+		return nil, nil
+	}
+	data := b.Data
+	if b.Compressed {
+		var err error
+		if data, err = decoder().DecodeAll(b.Data, nil); err != nil {
+			return nil, faults.Corrupt.Wrap(err, "batch of %d bytes cannot be decompressed", len(b.Data))
+		}
+	}
+	var msg peerpb.MemberRecords
+	if err := proto.Unmarshal(data, &msg); err != nil {
+		return nil, faults.Corrupt.Wrap(err, "batch of %d bytes cannot be decoded", len(data))
+	}
+	records := make([]Record, len(msg.Records))
+	for i, p := range msg.Records {
+		records[i] = c.fromProto(p)
+	}
+	return records, nil
+}
+
+func keyOf(r *Record) *peerpb.MemberKey {
+	return &peerpb.MemberKey{Id: r.ID, Incarnation: r.Incarnation, Sequence: r.Sequence, State: uint32(r.State)}
+}
+
+// sameKey reports whether the key means exactly the record r.
+func sameKey(k *peerpb.MemberKey, r *Record) bool {
+	return k != nil && k.Id == r.ID && k.Incarnation == r.Incarnation && k.Sequence == r.Sequence && k.State == uint32(r.State)
+}
+
+// statement returns a copy of r with what a key states about it.
+func statement(r *Record, k *peerpb.MemberKey) Record {
+	s := *r
+	s.Incarnation, s.Sequence, s.State = k.Incarnation, k.Sequence, State(min(k.State, uint32(Left)+1))
+	return s
+}
--- /dev/null
+++ b/member/compare.go
@@ -0,0 +1,178 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"siskingw/faults"
+	"siskingw/peer/peerpb"
+)
+
+const (
+	compareTimeout = 3 * time.Second
+	// maxEntries bounds the fingerprints in one comparison to 16 KB; what is
+	// left over differs again at the next heartbeat.
+	maxEntries = 2048
+	// settleTime is how long a directory must be unchanged before a differing
+	// digest means a missed record rather than one that is still on its way.
+	settleTime = time.Second
+	// compareInterval bounds the wait while the directory keeps changing.
+	compareInterval = 10 * time.Second
+)
+
+// mustCompare decides whether a peer's digest calls for a comparison.
+func (s *Service) mustCompare(theirs uint64) bool {
+	if theirs == s.dir.Root() {
+		return false
+	}
+	now := s.clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(s.lastChange) < settleTime && now.Sub(s.lastSync) < compareInterval {
+		return false
+	}
+	s.lastSync = now
+	return true
+}
+
+// compare exchanges the records in which this node and a peer differ.
+func (s *Service) compare(ctx context.Context, peer *Record) {
+	sent, err := s.compareWith(ctx, peer)
+	s.mu.Lock()
+	s.outbox.charge(s.clock.Now(), sent)
+	s.mu.Unlock()
+	if err != nil {
+		s.opts.Log.V(1).Info("comparison of members failed", "peer", peer.ID, "error", err.Error())
+	}
+}
+
+func (s *Service) compareWith(ctx context.Context, peer *Record) (sent int, err error) {
+	client, err := s.client(peer)
+	if err != nil {
+		return 0, err
+	}
+	first := &peerpb.SyncMembersRequest{Digests: s.dir.Digests()}
+	sent = proto.Size(first)
+	reply, err := client.SyncMembers(ctx, first)
+	if err != nil {
+		return sent, faults.PeerUnavailable.Wrap(err, "comparison with %q", peer.ID)
+	}
+	records, want := s.dir.difference(reply.Entries)
+	if len(records) == 0 && len(want) == 0 {
+		return sent, nil
+	}
+	c := codec{s.clock.Now()}
+	second := &peerpb.SyncMembersRequest{Want: want}
+	if second.Records, err = c.encode(records); err != nil {
+		return sent, err
+	}
+	sent += proto.Size(second)
+	if reply, err = client.SyncMembers(ctx, second); err != nil {
+		return sent, faults.PeerUnavailable.Wrap(err, "exchange of records with %q", peer.ID)
+	}
+	theirs, err := c.decode(reply.Records)
+	if err != nil {
+		return sent, err
+	}
+	s.apply(theirs, s.comparedOrigin(peer.FailureDomain))
+	return sent, nil
+}
+
+// comparedOrigin says who else needs records that a comparison brought. A
+// later push of them changes nothing here and would stop, so they go down the
+// tree now. Rank 0 passes them on to everyone; a relay that learned them from
+// another failure domain passes them to rank 0.
+func (s *Service) comparedOrigin(peerDomain string) origin {
+	self := s.dir.Self()
+	if Position(s.dir, self.ID) == 0 || peerDomain != self.FailureDomain {
+		return origin{direction: peerpb.PushDirection_PUSH_UP, domain: peerDomain}
+	}
+	return origin{direction: peerpb.PushDirection_PUSH_DOWN}
+}
+
+// SyncMembers serves one step of a comparison.
+func (s *Service) SyncMembers(_ context.Context, req *peerpb.SyncMembersRequest) (*peerpb.SyncMembersReply, error) {
+	if len(req.Digests) > 0 {
+		return &peerpb.SyncMembersReply{Entries: s.dir.entries(req.Digests)}, nil
+	}
+	c := codec{s.clock.Now()}
+	theirs, err := c.decode(req.Records)
+	if err != nil {
+		return nil, err
+	}
+	batch, err := c.encode(s.dir.wanted(req.Want))
+	if err != nil {
+		return nil, err
+	}
+	s.apply(theirs, s.comparedOrigin(s.dir.Self().FailureDomain))
+	return &peerpb.SyncMembersReply{Records: batch}, nil
+}
+
+// entries returns the fingerprints in the buckets that differ from a peer's.
+func (d *Directory) entries(digests []uint32) []*peerpb.BucketEntries {
+	var entries []*peerpb.BucketEntries
+	n := 0
+	for _, i := range d.Differing(digests) {
+		e := &peerpb.BucketEntries{Bucket: uint32(i)}
+		for _, r := range d.Bucket(i) {
+			e.Fingerprints = append(e.Fingerprints, r.Fingerprint())
+		}
+		entries = append(entries, e)
+		if n += len(e.Fingerprints); n >= maxEntries {
+			break
+		}
+	}
+	return entries
+}
+
+// difference returns this node's records that a peer lacks and the
+// fingerprints of the peer's records that this node lacks.
+func (d *Directory) difference(theirs []*peerpb.BucketEntries) (records []*Record, want []*peerpb.BucketEntries) {
+	for _, e := range theirs {
+		missing := make(map[uint64]bool, len(e.Fingerprints))
+		for _, f := range e.Fingerprints {
+			missing[f] = true
+		}
+		if e.Bucket >= BucketCount {
+			continue
+		}
+		for _, r := range d.Bucket(int(e.Bucket)) {
+			f := r.Fingerprint()
+			if !missing[f] {
+				records = append(records, r)
+			}
+			delete(missing, f)
+		}
+		if len(missing) == 0 {
+			continue
+		}
+		w := &peerpb.BucketEntries{Bucket: e.Bucket}
+		for f := range missing {
+			w.Fingerprints = append(w.Fingerprints, f)
+		}
+		want = append(want, w)
+	}
+	return records, want
+}
+
+// wanted returns the records with the given fingerprints.
+func (d *Directory) wanted(want []*peerpb.BucketEntries) []*Record {
+	var records []*Record
+	for _, e := range want {
+		if e.Bucket >= BucketCount {
+			continue
+		}
+		asked := make(map[uint64]bool, len(e.Fingerprints))
+		for _, f := range e.Fingerprints {
+			asked[f] = true
+		}
+		for _, r := range d.Bucket(int(e.Bucket)) {
+			if asked[r.Fingerprint()] {
+				records = append(records, r)
+			}
+		}
+	}
+	return records
+}
--- a/member/directory.go
+++ b/member/directory.go
@@ -276,6 +276,9 @@
 		d.removeTombstone(old)
 	}
 	if next.Departed() {
+		if next.DepartedMs == 0 {
+			next.DepartedMs = d.opts.Clock.Now().UnixMilli()
+		}
 		d.addTombstone(&next)
 	}
 	b.add(&next)
--- /dev/null
+++ b/member/join.go
@@ -0,0 +1,232 @@
+package member
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"siskingw/faults"
+	"siskingw/peer"
+	"siskingw/peer/peerpb"
+)
+
+const (
+	// joinLimit bounds the joins that one node serves at a time.
+	joinLimit = 4
+	// joinTries is the number of nodes asked in one round.
+	joinTries     = 8
+	joinTimeout   = 2 * time.Second
+	joinBaseDelay = 100 * time.Millisecond
+	joinMaxDelay  = 5 * time.Second
+	// patientRounds is the number of rounds in which a node that is no relay
+	// waits for a full set within its failure domain, so that a restarted
+	// failure domain fetches across its boundary only a few times.
+	patientRounds = 4
+	// seedInterval is the mean time between a relay's pings of a seed, which
+	// is how groups of nodes that never knew each other meet.
+	seedInterval = time.Minute
+)
+
+// Join gets the known records from other nodes, through the seeds first. It
+// retries with full jitter and returns a Timeout error when ctx ends before a
+// node with a full set answered; Run then goes on trying. A node without seeds
+// is the first of its fleet.
+func (s *Service) Join(ctx context.Context) error {
+	for round := 0; ; round++ {
+		if s.joinRound(ctx, round) {
+			s.completeOnce.Do(func() { close(s.complete) })
+			return nil
+		}
+		if !s.sleep(ctx, fullJitter(round)) {
+			return faults.Timeout.Wrap(ctx.Err(), "no node answered a join after %d rounds over %d seeds", round+1, len(s.opts.Seeds))
+		}
+	}
+}
+
+// fullJitter returns a random delay below an exponentially growing bound.
+func fullJitter(round int) time.Duration {
+	bound := min(joinMaxDelay, joinBaseDelay<<min(round, 10))
+	return time.Duration(rand.Int64N(int64(bound)))
+}
+
+func (s *Service) jitter(d time.Duration) time.Duration { return time.Duration(rand.Int64N(int64(d))) }
+
+// joinRound asks nodes in turn and reports whether the records are complete.
+// When every node that answers is itself still joining, the union of their
+// records is all that there is.
+func (s *Service) joinRound(ctx context.Context, round int) bool {
+	candidates := s.joinCandidates()
+	if len(candidates) == 0 {
+		return true // the first node of its fleet
+	}
+	answered := 0
+	for _, seed := range candidates {
+		complete, err := s.joinThrough(ctx, seed, s.domainOnly(seed, round))
+		if err != nil {
+			s.opts.Log.V(1).Info("join failed", "seed", seed.Addr, "error", err.Error())
+			continue
+		}
+		answered++
+		if complete {
+			return true
+		}
+	}
+	return answered > 0 && round >= patientRounds
+}
+
+// domainOnly decides whether to ask a node only for the members close by: the
+// full set is fetched within the own failure domain when it may be there.
+func (s *Service) domainOnly(seed Seed, round int) bool {
+	self := s.dir.Self()
+	if seed.Place.FailureDomain == self.FailureDomain || round >= patientRounds {
+		return false
+	}
+	if round == 0 {
+		return true
+	}
+	return !IsRelay(s.dir, self.ID)
+}
+
+// joinCandidates returns known members of the own failure domain and the seeds,
+// nearest first and shuffled among equally near ones.
+func (s *Service) joinCandidates() []Seed {
+	self := s.dir.Self()
+	seeds := slices.Clone(s.opts.Seeds)
+	ranked := s.dir.Ranked(self.FailureDomain)
+	for _, i := range rand.Perm(len(ranked))[:min(joinTries, len(ranked))] {
+		seeds = append(seeds, Seed{ranked[i].PeerAddr, ranked[i].Place()})
+	}
+	seeds = slices.DeleteFunc(seeds, func(c Seed) bool { return c.Addr == self.PeerAddr })
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	slices.SortStableFunc(seeds, func(a, b Seed) int {
+		return cmp.Compare(peer.Class(self.Place(), a.Place), peer.Class(self.Place(), b.Place))
+	})
+	return seeds[:min(joinTries, len(seeds))]
+}
+
+// joinThrough announces the own record to a node and merges what it returns.
+// It reports whether that was a full set.
+func (s *Service) joinThrough(ctx context.Context, seed Seed, domainOnly bool) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	client, err := s.client(&Record{PeerAddr: seed.Addr, Region: seed.Place.Region, FailureDomain: seed.Place.FailureDomain})
+	if err != nil {
+		return false, err
+	}
+	c := codec{s.clock.Now()}
+	stream, err := client.Join(ctx, &peerpb.JoinRequest{Record: c.toProto(s.dir.Self()), DomainOnly: domainOnly})
+	if err != nil {
+		return false, faults.PeerUnavailable.Wrap(err, "join through %s", seed.Addr)
+	}
+	complete := false
+	for {
+		chunk, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return complete && !domainOnly, nil
+		}
+		if err != nil {
+			return false, faults.PeerUnavailable.Wrap(err, "join through %s", seed.Addr)
+		}
+		records, err := c.decode(chunk.Batch)
+		if err != nil {
+			return false, err
+		}
+		complete = complete || chunk.Complete
+		s.dir.Merge(records)
+	}
+}
+
+// serveJoin announces the joiner and sends it the records that it asks for.
+func (s *Service) serveJoin(req *peerpb.JoinRequest, stream grpc.ServerStreamingServer[peerpb.JoinChunk]) error {
+	c := codec{s.clock.Now()}
+	joiner := c.fromProto(req.Record)
+	if known := s.dir.Lookup(joiner.ID); known == nil || joiner.Supersedes(known) {
+		s.apply([]Record{joiner}, origin{local: true})
+	}
+	records := s.dir.All()
+	if req.DomainOnly {
+		records = s.near(joiner)
+	}
+	for first := true; first || len(records) > 0; first = false {
+		n := min(chunkRecords, len(records))
+		batch, err := c.encode(records[:n])
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(&peerpb.JoinChunk{Batch: batch, Complete: s.isComplete()}); err != nil {
+			return err
+		}
+		records = records[n:]
+	}
+	return nil
+}
+
+// near returns the members of a joiner's failure domain, the relays of the
+// others and what is known about the joiner itself.
+func (s *Service) near(joiner Record) []*Record {
+	records := slices.Clone(s.dir.Ranked(joiner.FailureDomain))
+	for _, d := range s.dir.FailureDomains() {
+		if d.Name != joiner.FailureDomain {
+			records = append(records, Relays(s.dir, d.Name)...)
+		}
+	}
+	if known := s.dir.Lookup(joiner.ID); known != nil && !known.Live() {
+		records = append(records, known)
+	}
+	return records
+}
+
+func (s *Service) isComplete() bool {
+	select {
+	case <-s.complete:
+		return true
+	default:
+		return false
+	}
+}
+
+// joinServer adapts serveJoin to the generated interface, in which the method
+// has the name of the client-side Join.
+type joinServer struct {
+	*Service
+}
+
+// Join serves a joining node, at most joinLimit at a time.
+func (j joinServer) Join(req *peerpb.JoinRequest, stream grpc.ServerStreamingServer[peerpb.JoinChunk]) error {
+	if req.Record == nil {
+		return status.Error(codes.InvalidArgument, "join without a record")
+	}
+	select {
+	case j.joins <- struct{}{}:
+		defer func() { <-j.joins }()
+	default:
+		return status.Error(codes.ResourceExhausted, "too many joins are served")
+	}
+	return j.serveJoin(req, stream)
+}
+
+// joinLoop goes on joining until the records are complete; relays then ping a
+// random seed from time to time.
+func (s *Service) joinLoop(ctx context.Context) {
+	if !s.isComplete() {
+		if err := s.Join(ctx); err != nil {
+			return // ctx ended
+		}
+	}
+	for s.sleep(ctx, seedInterval/2+s.jitter(seedInterval)) {
+		if n := len(s.opts.Seeds); n > 0 && IsRelay(s.dir, s.dir.Self().ID) {
+			seed := s.opts.Seeds[rand.IntN(n)]
+			if seed.Addr != s.dir.Self().PeerAddr {
+				s.anyAnswers(ctx, []*Record{{PeerAddr: seed.Addr, Region: seed.Place.Region, FailureDomain: seed.Place.FailureDomain}})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/member/probe.go
@@ -0,0 +1,271 @@
+package member
+
+import (
+	"context"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
+
+	"siskingw/faults"
+	"siskingw/peer"
+	"siskingw/peer/peerpb"
+	"siskingw/snapshot"
+)
+
+// probeLoop runs the failure detector of the own failure domain.
+func (s *Service) probeLoop(ctx context.Context) {
+	if !s.sleep(ctx, s.jitter(s.opts.Heartbeat)) {
+		return
+	}
+	ticker := s.clock.NewTicker(s.opts.Heartbeat)
+	defer ticker.Stop()
+	results := make(chan outcome, 1)
+	running := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case changed := <-s.changes.C():
+			s.detector.watch(s.clock.Now(), changed)
+		case o := <-results:
+			running = false
+			s.apply(s.detector.observe(s.clock.Now(), o), origin{local: true})
+		case <-ticker.Chan():
+			now := s.clock.Now()
+			target := s.detector.tick(now)
+			s.apply(s.detector.due(now), origin{local: true})
+			if target != nil && !running {
+				running = true
+				helpers := s.detector.helpers(target)
+				go func() { results <- s.probe(ctx, target, helpers) }()
+			}
+		}
+	}
+}
+
+// probe pings a member; when it does not answer within the probe timeout,
+// helpers ping it too, while the direct ping has the same time again.
+func (s *Service) probe(ctx context.Context, target *Record, helpers []*Record) outcome {
+	o := outcome{target: target, started: s.clock.Now()}
+	ctx, cancel := context.WithTimeout(ctx, 2*s.opts.ProbeTimeout-s.opts.ProbeTimeout/10)
+	defer cancel()
+	direct := make(chan error, 1)
+	go func() {
+		reply, err := s.ping(ctx, target)
+		direct <- err
+		if err == nil {
+			s.takeReply(reply)
+		}
+	}()
+	select {
+	case err := <-direct:
+		if err == nil {
+			o.answered = true
+			return o
+		}
+	case <-s.clock.After(s.opts.ProbeTimeout):
+	}
+	o.asked = len(helpers)
+	answers := make(chan answer, len(helpers))
+	for _, h := range helpers {
+		go func() { answers <- s.pingThrough(ctx, h, target) }()
+	}
+	for range helpers {
+		select {
+		case err := <-direct:
+			if err == nil {
+				o.answered = true
+				return o
+			}
+			direct = nil
+			o.count(<-answers)
+		case a := <-answers:
+			o.count(a)
+		}
+	}
+	return o
+}
+
+// answer is what a helper says.
+type answer int
+
+const (
+	noAnswer answer = iota
+	targetSilent
+	targetAnswered
+)
+
+func (o *outcome) count(a answer) {
+	switch a {
+	case targetAnswered:
+		o.answered = true
+	case targetSilent:
+		o.negative++
+	}
+}
+
+// pingThrough asks a helper to ping the target.
+func (s *Service) pingThrough(ctx context.Context, helper, target *Record) answer {
+	client, err := s.client(helper)
+	if err != nil {
+		return noAnswer
+	}
+	reply, err := client.PingIndirect(ctx, &peerpb.PingIndirectRequest{
+		Id: target.ID, PeerAddr: target.PeerAddr, FailureDomain: target.FailureDomain, Region: target.Region,
+	})
+	switch {
+	case err != nil:
+		return noAnswer
+	case reply.Answered:
+		return targetAnswered
+	}
+	return targetSilent
+}
+
+// ping probes a member. It returns a PeerUnavailable error when the member
+// does not answer or another process answers at its address. A target without
+// id may be any node.
+func (s *Service) ping(ctx context.Context, target *Record) (*peerpb.PingReply, error) {
+	client, err := s.client(target)
+	if err != nil {
+		return nil, err
+	}
+	self := s.dir.Self()
+	reply, err := client.Ping(ctx, &peerpb.PingRequest{From: keyOf(self), Summary: s.localSummary(), About: keyOf(target)})
+	if err != nil {
+		return nil, faults.PeerUnavailable.Wrap(err, "ping of %q at %s", target.ID, target.PeerAddr)
+	}
+	if reply.From == nil || (reply.From.Id != target.ID && target.ID != "") {
+		return nil, faults.PeerUnavailable.New("another node than %q answers at %s", target.ID, target.PeerAddr)
+	}
+	return reply, nil
+}
+
+// takeReply merges the peer's record, corrects what the peer holds about this
+// node and compares the records when the digests differ.
+func (s *Service) takeReply(reply *peerpb.PingReply) {
+	ctx, cancel := context.WithTimeout(context.Background(), compareTimeout)
+	defer cancel()
+	if reply.Record != nil {
+		s.apply([]Record{codec{s.clock.Now()}.fromProto(reply.Record)}, origin{local: true})
+	}
+	from := s.dir.Lookup(reply.From.Id)
+	if from == nil {
+		return
+	}
+	if reply.About != nil {
+		s.correct(ctx, from, reply.About)
+	}
+	if !from.Live() {
+		return
+	}
+	summary := summaryFromProto(reply.Summary)
+	s.opts.OnSummary(from, summary)
+	if s.mustCompare(summary.MembersRoot) {
+		s.compare(ctx, from)
+	}
+}
+
+// correct refutes a statement about this node and sends the record that the
+// peer should hold.
+func (s *Service) correct(ctx context.Context, to *Record, about *peerpb.MemberKey) {
+	if about.Incarnation > 0 {
+		s.dir.Merge([]Record{statement(s.dir.Self(), about)})
+	}
+	_, err := s.push(ctx, to, pushRequest{lane: lane{kind: laneUp}, records: []*Record{s.dir.Self()}})
+	if err != nil {
+		s.opts.Log.V(1).Info("peer did not take the own record", "peer", to.ID, "error", err.Error())
+	}
+}
+
+// client returns the client for a node. A connection in backoff is tried at
+// once: the probe's own timing bounds the attempts, and a healed link must not
+// stay unused for gRPC's backoff of up to 2 min.
+func (s *Service) client(r *Record) (peerpb.MembershipClient, error) {
+	cc, err := s.opts.Connect(r.PeerAddr, r.Place())
+	if err != nil {
+		return nil, err
+	}
+	// ResetConnectBackoff reads gRPC's set of subchannels without its lock; the
+	// set is only changed before the first attempt has failed.
+	if b, ok := cc.(backoffConn); ok && b.GetState() == connectivity.TransientFailure {
+		b.ResetConnectBackoff()
+	}
+	return peerpb.NewMembershipClient(cc), nil
+}
+
+// backoffConn is the part of grpc.ClientConn that controls reconnecting.
+type backoffConn interface {
+	GetState() connectivity.State
+	ResetConnectBackoff()
+}
+
+func (s *Service) localSummary() *peerpb.NodeSummary {
+	local := s.opts.LocalSummary()
+	p := &peerpb.NodeSummary{Version: local.Version, MembersRoot: s.dir.Root()}
+	if local.Version > 0 {
+		p.SnapshotDigest = local.Digest[:]
+	}
+	return p
+}
+
+func summaryFromProto(p *peerpb.NodeSummary) Summary {
+	s := Summary{Version: p.GetVersion(), MembersRoot: p.GetMembersRoot()}
+	if len(p.GetSnapshotDigest()) == len(snapshot.Digest{}) {
+		s.Digest = snapshot.Digest(p.SnapshotDigest)
+	}
+	return s
+}
+
+// Ping serves the probe of another node.
+func (s *Service) Ping(_ context.Context, req *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	if req.About != nil && req.About.Id == s.dir.Self().ID && !sameKey(req.About, s.dir.Self()) {
+		s.dir.Merge([]Record{statement(s.dir.Self(), req.About)})
+	}
+	self := s.dir.Self()
+	reply := &peerpb.PingReply{From: keyOf(self), Summary: s.localSummary()}
+	if !sameKey(req.About, self) {
+		reply.Record = codec{s.clock.Now()}.toProto(self)
+	}
+	if req.From == nil {
+		return reply, nil
+	}
+	from := s.dir.Lookup(req.From.Id)
+	switch {
+	case from == nil:
+		reply.About = &peerpb.MemberKey{Id: req.From.Id}
+	case !sameKey(req.From, from):
+		reply.About = keyOf(from)
+	}
+	if from != nil && from.Live() {
+		s.opts.OnSummary(from, summaryFromProto(req.Summary))
+	}
+	return reply, nil
+}
+
+// PingIndirect pings a member for another node.
+func (s *Service) PingIndirect(ctx context.Context, req *peerpb.PingIndirectRequest) (*peerpb.PingIndirectReply, error) {
+	target := &Record{ID: req.Id, PeerAddr: req.PeerAddr, FailureDomain: req.FailureDomain, Region: req.Region}
+	if known := s.dir.Lookup(req.Id); known != nil && known.PeerAddr == req.PeerAddr {
+		target = known
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.opts.ProbeTimeout*8/10)
+	defer cancel()
+	cc, err := s.opts.Connect(target.PeerAddr, peer.Place{Region: target.Region, FailureDomain: target.FailureDomain})
+	if err != nil {
+		return nil, err
+	}
+	reply, err := peerpb.NewMembershipClient(cc).Ping(ctx, &peerpb.PingRequest{About: keyOf(target)}, grpc.WaitForReady(false))
+	return &peerpb.PingIndirectReply{Answered: err == nil && reply.From.GetId() == req.Id}, nil
+}
+
+// sleep waits for d by the service's clock; it reports false when ctx ended.
+func (s *Service) sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-s.clock.After(d):
+		return true
+	}
+}
