--- /dev/null
+++ b/member/detector_test.go
@@ -0,0 +1,210 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// detectorTest drives a detector through ticks of one second. answers decides
+// what the network does with a probe from one node to another.
+type detectorTest struct {
+	dir     *Directory
+	d       *detector
+	now     time.Time
+	answers func(from, to string) bool
+	// slow members refute a suspicion after this many ticks.
+	refuteAfter map[string]int
+	suspectedAt map[string]int
+	ticks       int
+}
+
+func newDetectorTest(members int) *detectorTest {
+	dir := NewDirectory(Record{ID: "self", Incarnation: 1, Sequence: 1, FailureDomain: "fd", Region: "r"}, DirectoryOptions{})
+	var records []Record
+	for i := range members {
+		records = append(records, Record{ID: fmt.Sprintf("m%d", i), Incarnation: 1, Sequence: 1, State: Alive, FailureDomain: "fd", Region: "r"})
+	}
+	dir.Merge(records)
+	return &detectorTest{
+		dir: dir, d: newDetector(dir, time.Second, 5*time.Second, rand.New(rand.NewPCG(1, 2))),
+		now: time.Unix(1e9, 0), answers: func(_, _ string) bool { return true },
+		refuteAfter: map[string]int{}, suspectedAt: map[string]int{},
+	}
+}
+
+// run advances by n ticks and returns the most suspects seen at a time.
+func (t *detectorTest) run(n int) (maxSuspects int) {
+	for range n {
+		t.ticks++
+		t.now = t.now.Add(time.Second)
+		target := t.d.tick(t.now)
+		t.merge(t.d.due(t.now))
+		if target != nil {
+			t.merge(t.d.observe(t.now, t.probe(target)))
+		}
+		for id, ticks := range t.refuteAfter {
+			r := t.dir.Lookup(id)
+			if r.State == Suspect && t.ticks-t.suspectedAt[id] >= ticks {
+				next := *r
+				next.Sequence, next.State = r.Sequence+1, Alive
+				t.merge([]Record{next})
+			}
+		}
+		maxSuspects = max(maxSuspects, t.count(Suspect))
+	}
+	return maxSuspects
+}
+
+func (t *detectorTest) merge(records []Record) {
+	changed := t.dir.Merge(records)
+	for _, r := range changed {
+		if r.State == Suspect {
+			t.suspectedAt[r.ID] = t.ticks
+		}
+	}
+	t.d.watch(t.now, changed)
+}
+
+func (t *detectorTest) probe(target *Record) outcome {
+	o := outcome{target: target, started: t.now, answered: t.answers("self", target.ID)}
+	if o.answered {
+		return o
+	}
+	for _, h := range t.d.helpers(target) {
+		o.asked++
+		switch {
+		case !t.answers("self", h.ID):
+		case t.answers(h.ID, target.ID):
+			o.answered = true
+		default:
+			o.negative++
+		}
+	}
+	return o
+}
+
+func (t *detectorTest) count(s State) int {
+	n := 0
+	for _, r := range t.dir.All() {
+		if r.State == s {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a dead member that stays alive in the records.
+func TestDeadMemberIsBuried(t *testing.T) {
+	is := is.New(t)
+	d := newDetectorTest(9)
+	d.answers = func(_, to string) bool { return to != "m3" }
+	d.run(9 + 6) // one round of probes and the suspect timeout
+	is.Equal(d.dir.Lookup("m3").State, Dead)
+	is.Equal(d.count(Dead), 1)
+	is.Equal(d.count(Suspect), 0)
+}
+
+// Guards against the burial of a slow member: it misses probes, but refutes.
+func TestSlowMemberRefutes(t *testing.T) {
+	is := is.New(t)
+	d := newDetectorTest(9)
+	d.answers = func(_, to string) bool { return to != "m3" }
+	d.refuteAfter["m3"] = 4
+	is.Equal(d.run(60), 1)
+	is.Equal(d.count(Dead), 0)
+	is.True(d.dir.Lookup("m3").Sequence > 1)
+}
+
+// Guards against suspicion because of one link: in one direction, the other,
+// or both, as long as any helper reaches the member.
+func TestCutLinkRaisesNoSuspicion(t *testing.T) {
+	for name, cut := range map[string]func(from, to string) bool{
+		"to the member": func(from, to string) bool { return from == "self" && to == "m3" },
+		"from it":       func(from, to string) bool { return from == "m3" && to == "self" },
+		"both":          func(from, to string) bool { return from+to == "selfm3" || from+to == "m3self" },
+	} {
+		d := newDetectorTest(9)
+		// A probe needs both directions: the request and its answer.
+		d.answers = func(from, to string) bool { return !cut(from, to) && !cut(to, from) }
+		if n := d.run(40); n > 0 {
+			t.Errorf("%s: %d suspects", name, n)
+		}
+	}
+}
+
+// Guards against a node that is cut off itself and buries everyone else.
+func TestIsolatedNodeSuspectsNobody(t *testing.T) {
+	is := is.New(t)
+	d := newDetectorTest(20)
+	d.run(10)
+	d.answers = func(from, _ string) bool { return from != "self" }
+	is.Equal(d.run(60), 0)
+	d.answers = func(_, to string) bool { return to != "m7" }
+	d.run(20 + 6 + historyLength)
+	is.Equal(d.dir.Lookup("m7").State, Dead) // and it works again afterwards
+	is.Equal(d.count(Dead), 1)
+}
+
+// Guards against a node that mostly hears nothing and still believes a single helper.
+func TestSelfDoubtNeedsCorroboration(t *testing.T) {
+	is := is.New(t)
+	d := newDetectorTest(9).d
+	d.history = []bool{false, false, false, true}
+	is.True(d.doubtful())
+	is.True(!d.believable(outcome{asked: 3, negative: 1}))
+	is.True(d.believable(outcome{asked: 3, negative: 2}))
+	is.True(!d.believable(outcome{asked: 3}))
+}
+
+// Guards against a resumed process that acts on what it saw before its pause:
+// probes from before it, and suspicions whose time passed meanwhile.
+func TestPausedProcessGivesTimeAgain(t *testing.T) {
+	is := is.New(t)
+	d := newDetectorTest(9)
+	d.answers = func(_, to string) bool { return to != "m3" }
+	for d.count(Suspect) == 0 {
+		d.run(1)
+	}
+	old := outcome{target: d.dir.Lookup("m5"), started: d.now, asked: 3, negative: 3}
+	d.now = d.now.Add(time.Minute) // paused
+	d.merge(d.d.due(d.now))
+	is.Equal(d.count(Dead), 0)
+	d.run(1)
+	is.Equal(len(d.d.observe(d.now, old)), 0)
+	is.Equal(d.count(Dead), 0)
+	d.run(4)
+	is.Equal(d.count(Dead), 0)
+	d.run(10)
+	is.Equal(d.dir.Lookup("m3").State, Dead)
+}
+
+// Guards against failures of most of a failure domain at once that self-doubt
+// hides for ever.
+func TestMassFailureIsDetected(t *testing.T) {
+	is := is.New(t)
+	d := newDetectorTest(40)
+	d.run(40)
+	alive := map[string]bool{"self": true, "m1": true, "m2": true, "m3": true, "m4": true}
+	d.answers = func(_, to string) bool { return alive[to] }
+	d.run(400)
+	is.Equal(d.count(Dead), 36)
+	is.Equal(d.count(Alive), 5)
+}
+
+// Guards against a suspicion that nobody ends because its author died.
+func TestRelaysBuryForOthers(t *testing.T) {
+	is := is.New(t)
+	d := newDetectorTest(9)
+	r := *d.dir.Lookup("m3")
+	r.State = Suspect
+	d.answers = func(_, to string) bool { return to != "m3" }
+	d.merge([]Record{r})
+	d.run(5)
+	is.Equal(d.count(Dead), 0)
+	d.run(10)
+	is.Equal(d.dir.Lookup("m3").State, Dead)
+}
--- a/member/lanes.go
+++ b/member/lanes.go
@@ -25,6 +25,9 @@
 	name string
 }
 
+// acting reports whether the i-th candidate is told to act for the first one.
+func (l lane) acting(i int) bool { return i > 0 && (l.kind == laneUp || l.kind == laneHead) }
+
 // direction returns what the receiver is told about the edge.
 func (l lane) direction() peerpb.PushDirection {
 	return [...]peerpb.PushDirection{
@@ -71,7 +74,7 @@
 type origin struct {
 	local     bool // stated or learned by this node itself
 	direction peerpb.PushDirection
-	acting    bool   // this node acts in place of rank 0
+	acting    bool   // this node acts in place of rank 0 or, within a region, of its head
 	domain    string // failure domain of the sender
 }
 
@@ -97,7 +100,7 @@
 // acrossLanes returns the edges to other failure domains.
 func acrossLanes(v View, o origin, up bool) []lane {
 	self := v.Self()
-	head := IsRegionHead(v, self.ID)
+	head := IsRegionHead(v, self.ID) || (o.acting && !up)
 	switch {
 	case up && !head:
 		return []lane{{kind: laneHead}}
--- a/member/spread.go
+++ b/member/spread.go
@@ -70,7 +70,7 @@
 	sent := 0
 	delivered := false
 	for i, to := range p.lane.candidates(s.dir) {
-		req := pushRequest{lane: p.lane, records: p.records, acting: p.lane.kind == laneUp && i > 0}
+		req := pushRequest{lane: p.lane, records: p.records, acting: p.lane.acting(i)}
 		n, err := s.push(ctx, to, req)
 		sent += n
 		if err == nil {
