--- a/spread/recovery.go
+++ b/spread/recovery.go
@@ -27,12 +27,15 @@
 	// crossStep is the stagger between the first-ranked starting nodes of a
 	// failure domain that may fetch across its boundary.
 	crossStep = time.Second
-	// storeAfter is how long the first-ranked starting nodes look for a peer
-	// before they read the store.
+	// storeAfter is how long a starting store reader looks for a peer before it
+	// loads a version from the store.
 	storeAfter = time.Second
 	// aloneAfter is how long any other starting node waits for a local copy
 	// before it fetches across the boundary too.
 	aloneAfter = 30 * time.Second
+	// lateRounds is the share of rounds, one in so many, in which a node that
+	// waited for aloneAfter asks outside of its failure domain.
+	lateRounds = 8
 )
 
 // recovery is the state of a node that starts. Until it is finished, offers
@@ -41,6 +44,8 @@
 	mu    sync.Mutex
 	done  bool
 	hints map[string]answer // by address
+	start time.Time         // of runRecovery
+	seen  time.Time         // when a source with a version was first heard of
 	wake  chan struct{}
 }
 
@@ -50,6 +55,30 @@
 	version uint64
 }
 
+// begin notes the start of the recovery.
+func (r *recovery) begin() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.start = time.Now()
+}
+
+func (r *recovery) sinceStart() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.start)
+}
+
+// sinceSeen returns the time since a version was first seen, which is now at
+// the first call.
+func (r *recovery) sinceSeen() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.seen.IsZero() {
+		r.seen = time.Now()
+	}
+	return time.Since(r.seen)
+}
+
 func (r *recovery) finished() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -101,15 +130,15 @@
 	if n.cur.Version() > 0 {
 		n.recovery.finish()
 	}
-	started := time.Now()
+	n.recovery.begin()
 	limit := recoverBase
 	answered := true
 	for n.ctx.Err() == nil && !n.recovery.finished() {
 		answers := n.askSources(!answered)
 		answered = len(answers) > 0
-		if n.recover(answers, time.Since(started)) {
+		if n.recover(answers) {
 			n.recovery.finish()
-			n.log.Info("recovered", "version", n.cur.Version(), "sources", len(answers), "duration", time.Since(started).String())
+			n.log.Info("recovered", "version", n.cur.Version(), "sources", len(answers), "duration", n.recovery.sinceStart().String())
 			return
 		}
 		n.waitRetry(rand.N(limit))
@@ -130,21 +159,18 @@
 }
 
 // recover fetches the highest version among the answers and reports whether a
-// version is in force.
-func (n *Node) recover(answers []answer, waited time.Duration) bool {
+// version is in force. Without one the node waits: the relays that read the
+// store, as last source, announce what they find.
+func (n *Node) recover(answers []answer) bool {
 	highest := uint64(0)
 	for _, a := range answers {
 		highest = max(highest, a.version)
 	}
-	rank := n.startRank(answers)
 	if highest == 0 {
-		if rank < relays && waited >= storeAfter+time.Duration(rank)*crossStep {
-			n.recoverFromStore()
-		}
 		return n.cur.Version() > 0
 	}
 	sources := n.nearest(answers, highest)
-	if n.class(sources[0]) != peer.SameDomain && !mayCross(rank, waited) {
+	if !n.mayCross(n.class(sources[0]), answers) {
 		return false
 	}
 	if err := n.fetchSnapshot(n.ctx, sources, highest, event{}); err != nil {
@@ -153,27 +179,23 @@
 	return n.cur.Version() >= highest
 }
 
-// mayCross reports whether a starting node may fetch across the boundary of
-// its failure domain: the first-ranked ones by turns, the others late.
-func mayCross(rank int, waited time.Duration) bool {
-	if rank < relays {
-		return waited >= time.Duration(rank)*crossStep
-	}
-	return waited >= aloneAfter
-}
-
-// recoverFromStore loads the head of the store, the last source.
-func (n *Node) recoverFromStore() {
-	if n.opts.Source == nil {
-		return
+// mayCross reports whether this starting node may fetch over a link of the
+// class. Out of its failure domain only the first-ranked starting nodes fetch,
+// by turns, and out of the region those of its first failure domain come first.
+// The turns count from the moment at which a version was first seen.
+func (n *Node) mayCross(class peer.LinkClass, answers []answer) bool {
+	if class == peer.SameDomain {
+		return true
 	}
-	h, err := n.readHead(n.ctx)
-	if err == nil {
-		err = n.loadOnce(h)
+	waited := n.recovery.sinceSeen()
+	rank := n.startRank(answers)
+	if rank >= relays {
+		return waited >= aloneAfter
 	}
-	if err != nil {
-		n.log.Info("not recovered from the store", "cause", cause(err), "error", err.Error())
+	if class == peer.CrossRegion {
+		rank += relays * n.topology().domainIndex()
 	}
+	return waited >= time.Duration(rank)*crossStep
 }
 
 // nearest returns the sources of the version over the cheapest link class.
@@ -239,14 +261,27 @@
 		if peer.LinkClass(class) == peer.CrossRegion {
 			step = time.Until(deadline)
 		}
+		if peer.LinkClass(class) != peer.SameDomain {
+			peers = peers[:min(wantSources, len(peers))]
+		}
 		answers = append(answers, n.ask(peers, min(step, time.Until(deadline)))...)
-		if withVersion(answers) >= wantSources {
+		if withVersion(answers) >= wantSources || n.leaveToOthers(answers) {
 			break
 		}
 	}
 	return answers
 }
 
+// leaveToOthers reports whether other starting nodes of the failure domain look
+// for a version outside of it, and none inside has one. After aloneAfter the
+// node looks outside in some rounds, in case those others cannot.
+func (n *Node) leaveToOthers(answers []answer) bool {
+	if len(answers) == 0 || withVersion(answers) > 0 || n.startRank(answers) < relays {
+		return false
+	}
+	return n.recovery.sinceStart() < aloneAfter || rand.IntN(lateRounds) != 0
+}
+
 func withVersion(answers []answer) int {
 	n := 0
 	for _, a := range answers {
--- a/spread/recovery_test.go
+++ b/spread/recovery_test.go
@@ -60,9 +60,7 @@
 		took := f.converge(t, version, 20*time.Second)
 		t.Logf("took %s, messages %v", took, f.sent)
 		is.True(took < 10*time.Second)
-		if n := f.sent["snapshot same-region"]; n == 0 || n > relays {
-			t.Errorf("%d transfers across the boundary of the failure domain", n)
-		}
+		is.Equal(f.sent["snapshot same-region"], 1)
 		is.Equal(f.sent["snapshot cross-region"], 0)
 	})
 }
@@ -87,6 +85,9 @@
 		took := f.converge(t, version, 30*time.Second)
 		t.Logf("took %s after the outage, %d store calls, %d loads, messages %v",
 			took, f.source.calls-calls, f.source.loads-loads, f.sent)
+		if n := f.sent["snapshot cross-region"]; n != 2 {
+			t.Errorf("%d transfers between regions, want one into each of 2", n)
+		}
 		if took > 15*time.Second {
 			t.Errorf("took %s", took)
 		}
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -164,7 +164,7 @@
 	retry := storeRetryBase
 	turn := readGrace + time.Duration(max(0, n.topology().rank))*takeoverAfter
 	if n.cur.Load() == nil {
-		turn -= readGrace // nothing is pushed to a node that starts
+		turn += storeAfter // peers come first
 	}
 	for sleep(n.ctx, turn) && n.cur.Version() < h.Version {
 		err := n.loadOnce(h)
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -91,6 +91,21 @@
 // isRelay reports whether the node is a relay of its failure domain.
 func (t *topology) isRelay() bool { return t.rank >= 0 }
 
+// domainIndex returns how many failure domains of the region come before the
+// node's own in the order of succession.
+func (t *topology) domainIndex() int {
+	before := 0
+	for i, p := range t.head {
+		if p.FailureDomain == t.self.FailureDomain {
+			break
+		}
+		if i == 0 || p.FailureDomain != t.head[i-1].FailureDomain {
+			before++
+		}
+	}
+	return before
+}
+
 func rankedOf(v member.View, domain string) []Peer {
 	records := v.Ranked(domain)
 	out := make([]Peer, len(records))
