--- a/spread/fake_test.go
+++ b/spread/fake_test.go
@@ -176,6 +176,13 @@
 	return f.rng.IntN(n)
 }
 
+// count returns the number of messages of a kind and link class.
+func (f *fleet) count(kind string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent[kind]
+}
+
 // publish records a version as accepted by the store.
 func (f *fleet) publish(s *snapshot.Snapshot) {
 	f.mu.Lock()
@@ -423,6 +430,33 @@
 	}
 }
 
+// setGap makes watches miss changes without an error, or ends that.
+func (s *fakeSource) setGap(gap bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gap = gap
+}
+
+// compact breaks every watch because its revision is gone.
+func (s *fakeSource) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breakWatches(faults.StoreCompacted.New("watch has a gap"))
+}
+
+// total returns a counter of the source.
+func (s *fakeSource) total(counter *int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return *counter
+}
+
+func (s *fakeSource) watches() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.feeds)
+}
+
 // breakWatches ends every watch with err. The caller holds s.mu.
 func (s *fakeSource) breakWatches(err error) {
 	for _, c := range s.feeds {
--- a/spread/recovery_test.go
+++ b/spread/recovery_test.go
@@ -29,9 +29,11 @@
 	f.run(t, func() {
 		is := is.New(t)
 		lagging, starting := f.at("r0-d0", 0), f.at("r0-d0", 5)
-		f.cut = func(a, b Peer) bool {
-			return a.ID == lagging.ID && b.ID != starting.ID || b.ID == lagging.ID && a.ID != starting.ID
-		}
+		f.setRules(func() {
+			f.cut = func(a, b Peer) bool {
+				return a.ID == lagging.ID && b.ID != starting.ID || b.ID == lagging.ID && a.ID != starting.ID
+			}
+		})
 		f.source.setDown(true)
 		f.accept(f.at("r0-d0", 1))
 		time.Sleep(time.Second)
@@ -58,10 +60,10 @@
 		f.converge(t, version, time.Second)
 		f.restart(f.records[40:80])
 		took := f.converge(t, version, 20*time.Second)
-		t.Logf("took %s, messages %v", took, f.sent)
+		t.Logf("took %s", took)
 		is.True(took < 10*time.Second)
-		is.Equal(f.sent["snapshot same-region"], 1)
-		is.Equal(f.sent["snapshot cross-region"], 0)
+		is.Equal(f.count("snapshot same-region"), 1)
+		is.Equal(f.count("snapshot cross-region"), 0)
 	})
 }
 
@@ -79,19 +81,16 @@
 			t.Errorf("%d nodes are ready without any source", n)
 		}
 		f.source.setDown(false)
-		f.source.mu.Lock()
-		calls, loads := f.source.calls, f.source.loads
-		f.source.mu.Unlock()
+		calls := f.source.total(&f.source.calls)
 		took := f.converge(t, version, 30*time.Second)
-		t.Logf("took %s after the outage, %d store calls, %d loads, messages %v",
-			took, f.source.calls-calls, f.source.loads-loads, f.sent)
-		if n := f.sent["snapshot cross-region"]; n != 2 {
+		t.Logf("took %s after the outage", took)
+		if n := f.count("snapshot cross-region"); n != 2 {
 			t.Errorf("%d transfers between regions, want one into each of 2", n)
 		}
 		if took > 15*time.Second {
 			t.Errorf("took %s", took)
 		}
-		if n := f.source.calls - calls; n > 100 {
+		if n := f.source.total(&f.source.calls) - calls; n > 100 {
 			t.Errorf("%d store calls after the outage", n)
 		}
 	})
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"siskingw/faults"
+	"siskingw/member"
 	"siskingw/object"
 	"siskingw/peer/peerpb"
 	"siskingw/snapshot"
@@ -18,19 +18,19 @@
 	f := newFleet(1, 3, 2, 12)
 	f.run(t, func() {
 		for i, r := range []*[2]int{{0, 0}, {1, 7}, {3, 11}} {
-			before := f.sent["push cross-region"] + f.sent["announce cross-region"]
+			before := f.count("push cross-region") + f.count("announce cross-region")
 			domain := []string{"r0-d0", "r0-d1", "r1-d0", "r1-d1"}[r[0]]
 			took := f.converge(t, f.accept(f.at(domain, r[1])), time.Second)
 			if took > 300*time.Millisecond {
 				t.Errorf("change %d took %s", i, took)
 			}
 			time.Sleep(3 * time.Second)
-			if n := f.sent["push cross-region"] + f.sent["announce cross-region"] - before; n != 2 {
+			if n := f.count("push cross-region") + f.count("announce cross-region") - before; n != 2 {
 				t.Errorf("change %d crossed regions %d times, want 2", i, n)
 			}
 		}
-		if f.source.loads != 0 {
-			t.Errorf("%d loads from the store although every change was pushed", f.source.loads)
+		if f.source.total(&f.source.loads) != 0 {
+			t.Errorf("%d loads from the store although every change was pushed", f.source.total(&f.source.loads))
 		}
 	})
 }
@@ -67,31 +67,31 @@
 	f.run(t, func() {
 		is := is.New(t)
 		victim := f.at("r0-d0", 4)
-		f.cut = func(a, b Peer) bool { return a.ID == victim.ID || b.ID == victim.ID }
+		f.setRules(func() { f.cut = func(a, b Peer) bool { return a.ID == victim.ID || b.ID == victim.ID } })
 		for range 3 {
 			f.converge2(t, f.accept(f.at("r0-d0", 0)), victim)
 		}
 		is.Equal(f.proc(victim).cur.Version(), uint64(1))
-		f.cut = nil
+		f.setRules(func() { f.cut = nil })
 		f.converge(t, 4, 3*time.Second)
-		is.Equal(f.sent["snapshot same-domain"], 0)
+		is.Equal(f.count("snapshot same-domain"), 0)
 
-		f.cut = func(a, b Peer) bool { return a.ID == victim.ID || b.ID == victim.ID }
+		f.setRules(func() { f.cut = func(a, b Peer) bool { return a.ID == victim.ID || b.ID == victim.ID } })
 		for range maxChainDeltas + 1 {
 			f.converge2(t, f.accept(f.at("r0-d0", 0)), victim)
 		}
-		f.cut = nil
+		f.setRules(func() { f.cut = nil })
 		f.converge(t, 4+maxChainDeltas+1, 3*time.Second)
-		is.Equal(f.sent["snapshot same-domain"], 1)
+		is.Equal(f.count("snapshot same-domain"), 1)
 	})
 }
 
 // converge2 is converge for all nodes but one.
-func (f *fleet) converge2(t *testing.T, version uint64, but interface{ Live() bool }) {
+func (f *fleet) converge2(t *testing.T, version uint64, but *member.Record) {
 	t.Helper()
 	for i := 0; len(f.behind(version)) > 1; i++ {
 		if i > 2000 {
-			t.Fatalf("not at version %d: %v", version, f.behind(version))
+			t.Fatalf("not at version %d without %s: %v", version, but.ID, f.behind(version))
 		}
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -152,7 +152,7 @@
 					}
 				}
 				if silent {
-					f.cut = func(a, b Peer) bool { return gone[a.ID] || gone[b.ID] }
+					f.setRules(func() { f.cut = func(a, b Peer) bool { return gone[a.ID] || gone[b.ID] } })
 				}
 				for _, origin := range []int{8, 10, 30, 50} {
 					version := f.accept(f.records[origin])
@@ -173,9 +173,11 @@
 	f := newFleet(6, 3, 2, 5)
 	f.run(t, func() {
 		head := f.at("r0-d0", 0)
-		f.lostFirst = func(kind string, from, to Peer) bool {
-			return kind == "push" && from.ID == head.ID && from.FailureDomain != to.FailureDomain
-		}
+		f.setRules(func() {
+			f.lostFirst = func(kind string, from, to Peer) bool {
+				return kind == "push" && from.ID == head.ID && from.FailureDomain != to.FailureDomain
+			}
+		})
 		version := f.accept(head)
 		time.Sleep(10 * time.Millisecond)
 		f.kill(head)
@@ -191,7 +193,7 @@
 	f := newFleet(7, 3, 2, 5)
 	f.run(t, func() {
 		is := is.New(t)
-		f.cut = func(a, b Peer) bool { return (a.Region == "r2") != (b.Region == "r2") }
+		f.setRules(func() { f.cut = func(a, b Peer) bool { return (a.Region == "r2") != (b.Region == "r2") } })
 		f.source.setDown(true)
 		var version uint64
 		for range 3 {
@@ -199,10 +201,10 @@
 			time.Sleep(time.Second)
 		}
 		is.Equal(len(f.behind(version)), 10)
-		f.cut = nil
+		f.setRules(func() { f.cut = nil })
 		f.converge(t, version, 5*time.Second)
 		for _, class := range []string{"same-domain", "same-region", "cross-region"} {
-			is.Equal(f.sent["snapshot "+class], 0)
+			is.Equal(f.count("snapshot "+class), 0)
 		}
 	})
 }
@@ -215,7 +217,7 @@
 		is := is.New(t)
 		next, _ := f.change()
 		is.True(f.converge(t, next.Version(), 5*time.Second) < 500*time.Millisecond)
-		is.Equal(f.source.loads, 1)
+		is.Equal(f.source.total(&f.source.loads), 1)
 		f.kill(f.at("r0-d0", 0))
 		next, _ = f.change()
 		is.True(f.converge(t, next.Version(), 5*time.Second) < time.Second)
@@ -230,26 +232,24 @@
 		is := is.New(t)
 		f.source.setDown(true)
 		next, _ := f.change()
-		before := f.source.calls
+		before := f.source.total(&f.source.calls)
 		time.Sleep(60 * time.Second)
 		is.Equal(len(f.behind(next.Version())), len(f.records))
-		if n := f.source.calls - before; n > 60*3 {
+		if n := f.source.total(&f.source.calls) - before; n > 60*3 {
 			t.Errorf("%d store calls in an outage of 60 s", n)
 		}
 		f.source.setDown(false)
 		f.converge(t, next.Version(), storeRetryMax+2*time.Second)
 
 		time.Sleep(20 * time.Second)
-		f.source.gap = true
+		f.source.setGap(true)
 		next, _ = f.change()
 		time.Sleep(time.Second)
-		f.source.gap = false
-		f.source.mu.Lock()
-		f.source.breakWatches(faults.StoreCompacted.New("watch has a gap"))
-		f.source.mu.Unlock()
+		f.source.setGap(false)
+		f.source.compact()
 		f.converge(t, next.Version(), storeRetryMax+2*time.Second)
 
-		f.source.gap = true // a watch that stalls without an error
+		f.source.setGap(true) // a watch that stalls without an error
 		next, _ = f.change()
 		f.converge(t, next.Version(), pollEvery*12/10)
 	})
@@ -260,7 +260,7 @@
 	f := newFleet(10, 2, 2, 5)
 	f.run(t, func() {
 		time.Sleep(5 * time.Second)
-		if n := len(f.source.feeds); n != 6 {
+		if n := f.source.watches(); n != 6 {
 			t.Errorf("%d watches, want those of the 6 relays of the store's region", n)
 		}
 		for _, r := range f.records[:10] {
