Use the membership's tree functions for relays and region heads

The spread package had its own copy of the rank rules. It now takes relays and the order of a region's heads from package member, so that both packages agree, failure domains that do not answer included. Tests pass unchanged.

--- a/spread/recovery.go
+++ b/spread/recovery.go
@@ -189,11 +189,11 @@
 	}
 	waited := n.recovery.sinceSeen()
 	rank := n.startRank(answers)
-	if rank >= relays {
+	if rank >= member.RelayCount {
 		return waited >= aloneAfter
 	}
 	if class == peer.CrossRegion {
-		rank += relays * n.topology().domainIndex()
+		rank += member.RelayCount * n.topology().domainIndex()
 	}
 	return waited >= time.Duration(rank)*crossStep
 }
@@ -233,7 +233,7 @@
 		if i := slices.IndexFunc(seeds, func(p Peer) bool { return p.Addr == self.Addr }); i >= 0 {
 			return i
 		}
-		return relays
+		return member.RelayCount
 	}
 	rank := 0
 	for _, p := range n.topology().ranked {
@@ -276,7 +276,7 @@
 // for a version outside of it, and none inside has one. After aloneAfter the
 // node looks outside in some rounds, in case those others cannot.
 func (n *Node) leaveToOthers(answers []answer) bool {
-	if len(answers) == 0 || withVersion(answers) > 0 || n.startRank(answers) < relays {
+	if len(answers) == 0 || withVersion(answers) > 0 || n.startRank(answers) < member.RelayCount {
 		return false
 	}
 	return n.recovery.sinceStart() < aloneAfter || rand.IntN(lateRounds) != 0
@@ -340,7 +340,7 @@
 		}
 	}
 	t := n.topology()
-	add(t.ranked[:min(relays, len(t.ranked))])
+	add(t.ranked[:min(member.RelayCount, len(t.ranked))])
 	add(shuffled(n.opts.Seeds))
 	if n.opts.SeedHints != nil && hints {
 		ctx, cancel := within(n.ctx, askStep)
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -7,11 +7,6 @@
 	"siskingw/peer"
 )
 
-const (
-	fanout = 4 // children of a position in the tree
-	relays = 3 // first ranks of a failure domain
-)
-
 // Peer is the address of a node and where it runs.
 type Peer struct {
 	ID            string // empty when only the address is known
@@ -33,7 +28,7 @@
 // children returns the positions below p in a tree of n nodes.
 func children(p, n int) []int {
 	var out []int
-	for c := fanout*p + 1; c <= fanout*p+fanout && c < n; c++ {
+	for c := member.Fanout*p + 1; c <= member.Fanout*(p+1) && c < n; c++ {
 		out = append(out, c)
 	}
 	return out
@@ -60,31 +55,22 @@
 // topologyOf computes the topology of a view.
 func topologyOf(v member.View) topology {
 	t := topology{self: PeerOf(v.Self())}
-	t.ranked = rankedOf(v, t.self.FailureDomain)
+	t.ranked = peersOf(v.Ranked(t.self.FailureDomain))
 	t.position = indexOfPeer(t.ranked, t.self.ID)
-	byRegion := make(map[string][]Peer)
-	var regions []string
+	t.head = peersOf(member.RegionRelays(v, t.self.Region))
+	t.rank = indexOfPeer(t.head, t.self.ID)
 	for _, d := range v.FailureDomains() {
-		ranked := rankedOf(v, d.Name)
-		first := ranked[:min(relays, len(ranked))]
-		if len(first) == 0 {
-			continue
-		}
-		if !slices.Contains(regions, d.Region) {
-			regions = append(regions, d.Region)
-		}
-		byRegion[d.Region] = append(byRegion[d.Region], first...)
-		if d.Region == t.self.Region && d.Name != t.self.FailureDomain {
-			t.domains = append(t.domains, group{name: d.Name, order: first})
+		order := peersOf(member.Relays(v, d.Name))
+		if d.Region == t.self.Region && d.Name != t.self.FailureDomain && len(order) > 0 {
+			t.domains = append(t.domains, group{name: d.Name, order: order})
 		}
 	}
-	for _, r := range regions {
-		if r != t.self.Region {
-			t.regions = append(t.regions, group{name: r, region: true, order: byRegion[r]})
+	for _, r := range member.Regions(v) {
+		order := peersOf(member.RegionRelays(v, r))
+		if r != t.self.Region && len(order) > 0 {
+			t.regions = append(t.regions, group{name: r, region: true, order: order})
 		}
 	}
-	t.head = byRegion[t.self.Region]
-	t.rank = indexOfPeer(t.head, t.self.ID)
 	return t
 }
 
@@ -106,8 +92,7 @@
 	return before
 }
 
-func rankedOf(v member.View, domain string) []Peer {
-	records := v.Ranked(domain)
+func peersOf(records []*member.Record) []Peer {
 	out := make([]Peer, len(records))
 	for i, r := range records {
 		out[i] = PeerOf(r)
