--- /dev/null
+++ b/proxy/fuzz_test.go
@@ -0,0 +1,93 @@
+package proxy
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Guards against header values that pass as something that no node sends.
+func FuzzHeaderValues(f *testing.F) {
+	for _, s := range []string{"", "0", "15", "-1", "+1", "1e3", "999999999999999999", "9999999999999999999", "not-run", "unknown", "bid", "0.50", "NaN", "Inf", "\xde\xde:1", "A:B"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		if d, err := ParseDeadline(s); err == nil && (d < 0 || d > maxDeadline || strings.Trim(s, "0123456789") != "") {
+			t.Errorf("deadline %q is %v", s, d)
+		}
+		if o, err := ParseOutcome(s); err == nil && o != s {
+			t.Errorf("outcome %q is %q", s, o)
+		}
+		if l, ok := ParseLoad(s); ok && !(l >= 0 && l < 1e7) {
+			t.Errorf("load %q is %v", s, l)
+		}
+		if k := ParseKind(s); kindValues[k] == nil {
+			t.Errorf("kind %q is %q", s, k)
+		}
+		if h := hostName(s); len(h) > len(s) {
+			t.Errorf("host %q is %q", s, h)
+		}
+	})
+}
+
+// Guards against raw requests that panic the handler, reach the target more
+// often than the handler was called, or reach it with the headers of nodes.
+func FuzzRawRequest(f *testing.F) {
+	for _, s := range []string{
+		"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+		"GET //a/../b?%zz HTTP/1.0\r\nConnection: keep-alive, te\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabcGET / HTTP/1.1\r\nHost: x\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nTrailer: A\r\n\r\n3\r\nabc\r\n0\r\nA: b\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: x\r\n\r\n",
+		"OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n",
+		"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n",
+		"GET http://y/a HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\n\r\n",
+		"PUT /siskingw/keys HTTP/1.1\r\nHost: x\r\nIdempotency-Key: 1:1:1:00:a\r\nSiskingw-Deadline-Ms: 5\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	rt := newRawTarget(f, func(nc net.Conn, r *http.Request, _ int32) bool {
+		for k := range r.Header {
+			if strings.HasPrefix(k, headerPrefix) && k != HeaderDeadline || hopByHop(k) {
+				f.Errorf("the target got header %s", k)
+			}
+		}
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	r := newRig(f, nil, rt.addr)
+	var calls atomic.Int32
+	guarded := serveOn(f, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		defer func() {
+			if p := recover(); p != nil {
+				if p != http.ErrAbortHandler {
+					f.Errorf("panic: %v", p)
+				}
+				panic(http.ErrAbortHandler)
+			}
+		}()
+		calls.Add(1)
+		r.out.ServeHTTP(w, req)
+	}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		nc, err := net.Dial("tcp", guarded)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		nc.SetDeadline(time.Now().Add(2 * time.Second))
+		nc.Write(b)
+		nc.(*net.TCPConn).CloseWrite()
+		if _, err := io.Copy(io.Discard, nc); isTimeout(err) {
+			t.Error("the connection stays open after its end was sent")
+		}
+		// A run is counted after its call, so the order of the loads matters.
+		if runs, n := rt.runs.Load(), calls.Load(); runs > n {
+			t.Errorf("%d runs for %d calls", runs, n)
+		}
+	})
+}
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -105,6 +105,7 @@
 			if last == nil {
 				last = notRun("no endpoint is left", err)
 			}
+			last.retried = last.retried || retry > 1
 			return last
 		}
 		rec := picked.Record
@@ -113,9 +114,10 @@
 		if f == nil || f.aborted {
 			return f
 		}
+		again := retry < retriesOf(res.Policy) && mayRetry(c, res.Policy, f) && b.withdraw()
 		last = c.merge(last, f)
-		last.retried = last.retried || retry > 0
-		if retry >= retriesOf(res.Policy) || !mayRetry(c, res.Policy, f) || !b.withdraw() {
+		if !again {
+			last.retried = last.retried || retry > 0
 			return last
 		}
 		retry++
@@ -217,5 +219,16 @@
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
-	return strings.ToLower(host)
+	if strings.IndexFunc(host, isUpper) < 0 {
+		return host
+	}
+	b := []byte(host)
+	for i, c := range b {
+		if isUpper(rune(c)) {
+			b[i] = c + 'a' - 'A'
+		}
+	}
+	return string(b)
 }
+
+func isUpper(c rune) bool { return c >= 'A' && c <= 'Z' }
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -56,9 +56,10 @@
 		if f == nil || f.aborted || f.movedTo != "" {
 			return f
 		}
+		again := retry < retriesOf(p) && !f.stated && mayRetry(c, p, f) && b.withdraw()
 		last = c.merge(last, f)
-		last.retried = last.retried || retry > 0
-		if retry >= retriesOf(p) || f.stated || !mayRetry(c, p, f) || !b.withdraw() {
+		if !again {
+			last.retried = last.retried || retry > 0
 			return last
 		}
 		o.opts.Metrics.retry()
