--- a/balance/balance.go
+++ b/balance/balance.go
@@ -96,7 +96,10 @@
 	t := s.current(b, now)
 	c := choice{b: b, now: now, skip: skip}
 	ej := newEjection(spec)
-	c.panic = now < s.badUntil.Load() && t.panics(ej, set.MinReady, now)
+	c.panicking = now < s.badUntil.Load() && t.panics(ej, set.MinReady, now)
+	if c.panicking != s.panicking.Load() {
+		s.panicking.Store(c.panicking)
+	}
 	e := c.pick(t)
 	if e == nil {
 		return nil, faults.NotRun.New("service %q has no endpoint left", set.Announce)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -1,7 +1,11 @@
 package balance
 
 import (
+	"fmt"
+	"slices"
+	"sync"
 	"testing"
+	"time"
 
 	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
@@ -10,24 +14,323 @@
 	"siskingw/member"
 )
 
-// Guards against paid traffic to other regions while the own failure domain has
-// free slots, and against calls to draining members.
-func TestPickPrefersOwnFailureDomain(t *testing.T) {
-	is := is.New(t)
-	f := newFixture(2, Options{})
-	f.view.state("sask-1-0", member.Draining)
-	for range 100 {
-		p, err := f.b.Pick(set, nil, nil)
-		is.NoErr(err)
-		is.Equal(p.Record.ID, "sask-1-1")
-		p.Done(Report{})
-	}
-}
-
 // Guards against a call without any endpoint that is not reported as not run.
 func TestPickWithoutEndpointIsNotRun(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(0, Options{})
-	_, err := f.b.Pick(set, nil, nil)
+	_, err := f.b.Pick(&f.set, nil, nil)
+	is.True(errorx.IsOfType(err, faults.NotRun))
+	f = newFixture(1, Options{})
+	_, err = f.b.Pick(&f.set, nil, []string{"sask-1-0", "sask-2-0", "alta-1-0", "mani-1-0"})
 	is.True(errorx.IsOfType(err, faults.NotRun))
 }
+
+// scenario is a check of one rule and a defect that the check must find.
+type scenario struct {
+	guards string
+	opts   Options
+	check  func(f *fixture) error
+	defect func(f *fixture)
+}
+
+var scenarios = map[string]scenario{
+	"own failure domain first": {
+		guards: "paid traffic while the own failure domain has free slots",
+		check: func(f *fixture) error {
+			got := f.hold(6) // of 8 slots
+			return want(got["sask-1"] == 6, "calls went to %v", got)
+		},
+		defect: func(f *fixture) { f.view.self.FailureDomain = "sask-3" },
+	},
+	"overflow in proportion": {
+		guards: "an overflow that leaves the region early, or floods the smaller region",
+		check: func(f *fixture) error {
+			for i := range 4 {
+				f.view.set(f.record(fmt.Sprintf("alta-1-more-%d", i), "alta-1"))
+			}
+			got := f.hold(30)
+			near := got["sask-1"] + got["sask-2"]
+			far := got["alta-1"] + got["mani-1"]
+			if near < 14 || near > 18 { // of 16 slots
+				return fmt.Errorf("%d calls in the own region: %v", near, got)
+			}
+			return want(got["alta-1"] > got["mani-1"] && far == 30-near, "alta has three times the slots of mani: %v", got)
+		},
+		defect: func(f *fixture) { f.view.cut["sask-2"] = true },
+	},
+	"draining never, suspects last": {
+		guards: "new work for a member that leaves or may be dead",
+		check: func(f *fixture) error {
+			f.view.state("sask-1-0", member.Draining)
+			f.view.state("sask-1-1", member.Suspect)
+			got := f.calls(200, time.Millisecond, good)
+			if got["sask-1-0"]+got["sask-1-1"] > 0 {
+				return fmt.Errorf("calls went to %v", got)
+			}
+			for _, r := range slices.Clone(f.view.records) {
+				if r.ID != "sask-1-1" {
+					f.view.state(r.ID, member.Draining)
+				}
+			}
+			got = f.calls(10, time.Millisecond, good)
+			return want(got["sask-1-1"] == 10, "only a suspect is left: %v", got)
+		},
+		defect: func(f *fixture) { f.view.generation -= 100; f.view.frozen = true },
+	},
+	"unreachable failure domain last": {
+		guards: "calls that wait for a failure domain that nobody can reach",
+		check: func(f *fixture) error {
+			f.view.cut["sask-2"], f.view.cut["alta-1"], f.view.cut["mani-1"] = true, true, true
+			f.view.generation++
+			got := f.calls(100, time.Millisecond, failing("sask-1-0"))
+			if got["sask-1-0"]+got["sask-1-1"] != 100 {
+				return fmt.Errorf("calls went to %v", got)
+			}
+			id := f.call(0, good, "sask-1-0", "sask-1-1")
+			return want(id != "", "nothing picked although unreachable targets are left")
+		},
+		defect: func(f *fixture) { f.view.self.FailureDomain = "alta-1" },
+	},
+	"ejection and backoff": {
+		guards: "calls that keep going to a failing target, or a failing target that returns as often as before",
+		check: func(f *fixture) error {
+			bad := failing("sask-1-0")
+			f.eject(bad)
+			first := f.untilTried("sask-1-0", bad)
+			second := f.untilTried("sask-1-0", bad)
+			third := f.untilTried("sask-1-0", bad)
+			if first < 800*time.Millisecond || second < 2*time.Second || third < 4*time.Second {
+				return fmt.Errorf("tried again after %v, %v, %v", first, second, third)
+			}
+			return want(third < time.Minute, "not tried again for %v", third)
+		},
+		defect: func(f *fixture) {
+			f.report = func(_ string, r Report) Report { return Report{Refused: r.Failed} }
+		},
+	},
+	"gentle return": {
+		guards: "a flood of calls to a target that was just ejected, or one that never returns",
+		check: func(f *fixture) error {
+			f.eject(failing("sask-1-0"))
+			f.untilTried("sask-1-0", good)
+			early := f.calls(200, time.Millisecond, good)
+			f.now = f.now.Add(DefaultSlowStart)
+			late := f.calls(200, time.Millisecond, good)
+			return want(early["sask-1-0"] < 40 && late["sask-1-0"] > 60, "%d of 200 calls at first, %d later", early["sask-1-0"], late["sask-1-0"])
+		},
+		defect: func(f *fixture) {
+			f.b.opts.SlowStart = 1
+		},
+	},
+	"unreachable target": {
+		guards: "further calls to a process that refuses connections",
+		check: func(f *fixture) error {
+			f.calls(20, time.Millisecond, func(id string) Report { return Report{Unreachable: id == "sask-1-0"} })
+			id := f.call(time.Millisecond, good, "sask-1-1")
+			return want(id == "sask-2-0" || id == "sask-2-1", "%s picked", id)
+		},
+		defect: func(f *fixture) {
+			f.report = func(_ string, r Report) Report { return Report{Failed: r.Unreachable} }
+			f.ejection.ConsecutiveFailures = 1000
+		},
+	},
+	"panic": {
+		guards: "ejection that leaves too few targets for the calls",
+		check: func(f *fixture) error {
+			// Six of eight fail, so ejection stops; the failing ones are still avoided.
+			bad := failing("sask-1-0", "sask-1-1", "sask-2-0", "sask-2-1", "alta-1-0", "alta-1-1")
+			f.eject(bad)
+			got := f.calls(400, 10*time.Millisecond, good)
+			return want(got["sask-1-0"]+got["sask-1-1"] > 200, "own failure domain is left out: %v", got)
+		},
+		defect: func(f *fixture) { f.ejection.MaxPercent = 100; f.ejection.BaseMs = 60_000 },
+	},
+	"minimum of ready targets": {
+		guards: "ejection below minReady",
+		check: func(f *fixture) error {
+			f.ejection.MaxPercent, f.ejection.BaseMs = 100, 60_000
+			f.eject(failing("sask-1-0"))
+			got := f.calls(400, 10*time.Millisecond, good)
+			return want(got["sask-1-0"] > 50, "%v, although all 8 must stay ready", got)
+		},
+		defect: func(f *fixture) { f.set.MinReady = 7 },
+	},
+	"slow start": {
+		guards: "a cold target that gets its full share at once",
+		check: func(f *fixture) error {
+			f.call(0, good)
+			f.view.set(f.record("sask-1-new", "sask-1"))
+			cold := f.calls(300, time.Millisecond, good)["sask-1-new"]
+			f.now = f.now.Add(DefaultSlowStart)
+			warm := f.calls(300, time.Millisecond, good)["sask-1-new"]
+			return want(cold < 30 && warm > 60, "%d of 300 calls when cold, %d when warm", cold, warm)
+		},
+		defect: func(f *fixture) { f.b.opts.SlowStart = 1 },
+	},
+	"old reports": {
+		guards: "a choice by load that was reported more than 1 s ago",
+		check: func(f *fixture) error {
+			full := func(id string) Report {
+				if id == "sask-1-0" {
+					return Report{Load: 3}
+				}
+				return Report{Load: 0.1}
+			}
+			fresh := f.calls(100, time.Millisecond, full)["sask-1-0"]
+			f.now = f.now.Add(DefaultLoadMaxAge + time.Millisecond)
+			old := 0
+			for range 100 { // picks only: nothing new is reported
+				p, err := f.b.Pick(&f.set, nil, []string{"sask-2-0", "sask-2-1"})
+				if err != nil {
+					return err
+				}
+				if p.Record.ID == "sask-1-0" {
+					old++
+				}
+				p.endpoint.inFlight.Add(-1)
+			}
+			return want(fresh < 10 && old > 30, "%d of 100 calls with fresh reports, %d with old ones", fresh, old)
+		},
+		defect: func(f *fixture) { f.b.opts.LoadMaxAge = time.Hour },
+	},
+	"calls outweigh reports": {
+		guards: "a target that reports no load and refuses its calls, yet is preferred",
+		check: func(f *fixture) error {
+			lying := func(id string) Report {
+				if id == "sask-1-0" {
+					return Report{Refused: true, Load: 0.01}
+				}
+				return Report{Load: 0.7}
+			}
+			got := f.calls(300, time.Millisecond, lying)
+			return want(got["sask-1-0"] < 60, "%d of 300 calls went to the liar", got["sask-1-0"])
+		},
+		defect: func(f *fixture) {
+			f.report = func(_ string, r Report) Report { r.Refused = false; return r }
+		},
+	},
+	"idle services are dropped": {
+		guards: "state that grows with every service ever called",
+		check: func(f *fixture) error {
+			f.call(0, good)
+			p, err := f.b.Pick(&f.set, nil, nil)
+			if err != nil {
+				return err
+			}
+			f.now = f.now.Add(3 * DefaultIdleTime)
+			f.set.Announce = "inspection-house"
+			f.call(0, good)
+			inFlight := f.b.Services()
+			f.done(p, Report{})
+			f.now = f.now.Add(DefaultIdleTime + time.Second)
+			f.call(0, good)
+			return want(inFlight == 2 && f.b.Services() == 1, "%d services with a call in flight, %d without", inFlight, f.b.Services())
+		},
+		defect: func(f *fixture) { f.b.opts.IdleTime = time.Hour; f.b.sweepAt.Store(1 << 60) },
+	},
+}
+
+// eject makes calls for 30 s, in which a failing target fails often enough to be
+// ejected, and goes on until the target is left out.
+func (f *fixture) eject(outcome func(string) Report) {
+	end := f.now.Add(30 * time.Second)
+	for f.now.Before(end) || f.now.Before(end.Add(time.Minute)) && !f.ejected() {
+		f.call(5*time.Millisecond, outcome)
+	}
+}
+
+// ejected reports whether any target looks bad.
+func (f *fixture) ejected() bool {
+	v, _ := f.b.services.Load(f.set.Announce)
+	return slices.ContainsFunc(v.(*service).table.Load().all, func(e *endpoint) bool { return e.bad(f.b.now()) })
+}
+
+// untilTried returns the time until a target is called again.
+func (f *fixture) untilTried(id string, outcome func(string) Report) time.Duration {
+	start := f.now
+	for f.now.Sub(start) < 5*time.Minute {
+		if f.call(5*time.Millisecond, outcome) == id {
+			break
+		}
+	}
+	return f.now.Sub(start)
+}
+
+func want(ok bool, format string, args ...any) error {
+	if ok {
+		return nil
+	}
+	return fmt.Errorf(format, args...)
+}
+
+// Guards against the failure that each scenario names; its defect must be found.
+func TestScenarios(t *testing.T) {
+	for name, s := range scenarios {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(2, s.opts)
+			if name == "minimum of ready targets" {
+				f.set.MinReady = 8
+			}
+			if err := s.check(f); err != nil {
+				t.Fatalf("guards against %s: %v", s.guards, err)
+			}
+			f = newFixture(2, s.opts)
+			s.defect(f)
+			if err := s.check(f); err == nil {
+				t.Fatal("the check did not find the planted defect")
+			}
+		})
+	}
+}
+
+// Guards against data races and lost in-flight counts while endpoints change.
+func TestConcurrentCallsAndChanges(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(4, Options{})
+	view := &lockedView{fakeView: f.view}
+	b := New(view, Options{})
+	var wg sync.WaitGroup
+	for w := range 8 {
+		wg.Go(func() {
+			for i := range 2000 {
+				p, err := b.Pick(&f.set, nil, nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				p.Done(Report{Failed: (i+w)%7 == 0, Load: 0.5})
+				p.Done(Report{Failed: true}) // has no effect
+			}
+		})
+	}
+	for i := range 200 {
+		view.change(func(v *fakeView) { v.state(v.records[i%8].ID, member.State(1+i%3)) })
+	}
+	wg.Wait()
+	v, _ := b.services.Load(f.set.Announce)
+	is.True(!v.(*service).busy())
+}
+
+// Guards against a hot path that allocates more than the returned value.
+func TestPickAllocatesOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(8, Options{})
+	b := New(f.view, Options{})
+	n := testing.AllocsPerRun(1000, func() {
+		p, _ := b.Pick(&f.set, nil, nil)
+		p.Done(Report{Load: 0.5})
+	})
+	is.True(n <= 1)
+}
+
+func BenchmarkPickDone(b *testing.B) {
+	f := newFixture(8, Options{})
+	bal := New(f.view, Options{})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			p, _ := bal.Pick(&f.set, nil, nil)
+			p.Done(Report{Load: 0.5})
+		}
+	})
+}
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -7,10 +7,10 @@
 
 // choice is one selection.
 type choice struct {
-	b     *Balancer
-	now   int64
-	skip  []string
-	panic bool // ejection has stopped
+	b         *Balancer
+	now       int64
+	skip      []string
+	panicking bool // ejection has stopped
 }
 
 // maxDraws bounds the random draws for one of the two candidates. After that a
@@ -61,7 +61,7 @@
 	if e := c.twoChoices(t.suspects); e != nil {
 		return e
 	}
-	c.panic = true
+	c.panicking = true
 	for _, l := range t.localities() {
 		if e := c.twoChoices(l); e != nil {
 			return e
@@ -130,6 +130,9 @@
 		if e == not || !c.usable(e) {
 			continue
 		}
+		if e.bad(c.now) {
+			return e // ejection has stopped, and slow start begins when the target returns
+		}
 		if ramp := e.ramp(c.now); ramp >= highest || c.float()*highest < ramp {
 			return e
 		}
@@ -151,7 +154,7 @@
 
 // usable reports whether the endpoint may be selected.
 func (c *choice) usable(e *endpoint) bool {
-	if !c.panic && e.bad(c.now) {
+	if !c.panicking && e.bad(c.now) {
 		return false
 	}
 	return len(c.skip) == 0 || !slices.Contains(c.skip, e.record.Load().ID)
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -15,18 +15,21 @@
 	defaultFailures = 5 // consecutive failures that eject a target
 	defaultEject    = time.Second
 	defaultPercent  = 30
-	// maxEjectShift bounds the backoff to 64 times the base time.
-	maxEjectShift = 6
+	// maxEjectShift bounds the backoff to 32 times the base time.
+	maxEjectShift = 5
 	// probationCalls successful calls end an ejection and reset the backoff.
 	probationCalls = 10
 )
 
 // Weights of what calls show. A call moves an average by callWeight, and the
-// average halves every evidenceHalfLife without calls, so that a target that
-// gets no calls is tried again.
+// average halves every evidenceHalfLife. Below negligibleEvidence it counts as
+// 0, so that a target that gets no calls is tried again: about 2 s after one bad
+// call. An average without that bound kept a target out for ever, because an
+// idle target with any evidence lost against every idle target without.
 const (
-	callWeight       = 0.2
-	evidenceHalfLife = 2 * time.Second
+	callWeight         = 0.2
+	evidenceHalfLife   = 500 * time.Millisecond
+	negligibleEvidence = 0.01
 )
 
 // ejection is an EjectionSpec with its defaults applied.
@@ -108,7 +111,11 @@
 		return 0
 	}
 	age := max(now-e.evidenceAt.Load(), 0)
-	return v * math.Exp2(-float64(age)/float64(evidenceHalfLife))
+	v *= math.Exp2(-float64(age) / float64(evidenceHalfLife))
+	if v < negligibleEvidence {
+		return 0
+	}
+	return v
 }
 
 // observe records the report of one call.
@@ -123,7 +130,7 @@
 	case failed:
 		e.fail(r.Unreachable, ej, now, random)
 	case !r.Refused && (e.failing.Load() || e.probation.Load() > 0):
-		e.succeed()
+		e.succeed(now)
 	}
 }
 
@@ -137,16 +144,10 @@
 	if bad {
 		v += callWeight
 	}
-	if v < negligibleEvidence {
-		v = 0
-	}
 	e.evidence.Store(math.Float64bits(v))
 	e.evidenceAt.Store(now)
 }
 
-// negligibleEvidence is where the average counts as 0 and is no longer written.
-const negligibleEvidence = 1e-3
-
 // fail counts a failure and ejects the target when it failed often enough, at
 // once when it is unreachable or on probation.
 func (e *endpoint) fail(unreachable bool, ej ejection, now int64, random func() uint64) {
@@ -173,13 +174,14 @@
 
 // succeed ends a run of failures and, after enough successes, the ejection and
 // the probation. An ejected target gets calls while ejection has stopped.
-func (e *endpoint) succeed() {
+func (e *endpoint) succeed(now int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.failures = 0
 	e.failing.Store(false)
 	if e.probation.Load() > 0 && e.probation.Add(-1) == 0 {
 		e.shift = 0
+		e.rampFrom.Store(min(e.rampFrom.Load(), now))
 		e.badUntil.Store(0)
 	}
 }
--- a/balance/fake_test.go
+++ b/balance/fake_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 
 	"siskingw/member"
@@ -16,6 +17,7 @@
 	records    []*member.Record
 	cut        map[string]bool
 	generation uint64
+	frozen     bool // changes of records are not shown
 }
 
 func (v *fakeView) Self() *member.Record              { return &v.self }
@@ -33,8 +35,35 @@
 	return infos
 }
 
+// lockedView is a fakeView for concurrent use.
+type lockedView struct {
+	mu sync.Mutex
+	*fakeView
+}
+
+func (v *lockedView) change(f func(*fakeView)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	f(v.fakeView)
+}
+
+func (v *lockedView) Generation() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.generation
+}
+
+func (v *lockedView) Endpoints(string) []*member.Record {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.records
+}
+
 // set replaces the record of the same id, or adds it.
 func (v *fakeView) set(r member.Record) {
+	if v.frozen {
+		return
+	}
 	records := slices.Clone(v.records)
 	i := slices.IndexFunc(records, func(o *member.Record) bool { return o.ID == r.ID })
 	if i < 0 {
@@ -61,16 +90,17 @@
 
 // fixture is a balancer with a clock that tests advance.
 type fixture struct {
-	view *fakeView
-	now  time.Time
-	b    *Balancer
+	view     *fakeView
+	now      time.Time
+	b        *Balancer
+	set      object.EndpointSetSpec
+	ejection object.EjectionSpec
+	report   func(id string, r Report) Report // changes what the balancer is told; nil for nothing
 }
 
-var set = &object.EndpointSetSpec{Announce: "auction-floor"}
-
 // newFixture returns a node in sask-1 that sees perDomain targets in each failure domain.
 func newFixture(perDomain int, opts Options) *fixture {
-	f := &fixture{now: time.UnixMilli(1_800_000_000_000)}
+	f := &fixture{now: time.UnixMilli(1_800_000_000_000), set: object.EndpointSetSpec{Announce: "auction-floor"}}
 	f.view = &fakeView{self: member.Record{ID: "self", Region: "sask", FailureDomain: "sask-1"}, cut: map[string]bool{}}
 	for _, d := range []string{"sask-1", "sask-2", "alta-1", "mani-1"} {
 		for i := range perDomain {
@@ -87,6 +117,52 @@
 func (f *fixture) record(id, domain string) member.Record {
 	return member.Record{
 		ID: id, Incarnation: uint64(f.now.Add(-time.Hour).UnixMilli()), State: member.Alive,
-		FailureDomain: domain, Region: domain[:4], Service: set.Announce, Slots: 4,
+		FailureDomain: domain, Region: domain[:4], Service: f.set.Announce, Slots: 4,
+	}
+}
+
+// call makes one call: it picks a target, lets time pass and reports what outcome returns.
+func (f *fixture) call(gap time.Duration, outcome func(id string) Report, skip ...string) string {
+	p, err := f.b.Pick(&f.set, &f.ejection, skip)
+	if err != nil {
+		return ""
 	}
+	f.now = f.now.Add(gap)
+	f.done(p, outcome(p.Record.ID))
+	return p.Record.ID
+}
+
+func (f *fixture) done(p *Picked, r Report) {
+	if f.report != nil {
+		r = f.report(p.Record.ID, r)
+	}
+	p.Done(r)
+}
+
+// calls makes n calls and counts them by target.
+func (f *fixture) calls(n int, gap time.Duration, outcome func(id string) Report) map[string]int {
+	count := make(map[string]int)
+	for range n {
+		count[f.call(gap, outcome)]++
+	}
+	return count
+}
+
+// hold picks n targets without ending the calls and counts them by failure domain.
+func (f *fixture) hold(n int) map[string]int {
+	count := make(map[string]int)
+	for range n {
+		f.now = f.now.Add(2 * loadHalfLife)
+		if p, err := f.b.Pick(&f.set, &f.ejection, nil); err == nil {
+			count[p.Record.FailureDomain]++
+		}
+	}
+	return count
+}
+
+func good(string) Report { return Report{Duration: time.Millisecond} }
+
+// failing returns an outcome in which the given targets fail.
+func failing(ids ...string) func(string) Report {
+	return func(id string) Report { return Report{Failed: slices.Contains(ids, id)} }
 }
--- a/balance/locality.go
+++ b/balance/locality.go
@@ -5,12 +5,16 @@
 	"time"
 )
 
-// Calls leave a locality in proportion to its load per slot: none up to
-// spillFrom, all of them from spillTo. The range keeps the share steady although
-// the load answers late; a hard limit at 1 made the share swing.
+// Calls leave a locality in proportion to its load per slot: none up to the
+// start of a range, all of them from its end. The range keeps the share steady
+// although the load answers late. The own failure domain has no waiting calls
+// before calls leave it, because its neighbours are 1 ms away; the region has,
+// because another region is 20 ms away and its traffic is paid.
 const (
-	spillFrom = 0.8
-	spillTo   = 1.2
+	domainSpillFrom = 0.7
+	domainSpillTo   = 1.0
+	regionSpillFrom = 0.9
+	regionSpillTo   = 1.2
 	// loadHalfLife is the time in which the smoothed load makes half of a change.
 	loadHalfLife = 100 * time.Millisecond
 )
@@ -35,12 +39,12 @@
 }
 
 // refresh works out the load and the highest ramp of every locality.
-func (t *table) refresh(now int64, maxAge time.Duration) {
+func (t *table) refresh(now int64, maxAge time.Duration, panicking bool) {
 	for _, l := range t.localities() {
 		age := float64(max(now-l.loadAt.Load(), 0))
 		weight := 1 - math.Exp2(-age/float64(loadHalfLife))
 		load := l.currentLoad()
-		load += weight * (l.measure(now, maxAge) - load)
+		load += weight * (l.measure(now, maxAge, panicking) - load)
 		l.load.Store(math.Float64bits(load))
 		l.loadAt.Store(now)
 		l.storeMaxRamp(now)
@@ -66,11 +70,16 @@
 }
 
 // measure returns the load per slot of the locality's usable endpoints.
-// Endpoints that look bad count as full, so that their calls go elsewhere.
-func (l *locality) measure(now int64, maxAge time.Duration) float64 {
+// Endpoints that look bad count as full, so that their calls go elsewhere,
+// unless ejection has stopped.
+func (l *locality) measure(now int64, maxAge time.Duration, panicking bool) float64 {
 	var sum float64
 	for _, e := range l.endpoints {
-		sum += e.slots() * e.fullness(now, maxAge)
+		full := e.fullness(now, maxAge)
+		if !panicking && e.bad(now) {
+			full = badFullness
+		}
+		sum += e.slots() * full
 	}
 	return sum / l.slots
 }
@@ -78,23 +87,20 @@
 // fullness returns the load per slot of one endpoint as far as this node can
 // tell: the highest of its own calls in flight, fresh reports, and failures.
 func (e *endpoint) fullness(now int64, maxAge time.Duration) float64 {
-	if e.bad(now) {
-		return badFullness
-	}
 	own := float64(e.inFlight.Load()) / e.slots()
 	shown := badFullness * e.shown(now)
 	return min(max(own, shown, e.reported(now, maxAge)), badFullness)
 }
 
 // badFullness is the load per slot that a failing endpoint counts with; above
-// spillTo, so that a locality of failing endpoints passes all calls on.
+// regionSpillTo, so that a locality of failing endpoints passes all calls on.
 const badFullness = 1.5
 
 func (l *locality) currentLoad() float64 { return math.Float64frombits(l.load.Load()) }
 
 // spill returns the share of calls that the locality passes on, 0..1.
 func (l *locality) spill() float64 {
-	return min(max((l.currentLoad()-spillFrom)/(spillTo-spillFrom), 0), 1)
+	return min(max((l.currentLoad()-l.spillFrom)/(l.spillTo-l.spillFrom), 0), 1)
 }
 
 // left returns the slots that the locality has left for calls from elsewhere.
--- a/balance/service.go
+++ b/balance/service.go
@@ -21,6 +21,7 @@
 	slowStart int64 // ns
 	usedAt    atomic.Int64
 	badUntil  atomic.Int64 // no endpoint looks bad from then on
+	panicking atomic.Bool  // ejection has stopped
 	table     atomic.Pointer[table]
 	refreshAt atomic.Int64
 	mu        sync.Mutex // held while the table is rebuilt or refreshed
@@ -50,6 +51,8 @@
 type locality struct {
 	endpoints []*endpoint
 	slots     float64
+	spillFrom float64       // load per slot from which calls go elsewhere
+	spillTo   float64       // load per slot from which all calls go elsewhere
 	load      atomic.Uint64 // float64 bits, smoothed load per slot
 	loadAt    atomic.Int64
 	maxRamp   atomic.Uint64 // float64 bits, highest ramp of the endpoints
@@ -114,7 +117,7 @@
 		t.inherit(old)
 	}
 	t.generation.Store(generation)
-	t.refresh(now, b.opts.LoadMaxAge)
+	t.refresh(now, b.opts.LoadMaxAge, s.panicking.Load())
 	s.refreshAt.Store(now + int64(refreshTime))
 	s.table.Store(t)
 	return t
@@ -167,7 +170,7 @@
 // group sorts the endpoints into localities.
 func (s *service) group(b *Balancer, t *table) {
 	self := b.view.Self()
-	own, region := &locality{}, &locality{}
+	own, region := &locality{spillFrom: domainSpillFrom, spillTo: domainSpillTo}, newRegion()
 	others := make(map[string]*locality)
 	for _, r := range t.records {
 		e := s.endpoints[identity{r.ID, r.Incarnation}]
@@ -187,7 +190,7 @@
 			l = region
 		default:
 			if l = others[r.Region]; l == nil {
-				l = &locality{}
+				l = newRegion()
 				others[r.Region] = l
 			}
 		}
@@ -203,6 +206,8 @@
 	})
 }
 
+func newRegion() *locality { return &locality{spillFrom: regionSpillFrom, spillTo: regionSpillTo} }
+
 func (l *locality) add(e *endpoint, r *member.Record) {
 	l.endpoints = append(l.endpoints, e)
 	l.slots += float64(max(r.Slots, 1))
