--- /dev/null
+++ b/status/aggregate_test.go
@@ -0,0 +1,315 @@
+package status
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"siskingw/member"
+	"siskingw/peer/peerpb"
+)
+
+const expiry = 6 * time.Second
+
+// process is one process of a node with its own view of the membership.
+type process struct {
+	dir *member.Directory
+	agg *aggregate
+}
+
+// mesh runs the trackers of one failure domain without a network.
+type mesh struct {
+	now       time.Time
+	ids       []string
+	processes map[string]*process
+	// truth is the version that each process really has in force, by id and
+	// incarnation. It never falls within an incarnation.
+	truth    map[string]uint64
+	inFlight []delivery
+}
+
+type delivery struct {
+	to  string
+	msg *peerpb.StatusReport
+}
+
+func newMesh(n int) *mesh {
+	m := &mesh{now: time.Unix(1e9, 0), processes: make(map[string]*process), truth: make(map[string]uint64)}
+	for i := range n {
+		m.ids = append(m.ids, fmt.Sprintf("node-%02d", i))
+		m.restart(m.ids[i])
+	}
+	m.gossip()
+	return m
+}
+
+func name(r *member.Record) string { return fmt.Sprintf("%s/%d", r.ID, r.Incarnation) }
+
+// restart replaces a node's process by a new one that has no version and knows
+// what the old one knew of the membership.
+func (m *mesh) restart(id string) {
+	self := member.Record{ID: id, Incarnation: 1, Sequence: 1, FailureDomain: "fd", Region: "r"}
+	old := m.processes[id]
+	if old != nil {
+		self.Incarnation = old.dir.Self().Incarnation + 1
+	}
+	dir := member.NewDirectory(self, member.DirectoryOptions{Clock: clockwork.NewFakeClockAt(m.now)})
+	if old != nil {
+		dir.Merge(values(slices.DeleteFunc(old.dir.All(), func(r *member.Record) bool { return r.ID == id })))
+	}
+	m.processes[id] = &process{dir, newAggregate(dir, expiry)}
+}
+
+func values(records []*member.Record) []member.Record {
+	var out []member.Record
+	for _, r := range records {
+		out = append(out, *r)
+	}
+	return out
+}
+
+// learn merges one node's records into another's.
+func (m *mesh) learn(to, from string) {
+	m.processes[to].dir.Merge(values(m.processes[from].dir.All()))
+}
+
+// gossip makes all views equal.
+func (m *mesh) gossip() {
+	for range 2 {
+		for _, from := range m.ids {
+			for _, to := range m.ids {
+				m.learn(to, from)
+			}
+		}
+	}
+}
+
+func (m *mesh) advance(id string, version uint64) {
+	p := m.processes[id]
+	p.agg.confirm(version)
+	m.truth[name(p.dir.Self())] = p.agg.version
+}
+
+// send puts a node's report to its parent, as it sees that, on the way.
+func (m *mesh) send(id string) {
+	p := m.processes[id]
+	if parent := member.Parent(p.dir, id); parent != nil {
+		m.inFlight = append(m.inFlight, delivery{parent.ID, p.agg.report(m.now)})
+	}
+}
+
+func (m *mesh) deliver(i int) {
+	d := m.inFlight[i]
+	p := m.processes[d.to]
+	p.agg.take(m.now, d.msg)
+	if from := m.processes[d.msg.FromId]; from.dir.Self().Incarnation == d.msg.FromIncarnation {
+		from.agg.newest = max(from.agg.newest, p.agg.newest)
+	}
+}
+
+// report lets every node report once, deepest first.
+func (m *mesh) report() {
+	ranked := m.processes[m.ids[0]].dir.Ranked("fd")
+	for _, r := range slices.Backward(ranked) {
+		m.send(r.ID)
+		if n := len(m.inFlight); n > 0 {
+			m.deliver(n - 1)
+		}
+		m.inFlight = nil
+	}
+}
+
+// root returns the node at position 0 and its summary.
+func (m *mesh) root() (string, Domain) {
+	id := m.processes[m.ids[0]].dir.Ranked("fd")[0].ID
+	return id, m.processes[id].agg.summary(m.now)
+}
+
+// check compares every summary that some node would give as rank 0 with the truth.
+func (m *mesh) check(t interface{ Fatalf(string, ...any) }) {
+	for id, p := range m.processes {
+		if member.Position(p.dir, id) != 0 {
+			continue
+		}
+		d := p.agg.summary(m.now)
+		if d.Version == 0 {
+			continue
+		}
+		for _, r := range p.dir.Ranked("fd") {
+			if m.truth[name(r)] < d.Version {
+				t.Fatalf("%s reports version %d in force, %s has %d", id, d.Version, name(r), m.truth[name(r)])
+			}
+		}
+	}
+}
+
+// Guards against a status that is ahead of the truth, under random advances,
+// restarts, departures, losses, late reports and diverging views.
+func TestNeverAheadOfTheTruth(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMesh(rapid.IntRange(1, 22).Draw(t, "nodes"))
+		pick := rapid.SampledFrom(m.ids)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				m.advance(pick.Draw(t, "advance"), uint64(rapid.IntRange(1, 5).Draw(t, "version")))
+			case 1:
+				for _, id := range m.ids {
+					if rapid.IntRange(0, 9).Draw(t, "skip") > 0 {
+						m.advance(id, 3)
+					}
+				}
+			case 2:
+				m.restart(pick.Draw(t, "restart"))
+			case 3, 4:
+				m.learn(pick.Draw(t, "to"), pick.Draw(t, "from"))
+			case 5:
+				m.send(pick.Draw(t, "send"))
+			case 6:
+				if n := len(m.inFlight); n > 0 { // kept, so it may come again and late
+					m.deliver(rapid.IntRange(0, n-1).Draw(t, "deliver"))
+				}
+			case 7:
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 7000).Draw(t, "ms")) * time.Millisecond)
+			case 8:
+				m.state(pick.Draw(t, "about"), pick.Draw(t, "by"), member.State(rapid.IntRange(1, 5).Draw(t, "state")))
+			case 9:
+				m.report()
+			}
+			m.check(t)
+		}
+		// And it catches up with the truth once everyone reports.
+		m.inFlight = nil
+		for range 2 { // refutations reach everyone with the second round
+			m.gossip()
+		}
+		for _, id := range m.ids {
+			m.advance(id, 9)
+		}
+		m.report()
+		if _, d := m.root(); d.Version != 9 || d.Live != len(m.ids) || d.Confirmed != d.Live {
+			t.Fatalf("summary after all have confirmed: %+v", d)
+		}
+	})
+}
+
+// state lets one node state something about another.
+func (m *mesh) state(about, by string, s member.State) {
+	if about == by {
+		return
+	}
+	r := *m.processes[by].dir.Lookup(about)
+	r.State = s
+	if s == member.Left || s == member.Draining {
+		return // only the owner states these
+	}
+	m.processes[by].dir.Merge([]member.Record{r})
+}
+
+func confirmed(m *mesh, version uint64) {
+	for _, id := range m.ids {
+		m.advance(id, version)
+	}
+	m.report()
+}
+
+// Guards against a restarted node that still counts with its old version.
+func TestRestartedNodeIsPending(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(21)
+	confirmed(m, 4)
+	root, d := m.root()
+	is.Equal(d.Version, uint64(4))
+	leaf := m.processes[root].dir.Ranked("fd")[20].ID
+	m.restart(leaf)
+	m.send(leaf) // its parent learns of the restart from the report
+	m.deliver(0)
+	m.inFlight = nil
+	m.report()
+	_, d = m.root()
+	is.Equal(d.Version, uint64(0))
+	is.Equal(d.Laggards, []Laggard{{ID: leaf}})
+	m.gossip()
+	m.advance(leaf, 4)
+	m.report()
+	_, d = m.root()
+	is.Equal(d.Version, uint64(4))
+}
+
+// Guards against a parent that returns and reports what it knew before, and
+// against its children being counted while it is gone.
+func TestReturningParent(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(21)
+	confirmed(m, 4)
+	root, _ := m.root()
+	parent := m.processes[root].dir.Ranked("fd")[1].ID
+	m.restart(parent)
+	m.gossip()
+	_, d := m.root()
+	is.Equal(d.Version, uint64(0)) // the report of the former incarnation does not count
+	is.Equal(d.Laggards, []Laggard{{ID: parent}})
+	m.advance(parent, 4)
+	m.send(parent)
+	m.deliver(0)
+	m.inFlight = nil
+	_, d = m.root()
+	is.Equal(d.Version, uint64(0)) // its children have not reported to it yet
+	m.report()
+	_, d = m.root()
+	is.Equal(d.Version, uint64(4))
+	m.now = m.now.Add(expiry)
+	_, d = m.root()
+	is.Equal(d.Version, uint64(0)) // silence is no confirmation
+}
+
+// Guards against a node that two parents count hiding one that is missing.
+func TestNodeCountedTwice(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(9)
+	root, _ := m.root()
+	ranked := m.processes[root].dir.Ranked("fd")
+	twice, missing := ranked[5], ranked[6]
+	for _, id := range m.ids {
+		if id != missing.ID {
+			m.advance(id, 4)
+		}
+	}
+	m.report()
+	// Another child of the root counts one node again, so that the count fits.
+	other := m.processes[ranked[2].ID].agg.report(m.now)
+	other.Count++
+	other.Xor ^= twice.IncarnationHash()
+	m.processes[root].agg.take(m.now, other)
+	_, d := m.root()
+	is.Equal(d.Version, uint64(0))
+	is.Equal(m.processes[root].agg.total(m.now).count, 9)
+	is.Equal(d.Laggards, []Laggard{{ID: missing.ID}})
+}
+
+// Guards against laggards deep in the tree that nobody names.
+func TestLaggardsAreNamed(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(40)
+	confirmed(m, 4)
+	root, _ := m.root()
+	slow := m.processes[root].dir.Ranked("fd")[39].ID
+	for _, id := range m.ids {
+		if id != slow {
+			m.advance(id, 5)
+		}
+	}
+	for range 4 { // the newest version goes down one level with each report
+		m.report()
+	}
+	_, d := m.root()
+	is.Equal(d.Version, uint64(4))
+	is.Equal(d.Newest, uint64(5))
+	is.Equal(d.Confirmed, 39)
+	is.Equal(d.Laggards, []Laggard{{slow, 4}})
+}
