Send only versions of the own region on links between regions

A region's head sent every version since the last one that the other head had confirmed, although versions that entered elsewhere were delivered by another head: 839 bytes between regions for a delta of 253 bytes into 2 regions. It now sends only what entered in its own region: 582 bytes, 1.15 times the delta per region (25 nodes, 10 services, 12 changes).

--- a/spread/forward.go
+++ b/spread/forward.go
@@ -325,6 +325,9 @@
 	r := &peerpb.OfferRequest{Sender: self.ID, Version: s.Version(), AsRoot: ev.asRoot, AsHead: ev.asHead}
 	if to.Region == self.Region {
 		r.OriginRegion = ev.origin
+	} else if foreign := n.foreign.Load(); foreign < s.Version() {
+		// The heads of their regions delivered the versions that entered there.
+		confirmed = max(confirmed, foreign)
 	}
 	if confirmed < s.Version() {
 		r.Deltas = n.hist.chainFrom(confirmed, s.Version())
--- a/spread/node.go
+++ b/spread/node.go
@@ -73,6 +73,7 @@
 	spread uint64     // highest version handed to forward
 
 	hist      history
+	foreign   atomic.Uint64 // highest version that entered in another region, as far as known
 	links     links
 	pending   pendingGroups
 	wants     *ring.Ring[want]
@@ -173,6 +174,9 @@
 	}
 	n.hist.add(entries...)
 	n.spread = max(n.spread, next.Version())
+	if ev.origin != n.view.Self().Region {
+		n.foreign.Store(next.Version())
+	}
 	n.forward(ev)
 	return nil
 }
