--- a/spread/node.go
+++ b/spread/node.go
@@ -105,6 +105,7 @@
 		wants:     ring.New[want](maxWants, ring.DropOldest),
 		transfers: make(chan struct{}, maxTransfers),
 	}
+	opts.Metrics.GetOrCreateGauge("siskingw_spread_version", func() float64 { return float64(n.cur.Version()) })
 	n.recovery.wake = make(chan struct{}, 1)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
--- a/spread/stream.go
+++ b/spread/stream.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"siskingw/faults"
@@ -44,21 +46,17 @@
 		if len(s.m) < maxStreams {
 			break
 		}
-		o.end()
-		delete(s.m, k)
+		if o.mu.TryLock() { // one that carries an offer stays
+			o.close()
+			o.mu.Unlock()
+			delete(s.m, k)
+		}
 	}
 	o := new(offerStream)
 	s.m[addr] = o
 	return o
 }
 
-// end closes the stream. An offer under way fails with its stream.
-func (o *offerStream) end() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	o.close()
-}
-
 // close ends the stream, if any. The caller holds o.mu.
 func (o *offerStream) close() {
 	if o.cancel != nil {
@@ -119,23 +117,45 @@
 	return reply, nil
 }
 
-// OfferStream serves the offers of one peer in order.
+// OfferStream serves the offers of one peer in order. It ends with the node, so
+// that an open stream does not hold up a graceful stop of the server.
 func (s server) OfferStream(stream grpc.BidiStreamingServer[peerpb.OfferRequest, peerpb.OfferReply]) error {
+	requests, failed := make(chan *peerpb.OfferRequest), make(chan error, 1)
+	go receive(stream, requests, failed)
 	sender := ""
 	for {
-		r, err := stream.Recv()
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
+		select {
+		case <-s.node.ctx.Done():
+			return status.Error(codes.Unavailable, "the node stops")
+		case err := <-failed:
+			if err == io.EOF {
+				return nil
+			}
 			return err
+		case r := <-requests:
+			if r.Sender == "" {
+				r.Sender = sender
+			}
+			sender = r.Sender
+			if err := stream.Send(s.node.HandleOffer(r)); err != nil {
+				return err
+			}
 		}
-		if r.Sender == "" {
-			r.Sender = sender
+	}
+}
+
+// receive passes requests on until the stream ends.
+func receive(stream grpc.BidiStreamingServer[peerpb.OfferRequest, peerpb.OfferReply], requests chan<- *peerpb.OfferRequest, failed chan<- error) {
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			failed <- err
+			return
 		}
-		sender = r.Sender
-		if err := stream.Send(s.node.HandleOffer(r)); err != nil {
-			return err
+		select {
+		case requests <- r:
+		case <-stream.Context().Done():
+			return
 		}
 	}
 }
