Add meshbench calls, the measurement of what the proxy adds to a call

One run starts a target, two nodes and a two-hop baseline with one http.Transport for each hop, each as its own process, and makes interleaved calls on all paths: an open loop with HDR histograms, then a closed loop up to the knee, with CPU time and allocations of each process.

--- /dev/null
+++ b/bench/calls/calls.go
@@ -0,0 +1,250 @@
+// Package calls measures what the proxy adds to a call: latency at a fixed
+// rate, the knee of the throughput, CPU time and allocations.
+package calls
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"siskingw/faults"
+)
+
+// Command is the subcommand "calls": it starts a target, the two nodes and the
+// baseline as processes of their own and measures all paths in one run.
+type Command struct {
+	rate     float64
+	duration time.Duration
+	warmup   time.Duration
+	step     time.Duration
+	profiles string
+}
+
+// Name returns the name of the subcommand.
+func (*Command) Name() string { return "calls" }
+
+// Synopsis describes the subcommand.
+func (*Command) Synopsis() string { return "measure what the proxy adds to a call" }
+
+// Usage describes the arguments.
+func (*Command) Usage() string {
+	return "calls [-rate N] [-duration D] [-step D] [-profiles DIR]\n"
+}
+
+// SetFlags defines the flags.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.Float64Var(&c.rate, "rate", 190, "calls/s on each path in the open loop")
+	f.DurationVar(&c.duration, "duration", 30*time.Second, "length of the open loop")
+	f.DurationVar(&c.warmup, "warmup", 3*time.Second, "open loop before the measurement")
+	f.DurationVar(&c.step, "step", 2*time.Second, "length of each step of the closed loop, 0 for none")
+	f.StringVar(&c.profiles, "profiles", "", "directory for CPU profiles of the nodes under the heaviest closed loop")
+}
+
+// Execute measures and prints a report.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if err := c.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// process is a child that runs a role.
+type process struct {
+	role, addr, stats string
+	cmd               *exec.Cmd
+	stdin             io.Closer
+}
+
+// start starts a role and waits for its addresses.
+func start(ctx context.Context, role, next string) (*process, error) {
+	exe, err := os.Executable()
+	if err != nil {
+		return nil, faults.Internal.Wrap(err, "own program")
+	}
+	p := &process{role: role, cmd: exec.CommandContext(ctx, exe, "calls-role", "-role", role, "-next", next)}
+	p.cmd.Stderr = os.Stderr
+	if p.stdin, err = p.cmd.StdinPipe(); err != nil {
+		return nil, faults.Internal.Wrap(err, "pipe to %s", role)
+	}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, faults.Internal.Wrap(err, "pipe from %s", role)
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, faults.Internal.Wrap(err, "start %s", role)
+	}
+	line, _ := bufio.NewReader(out).ReadString('\n')
+	if n, _ := fmt.Sscan(line, &p.addr, &p.stats); n != 2 {
+		p.stop()
+		return nil, faults.Internal.New("%s did not start", role)
+	}
+	return p, nil
+}
+
+// stop ends the child by closing its standard input.
+func (p *process) stop() {
+	p.stdin.Close()
+	_ = p.cmd.Wait() // its exit status tells nothing more
+}
+
+// get reads from the child's statistics.
+func (p *process) get(query string) ([]byte, error) {
+	resp, err := http.Get("http://" + p.stats + query)
+	if err != nil {
+		return nil, faults.Internal.Wrap(err, "statistics of %s", p.role)
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, faults.Internal.Wrap(err, "statistics of %s", p.role)
+	}
+	return b, nil
+}
+
+func (p *process) read() (s processStats, err error) {
+	b, err := p.get("/")
+	if err != nil {
+		return s, err
+	}
+	if err := json.Unmarshal(b, &s); err != nil {
+		return s, faults.Internal.Wrap(err, "statistics of %s", p.role)
+	}
+	return s, nil
+}
+
+func (c *Command) run(ctx context.Context) error {
+	var procs []*process
+	defer func() {
+		for _, p := range procs {
+			p.stop()
+		}
+	}()
+	addr := make(map[string]string)
+	for _, r := range [][2]string{
+		{roleTarget, ""}, {roleInbound, roleTarget}, {roleOutbound, roleInbound},
+		{roleBaselineInbound, roleTarget}, {roleBaselineOutbound, roleBaselineInbound},
+	} {
+		p, err := start(ctx, r[0], addr[r[1]])
+		if err != nil {
+			return err
+		}
+		procs = append(procs, p)
+		addr[p.role] = p.addr
+	}
+	paths := []*path{newPath("direct", addr[roleTarget]), newPath("nodes", addr[roleOutbound]), newPath("baseline", addr[roleBaselineOutbound])}
+	openLoop(paths, c.rate, c.warmup)
+	for _, p := range paths {
+		p.reset()
+	}
+	if err := c.latency(paths, procs[1:]); err != nil {
+		return err
+	}
+	if c.step <= 0 {
+		return nil
+	}
+	return c.knee(paths, procs[1:3])
+}
+
+// latency runs the open loop and prints quantiles and costs of each call.
+func (c *Command) latency(paths []*path, nodes []*process) error {
+	before, err := readAll(nodes)
+	if err != nil {
+		return err
+	}
+	n := openLoop(paths, c.rate, c.duration)
+	after, err := readAll(nodes)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("open loop: %d calls on each path at %g/s for %v, processes: caller, target, 2 nodes, 2 baseline hops\n", n, c.rate, c.duration)
+	fmt.Printf("%-10s %9s %9s %9s %9s %9s %9s %7s\n", "ms", "p50", "p99", "p99.9", "+p50", "+p99", "+p99.9", "errors")
+	quantiles := []float64{50, 99, 99.9}
+	for _, p := range paths {
+		fmt.Printf("%-10s", p.name)
+		for _, q := range quantiles {
+			fmt.Printf(" %9.3f", ms(p, q))
+		}
+		for _, q := range quantiles {
+			fmt.Printf(" %9.3f", ms(p, q)-ms(paths[0], q))
+		}
+		fmt.Printf(" %7d\n", p.errors.Load())
+	}
+	for i, p := range nodes {
+		calls := uint64(n)
+		fmt.Printf("%-18s %4d allocations, %6d bytes, %6.1f µs CPU for each call\n", p.role,
+			(after[i].Mallocs-before[i].Mallocs)/calls, (after[i].Bytes-before[i].Bytes)/calls,
+			float64((after[i].CPU-before[i].CPU).Microseconds())/float64(n))
+	}
+	return nil
+}
+
+func ms(p *path, q float64) float64 { return float64(p.hist.ValueAtQuantile(q)) / 1e6 }
+
+func readAll(nodes []*process) ([]processStats, error) {
+	stats := make([]processStats, len(nodes))
+	for i, p := range nodes {
+		var err error
+		if stats[i], err = p.read(); err != nil {
+			return nil, err
+		}
+	}
+	return stats, nil
+}
+
+// knee raises the calls in flight on each path and prints the throughput.
+func (c *Command) knee(paths []*path, nodes []*process) error {
+	steps := []int{1, 2, 4, 8, 16, 32, 64}
+	fmt.Printf("closed loop: %v for each step\n%-10s", c.step, "in flight")
+	for _, p := range paths {
+		fmt.Printf(" %10s/s %9s", p.name, "p99 ms")
+	}
+	fmt.Println()
+	for i, n := range steps {
+		fmt.Printf("%-10d", n)
+		for _, p := range paths {
+			p.reset()
+			if p.name == "nodes" && i == len(steps)-1 && c.profiles != "" {
+				wait := c.profile(nodes)
+				defer wait()
+			}
+			rate := closedLoop(p, n, c.step)
+			fmt.Printf(" %12.0f %9.3f", rate, ms(p, 99))
+		}
+		fmt.Println()
+	}
+	return nil
+}
+
+// profile starts a CPU profile of each node for the length of a step and
+// returns a function that waits for the files.
+func (c *Command) profile(nodes []*process) (wait func()) {
+	var wg sync.WaitGroup
+	for _, p := range nodes {
+		wg.Go(func() {
+			seconds := max(int(c.step/time.Second), 1)
+			for name, query := range map[string]string{"cpu": fmt.Sprintf("/?profile=%d", seconds), "allocs": "/allocs"} {
+				b, err := p.get(query)
+				if err == nil {
+					err = os.WriteFile(filepath.Join(c.profiles, strings.Join([]string{p.role, name, "prof"}, ".")), b, 0o644)
+				}
+				if err != nil {
+					fmt.Fprintln(os.Stderr, err)
+				}
+			}
+		})
+	}
+	return wg.Wait
+}
--- /dev/null
+++ b/bench/calls/load.go
@@ -0,0 +1,145 @@
+package calls
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"siskingw/faults"
+)
+
+const (
+	requestBytes = 200 // body of a measured call
+	maxLatency   = 10 * time.Second
+	callTimeout  = 5 * time.Second
+	maxIdle      = 256
+)
+
+// path is one way to the target under measurement.
+type path struct {
+	name    string
+	addr    string
+	request []byte
+	idle    chan *clientConn
+
+	mu     sync.Mutex
+	hist   *hdrhistogram.Histogram // of latencies in ns
+	errors atomic.Int64
+}
+
+type clientConn struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+func newPath(name, addr string) *path {
+	p := &path{name: name, addr: addr, idle: make(chan *clientConn, maxIdle)}
+	p.request = fmt.Appendf(nil, "POST /bids HTTP/1.1\r\nHost: %s\r\nUser-Agent: bench\r\nAccept: */*\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+		benchHost, requestBytes, make([]byte, requestBytes))
+	p.reset()
+	return p
+}
+
+// reset forgets what was measured.
+func (p *path) reset() {
+	p.hist = hdrhistogram.New(1000, maxLatency.Nanoseconds(), 3)
+	p.errors.Store(0)
+}
+
+// call makes one call and records its latency. The client writes and reads on
+// one goroutine, so that it adds as little as possible to each path.
+func (p *path) call() {
+	start, err := p.exchange()
+	d := time.Since(start)
+	if err != nil {
+		p.errors.Add(1)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.hist.RecordValue(d.Nanoseconds()) // callTimeout is below maxLatency
+}
+
+func (p *path) exchange() (start time.Time, err error) {
+	var c *clientConn
+	select {
+	case c = <-p.idle:
+	default:
+		nc, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			return start, faults.PeerUnavailable.Wrap(err, "dial")
+		}
+		c = &clientConn{nc, bufio.NewReader(nc)}
+	}
+	_ = c.SetDeadline(time.Now().Add(callTimeout))
+	start = time.Now()
+	if err := c.roundTrip(p.request); err != nil {
+		c.Close()
+		return start, err
+	}
+	select {
+	case p.idle <- c:
+	default:
+		c.Close()
+	}
+	return start, nil
+}
+
+func (c *clientConn) roundTrip(request []byte) error {
+	if _, err := c.Write(request); err != nil {
+		return faults.OutcomeUnknown.Wrap(err, "write")
+	}
+	resp, err := http.ReadResponse(c.br, nil)
+	if err != nil {
+		return faults.OutcomeUnknown.Wrap(err, "read")
+	}
+	n, err := io.Copy(io.Discard, resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK || n != answerBytes {
+		return faults.OutcomeUnknown.New("status %d with %d bytes", resp.StatusCode, n)
+	}
+	return nil
+}
+
+// openLoop starts calls on every path at the rate, each path at its own phase
+// within the interval and in a new order each time, whatever earlier calls do.
+// It returns the calls started on each path.
+func openLoop(paths []*path, rate float64, d time.Duration) int {
+	interval := time.Duration(float64(time.Second) / rate)
+	phase := interval / time.Duration(len(paths))
+	var wg sync.WaitGroup
+	begin := time.Now()
+	n := int(d / interval)
+	for i := range n {
+		for j, k := range rand.Perm(len(paths)) {
+			at := begin.Add(time.Duration(i)*interval + time.Duration(j)*phase)
+			time.Sleep(time.Until(at))
+			wg.Go(paths[k].call)
+		}
+	}
+	wg.Wait()
+	return n
+}
+
+// closedLoop keeps a number of calls in flight for a time and returns the
+// calls/s that completed.
+func closedLoop(p *path, inFlight int, d time.Duration) float64 {
+	var wg sync.WaitGroup
+	begin := time.Now()
+	for range inFlight {
+		wg.Go(func() {
+			for time.Since(begin) < d {
+				p.call()
+			}
+		})
+	}
+	wg.Wait()
+	return float64(p.hist.TotalCount()) / time.Since(begin).Seconds()
+}
--- /dev/null
+++ b/bench/calls/role.go
@@ -0,0 +1,197 @@
+package calls
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"runtime/pprof"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/subcommands"
+
+	"siskingw/admit"
+	"siskingw/balance"
+	"siskingw/faults"
+	"siskingw/idem"
+	"siskingw/member"
+	"siskingw/object"
+	"siskingw/proxy"
+	"siskingw/snapshot"
+	"siskingw/targetstub"
+)
+
+// The roles of the processes that a measurement starts.
+const (
+	roleTarget           = "target"
+	roleInbound          = "inbound"
+	roleOutbound         = "outbound"
+	roleBaselineInbound  = "baseline-inbound"
+	roleBaselineOutbound = "baseline-outbound"
+)
+
+const (
+	benchSlots      = 256 // more than any load step runs at once, so that no call is refused
+	benchServices   = 2100
+	answerBytes     = 256
+	defaultBenchRun = "bench"
+)
+
+// Role runs one process of a measurement until its standard input ends. The
+// first line that it prints holds its address and that of its statistics.
+type Role struct {
+	role string
+	next string
+}
+
+// Name returns the name of the subcommand.
+func (*Role) Name() string { return "calls-role" }
+
+// Synopsis describes the subcommand.
+func (*Role) Synopsis() string { return "one process of a calls measurement" }
+
+// Usage describes the arguments.
+func (*Role) Usage() string { return "calls-role -role NAME [-next ADDRESS]\n" }
+
+// SetFlags defines the flags.
+func (r *Role) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&r.role, "role", "", "role of the process")
+	f.StringVar(&r.next, "next", "", "address of the next hop")
+}
+
+// Execute runs the role.
+func (r *Role) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if err := r.run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (r *Role) run() error {
+	handler, err := r.handler()
+	if err != nil {
+		return err
+	}
+	addr, err := serve(handler)
+	if err != nil {
+		return err
+	}
+	stats, err := serve(http.HandlerFunc(serveStats))
+	if err != nil {
+		return err
+	}
+	fmt.Println(addr, stats)
+	_, _ = io.Copy(io.Discard, bufio.NewReader(os.Stdin)) // until the parent ends
+	return nil
+}
+
+// serve serves the handler on a loopback port.
+func serve(h http.Handler) (addr string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", faults.Internal.Wrap(err, "no listener")
+	}
+	go proxy.NewServer(h, proxy.ServerOptions{}).Serve(l)
+	return l.Addr().String(), nil
+}
+
+func (r *Role) handler() (http.Handler, error) {
+	m := proxy.NewMetrics(metrics.NewSet())
+	switch r.role {
+	case roleTarget:
+		b := targetstub.DefaultBehavior()
+		b.Slots, b.WorkMs, b.BodyBytes = benchSlots, 0, answerBytes
+		return targetstub.New(b).Handler(), nil
+	case roleInbound:
+		return proxy.NewInbound(proxy.InboundOptions{
+			Target:  r.next,
+			Gate:    admit.New(admit.Options{Slots: benchSlots}),
+			Ledger:  idem.NewLedger("target", 1, idem.Options{}),
+			Pool:    proxy.NewPool(proxy.PoolOptions{MaxPerAddress: benchSlots}),
+			Metrics: m,
+		}), nil
+	case roleOutbound:
+		return newOutbound(r.next, m)
+	case roleBaselineInbound, roleBaselineOutbound:
+		return newBaseline(r.next), nil
+	}
+	return nil, faults.Invalid.New("role %q does not exist", r.role)
+}
+
+// newOutbound returns the handler of a caller's node with the target size of
+// services, one of which has an endpoint.
+func newOutbound(inbound string, m *proxy.Metrics) (http.Handler, error) {
+	var objects []*object.Object
+	for i := range benchServices {
+		name := defaultBenchRun + strconv.Itoa(i)
+		objects = append(objects,
+			&object.Object{Kind: object.KindEndpointSet, Name: name, EndpointSet: &object.EndpointSetSpec{Announce: name}},
+			&object.Object{Kind: object.KindService, Name: name, Service: &object.ServiceSpec{EndpointSet: name}},
+			&object.Object{Kind: object.KindRoute, Name: name, Route: &object.RouteSpec{Host: name, PathPrefix: "/", Service: name, Kind: object.WorkBid}},
+		)
+	}
+	s, err := snapshot.New(1, objects)
+	if err != nil {
+		return nil, err
+	}
+	var current snapshot.Current
+	if err := current.Advance(s); err != nil {
+		return nil, err
+	}
+	view := member.NewDirectory(member.Record{ID: "caller", Incarnation: 1, State: member.Alive, FailureDomain: "a", Region: "r"}, member.DirectoryOptions{})
+	view.Merge([]member.Record{{
+		ID: "target", Incarnation: 1, State: member.Alive, FailureDomain: "a", Region: "r",
+		InboundAddr: inbound, Service: benchHost, Slots: benchSlots,
+	}})
+	return proxy.NewOutbound(proxy.OutboundOptions{
+		Current:  &current,
+		Balancer: balance.New(view, balance.Options{}),
+		View:     view,
+		Pool:     proxy.NewPool(proxy.PoolOptions{MaxPerAddress: benchSlots}),
+		Metrics:  m,
+	}), nil
+}
+
+// benchHost is the host of the service that the measured calls go to.
+const benchHost = defaultBenchRun + "7"
+
+// processStats is what a process spent since its start.
+type processStats struct {
+	CPU     time.Duration `json:"cpu"`
+	Mallocs uint64        `json:"mallocs"`
+	Bytes   uint64        `json:"bytes"`
+}
+
+// serveStats answers with the process's statistics, or with a CPU profile.
+func serveStats(w http.ResponseWriter, r *http.Request) {
+	if seconds, err := strconv.Atoi(r.URL.Query().Get("profile")); err == nil {
+		if pprof.StartCPUProfile(w) == nil {
+			time.Sleep(time.Duration(seconds) * time.Second)
+			pprof.StopCPUProfile()
+		}
+		return
+	}
+	if r.URL.Path == "/allocs" {
+		_ = pprof.Lookup("allocs").WriteTo(w, 0)
+		return
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u) // fails for no valid argument
+	_ = json.NewEncoder(w).Encode(processStats{
+		CPU:     time.Duration(u.Utime.Nano() + u.Stime.Nano()),
+		Mallocs: m.Mallocs,
+		Bytes:   m.TotalAlloc,
+	})
+}
