Profile the nodes of meshbench calls during the open loop

The target is stated for 190 calls/s, where scheduling costs differ from those at saturation, so the profiles are now taken there.

--- a/bench/calls/calls.go
+++ b/bench/calls/calls.go
@@ -49,7 +49,7 @@
 	f.DurationVar(&c.duration, "duration", 30*time.Second, "length of the open loop")
 	f.DurationVar(&c.warmup, "warmup", 3*time.Second, "open loop before the measurement")
 	f.DurationVar(&c.step, "step", 2*time.Second, "length of each step of the closed loop, 0 for none")
-	f.StringVar(&c.profiles, "profiles", "", "directory for CPU profiles of the nodes under the heaviest closed loop")
+	f.StringVar(&c.profiles, "profiles", "", "directory for profiles of the nodes during the open loop")
 }
 
 // Execute measures and prints a report.
@@ -155,7 +155,8 @@
 	if c.step <= 0 {
 		return nil
 	}
-	return c.knee(paths, procs[1:3])
+	c.knee(paths)
+	return nil
 }
 
 // latency runs the open loop and prints quantiles and costs of each call.
@@ -164,7 +165,12 @@
 	if err != nil {
 		return err
 	}
+	wait := func() {}
+	if c.profiles != "" {
+		wait = c.profile(nodes[:2])
+	}
 	n := openLoop(paths, c.rate, c.duration)
+	wait()
 	after, err := readAll(nodes)
 	if err != nil {
 		return err
@@ -205,36 +211,31 @@
 }
 
 // knee raises the calls in flight on each path and prints the throughput.
-func (c *Command) knee(paths []*path, nodes []*process) error {
+func (c *Command) knee(paths []*path) {
 	steps := []int{1, 2, 4, 8, 16, 32, 64}
 	fmt.Printf("closed loop: %v for each step\n%-10s", c.step, "in flight")
 	for _, p := range paths {
 		fmt.Printf(" %10s/s %9s", p.name, "p99 ms")
 	}
 	fmt.Println()
-	for i, n := range steps {
+	for _, n := range steps {
 		fmt.Printf("%-10d", n)
 		for _, p := range paths {
 			p.reset()
-			if p.name == "nodes" && i == len(steps)-1 && c.profiles != "" {
-				wait := c.profile(nodes)
-				defer wait()
-			}
 			rate := closedLoop(p, n, c.step)
 			fmt.Printf(" %12.0f %9.3f", rate, ms(p, 99))
 		}
 		fmt.Println()
 	}
-	return nil
 }
 
-// profile starts a CPU profile of each node for the length of a step and
+// profile starts a CPU profile of each node for the length of the open loop and
 // returns a function that waits for the files.
 func (c *Command) profile(nodes []*process) (wait func()) {
 	var wg sync.WaitGroup
 	for _, p := range nodes {
 		wg.Go(func() {
-			seconds := max(int(c.step/time.Second), 1)
+			seconds := max(int(c.duration/time.Second), 1)
 			for name, query := range map[string]string{"cpu": fmt.Sprintf("/?profile=%d", seconds), "allocs": "/allocs"} {
 				b, err := p.get(query)
 				if err == nil {
