--- a/cmd/meshbench/main.go
+++ b/cmd/meshbench/main.go
@@ -1,4 +1,5 @@
-// Command meshbench measures parts of siskingw on one machine.
+// Command meshbench loads and measures siskingw on one machine. It is not part
+// of the product.
 package main
 
 import (
@@ -9,12 +10,15 @@
 
 	"github.com/google/subcommands"
 
+	"siskingw/bench/calls"
 	"siskingw/bench/spread"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(new(spread.Command), "")
+	subcommands.Register(new(calls.Command), "")
+	subcommands.Register(new(calls.Role), "internal")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	status := subcommands.Execute(ctx)
