--- a/cmd/meshbench/main.go
+++ b/cmd/meshbench/main.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 
 	"siskingw/bench/calls"
+	"siskingw/bench/load"
 	"siskingw/bench/spread"
 )
 
@@ -19,6 +20,7 @@
 	subcommands.Register(new(spread.Command), "")
 	subcommands.Register(new(calls.Command), "")
 	subcommands.Register(new(calls.Role), "internal")
+	subcommands.Register(new(load.Command), "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	status := subcommands.Execute(ctx)
