bench: measure membership and status with many nodes in one process

meshbench members runs a fleet over loopback gRPC with heartbeats of 1 s and counts each node's bytes with those of gRPC and HTTP/2: in the steady state, for one replacement and for the restart of a whole failure domain.

--- /dev/null
+++ b/bench/members/command.go
@@ -0,0 +1,62 @@
+package members
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+)
+
+// maxNodes bounds the fleet that one process may run.
+const maxNodes = 400
+
+// Command is meshbench's subcommand for membership and status.
+type Command struct {
+	sizes  string
+	window time.Duration
+	status bool
+}
+
+// Name returns the subcommand's name.
+func (*Command) Name() string { return "members" }
+
+// Synopsis describes the subcommand in a line.
+func (*Command) Synopsis() string { return "measure membership and status" }
+
+// Usage describes the subcommand.
+func (*Command) Usage() string { return "members [-nodes 25,50] [-window 20s] [-status=false]\n" }
+
+// SetFlags registers the flags.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.sizes, "nodes", "25,50,100,200", "fleet sizes, separated by commas")
+	f.DurationVar(&c.window, "window", 20*time.Second, "length of each measurement")
+	f.BoolVar(&c.status, "status", true, "also run the status reports")
+}
+
+// Execute measures each fleet size and prints a table in Markdown.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	fmt.Println("| nodes | out B/s mean | out B/s max | in B/s max | % of a core | memory MB | goroutines | replacement B | dead after s | joined after s | restart: survivor B | restarted B | busiest B/s | complete s | equal s |")
+	fmt.Println("|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")
+	for size := range strings.SplitSeq(c.sizes, ",") {
+		n, err := strconv.Atoi(size)
+		if err != nil || n < domains || n > maxNodes {
+			fmt.Fprintf(os.Stderr, "%q is not a number of nodes from %d to %d\n", size, domains, maxNodes)
+			return subcommands.ExitUsageError
+		}
+		r, err := Run(ctx, n, c.window, c.status)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return subcommands.ExitFailure
+		}
+		fmt.Printf("| %d | %.0f | %.0f | %.0f | %.2f | %.1f | %.0f | %.0f | %.1f | %.1f | %.0f | %.0f | %.0f | %.1f | %.1f |\n",
+			r.Nodes, r.OutMean, r.OutMax, r.InMax, r.CPUPercent, r.HeapBytes/(1<<20), r.Goroutines,
+			r.ReplaceBytes, r.DeadAfter.Seconds(), r.JoinedAfter.Seconds(),
+			r.RestartSurvivor, r.RestartNode, r.RestartBusiest, r.RestartAfter.Seconds(), r.RestartUntilEqualDigests.Seconds())
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/bench/members/node.go
@@ -0,0 +1,127 @@
+// Package members measures the control traffic, processor time and memory of
+// membership and status with many nodes in one process over loopback gRPC.
+package members
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"siskingw/faults"
+	"siskingw/member"
+	"siskingw/peer"
+	"siskingw/status"
+)
+
+// traffic counts a node's bytes as they leave and reach it, with gRPC's and
+// HTTP/2's own, without those of TCP and IP.
+type traffic struct {
+	out, in atomic.Uint64
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.in.Add(uint64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.out.Add(uint64(n))
+	return n, err
+}
+
+// countedListener counts the bytes of accepted connections.
+type countedListener struct {
+	net.Listener
+	traffic *traffic
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, l.traffic}, nil
+}
+
+// node is one node with membership and status.
+type node struct {
+	dir     *member.Directory
+	service *member.Service
+	tracker *status.Tracker
+	server  *grpc.Server
+	pool    *peer.Pool
+	traffic traffic
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+}
+
+// start runs a node that joins through the seeds.
+func start(ctx context.Context, self member.Record, seeds []member.Seed, withStatus bool) (*node, error) {
+	addr := self.PeerAddr
+	if addr == "" {
+		addr = "127.0.0.1:0"
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, faults.Internal.Wrap(err, "listen on %s", addr)
+	}
+	self.PeerAddr = l.Addr().String()
+	self.Incarnation, self.Sequence = uint64(time.Now().UnixMilli()), 1
+	n := &node{dir: member.NewDirectory(self, member.DirectoryOptions{})}
+	n.pool = peer.NewPool(self.Place(), &peer.Traffic{}, peer.Options{Dial: n.dial})
+	n.service = member.NewService(n.dir, member.Options{Connect: n.pool.Conn, Seeds: seeds})
+	n.server = peer.NewServer()
+	n.service.Register(n.server)
+	runCtx, cancel := context.WithCancel(ctx)
+	n.cancel = cancel
+	if withStatus {
+		n.tracker = status.New(n.dir, status.Options{Connect: n.pool.Conn})
+		n.tracker.Register(n.server)
+		n.tracker.Confirm(1)
+		n.done.Go(func() { _ = n.tracker.Run(runCtx) })
+	}
+	n.done.Go(func() { _ = n.server.Serve(countedListener{l, &n.traffic}) })
+	n.done.Go(func() { _ = n.service.Run(runCtx) })
+	return n, nil
+}
+
+func (n *node) dial(ctx context.Context, addr string, _ peer.LinkClass) (net.Conn, error) {
+	d := net.Dialer{Timeout: time.Second}
+	c, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{c, &n.traffic}, nil
+}
+
+// crash ends the node without a word.
+func (n *node) crash() {
+	n.cancel()
+	n.server.Stop()
+	n.pool.Close()
+	n.done.Wait()
+}
+
+// crashAll ends nodes at the same time.
+func crashAll(nodes []*node) {
+	var g errgroup.Group
+	for _, n := range nodes {
+		g.Go(func() error {
+			n.crash()
+			return nil
+		})
+	}
+	_ = g.Wait()
+}
