--- a/cmd/meshbench/main.go
+++ b/cmd/meshbench/main.go
@@ -12,12 +12,14 @@
 
 	"siskingw/bench/calls"
 	"siskingw/bench/load"
+	"siskingw/bench/members"
 	"siskingw/bench/spread"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(new(spread.Command), "")
+	subcommands.Register(new(members.Command), "")
 	subcommands.Register(new(calls.Command), "")
 	subcommands.Register(new(calls.Role), "internal")
 	subcommands.Register(new(load.Command), "")
