--- /dev/null
+++ b/cmd/meshbench/main.go
@@ -0,0 +1,31 @@
+// Command meshbench loads and measures siskingw on one machine. It is not part
+// of the product.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+
+	"github.com/google/subcommands"
+
+	"siskingw/bench/calls"
+	"siskingw/bench/load"
+	"siskingw/bench/members"
+	"siskingw/bench/spread"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(new(spread.Command), "")
+	subcommands.Register(new(members.Command), "")
+	subcommands.Register(new(calls.Command), "")
+	subcommands.Register(new(calls.Role), "internal")
+	subcommands.Register(new(load.Command), "")
+	flag.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	status := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(status))
+}
