Run the whole path as separate processes

The packages existed side by side but nothing joined them. The node package builds the services of one process and runs them under the kernel; the demo and the fault matrix tool come with it.

Cause found on the way: a node that left itself out of its seed list took the last place among the starting nodes, so no node of another region fetched the first version within 30 s. The list now keeps the node itself.

--- /dev/null
+++ b/bench/demo/demo.go
@@ -0,0 +1,244 @@
+// Package demo runs a small fleet as real processes and shows the whole path:
+// apply, in force everywhere, calls, read-back.
+package demo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"siskingw/bench/fleet"
+	"siskingw/faults"
+)
+
+const (
+	startTimeout = 30 * time.Second
+	callCount    = 200
+)
+
+// Options configures a run.
+type Options struct {
+	BinDir    string // holds the binaries
+	PerDomain int    // instances in each failure domain
+	Out       io.Writer
+}
+
+// domains returns two failure domains in each of three regions.
+func domains(perDomain int) []fleet.Domain {
+	var all []fleet.Domain
+	for _, region := range []string{"sask", "alta", "mani"} {
+		for _, letter := range []string{"a", "b"} {
+			service, slots := "auction-floor", 9
+			if letter == "b" {
+				service = "inspection-house"
+			}
+			all = append(all, fleet.Domain{Region: region, Name: region + "-" + letter, Instances: perDomain, Service: service, Slots: slots})
+		}
+	}
+	return all
+}
+
+// objects is the configuration that the demo applies.
+const objects = `{"objects":[
+ {"kind":"EndpointSet","name":"floor","spec":{"announce":"auction-floor"}},
+ {"kind":"EndpointSet","name":"inspection","spec":{"announce":"inspection-house"}},
+ {"kind":"Service","name":"floor","spec":{"endpointSet":"floor"}},
+ {"kind":"Service","name":"inspection","spec":{"endpointSet":"inspection"}},
+ {"kind":"Route","name":"lots","spec":{"pathPrefix":"/lots","service":"floor","kind":"page"}},
+ {"kind":"Route","name":"bids","spec":{"pathPrefix":"/bids","service":"floor","kind":"bid"}},
+ {"kind":"Route","name":"scans","spec":{"pathPrefix":"/scans","service":"inspection","kind":"upload"}}
+]}`
+
+// Run runs the demo. It leaves no process behind.
+func Run(ctx context.Context, opts Options) error {
+	dir, err := os.MkdirTemp("", "siskingw-demo-")
+	if err != nil {
+		return faults.Internal.Wrap(err, "working directory")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	f, err := fleet.Start(ctx, fleet.Options{BinDir: opts.BinDir, WorkDir: dir, Domains: domains(opts.PerDomain)})
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	d := &run{opts: opts, fleet: f, dir: dir}
+	for _, step := range []func(context.Context) error{d.up, d.apply, d.change, d.calls, d.status, d.traffic} {
+		if err := step(ctx); err != nil {
+			d.tail()
+			return err
+		}
+	}
+	return nil
+}
+
+// run is one demo in progress.
+type run struct {
+	opts  Options
+	fleet *fleet.Fleet
+	dir   string
+}
+
+func (d *run) printf(format string, args ...any) { _, _ = fmt.Fprintf(d.opts.Out, format, args...) }
+
+// up waits until every node runs.
+func (d *run) up(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	started := time.Now()
+	if err := d.fleet.WaitUp(ctx); err != nil {
+		return err
+	}
+	d.printf("%d nodes up in %s\n", len(d.fleet.Instances), time.Since(started).Round(time.Millisecond))
+	return nil
+}
+
+// apply publishes the first configuration and waits until it is in force.
+func (d *run) apply(ctx context.Context) error {
+	path := filepath.Join(d.dir, "objects.json")
+	if err := os.WriteFile(path, []byte(objects), 0o600); err != nil {
+		return faults.Internal.Wrap(err, "objects file")
+	}
+	return d.timed(ctx, "first configuration applied and in force everywhere", "apply", "-wait", "-f", path)
+}
+
+// change publishes one changed object.
+func (d *run) change(ctx context.Context) error {
+	path := filepath.Join(d.dir, "change.json")
+	const policy = `{"objects":[{"kind":"Policy","name":"short","spec":{"timeoutMs":2000,"retries":1}},
+ {"kind":"Service","name":"floor","spec":{"endpointSet":"floor","policy":"short"}}]}`
+	if err := os.WriteFile(path, []byte(policy), 0o600); err != nil {
+		return faults.Internal.Wrap(err, "objects file")
+	}
+	return d.timed(ctx, "change of two objects applied and in force everywhere", "apply", "-wait", "-f", path)
+}
+
+// timed runs an operator command and prints how long it took.
+func (d *run) timed(ctx context.Context, what string, args ...string) error {
+	started := time.Now()
+	out, err := d.command(ctx, args...)
+	if err != nil {
+		return err
+	}
+	d.printf("%s in %s (commands included)\n%s", what, time.Since(started).Round(time.Millisecond), out)
+	return nil
+}
+
+// command runs siskingw against the last node of the fleet.
+func (d *run) command(ctx context.Context, args ...string) (string, error) {
+	last := d.fleet.Instances[len(d.fleet.Instances)-1]
+	full := append([]string{args[0], "-node", last.AdminAddr()}, args[1:]...)
+	out, err := exec.CommandContext(ctx, filepath.Join(d.opts.BinDir, "siskingw"), full...).CombinedOutput()
+	if err != nil {
+		return "", faults.Internal.Wrap(err, "siskingw %s: %s", strings.Join(full, " "), out)
+	}
+	return string(out), nil
+}
+
+// calls sends calls through every node and counts the answers.
+func (d *run) calls(ctx context.Context) error {
+	statuses := make(map[int]int)
+	started := time.Now()
+	for i := range callCount {
+		in := d.fleet.Instances[i%len(d.fleet.Instances)]
+		path := []string{"/lots/1", "/bids/2", "/scans/3"}[i%3]
+		status, err := d.call(ctx, in.OutboundURL()+path, fmt.Sprintf("demo-%d", i))
+		if err != nil {
+			return err
+		}
+		statuses[status]++
+	}
+	d.printf("%d calls in %s: answers by status %v\n", callCount, time.Since(started).Round(time.Millisecond), statuses)
+	if statuses[http.StatusOK] != callCount {
+		return faults.Internal.New("%d of %d calls were answered with 200", statuses[http.StatusOK], callCount)
+	}
+	return nil
+}
+
+func (d *run) call(ctx context.Context, url, id string) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, faults.Internal.Wrap(err, "request for %s", url)
+	}
+	req.Header.Set("X-Request-Id", id)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, faults.Internal.Wrap(err, "call of %s", url)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// status prints what the operators read back.
+func (d *run) status(ctx context.Context) error {
+	out, err := d.command(ctx, "status")
+	d.printf("%s", out)
+	return err
+}
+
+// traffic prints the control bytes by link class and the calls of the store.
+func (d *run) traffic(ctx context.Context) error {
+	sums := make(map[string]float64)
+	for _, in := range d.fleet.Instances {
+		if err := addTraffic(ctx, "http://"+in.AdminAddr()+"/metrics", sums); err != nil {
+			return err
+		}
+	}
+	for _, link := range []string{"same-domain", "same-region", "cross-region"} {
+		d.printf("control bytes %-12s %8.0f\n", link, sums[link])
+	}
+	resp, err := http.Get("http://" + d.fleet.ControlAddr() + "/counts")
+	if err != nil {
+		return faults.Internal.Wrap(err, "counts of the store")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var counts map[string]any
+	if err := json.NewDecoder(resp.Body).Decode(&counts); err != nil {
+		return faults.Internal.Wrap(err, "counts of the store")
+	}
+	d.printf("store calls %v\n", counts)
+	return nil
+}
+
+// addTraffic adds a node's sent control bytes by link class.
+func addTraffic(ctx context.Context, url string, sums map[string]float64) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return faults.Internal.Wrap(err, "request for %s", url)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return faults.Internal.Wrap(err, "metrics of %s", url)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return faults.Internal.Wrap(err, "metrics of %s", url)
+	}
+	for line := range strings.Lines(string(body)) {
+		var link string
+		var n float64
+		if _, err := fmt.Sscanf(line, "siskingw_control_sent_bytes{link=%q} %g", &link, &n); err == nil {
+			sums[link] += n
+		}
+	}
+	return nil
+}
+
+// tail prints the end of each node's log after a failure.
+func (d *run) tail() {
+	const tailBytes = 1500
+	for _, in := range d.fleet.Instances {
+		b, err := os.ReadFile(filepath.Join(d.dir, in.Name+".log"))
+		if err == nil {
+			d.printf("--- log of %s\n%s\n", in.Name, b[max(0, len(b)-tailBytes):])
+		}
+	}
+}
--- /dev/null
+++ b/bench/matrix/matrix.go
@@ -0,0 +1,170 @@
+// Package matrix relates every step of the system to every fault that can hit
+// it. Steps are read from directives in the code; cells name the tests that
+// cover them, or say why the fault cannot occur, or that the cell is open.
+package matrix
+
+import (
+	"encoding/json"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"siskingw/faults"
+)
+
+// directive marks the function that implements a step.
+const directive = "//siskingw:step "
+
+// Faults lists the faults of every row, in the order of the table's columns.
+var Faults = []string{
+	"crash-before", "crash-after", "pause",
+	"lost", "doubled", "delayed", "reordered", "corrupted",
+	"cut-one-way", "cut-both-ways",
+	"store-down", "store-slow", "answer-lost", "lease-lapsed", "watch-gap",
+	"clock-back", "clock-ahead", "two-operators",
+}
+
+// States of a cell.
+const (
+	Covered    = "covered"
+	Impossible = "impossible"
+	Open       = "open"
+)
+
+// Step is one step as the code declares it.
+type Step struct {
+	Name    string
+	Package string // directory of the package below the root
+	Func    string
+}
+
+// Cell says what is known of one fault at one step.
+type Cell struct {
+	State string   `json:"state"`
+	By    []string `json:"by,omitempty"`  // tests as package/TestName
+	Why   string   `json:"why,omitempty"` // for impossible and open cells
+}
+
+// Row holds the cells of one step.
+type Row struct {
+	// Groups apply to several faults at once; a fault may be in one group only.
+	Groups []Group `json:"groups"`
+}
+
+// Group gives several faults the same cell.
+type Group struct {
+	Faults []string `json:"faults"`
+	Cell
+}
+
+// Table is the content of cells.json.
+type Table struct {
+	Rows  map[string]Row `json:"rows"`
+	Pairs []Pair         `json:"pairs"` // two faults in one run
+}
+
+// Pair is a test of two faults together.
+type Pair struct {
+	Steps  []string `json:"steps"`
+	Faults []string `json:"faults"`
+	By     []string `json:"by"`
+}
+
+// Load reads a table from a file.
+func Load(path string) (*Table, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, faults.Invalid.Wrap(err, "matrix file")
+	}
+	t := new(Table)
+	if err := json.Unmarshal(b, t); err != nil {
+		return nil, faults.Invalid.Wrap(err, "matrix file %q", path)
+	}
+	return t, nil
+}
+
+// Cell returns the cell of a step and a fault.
+func (t *Table) Cell(step, fault string) (Cell, bool) {
+	for _, g := range t.Rows[step].Groups {
+		if slices.Contains(g.Faults, fault) {
+			return g.Cell, true
+		}
+	}
+	return Cell{}, false
+}
+
+// Steps reads the step directives of every non-test Go file below root,
+// sorted by name. It returns an Invalid error when a step is declared twice.
+func Steps(root string) ([]Step, error) {
+	var steps []Step
+	err := walkGo(root, false, func(dir string, f *ast.File) {
+		for _, decl := range f.Decls {
+			fn, ok := decl.(*ast.FuncDecl)
+			if !ok || fn.Doc == nil {
+				continue
+			}
+			for _, c := range fn.Doc.List {
+				if name, ok := strings.CutPrefix(c.Text, directive); ok {
+					steps = append(steps, Step{Name: strings.TrimSpace(name), Package: dir, Func: fn.Name.Name})
+				}
+			}
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	slices.SortFunc(steps, func(a, b Step) int { return strings.Compare(a.Name, b.Name) })
+	for i := 1; i < len(steps); i++ {
+		if steps[i].Name == steps[i-1].Name {
+			return nil, faults.Invalid.New("step %q is declared in %s and %s", steps[i].Name, steps[i-1].Func, steps[i].Func)
+		}
+	}
+	return steps, nil
+}
+
+// Tests returns every test function below root as package/TestName.
+func Tests(root string) (map[string]bool, error) {
+	tests := make(map[string]bool)
+	err := walkGo(root, true, func(dir string, f *ast.File) {
+		for _, decl := range f.Decls {
+			if fn, ok := decl.(*ast.FuncDecl); ok && fn.Recv == nil && isTest(fn.Name.Name) {
+				tests[dir+"/"+fn.Name.Name] = true
+			}
+		}
+	})
+	return tests, err
+}
+
+func isTest(name string) bool {
+	return strings.HasPrefix(name, "Test") || strings.HasPrefix(name, "Fuzz")
+}
+
+// walkGo parses the Go files below root: test files only, or all others.
+func walkGo(root string, tests bool, visit func(dir string, f *ast.File)) error {
+	return filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return faults.Invalid.Wrap(err, "source tree")
+		}
+		if d.IsDir() && path != root && strings.HasPrefix(d.Name(), ".") {
+			return filepath.SkipDir
+		}
+		if d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") != tests {
+			return nil
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ParseComments)
+		if err != nil {
+			return faults.Invalid.Wrap(err, "source file %q", path)
+		}
+		dir, err := filepath.Rel(root, filepath.Dir(path))
+		if err != nil {
+			return faults.Internal.Wrap(err, "source file %q", path)
+		}
+		visit(filepath.ToSlash(dir), f)
+		return nil
+	})
+}
--- a/cmd/siskingw/main.go
+++ b/cmd/siskingw/main.go
@@ -3,11 +3,20 @@
 package main
 
 import (
+	"context"
+	"flag"
 	"os"
 
-	"siskingw/faults"
+	"github.com/google/subcommands"
+
+	"siskingw/node"
 )
 
 func main() {
-	os.Exit(faults.ExitUsage)
+	c := subcommands.NewCommander(flag.CommandLine, "siskingw")
+	c.Register(c.HelpCommand(), "")
+	c.Register(c.FlagsCommand(), "")
+	c.Register(&node.Command{}, "")
+	flag.Parse()
+	os.Exit(int(c.Execute(context.Background())))
 }
--- /dev/null
+++ b/node/calls.go
@@ -0,0 +1,177 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel"
+
+	"siskingw/admit"
+	"siskingw/balance"
+	"siskingw/faults"
+	"siskingw/idem"
+	"siskingw/kernel"
+	"siskingw/member"
+	"siskingw/proxy"
+)
+
+// drainLinger is how long the inbound listener answers new calls with not-run
+// after the drain has been announced; leaving is known everywhere within 2 s.
+const drainLinger = 2 * time.Second
+
+// callServer is an HTTP listener of the proxy.
+type callServer struct {
+	server *http.Server
+	lis    net.Listener
+}
+
+// listen opens the listener.
+func (s *callServer) listen(what, addr string, h http.Handler) error {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return faults.Invalid.Wrap(err, "%s listener", what)
+	}
+	s.lis, s.server = lis, proxy.NewServer(h, proxy.ServerOptions{})
+	return nil
+}
+
+// Run serves until ctx ends or the server is shut down.
+func (s *callServer) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() })
+	defer stop()
+	if err := s.server.Serve(s.lis); !errors.Is(err, http.ErrServerClosed) {
+		return faults.Internal.Wrap(err, "listener %s", s.lis.Addr())
+	}
+	<-ctx.Done() // a return before that would stop the other services
+	return nil
+}
+
+// outboundService serves the calls of this instance's callers.
+type outboundService struct {
+	node *Node
+	callServer
+}
+
+func (s *outboundService) Name() string    { return nameOutbound }
+func (s *outboundService) Needs() []string { return []string{nameSpread} }
+
+func (s *outboundService) Start(_ context.Context, k *kernel.Kernel) error {
+	var local *proxy.Inbound
+	if s.node.settings.Target != nil {
+		in, err := kernel.Lookup[*inboundService](k, nameInbound)
+		if err != nil {
+			return err
+		}
+		local = in.handler()
+	}
+	out := proxy.NewOutbound(proxy.OutboundOptions{
+		Current:    s.node.current,
+		Balancer:   balance.New(s.node.dir, balance.Options{}),
+		View:       s.node.dir,
+		Local:      local,
+		OnDraining: s.onDraining,
+		Metrics:    s.node.proxyMetrics(),
+		Tracer:     s.node.tracer(),
+	})
+	return s.listen(nameOutbound, s.node.settings.Listen.Outbound, out)
+}
+
+// onDraining merges what a target's node states about itself in an answer,
+// ahead of its membership record.
+func (s *outboundService) onDraining(r *member.Record) {
+	if r.State != member.Alive {
+		return
+	}
+	draining := *r
+	draining.State = member.Draining
+	s.node.dir.Merge([]member.Record{draining})
+}
+
+func (s *outboundService) Stop(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
+// inboundService passes calls of other nodes to the target.
+type inboundService struct {
+	node *Node
+	callServer
+	inbound *proxy.Inbound
+	ledger  *idem.Ledger
+	member  *memberService
+}
+
+func (s *inboundService) Name() string    { return nameInbound }
+func (s *inboundService) Needs() []string { return []string{nameMember, nameOutbound} }
+
+// handler builds the handler once; the outbound service uses it for calls
+// whose target is on this instance.
+func (s *inboundService) handler() *proxy.Inbound {
+	if s.inbound != nil {
+		return s.inbound
+	}
+	t := s.node.settings.Target
+	self := s.node.dir.Self()
+	s.ledger = idem.NewLedger(self.ID, self.Incarnation, idem.Options{})
+	s.inbound = proxy.NewInbound(proxy.InboundOptions{
+		Target: t.Address,
+		Gate: admit.New(admit.Options{
+			Slots: t.Slots, Connections: t.Connections, QueueLength: t.QueueLength,
+			QueueTimeout: time.Duration(t.QueueMs) * time.Millisecond,
+		}),
+		Ledger:  s.ledger,
+		Metrics: s.node.proxyMetrics(),
+		Tracer:  s.node.tracer(),
+	})
+	return s.inbound
+}
+
+func (s *inboundService) Start(_ context.Context, k *kernel.Kernel) error {
+	var err error
+	if s.member, err = kernel.Lookup[*memberService](k, nameMember); err != nil {
+		return err
+	}
+	return s.listen(nameInbound, s.node.settings.Listen.Inbound, s.handler())
+}
+
+// Stop refuses new work, announces the drain and waits for work in flight.
+func (s *inboundService) Stop(ctx context.Context) error {
+	s.inbound.Drain()
+	s.ledger.Drain(s.nextOwner)
+	s.member.service.Drain(ctx)
+	drainCtx, cancel := context.WithTimeout(ctx, s.node.settings.Stop.DrainTimeout())
+	defer cancel()
+	return s.inbound.Stop(drainCtx, s.server, drainLinger)
+}
+
+// nextOwner selects another live target of the service for a key that this
+// draining node has not run, by the key's hash so that the choice is spread.
+func (s *inboundService) nextOwner(k idem.Key) *member.Record {
+	self := s.node.dir.Self()
+	var live []*member.Record
+	for _, r := range s.node.dir.Endpoints(self.Service) {
+		if r.State == member.Alive && r.ID != self.ID {
+			live = append(live, r)
+		}
+	}
+	if len(live) == 0 {
+		return nil
+	}
+	return live[member.RankHash(k.String())%uint64(len(live))]
+}
+
+// proxyMetrics returns the metrics of the proxy, which both listeners share.
+func (n *Node) proxyMetrics() *proxy.Metrics {
+	if n.callMetrics == nil {
+		n.callMetrics = proxy.NewMetrics(n.metrics)
+	}
+	return n.callMetrics
+}
+
+// tracer returns the tracer of the proxy, or nil when traces are off.
+func (n *Node) tracer() *proxy.Tracer {
+	if n.settings.Trace.SampleRatio == 0 {
+		return nil
+	}
+	return proxy.NewTracer(otel.GetTracerProvider())
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,120 @@
+// Package node builds the services of one node and runs them.
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-logr/logr"
+
+	"siskingw/kernel"
+	"siskingw/member"
+	"siskingw/peer"
+	"siskingw/proxy"
+	"siskingw/settings"
+	"siskingw/snapshot"
+	"siskingw/telemetry"
+)
+
+// stopMargin is added to the drain timeout for announcing and closing.
+const stopMargin = 10 * time.Second
+
+// Node is one siskingw process.
+type Node struct {
+	settings *settings.Settings
+	log      logr.Logger
+	metrics  *metrics.Set
+	current  *snapshot.Current
+	dir      *member.Directory
+	kernel   *kernel.Kernel
+
+	callMetrics *proxy.Metrics
+}
+
+// New returns a node that is not yet started.
+func New(s *settings.Settings, log logr.Logger) (*Node, error) {
+	n := &Node{
+		settings: s,
+		log:      log.WithValues("node", s.ID),
+		metrics:  metrics.NewSet(),
+		current:  new(snapshot.Current),
+		dir:      member.NewDirectory(selfRecord(s), member.DirectoryOptions{}),
+		kernel:   kernel.New(log),
+	}
+	metrics.RegisterSet(n.metrics)
+	for _, svc := range n.services() {
+		if err := n.kernel.Register(svc); err != nil {
+			return nil, err
+		}
+	}
+	return n, nil
+}
+
+// services lists every service of the node. The kernel stops them in reverse
+// order: first the inbound listener drains, last the peer listener closes.
+func (n *Node) services() []kernel.Service {
+	list := []kernel.Service{
+		&peerService{node: n},
+		&storeService{node: n},
+		&memberService{node: n},
+		&spreadService{node: n},
+		&publishService{node: n},
+		&statusService{node: n},
+		&adminService{node: n},
+		&outboundService{node: n},
+	}
+	if n.settings.Target != nil {
+		list = append(list, &inboundService{node: n})
+	}
+	return list
+}
+
+// Run runs the node until ctx ends or a signal arrives on stop. A second
+// signal ends the graceful stop at once.
+func (n *Node) Run(ctx context.Context, stop <-chan os.Signal) error {
+	defer metrics.UnregisterSet(n.metrics, true)
+	endTraces, err := telemetry.StartTraces(ctx, telemetry.TraceOptions{
+		SampleRatio: n.settings.Trace.SampleRatio, Endpoint: n.settings.Trace.Endpoint, NodeID: n.settings.ID,
+	})
+	if err != nil {
+		return err
+	}
+	n.log.Info("starting", "failureDomain", n.settings.FailureDomain, "incarnation", n.dir.Self().Incarnation)
+	err = n.kernel.Run(ctx, stop, n.settings.Stop.DrainTimeout()+stopMargin)
+	flush, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = endTraces(flush)
+	n.log.Info("stopped")
+	return err
+}
+
+// place returns where the node runs.
+func (n *Node) place() peer.Place {
+	return peer.Place{Region: n.settings.Region, FailureDomain: n.settings.FailureDomain}
+}
+
+// selfRecord returns the node's own record for this process.
+func selfRecord(s *settings.Settings) member.Record {
+	r := member.Record{
+		ID: s.ID, Incarnation: newIncarnation(time.Now()), State: member.Alive,
+		Region: s.Region, FailureDomain: s.FailureDomain,
+		PeerAddr: s.Advertise.Peer, InboundAddr: s.Advertise.Inbound,
+	}
+	if s.Target != nil {
+		r.Service, r.Slots = s.Target.Service, uint32(s.Target.Slots)
+	}
+	return r
+}
+
+// incarnationRandomBits keeps two processes with one id apart even when the
+// clock was set back in between: an idempotency key names its owner's
+// incarnation and must never fit another process.
+const incarnationRandomBits = 20
+
+// newIncarnation returns an incarnation that rises with the time of the start.
+func newIncarnation(now time.Time) uint64 {
+	return uint64(now.UnixMilli())<<incarnationRandomBits | rand.Uint64N(1<<incarnationRandomBits)
+}
--- /dev/null
+++ b/node/publish.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"context"
+
+	"golang.org/x/sync/errgroup"
+
+	"siskingw/kernel"
+	"siskingw/member"
+	"siskingw/publish"
+)
+
+// publishService accepts operators' changes and collects unused parts.
+type publishService struct {
+	node      *Node
+	acceptor  *publish.Acceptor // nil without a store
+	collector *publish.Collector
+}
+
+func (s *publishService) Name() string    { return namePublish }
+func (s *publishService) Needs() []string { return []string{nameStore, nameSpread} }
+
+func (s *publishService) Start(_ context.Context, k *kernel.Kernel) error {
+	st, err := kernel.Lookup[*storeService](k, nameStore)
+	if err != nil {
+		return err
+	}
+	sp, err := kernel.Lookup[*spreadService](k, nameSpread)
+	if err != nil {
+		return err
+	}
+	if st.store == nil {
+		return nil
+	}
+	s.acceptor = publish.NewAcceptor(st.store, s.node.current, publish.Options{OnAccept: sp.spread.Offer, Log: s.node.log})
+	s.collector = publish.NewCollector(st.store, publish.CollectorOptions{Due: s.collects, Log: s.node.log})
+	return nil
+}
+
+// collects reports whether this node is the first-ranked relay of the store's region.
+func (s *publishService) collects() bool {
+	head := member.RegionHead(s.node.dir, s.node.settings.Store.Region)
+	return head != nil && head.ID == s.node.settings.ID
+}
+
+func (s *publishService) Run(ctx context.Context) error {
+	if s.acceptor == nil {
+		<-ctx.Done()
+		return nil
+	}
+	var g errgroup.Group
+	g.Go(func() error { return s.acceptor.Run(ctx) })
+	g.Go(func() error { return s.collector.Run(ctx) })
+	return g.Wait()
+}
+
+func (s *publishService) Stop(context.Context) error { return nil }
--- /dev/null
+++ b/node/services.go
@@ -0,0 +1,234 @@
+package node
+
+import (
+	"context"
+	"net"
+
+	"google.golang.org/grpc"
+
+	"siskingw/faults"
+	"siskingw/kernel"
+	"siskingw/member"
+	"siskingw/peer"
+	"siskingw/publish"
+	"siskingw/settings"
+	"siskingw/snapshot"
+	"siskingw/spread"
+	"siskingw/store"
+	"siskingw/store/etcd"
+)
+
+// Names under which services are registered.
+const (
+	namePeer     = "peer"
+	nameStore    = "store"
+	nameMember   = "member"
+	nameSpread   = "spread"
+	namePublish  = "publish"
+	nameStatus   = "status"
+	nameAdmin    = "admin"
+	nameOutbound = "outbound"
+	nameInbound  = "inbound"
+)
+
+// peerService owns the gRPC listener and the connections to other nodes.
+type peerService struct {
+	node    *Node
+	pool    *peer.Pool
+	traffic peer.Traffic
+	server  *grpc.Server
+	lis     net.Listener
+}
+
+func (s *peerService) Name() string    { return namePeer }
+func (s *peerService) Needs() []string { return nil }
+
+func (s *peerService) Start(context.Context, *kernel.Kernel) error {
+	lis, err := net.Listen("tcp", s.node.settings.Listen.Peer)
+	if err != nil {
+		return faults.Invalid.Wrap(err, "peer listener")
+	}
+	s.lis = lis
+	s.server = peer.NewServer()
+	s.pool = peer.NewPool(s.node.place(), &s.traffic, peer.Options{})
+	exportTraffic(s.node.metrics, &s.traffic)
+	return nil
+}
+
+func (s *peerService) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, s.server.Stop)
+	defer stop()
+	if err := s.server.Serve(s.lis); err != nil && ctx.Err() == nil {
+		return faults.Internal.Wrap(err, "peer listener")
+	}
+	return nil
+}
+
+func (s *peerService) Stop(context.Context) error {
+	s.pool.Close()
+	s.server.Stop()
+	return nil
+}
+
+// storeService owns the connection to the platform's store.
+type storeService struct {
+	node   *Node
+	store  store.Store // nil for a node without a store endpoint
+	reader *publish.Reader
+}
+
+func (s *storeService) Name() string    { return nameStore }
+func (s *storeService) Needs() []string { return nil }
+
+func (s *storeService) Start(context.Context, *kernel.Kernel) error {
+	if s.node.settings.Store.Endpoint == "" {
+		return nil
+	}
+	client, err := etcd.New(etcd.Options{Endpoint: s.node.settings.Store.Endpoint})
+	if err != nil {
+		return err
+	}
+	s.store, s.reader = client, publish.NewReader(client)
+	return nil
+}
+
+func (s *storeService) Run(ctx context.Context) error {
+	<-ctx.Done()
+	return nil
+}
+
+func (s *storeService) Stop(context.Context) error {
+	if s.store == nil {
+		return nil
+	}
+	return s.store.Close()
+}
+
+// source returns the store as spread reads it, or nil.
+func (s *storeService) source() spread.Source {
+	if s.store == nil {
+		return nil
+	}
+	return source{store: s.store, reader: s.reader}
+}
+
+// memberService keeps the membership.
+type memberService struct {
+	node    *Node
+	service *member.Service
+	hints   *seedHints
+	spread  *spreadService
+}
+
+func (s *memberService) Name() string    { return nameMember }
+func (s *memberService) Needs() []string { return []string{namePeer, nameStore} }
+
+func (s *memberService) Start(ctx context.Context, k *kernel.Kernel) error {
+	peers, err := kernel.Lookup[*peerService](k, namePeer)
+	if err != nil {
+		return err
+	}
+	st, err := kernel.Lookup[*storeService](k, nameStore)
+	if err != nil {
+		return err
+	}
+	if s.spread, err = kernel.Lookup[*spreadService](k, nameSpread); err != nil {
+		return err
+	}
+	s.hints = &seedHints{store: st.store, view: s.node.dir, log: s.node.log}
+	s.service = member.NewService(s.node.dir, member.Options{
+		Connect:      peers.pool.Conn,
+		LocalSummary: s.node.localSummary,
+		OnSummary:    s.onSummary,
+		Seeds:        s.seeds(ctx),
+		Log:          s.node.log,
+	})
+	s.service.Register(peers.server)
+	return nil
+}
+
+// seeds returns the seeds of the settings and the hints of the store.
+func (s *memberService) seeds(ctx context.Context) []member.Seed {
+	var seeds []member.Seed
+	for _, p := range append(settingsSeeds(s.node.settings), s.hints.read(ctx)...) {
+		if p.Addr != s.node.settings.Advertise.Peer {
+			seeds = append(seeds, member.Seed{Addr: p.Addr, Place: p.Place()})
+		}
+	}
+	return seeds
+}
+
+// settingsSeeds returns the seeds of the settings as peers. This node may be
+// one of them: its place among the seeds decides who fetches a snapshot across
+// the failure domain's boundary first.
+func settingsSeeds(s *settings.Settings) []spread.Peer {
+	peers := make([]spread.Peer, len(s.Seeds))
+	for i, seed := range s.Seeds {
+		peers[i] = spread.Peer{Addr: seed.Address, Region: seed.Region, FailureDomain: seed.FailureDomain}
+	}
+	return peers
+}
+
+// localSummary returns what heartbeats carry about the version in force.
+func (n *Node) localSummary() member.Summary {
+	s := n.current.Load()
+	if s == nil {
+		return member.Summary{}
+	}
+	return member.Summary{Version: s.Version(), Digest: s.Digest()}
+}
+
+func (s *memberService) onSummary(from *member.Record, sum member.Summary) {
+	if n := s.spread.spread; n != nil {
+		n.OnSummary(from, sum.Version, sum.Digest)
+	}
+}
+
+func (s *memberService) Run(ctx context.Context) error {
+	go s.hints.run(ctx)
+	return s.service.Run(ctx)
+}
+
+// Stop tells the failure domain that this process ends.
+func (s *memberService) Stop(ctx context.Context) error {
+	s.service.Leave(ctx)
+	return nil
+}
+
+// spreadService spreads configuration versions.
+type spreadService struct {
+	node   *Node
+	spread *spread.Node
+}
+
+func (s *spreadService) Name() string    { return nameSpread }
+func (s *spreadService) Needs() []string { return []string{namePeer, nameStore, nameMember} }
+
+func (s *spreadService) Start(_ context.Context, k *kernel.Kernel) error {
+	peers, err := kernel.Lookup[*peerService](k, namePeer)
+	if err != nil {
+		return err
+	}
+	st, err := kernel.Lookup[*storeService](k, nameStore)
+	if err != nil {
+		return err
+	}
+	m, err := kernel.Lookup[*memberService](k, nameMember)
+	if err != nil {
+		return err
+	}
+	s.spread = spread.New(spread.Options{
+		View: s.node.dir, Current: s.node.current, Transport: spread.NewTransport(peers.pool, s.node.place()),
+		Source: st.source(), StoreRegion: s.node.settings.Store.Region,
+		Seeds: settingsSeeds(s.node.settings), SeedHints: m.hints.read,
+		Log: s.node.log, Metrics: s.node.metrics,
+	})
+	s.spread.Register(peers.server)
+	s.node.current.OnAdvance(func(next *snapshot.Snapshot) {
+		s.node.log.Info("version in force", "version", next.Version(), "digest", next.Digest().String(), "objects", next.Len())
+	})
+	return nil
+}
+
+func (s *spreadService) Run(ctx context.Context) error { return s.spread.Run(ctx) }
+func (s *spreadService) Stop(context.Context) error    { return nil }
