--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,102 @@
+package admin
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+	"siskingw/object"
+	"siskingw/publish"
+	"siskingw/snapshot"
+)
+
+// scripted answers with what the test sets.
+type scripted struct {
+	err  error
+	last publish.Request
+}
+
+func (s *scripted) Apply(_ context.Context, r publish.Request) (publish.Result, error) {
+	s.last = r
+	return publish.Result{Version: 3, Changed: true}, s.err
+}
+
+func (s *scripted) History(context.Context, int) ([]publish.Entry, error) { return nil, s.err }
+func (s *scripted) Status() Status                                        { return Status{Node: "n"} }
+
+func serve(t *testing.T, s *scripted) *httptest.Server {
+	mux := http.NewServeMux()
+	NewServer(s, new(snapshot.Current), s, logr.Discard()).Register(mux)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server
+}
+
+// Guards against an error that loses its type or its details on the way to
+// the operator.
+func TestErrorsKeepTheirType(t *testing.T) {
+	is := is.New(t)
+	s := new(scripted)
+	c := NewClient(strings.TrimPrefix(serve(t, s).URL, "http://"))
+	defer c.Close()
+	for _, w := range wireTypes {
+		s.err = w.errorType.New("broken")
+		_, err := c.History(t.Context(), 1)
+		is.True(errorx.IsOfType(err, w.errorType))
+		is.True(strings.HasSuffix(err.Error(), "broken"))
+	}
+	s.err = object.NewInvalid([]object.Fault{{Object: "Route/r", Field: "spec.host", Reason: "bad"}})
+	_, err := c.Apply(t.Context(), publish.Request{})
+	is.Equal(object.FaultsOf(err), object.FaultsOf(s.err))
+	s.err = publish.NewConflict([]publish.ObjectConflict{{Key: object.Key{Kind: "Route", Name: "r"}, BasedOn: 1, Revision: 2, Author: "bob"}})
+	_, err = c.Apply(t.Context(), publish.Request{})
+	is.True(errorx.IsOfType(err, faults.Conflict))
+	is.Equal(publish.ConflictsOf(err), publish.ConflictsOf(s.err))
+}
+
+// Guards against requests that are misread: unknown fields, bad numbers, and a
+// DELETE whose parameters do not arrive.
+func TestRequests(t *testing.T) {
+	is := is.New(t)
+	s := new(scripted)
+	server := serve(t, s)
+	do := func(method, path, body string) int {
+		req, err := http.NewRequest(method, server.URL+path, strings.NewReader(body))
+		is.NoErr(err)
+		resp, err := server.Client().Do(req)
+		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+		return resp.StatusCode
+	}
+	is.Equal(do("POST", "/v1/apply", `{"operationId":"o","changes":[],"force":true}`), http.StatusUnprocessableEntity)
+	is.Equal(do("POST", "/v1/apply", `{"operationId":"o","changes":[{"object":{"kind":"Route","name":"r","spec":{"x":1}}}]}`), http.StatusUnprocessableEntity)
+	is.Equal(do("DELETE", "/v1/objects/Route/r?basedOn=x", ""), http.StatusUnprocessableEntity)
+	is.Equal(do("GET", "/v1/objects/Route/r", ""), http.StatusNotFound)
+	is.Equal(do("DELETE", "/v1/objects/Route/r?basedOn=4&operation=o&author=ann&since=9", ""), http.StatusOK)
+	is.Equal(*s.last.Changes[0].BasedOn, uint64(4))
+	is.Equal(s.last.Changes[0].Key(), object.Key{Kind: object.KindRoute, Name: "r"})
+	is.Equal(s.last.Since, uint64(9))
+	is.Equal(s.last.OperationID+s.last.Author, "oann")
+}
+
+// Guards against a status that is ahead of the truth.
+func TestStateOf(t *testing.T) {
+	is := is.New(t)
+	since := time.Unix(1, 0)
+	in := Domain{InForce: 5}
+	is.Equal(in.StateOf(5), StateInForce)
+	is.Equal(in.StateOf(6), StatePending)
+	is.Equal(Domain{}.StateOf(0), StatePending)
+	is.Equal(Domain{InForce: 9, UnreachableSince: &since}.StateOf(5), StateUnreachable)
+	is.True(!Status{}.InForce(1))
+	is.True(Status{Domains: []Domain{in}}.InForce(5))
+	is.True(!Status{Domains: []Domain{in, {InForce: 4}}}.InForce(5))
+}
