--- a/cmd/meshbench/main.go
+++ b/cmd/meshbench/main.go
@@ -1,19 +1,27 @@
-// Command meshbench measures siskingw with many nodes in one process.
+// Command meshbench loads and measures siskingw on one machine. It is not part
+// of the product.
 package main
 
 import (
 	"context"
 	"flag"
 	"os"
+	"os/signal"
 
 	"github.com/google/subcommands"
 
-	"siskingw/bench/members"
+	"siskingw/bench/calls"
+	"siskingw/bench/spread"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(&members.Command{}, "")
+	subcommands.Register(new(spread.Command), "")
+	subcommands.Register(new(calls.Command), "")
+	subcommands.Register(new(calls.Role), "internal")
 	flag.Parse()
-	os.Exit(int(subcommands.Execute(context.Background())))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	status := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(status))
 }
