member: give comparisons a budget of their own and test cold starts

A large comparison was charged to the budget of pushes and could hold up the news of deaths for minutes after a partition. Comparisons now have 1.5 KB/s with a burst of 256 KB, pushes 3.5 KB/s with a burst of 512 KB, which lets the restart of a failure domain through. Merges that change nothing no longer raise the generation.

--- a/member/cluster_test.go
+++ b/member/cluster_test.go
@@ -92,20 +92,24 @@
 	return c
 }
 
-// start runs a node and returns after it joined. link names the node's side of
-// cut links; it is the failure domain unless a test splits that.
-func (c *cluster) start(id, failureDomain, region, link string) *testNode {
+// listen reserves the address of a node.
+func (c *cluster) listen(link string) net.Listener {
 	c.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	addr := l.Addr().String()
 	c.links.mu.Lock()
-	c.links.where[addr] = link
-	c.links.mu.Unlock()
+	defer c.links.mu.Unlock()
+	c.links.where[l.Addr().String()] = link
+	return l
+}
+
+// launch runs a node on a listener; it joins on its own. link names the node's
+// side of cut links; it is the failure domain unless a test splits that.
+func (c *cluster) launch(l net.Listener, id, failureDomain, region, link string) *testNode {
 	self := Record{ID: id, Incarnation: uint64(time.Now().UnixMilli()), Sequence: 1, FailureDomain: failureDomain,
-		Region: region, PeerAddr: addr, Service: "svc", Slots: 1}
+		Region: region, PeerAddr: l.Addr().String(), Service: "svc", Slots: 1}
 	n := &testNode{dir: NewDirectory(self, DirectoryOptions{}), done: make(chan struct{})}
 	n.pool = peer.NewPool(self.Place(), &peer.Traffic{}, peer.Options{Dial: c.links.dialer(link)})
 	n.service = NewService(n.dir, Options{
@@ -122,13 +126,21 @@
 		_ = n.service.Run(ctx)
 	}()
 	c.nodes[id] = n
-	joinCtx, cancelJoin := context.WithTimeout(ctx, 4*time.Second)
-	defer cancelJoin()
-	if err := n.service.Join(joinCtx); err != nil {
+	return n
+}
+
+// start runs a node and returns after it joined. The first nodes become seeds.
+func (c *cluster) start(id, failureDomain, region, link string) *testNode {
+	c.t.Helper()
+	n := c.launch(c.listen(link), id, failureDomain, region, link)
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	if err := n.service.Join(ctx); err != nil {
 		c.t.Fatalf("%s did not join: %v", id, err)
 	}
 	if len(c.seeds) < 4 {
-		c.seeds = append(c.seeds, Seed{Addr: addr, Place: self.Place()})
+		self := n.dir.Self()
+		c.seeds = append(c.seeds, Seed{Addr: self.PeerAddr, Place: self.Place()})
 	}
 	return n
 }
@@ -249,3 +261,26 @@
 		}
 	}
 }
+
+// Guards against a fleet that cannot start because every seed waits for the
+// records of another one.
+func TestWholeFleetStartsAtOnce(t *testing.T) {
+	const count = 8
+	c := newCluster(t)
+	var listeners []net.Listener
+	for i := range count {
+		l := c.listen("any")
+		listeners = append(listeners, l)
+		c.seeds = append(c.seeds, Seed{Addr: l.Addr().String(), Place: peer.Place{FailureDomain: fmt.Sprintf("fd-%d", i%2)}})
+	}
+	for i, l := range listeners {
+		fd := fmt.Sprintf("fd-%d", i%2)
+		c.launch(l, fmt.Sprintf("n%d", i), fd, "region", "any")
+	}
+	t.Logf("complete after %s", c.within(4*time.Second, "start", func(n *testNode) string {
+		if !n.service.isComplete() {
+			return "still joining"
+		}
+		return holdsLive(count)(n)
+	}))
+}
--- a/member/compare.go
+++ b/member/compare.go
@@ -20,6 +20,11 @@
 	settleTime = time.Second
 	// compareInterval bounds the wait while the directory keeps changing.
 	compareInterval = 10 * time.Second
+	// compareRate and compareBurst are the budget of comparisons in bytes/s and
+	// bytes. It is apart from that of pushes, so that a large comparison does
+	// not hold up the news of a death.
+	compareRate  = 1536
+	compareBurst = 256 << 10
 )
 
 // mustCompare decides whether a peer's digest calls for a comparison.
@@ -33,6 +38,9 @@
 	if now.Sub(s.lastChange) < settleTime && now.Sub(s.lastSync) < compareInterval {
 		return false
 	}
+	if s.compareLimit.TokensAt(now) <= 0 {
+		return false // an earlier comparison exceeded the budget
+	}
 	s.lastSync = now
 	return true
 }
@@ -40,9 +48,7 @@
 // compare exchanges the records in which this node and a peer differ.
 func (s *Service) compare(ctx context.Context, peer *Record) {
 	sent, err := s.compareWith(ctx, peer)
-	s.mu.Lock()
-	s.outbox.charge(s.clock.Now(), sent)
-	s.mu.Unlock()
+	s.compareLimit.ReserveN(s.clock.Now(), min(sent, compareBurst))
 	if err != nil {
 		s.opts.Log.V(1).Info("comparison of members failed", "peer", peer.ID, "error", err.Error())
 	}
--- a/member/directory.go
+++ b/member/directory.go
@@ -97,7 +97,8 @@
 // Self returns this node's own record.
 func (d *Directory) Self() *Record { return d.self.Load() }
 
-// Generation rises with every change of any record.
+// Generation rises with every merge that changes a record and with every change
+// of a failure domain's reachability.
 func (d *Directory) Generation() uint64 { return d.generation.Load() }
 
 // Lookup returns the record of a node, departed ones included, or nil.
@@ -303,7 +304,6 @@
 		d.bucketOf(id).digest.Add(diff)
 		d.root.Add(diff)
 	}
-	d.generation.Add(1)
 }
 
 // intern returns one shared copy of a name that many records carry.
--- a/member/join.go
+++ b/member/join.go
@@ -178,7 +178,7 @@
 			records = append(records, Relays(s.dir, d.Name)...)
 		}
 	}
-	if known := s.dir.Lookup(joiner.ID); known != nil && !known.Live() {
+	if known := s.dir.Lookup(joiner.ID); known != nil {
 		records = append(records, known)
 	}
 	return records
--- a/member/lists.go
+++ b/member/lists.go
@@ -66,7 +66,9 @@
 			d.services.Delete(name)
 		}
 	}
-	d.generation.Add(1)
+	if len(b.changed) > 0 {
+		d.generation.Add(1)
+	}
 }
 
 // sortThreshold is the number of changes from which sorting the whole list
--- a/member/outbox.go
+++ b/member/outbox.go
@@ -103,11 +103,6 @@
 func (b *outbox) done(now time.Time, p parcel, bytes int) {
 	delete(b.busy, p.lane)
 	b.planned -= len(p.records) * recordBytes
-	b.charge(now, bytes)
-}
-
-// charge takes bytes from the budget; more than a burst is charged as a burst.
-func (b *outbox) charge(now time.Time, bytes int) {
 	b.limiter.ReserveN(now, min(bytes, b.limiter.Burst()))
 }
 
--- a/member/service.go
+++ b/member/service.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
 	"google.golang.org/grpc"
 
 	"siskingw/peer"
@@ -23,10 +24,12 @@
 	defaultProbeTimeout   = 500 * time.Millisecond
 	defaultSuspectTimeout = 5 * time.Second
 	defaultBatchDelay     = 100 * time.Millisecond
-	defaultByteRate       = 4 << 10
-	// defaultByteBurst lets a rack's failure through at once; at the default
-	// rate it is what half a minute of the budget allows.
-	defaultByteBurst = 128 << 10
+	// defaultByteRate leaves room for comparisons, heartbeats and status
+	// reports within a node's 6 KB/s.
+	defaultByteRate = 3584
+	// defaultByteBurst lets the restart of a whole failure domain of 2,222 nodes
+	// through at once to a few tree children.
+	defaultByteBurst = 512 << 10
 	// urgentDelay collects the records of one departure without holding it up.
 	urgentDelay = 20 * time.Millisecond
 	// changeQueue bounds the merges whose suspicions the detector has not seen.
@@ -64,8 +67,8 @@
 	ProbeTimeout   time.Duration // until indirect probes start, default 500 ms
 	SuspectTimeout time.Duration // from Suspect to Dead, default 5 s
 	BatchDelay     time.Duration // how long changed records are collected, default 100 ms
-	ByteRate       int           // budget for records, in bytes/s, default 4 KiB/s
-	ByteBurst      int           // budget that may be used at once, in bytes, default 128 KiB
+	ByteRate       int           // budget for records, in bytes/s, default 3,584 bytes/s
+	ByteBurst      int           // budget that may be used at once, in bytes, default 512 KiB
 }
 
 func (o Options) withDefaults() Options {
@@ -107,6 +110,8 @@
 	joins    chan struct{} // one element for each join that is served
 	complete chan struct{} // closed when a full set of records was received
 
+	compareLimit *rate.Limiter
+
 	mu           sync.Mutex
 	outbox       *outbox
 	notes        notes
@@ -130,7 +135,9 @@
 		outbox:   newOutbox(dir, opts.ByteRate, opts.ByteBurst),
 		softened: make(map[string]softening),
 		wake:     make(chan struct{}, 1),
-		hurry:    make(chan struct{}, 1),
+
+		compareLimit: rate.NewLimiter(compareRate, compareBurst),
+		hurry:        make(chan struct{}, 1),
 	}
 	dir.OnChange(s.onChange)
 	return s
