--- a/bench/demo/demo.go
+++ b/bench/demo/demo.go
@@ -105,7 +105,7 @@
 	if err := os.WriteFile(path, []byte(objects), 0o600); err != nil {
 		return faults.Internal.Wrap(err, "objects file")
 	}
-	return d.timed(ctx, "first configuration applied and in force everywhere", "apply", "-wait", "-f", path)
+	return d.timed(ctx, "first configuration applied and in force everywhere", "apply", "-author", "demo", "-wait", "-f", path)
 }
 
 // change publishes one changed object.
@@ -116,7 +116,7 @@
 	if err := os.WriteFile(path, []byte(policy), 0o600); err != nil {
 		return faults.Internal.Wrap(err, "objects file")
 	}
-	return d.timed(ctx, "change of two objects applied and in force everywhere", "apply", "-wait", "-f", path)
+	return d.timed(ctx, "change of two objects applied and in force everywhere", "apply", "-author", "demo", "-wait", "-f", path)
 }
 
 // timed runs an operator command and prints how long it took.
--- a/cmd/siskingw/main.go
+++ b/cmd/siskingw/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/subcommands"
 
+	"siskingw/cli"
 	"siskingw/node"
 )
 
@@ -17,6 +18,7 @@
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
 	c.Register(&node.Command{}, "")
+	cli.Register(c)
 	flag.Parse()
 	os.Exit(int(c.Execute(context.Background())))
 }
