Add seed hints and try connections in backoff at once

A starting node whose seeds are all gone had no one to ask. Relays of the store's region keep their address in the store under a lease, and a node reads these hints when nobody answered. A peer that restarted could stay unused for gRPC's backoff of up to 2 min; calls now reset it.

--- /dev/null
+++ b/spread/hints.go
@@ -0,0 +1,85 @@
+package spread
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"siskingw/faults"
+	"siskingw/member"
+	"siskingw/store"
+)
+
+const (
+	// seedPrefix is the prefix of the seed hints in the store; the failure
+	// domain and the id of the node follow.
+	seedPrefix = "siskingw/seed/"
+	// hintTTL is how long a hint outlives the node that wrote it.
+	hintTTL = 60 * time.Second
+	// hintEvery is the period of renewals, a third of hintTTL.
+	hintEvery = hintTTL / 3
+)
+
+// Hints writes and reads the addresses that starting nodes may ask when none
+// of their seeds answers. A hint may be out of date; it is only an address.
+type Hints struct {
+	Store store.Store
+	View  member.View
+}
+
+// Read returns the nodes that the store names. It returns none when the store
+// fails: a starting node then has its seeds only.
+func (h Hints) Read(ctx context.Context) []Peer {
+	kvs, _, err := h.Store.Range(ctx, seedPrefix, false)
+	if err != nil {
+		return nil
+	}
+	var out []Peer
+	for _, kv := range kvs {
+		var p Peer
+		if json.Unmarshal(kv.Value, &p) == nil && p.Addr != "" {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Run keeps this node's hint in the store while it is a relay of the store's
+// region, until ctx ends. Failures of the store only delay a renewal.
+func (h Hints) Run(ctx context.Context, storeRegion string) error {
+	var lease store.LeaseID
+	for ok := true; ok; ok = sleep(ctx, jittered(hintEvery)) {
+		self := h.View.Self()
+		if self.Region != storeRegion || !member.IsRelay(h.View, self.ID) {
+			lease = 0 // the old hint lapses with its lease
+			continue
+		}
+		lease = h.renew(ctx, lease, PeerOf(self))
+	}
+	return nil
+}
+
+// renew renews the lease, or writes the hint under a new one when there is
+// none. It returns the lease in use, or 0 to start anew the next time.
+func (h Hints) renew(ctx context.Context, lease store.LeaseID, self Peer) store.LeaseID {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if lease != 0 {
+		if err := h.Store.KeepAlive(ctx, lease); err == nil || !errorx.IsOfType(err, faults.NotFound) {
+			return lease
+		}
+	}
+	value, err := json.Marshal(self)
+	if err != nil {
+		return 0
+	}
+	if lease, err = h.Store.Grant(ctx, hintTTL); err != nil {
+		return 0
+	}
+	if _, err := h.Store.Put(ctx, seedPrefix+self.FailureDomain+"/"+self.ID, value, lease); err != nil {
+		return 0
+	}
+	return lease
+}
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"crypto/sha256"
+	"fmt"
 	"testing"
 	"time"
 
@@ -35,6 +37,31 @@
 	})
 }
 
+// Guards against large deltas that are pushed without being asked for, or that
+// nodes replace by whole snapshots.
+func TestLargeDeltaIsAnnouncedAndFetched(t *testing.T) {
+	f := newFleet(11, 2, 2, 6)
+	f.run(t, func() {
+		is := is.New(t)
+		base := f.source.latest()
+		var routes []*object.Object
+		for i := range 2500 {
+			name := fmt.Sprintf("%x", sha256.Sum256([]byte{byte(i), byte(i >> 8)}))[:60]
+			routes = append(routes, &object.Object{Kind: object.KindRoute, Name: name, Route: &object.RouteSpec{PathPrefix: "/" + name, Service: "s1"}})
+		}
+		next, err := base.With(2, routes, nil)
+		is.NoErr(err)
+		f.publish(next)
+		f.proc(f.records[3]).node.Offer(next, snapshot.Diff(base, next))
+		f.converge(t, 2, time.Second)
+		is.Equal(f.count("deltas cross-region"), 1)
+		for _, class := range []string{"same-domain", "same-region", "cross-region"} {
+			is.Equal(f.count("push "+class), 0)
+			is.Equal(f.count("snapshot "+class), 0)
+		}
+	})
+}
+
 // Guards against messages that the network loses, doubles, delays, reorders
 // (by delay) or corrupts.
 func TestConvergesUnderMessageFaults(t *testing.T) {
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -9,10 +9,10 @@
 
 // Peer is the address of a node and where it runs.
 type Peer struct {
-	ID            string // empty when only the address is known
-	Addr          string
-	Region        string
-	FailureDomain string
+	ID            string `json:"id"` // empty when only the address is known
+	Addr          string `json:"addr"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failureDomain"`
 }
 
 // Place returns where the peer runs.
--- a/spread/transport.go
+++ b/spread/transport.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
 
 	"siskingw/faults"
@@ -46,11 +47,17 @@
 	return grpcTransport{pool: pool, self: self, streams: new(streams)}
 }
 
+// client returns the client for a peer. A connection in backoff is tried at
+// once: pushes and recovery have their own limits and jitter, and a peer that
+// restarted must not stay unused for gRPC's backoff of up to 2 min.
 func (t grpcTransport) client(to Peer) (peerpb.SpreadClient, error) {
 	cc, err := t.pool.Conn(to.Addr, to.Place())
 	if err != nil {
 		return nil, err
 	}
+	if c, ok := cc.(*grpc.ClientConn); ok && c.GetState() == connectivity.TransientFailure {
+		c.ResetConnectBackoff()
+	}
 	return peerpb.NewSpreadClient(cc), nil
 }
 
--- a/spread/transport_test.go
+++ b/spread/transport_test.go
@@ -80,7 +80,7 @@
 	_, err = trans.Offer(ctx, to, &peerpb.OfferRequest{Sender: "near", Version: 5})
 	is.True(errorx.IsOfType(err, faults.PeerUnavailable))
 	serveNode(t, s, to.Addr)
-	for err != nil && t.Context().Err() == nil { // gRPC connects again after its backoff of 1 s
+	for err != nil && t.Context().Err() == nil {
 		time.Sleep(10 * time.Millisecond)
 		_, err = trans.Offer(t.Context(), to, &peerpb.OfferRequest{Sender: "near", Version: 5})
 	}
