Read versions of package publish as the spread service's source

The store readers had only an interface. The source reads and watches the head that package publish writes and loads versions through its reader; before the first version it watches from the revision of the read, so that a compacted store does not break the watch.

--- /dev/null
+++ b/spread/fakestore_test.go
@@ -0,0 +1,135 @@
+package spread
+
+import (
+	"context"
+	"slices"
+	"sync"
+
+	"siskingw/faults"
+	"siskingw/snapshot"
+)
+
+// fakeSource is the store: one head, watches, and outages.
+type fakeSource struct {
+	fleet *fleet
+	mu    sync.Mutex
+	head  *snapshot.Snapshot
+	down  bool
+	gap   bool // watches miss changes without an error
+	calls int
+	loads int
+	feeds []chan HeadEvent
+}
+
+func (s *fakeSource) latest() *snapshot.Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.head
+}
+
+func (s *fakeSource) set(next *snapshot.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.head = next
+	if s.gap || s.down {
+		return
+	}
+	for _, c := range s.feeds {
+		c <- HeadEvent{Head: headOf(next)}
+	}
+}
+
+// setDown breaks every watch and call, or ends the outage.
+func (s *fakeSource) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	if down {
+		s.breakWatches(faults.StoreUnavailable.New("store is down"))
+	}
+}
+
+// setGap makes watches miss changes without an error, or ends that.
+func (s *fakeSource) setGap(gap bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gap = gap
+}
+
+// compact breaks every watch because its revision is gone.
+func (s *fakeSource) compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.breakWatches(faults.StoreCompacted.New("watch has a gap"))
+}
+
+// total returns a counter of the source.
+func (s *fakeSource) total(counter *int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return *counter
+}
+
+func (s *fakeSource) watches() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.feeds)
+}
+
+// breakWatches ends every watch with err. The caller holds s.mu.
+func (s *fakeSource) breakWatches(err error) {
+	for _, c := range s.feeds {
+		c <- HeadEvent{Err: err}
+		close(c)
+	}
+	s.feeds = nil
+}
+
+func headOf(s *snapshot.Snapshot) Head {
+	return Head{Version: s.Version(), Revision: int64(s.Version())}
+}
+
+func (s *fakeSource) Head(ctx context.Context) (Head, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return Head{}, faults.StoreUnavailable.New("store is down")
+	}
+	return headOf(s.head), nil
+}
+
+func (s *fakeSource) Load(ctx context.Context, h Head, base *snapshot.Snapshot) (*snapshot.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, faults.StoreUnavailable.New("store is down")
+	}
+	s.loads++
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	return s.fleet.published[h.Version], nil
+}
+
+func (s *fakeSource) Watch(ctx context.Context, from int64) <-chan HeadEvent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	c := make(chan HeadEvent, 64)
+	if s.down {
+		c <- HeadEvent{Err: faults.StoreUnavailable.New("store is down")}
+		close(c)
+		return c
+	}
+	if h := headOf(s.head); h.Revision > from {
+		c <- HeadEvent{Head: h}
+	}
+	s.feeds = append(s.feeds, c)
+	context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.feeds = slices.DeleteFunc(s.feeds, func(o chan HeadEvent) bool { return o == c })
+	})
+	return c
+}
--- /dev/null
+++ b/spread/published.go
@@ -0,0 +1,91 @@
+package spread
+
+import (
+	"context"
+
+	"siskingw/faults"
+	"siskingw/publish"
+	"siskingw/snapshot"
+	"siskingw/store"
+)
+
+// published is the Source over the platform's store.
+type published struct {
+	st     store.Store
+	reader *publish.Reader
+}
+
+// NewSource returns the Source that reads the versions of package publish.
+func NewSource(st store.Store, reader *publish.Reader) Source {
+	return published{st: st, reader: reader}
+}
+
+// Head implements Source. Before the first version the head has the revision
+// of the read, because a watch from an older one may be compacted.
+func (p published) Head(ctx context.Context) (Head, error) {
+	kvs, revision, err := p.st.Range(ctx, publish.HeadKey, false)
+	if err != nil {
+		return Head{}, err
+	}
+	for _, kv := range kvs {
+		if kv.Key == publish.HeadKey {
+			return decodeHead(kv)
+		}
+	}
+	return Head{Revision: revision}, faults.NotFound.New("no version is published yet")
+}
+
+// decodeHead returns a Corrupt error for a value that is no head.
+func decodeHead(kv store.KeyValue) (Head, error) {
+	h, err := publish.DecodeHead(kv.Value)
+	return Head{Version: h.Version, Revision: kv.ModRevision, Value: kv.Value}, err
+}
+
+// Load implements Source.
+func (p published) Load(ctx context.Context, h Head, base *snapshot.Snapshot) (*snapshot.Snapshot, error) {
+	head, err := publish.DecodeHead(h.Value)
+	if err != nil {
+		return nil, err
+	}
+	return p.reader.Load(ctx, head, base)
+}
+
+// Watch implements Source. The deletion of the head is not reported: no
+// version follows from it.
+func (p published) Watch(ctx context.Context, fromRevision int64) <-chan HeadEvent {
+	out := make(chan HeadEvent)
+	ctx, cancel := context.WithCancel(ctx)
+	batches := p.st.Watch(ctx, publish.HeadKey, fromRevision)
+	go func() {
+		defer cancel()
+		defer close(out)
+		for batch := range batches {
+			if !emit(ctx, out, batch) {
+				return
+			}
+		}
+	}()
+	return out
+}
+
+// emit sends the heads of a batch and reports whether the watch goes on.
+func emit(ctx context.Context, out chan<- HeadEvent, batch store.WatchBatch) bool {
+	send := func(e HeadEvent) bool {
+		select {
+		case out <- e:
+			return e.Err == nil
+		case <-ctx.Done():
+			return false
+		}
+	}
+	for _, e := range batch.Events {
+		if e.Deleted || e.Key != publish.HeadKey {
+			continue
+		}
+		h, err := decodeHead(e.KeyValue)
+		if !send(HeadEvent{Head: h, Err: err}) {
+			return false
+		}
+	}
+	return batch.Err == nil || send(HeadEvent{Err: batch.Err})
+}
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -27,7 +27,8 @@
 
 // Source reads versions from the platform's store.
 type Source interface {
-	// Head returns the latest version, or NotFound before the first one.
+	// Head returns the latest version. Before the first one it returns NotFound
+	// and a head with the store revision from which to watch.
 	Head(ctx context.Context) (Head, error)
 	// Load returns the snapshot of a head. base, which may be nil, saves reads.
 	Load(ctx context.Context, h Head, base *snapshot.Snapshot) (*snapshot.Snapshot, error)
