Smooth the load that targets report

A single report tells the calls in a target's slots at one moment, which is mostly noise for the next call, and callers followed it together. Reports are now averaged with a half-life of 200 ms.

--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -44,3 +44,35 @@
 		time.Sleep(100 * time.Microsecond)
 	}
 }
+
+// Guards against refusals that cost more than admitted calls.
+func TestRefusalAllocatesNothing(t *testing.T) {
+	is := is.New(t)
+	g := New(Options{Slots: 1, QueueLength: -1})
+	_, err := g.Enter(t.Context(), object.WorkBid)
+	is.NoErr(err)
+	n := testing.AllocsPerRun(1000, func() { g.Enter(context.Background(), object.WorkPage) })
+	is.Equal(n, 0.0)
+}
+
+func BenchmarkEnterLeave(b *testing.B) {
+	g := New(Options{Slots: 1000})
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			t, _ := g.Enter(context.Background(), object.WorkBid)
+			t.Leave()
+		}
+	})
+}
+
+func BenchmarkRefuse(b *testing.B) {
+	g := New(Options{Slots: 1, QueueLength: -1})
+	g.Enter(context.Background(), object.WorkBid)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			g.Enter(context.Background(), object.WorkPage)
+		}
+	})
+}
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -64,9 +64,11 @@
 	rampFrom atomic.Int64 // start of slow start
 	badUntil atomic.Int64 // the target looks bad until then; 0 when it never failed
 
-	load   atomic.Uint64 // float64 bits of the last reported load
+	load   atomic.Uint64 // float64 bits of the smoothed reported load
 	loadAt atomic.Int64
 
+	pace atomic.Uint64 // float64 bits of the average of log2 of durations in ns; 0 without calls
+
 	evidence   atomic.Uint64 // float64 bits of the average of failures and refusals, 0..1
 	evidenceAt atomic.Int64
 
@@ -120,11 +122,11 @@
 
 // observe records the report of one call.
 func (e *endpoint) observe(r Report, ej ejection, now int64, random func() uint64) {
-	if r.Load > 0 && r.Load <= math.MaxFloat64 {
-		e.load.Store(math.Float64bits(r.Load))
-		e.loadAt.Store(max(now, 1))
-	}
+	e.addReport(r.Load, now)
 	failed := r.Failed || r.Unreachable
+	if !failed && !r.Refused && r.Duration > 0 {
+		e.addPace(r.Duration)
+	}
 	e.addEvidence(failed || r.Refused, now)
 	switch {
 	case failed:
@@ -134,6 +136,37 @@
 	}
 }
 
+// reportHalfLife smooths reported load. A single report is mostly noise for the
+// next call: it tells how many calls were in the target's slots at one moment.
+const reportHalfLife = 200 * time.Millisecond
+
+// addReport smooths a reported load; 0 and impossible values are ignored.
+func (e *endpoint) addReport(load float64, now int64) {
+	if !(load > 0 && load <= math.MaxFloat64) {
+		return
+	}
+	now = max(now, 1)
+	if at := e.loadAt.Load(); at > 0 {
+		old := math.Float64frombits(e.load.Load())
+		load += (old - load) * math.Exp2(-float64(now-at)/float64(reportHalfLife))
+	}
+	e.load.Store(math.Float64bits(load))
+	e.loadAt.Store(now)
+}
+
+// paceWeight is the weight of one call in the pace. The average is taken of
+// logarithms, so that one upload among pages does not make a target look slow.
+const paceWeight = 0.05
+
+// addPace adds the duration of a successful call.
+func (e *endpoint) addPace(d time.Duration) {
+	v := math.Log2(float64(d))
+	if old := math.Float64frombits(e.pace.Load()); old > 0 {
+		v = old + paceWeight*(v-old)
+	}
+	e.pace.Store(math.Float64bits(v))
+}
+
 // addEvidence moves the average towards 1 for bad calls and towards 0 for good ones.
 func (e *endpoint) addEvidence(bad bool, now int64) {
 	v := e.shown(now)
--- a/idem/ledger_test.go
+++ b/idem/ledger_test.go
@@ -53,3 +53,14 @@
 	d, _ = b.Begin(ctx, k, moved.Voucher)
 	is.Equal(d.Action, Unknown)
 }
+
+func BenchmarkBeginFinish(b *testing.B) {
+	l := NewLedger("a", 1, Options{MaxBytes: 1 << 30})
+	answer := &Answer{Status: 200, Body: make([]byte, 100)}
+	b.ReportAllocs()
+	for b.Loop() {
+		k := Mint(ownerA, time.Now())
+		l.Begin(context.Background(), k, "")
+		l.Finish(k, answer)
+	}
+}
