Let the process fleet cut links between failure domains

Process tests need cuts that hold bytes back instead of resetting connections, one way and both. Every connection between processes can go through relays that know the place of both ends; nodes therefore connect from a local address that their settings name (dialFrom). The node uses the seed hints and the store source of package spread, which replace its own copies.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -44,6 +44,7 @@
 	WorkDir    string // for settings files and logs
 	Domains    []Domain
 	TargetArgs []string                 // further arguments of each target stand-in
+	Relay      bool                     // puts every connection between processes behind Links
 	Edit       func(*settings.Settings) // changes the settings of each node
 }
 
@@ -56,6 +57,8 @@
 	Node     *Process
 	Target   *Process
 	opts     *Options
+	domain   int // index of the failure domain
+	index    int // index in the failure domain
 }
 
 // Fleet is a running fleet.
@@ -63,6 +66,7 @@
 	opts      Options
 	base      string // first two octets of every address
 	Store     *Process
+	Links     *Links // nil without Options.Relay
 	Instances []*Instance
 }
 
@@ -70,6 +74,11 @@
 // processes run; WaitReady waits for the nodes.
 func Start(ctx context.Context, opts Options) (*Fleet, error) {
 	f := &Fleet{opts: opts, base: fmt.Sprintf("127.%d", 2+os.Getpid()%250)}
+	if opts.Relay {
+		if err := f.startLinks(); err != nil {
+			return nil, err
+		}
+	}
 	f.Store = f.process("storestub", "storestub",
 		"-addr", f.StoreAddr(), "-control", f.ControlAddr())
 	if err := f.Store.Start(); err != nil {
@@ -97,7 +106,7 @@
 
 func (f *Fleet) newInstance(domain Domain, d, i int) *Instance {
 	ip := fmt.Sprintf("%s.%d.%d", f.base, d+1, i+1)
-	in := &Instance{Name: fmt.Sprintf("%s-%d", domain.Name, i+1), Domain: domain, IP: ip, opts: &f.opts}
+	in := &Instance{Name: fmt.Sprintf("%s-%d", domain.Name, i+1), Domain: domain, IP: ip, opts: &f.opts, domain: d, index: i}
 	in.Settings = f.settings(in)
 	in.Target = f.process(in.Name+".target", "targetstub", append([]string{
 		"-listen", in.addr(portTarget)}, f.opts.TargetArgs...)...)
@@ -112,9 +121,14 @@
 			Outbound: in.addr(portOutbound), Inbound: in.addr(portInbound),
 			Peer: in.addr(portPeer), Admin: in.addr(portAdmin),
 		},
-		Target: &settings.Target{Service: in.Domain.Service, Address: in.addr(portTarget), Slots: in.Domain.Slots},
-		Store:  settings.Store{Endpoint: f.StoreAddr(), Region: f.opts.Domains[0].Region},
-		Seeds:  f.seeds(),
+		Target:   &settings.Target{Service: in.Domain.Service, Address: in.addr(portTarget), Slots: in.Domain.Slots},
+		Store:    settings.Store{Endpoint: f.StoreAddr(), Region: f.opts.Domains[0].Region},
+		Seeds:    f.seeds(),
+		DialFrom: in.IP,
+	}
+	if f.Links != nil {
+		s.Store.Endpoint = f.relayAddr(0, 0, portStore)
+		s.Advertise.Peer, s.Advertise.Inbound = f.relayAddr(in.domain, in.index, portPeer), f.relayAddr(in.domain, in.index, portInbound)
 	}
 	if f.opts.Edit != nil {
 		f.opts.Edit(s)
@@ -122,6 +136,46 @@
 	return s
 }
 
+// relayOctet is added to the third octet of an address for its relay.
+const relayOctet = 100
+
+// relayAddr returns the address of the relay of an instance's port. The store
+// has a relay of its own.
+func (f *Fleet) relayAddr(d, i, port int) string {
+	if port == portStore {
+		return fmt.Sprintf("%s.%d.1:%d", f.base, relayOctet, port)
+	}
+	return fmt.Sprintf("%s.%d.%d:%d", f.base, relayOctet+d+1, i+1, port)
+}
+
+// peerAddr returns the address under which others reach an instance's peer listener.
+func (f *Fleet) peerAddr(d, i int) string {
+	if f.Links != nil {
+		return f.relayAddr(d, i, portPeer)
+	}
+	return fmt.Sprintf("%s.%d.%d:%d", f.base, d+1, i+1, portPeer)
+}
+
+// startLinks starts a relay for each address that other processes connect to.
+func (f *Fleet) startLinks() error {
+	f.Links = newLinks()
+	if err := f.Links.forward(f.relayAddr(0, 0, portStore), f.StoreAddr(), storePlace); err != nil {
+		return err
+	}
+	for d, domain := range f.opts.Domains {
+		f.Links.places[fmt.Sprintf("%s.%d", f.base, d+1)] = domain.Name
+		for i := range domain.Instances {
+			for _, port := range []int{portPeer, portInbound} {
+				target := fmt.Sprintf("%s.%d.%d:%d", f.base, d+1, i+1, port)
+				if err := f.Links.forward(f.relayAddr(d, i, port), target, domain.Name); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
 // seeds names the first two instances of each failure domain.
 func (f *Fleet) seeds() []settings.Seed {
 	const seedsPerDomain = 2
@@ -129,7 +183,7 @@
 	for d, domain := range f.opts.Domains {
 		for i := range min(seedsPerDomain, domain.Instances) {
 			seeds = append(seeds, settings.Seed{
-				Address: fmt.Sprintf("%s.%d.%d:%d", f.base, d+1, i+1, portPeer),
+				Address: f.peerAddr(d, i),
 				Region:  domain.Region, FailureDomain: domain.Name,
 			})
 		}
@@ -230,4 +284,7 @@
 	for _, p := range all {
 		p.WaitOrKill(stopTimeout)
 	}
+	if f.Links != nil {
+		f.Links.close()
+	}
 }
--- /dev/null
+++ b/bench/fleet/links.go
@@ -0,0 +1,177 @@
+package fleet
+
+import (
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"siskingw/faults"
+)
+
+// storePlace is the place of the store in cuts.
+const storePlace = "store"
+
+// cutPoll is how often a held connection looks whether its link is healed.
+const cutPoll = 10 * time.Millisecond
+
+// Links forwards the connections between processes and can cut the links
+// between two places, which are failure domains or the store. A cut link holds
+// its bytes back, as a network that drops packets does, and delivers them
+// after it is healed.
+type Links struct {
+	mu     sync.Mutex
+	places map[string]string  // place by the first three octets of an address
+	cuts   map[[2]string]bool // from, to
+	closed chan struct{}
+	lis    []net.Listener
+}
+
+func newLinks() *Links {
+	return &Links{
+		places: make(map[string]string), cuts: make(map[[2]string]bool),
+		closed: make(chan struct{}),
+	}
+}
+
+// Cut holds back what is sent from one place to another, one way.
+func (l *Links) Cut(from, to string) { l.set(from, to, true) }
+
+// Heal ends a cut.
+func (l *Links) Heal(from, to string) { l.set(from, to, false) }
+
+// Isolate cuts a place off from every other one, both ways; Rejoin ends it.
+func (l *Links) Isolate(place string) { l.isolate(place, true) }
+
+// Rejoin ends Isolate.
+func (l *Links) Rejoin(place string) { l.isolate(place, false) }
+
+func (l *Links) set(from, to string, cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cuts[[2]string{from, to}] = cut
+}
+
+func (l *Links) isolate(place string, cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	others := []string{storePlace}
+	for _, p := range l.places {
+		others = append(others, p)
+	}
+	for _, other := range others {
+		if other != place {
+			l.cuts[[2]string{place, other}] = cut
+			l.cuts[[2]string{other, place}] = cut
+		}
+	}
+}
+
+// isCut reports whether bytes from one place to another are held back.
+func (l *Links) isCut(from, to string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cuts[[2]string{from, to}]
+}
+
+// placeOf returns the place of an address by its first three octets.
+func (l *Links) placeOf(addr net.Addr) string {
+	host, _, _ := net.SplitHostPort(addr.String())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.places[host[:strings.LastIndexByte(host, '.')]]
+}
+
+// forward listens on addr and forwards to the process at target in place to.
+func (l *Links) forward(addr, target, to string) error {
+	lis, err := net.Listen("tcp", addr)
+	if err != nil {
+		return faults.Internal.Wrap(err, "relay")
+	}
+	l.lis = append(l.lis, lis)
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go l.relay(c, target, to)
+		}
+	}()
+	return nil
+}
+
+// relay forwards one connection until either side closes it.
+func (l *Links) relay(c net.Conn, target, to string) {
+	defer func() { _ = c.Close() }()
+	from := l.placeOf(c.RemoteAddr())
+	if !l.waitHealed(from, to) {
+		return
+	}
+	s, err := net.Dial("tcp", target)
+	if err != nil {
+		reset(c)
+		return
+	}
+	defer func() { _ = s.Close() }()
+	var wg sync.WaitGroup
+	wg.Go(func() { l.pump(s, c, from, to) })
+	wg.Go(func() { l.pump(c, s, to, from) })
+	wg.Wait()
+}
+
+// reset closes c so that its peer sees a reset, as from a port without listener.
+func reset(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// pump copies from src to dst while the link is not cut.
+func (l *Links) pump(dst, src net.Conn, from, to string) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := src.Read(buf)
+		if !l.waitHealed(from, to) {
+			break
+		}
+		if n > 0 {
+			if _, werr := dst.Write(buf[:n]); werr != nil {
+				break
+			}
+		}
+		if err == io.EOF {
+			if tcp, ok := dst.(*net.TCPConn); ok {
+				_ = tcp.CloseWrite()
+			}
+			return
+		}
+		if err != nil {
+			break
+		}
+	}
+	reset(dst)
+	_ = dst.Close()
+	_ = src.Close()
+}
+
+// waitHealed waits until the link is not cut; false when the relay is closed.
+func (l *Links) waitHealed(from, to string) bool {
+	for l.isCut(from, to) {
+		select {
+		case <-time.After(cutPoll):
+		case <-l.closed:
+			return false
+		}
+	}
+	return true
+}
+
+// close ends every listener.
+func (l *Links) close() {
+	close(l.closed)
+	for _, lis := range l.lis {
+		_ = lis.Close()
+	}
+}
--- a/node/calls.go
+++ b/node/calls.go
@@ -71,6 +71,7 @@
 		Current:    s.node.current,
 		Balancer:   balance.New(s.node.dir, balance.Options{}),
 		View:       s.node.dir,
+		Pool:       proxy.NewPool(proxy.PoolOptions{LocalAddr: s.node.localAddr()}),
 		Local:      local,
 		OnDraining: s.onDraining,
 		Metrics:    s.node.proxyMetrics(),
--- a/node/node.go
+++ b/node/node.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"os"
 	"time"
 
@@ -96,6 +97,14 @@
 	return peer.Place{Region: n.settings.Region, FailureDomain: n.settings.FailureDomain}
 }
 
+// localAddr returns the address to connect from, or nil.
+func (n *Node) localAddr() net.Addr {
+	if n.settings.DialFrom == "" {
+		return nil
+	}
+	return &net.TCPAddr{IP: net.ParseIP(n.settings.DialFrom)}
+}
+
 // selfRecord returns the node's own record for this process.
 func selfRecord(s *settings.Settings) member.Record {
 	r := member.Record{
--- a/node/services.go
+++ b/node/services.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
 	"siskingw/faults"
@@ -50,7 +51,7 @@
 	}
 	s.lis = lis
 	s.server = peer.NewServer()
-	s.pool = peer.NewPool(s.node.place(), &s.traffic, peer.Options{})
+	s.pool = peer.NewPool(s.node.place(), &s.traffic, peer.Options{LocalAddr: s.node.localAddr()})
 	exportTraffic(s.node.metrics, &s.traffic)
 	return nil
 }
@@ -84,7 +85,7 @@
 	if s.node.settings.Store.Endpoint == "" {
 		return nil
 	}
-	client, err := etcd.New(etcd.Options{Endpoint: s.node.settings.Store.Endpoint})
+	client, err := etcd.New(etcd.Options{Endpoint: s.node.settings.Store.Endpoint, LocalAddr: s.node.localAddr()})
 	if err != nil {
 		return err
 	}
@@ -109,14 +110,14 @@
 	if s.store == nil {
 		return nil
 	}
-	return source{store: s.store, reader: s.reader}
+	return spread.NewSource(s.store, s.reader)
 }
 
 // memberService keeps the membership.
 type memberService struct {
 	node    *Node
 	service *member.Service
-	hints   *seedHints
+	hints   *spread.Hints // nil without a store
 	spread  *spreadService
 }
 
@@ -135,7 +136,9 @@
 	if s.spread, err = kernel.Lookup[*spreadService](k, nameSpread); err != nil {
 		return err
 	}
-	s.hints = &seedHints{store: st.store, view: s.node.dir, log: s.node.log}
+	if st.store != nil {
+		s.hints = &spread.Hints{Store: st.store, View: s.node.dir}
+	}
 	s.service = member.NewService(s.node.dir, member.Options{
 		Connect:      peers.pool.Conn,
 		LocalSummary: s.node.localSummary,
@@ -150,7 +153,7 @@
 // seeds returns the seeds of the settings and the hints of the store.
 func (s *memberService) seeds(ctx context.Context) []member.Seed {
 	var seeds []member.Seed
-	for _, p := range append(settingsSeeds(s.node.settings), s.hints.read(ctx)...) {
+	for _, p := range append(settingsSeeds(s.node.settings), s.readHints(ctx)...) {
 		if p.Addr != s.node.settings.Advertise.Peer {
 			seeds = append(seeds, member.Seed{Addr: p.Addr, Place: p.Place()})
 		}
@@ -158,6 +161,14 @@
 	return seeds
 }
 
+// readHints returns the seed hints of the store, or none.
+func (s *memberService) readHints(ctx context.Context) []spread.Peer {
+	if s.hints == nil {
+		return nil
+	}
+	return s.hints.Read(ctx)
+}
+
 // settingsSeeds returns the seeds of the settings as peers. This node may be
 // one of them: its place among the seeds decides who fetches a snapshot across
 // the failure domain's boundary first.
@@ -185,8 +196,12 @@
 }
 
 func (s *memberService) Run(ctx context.Context) error {
-	go s.hints.run(ctx)
-	return s.service.Run(ctx)
+	var g errgroup.Group
+	if s.hints != nil {
+		g.Go(func() error { return s.hints.Run(ctx, s.node.settings.Store.Region) })
+	}
+	g.Go(func() error { return s.service.Run(ctx) })
+	return g.Wait()
 }
 
 // Stop tells the failure domain that this process ends.
@@ -220,7 +235,7 @@
 	s.spread = spread.New(spread.Options{
 		View: s.node.dir, Current: s.node.current, Transport: spread.NewTransport(peers.pool, s.node.place()),
 		Source: st.source(), StoreRegion: s.node.settings.Store.Region,
-		Seeds: settingsSeeds(s.node.settings), SeedHints: m.hints.read,
+		Seeds: settingsSeeds(s.node.settings), SeedHints: m.readHints,
 		Log: s.node.log, Metrics: s.node.metrics,
 	})
 	s.spread.Register(peers.server)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -66,6 +66,8 @@
 type Options struct {
 	// Dial opens a connection. The default is a TCP dialer with a timeout of 1 s.
 	Dial func(ctx context.Context, addr string, class LinkClass) (net.Conn, error)
+	// LocalAddr is the address that the default Dial connects from; nil lets the system choose.
+	LocalAddr net.Addr
 	// MaxIdle is how long an unused connection is kept. The default is 30 s.
 	MaxIdle time.Duration
 }
@@ -99,7 +101,7 @@
 // NewPool returns a pool for a node at the given place.
 func NewPool(self Place, traffic *Traffic, opts Options) *Pool {
 	if opts.Dial == nil {
-		opts.Dial = dialTCP
+		opts.Dial = dialerFrom(opts.LocalAddr)
 	}
 	if opts.MaxIdle == 0 {
 		opts.MaxIdle = defaultMaxIdle
@@ -107,9 +109,12 @@
 	return &Pool{self: self, opts: opts, traffic: traffic, conns: make(map[string]*pooled)}
 }
 
-func dialTCP(ctx context.Context, addr string, _ LinkClass) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout}
-	return d.DialContext(ctx, "tcp", addr)
+// dialerFrom returns a function that opens TCP connections from a local address.
+func dialerFrom(local net.Addr) func(context.Context, string, LinkClass) (net.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout, LocalAddr: local}
+	return func(ctx context.Context, addr string, _ LinkClass) (net.Conn, error) {
+		return d.DialContext(ctx, "tcp", addr)
+	}
 }
 
 // Conn returns a connection to the peer at addr. It does not wait for the
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -14,6 +14,7 @@
 	MaxPerAddress int           // open connections to one address; default 120
 	IdleTimeout   time.Duration // idle connections are closed after it; default 30 s
 	DialTimeout   time.Duration // default 1 s
+	LocalAddr     net.Addr      // address to connect from; nil lets the system choose
 }
 
 const (
@@ -53,7 +54,7 @@
 	}
 	return &Pool{
 		opts:   opts,
-		dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAlive: -1},
+		dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAlive: -1, LocalAddr: opts.LocalAddr},
 		hosts:  make(map[string]*host),
 	}
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -31,6 +31,9 @@
 	c.listeners(s.Listen)
 	c.advertised("advertise.inbound", s.Advertise.Inbound)
 	c.advertised("advertise.peer", s.Advertise.Peer)
+	if _, err := netip.ParseAddr(s.DialFrom); s.DialFrom != "" && err != nil {
+		c.add("dialFrom", strconv.Quote(s.DialFrom)+" is not an IP address")
+	}
 	if s.Target != nil {
 		c.target(s.Target)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -18,7 +18,8 @@
 
 	Listen    Listen    `json:"listen"`
 	Advertise Advertise `json:"advertise"`
-	Target    *Target   `json:"target,omitempty"` // absent on a node without a target
+	DialFrom  string    `json:"dialFrom,omitempty"` // local IP address of connections to other nodes; empty lets the system choose
+	Target    *Target   `json:"target,omitempty"`   // absent on a node without a target
 	Store     Store     `json:"store"`
 	Seeds     []Seed    `json:"seeds"`
 	Log       Log       `json:"log"`
--- a/store/etcd/etcd.go
+++ b/store/etcd/etcd.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
 	"google.golang.org/grpc"
@@ -25,6 +26,7 @@
 type Options struct {
 	Endpoint    string        // host:port of the store
 	CallTimeout time.Duration // bound of one call, default 2 s
+	LocalAddr   net.Addr      // address to connect from; nil lets the system choose
 }
 
 // Client is a store.Store that talks to one endpoint.
@@ -46,8 +48,12 @@
 	}
 	retry := backoff.DefaultConfig
 	retry.BaseDelay, retry.MaxDelay = 100*time.Millisecond, maxBackoff
+	dialer := net.Dialer{Timeout: opts.CallTimeout, LocalAddr: opts.LocalAddr}
 	cc, err := grpc.NewClient("passthrough:///"+opts.Endpoint,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", addr)
+		}),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: retry, MinConnectTimeout: opts.CallTimeout}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMsgBytes)),
 		grpc.WithDisableRetry(),
