--- /dev/null
+++ b/e2e/config_test.go
@@ -0,0 +1,197 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskingw/bench/fleet"
+	"siskingw/faults"
+)
+
+// observer polls every node and reports a version that goes down, also across
+// a restart of the node.
+type observer struct {
+	stop chan struct{}
+	wg   sync.WaitGroup
+	mu   sync.Mutex
+	bad  []string
+}
+
+func observe(f *fleet.Fleet) *observer {
+	o := &observer{stop: make(chan struct{})}
+	for _, in := range f.Instances {
+		o.wg.Go(func() { o.follow(in) })
+	}
+	return o
+}
+
+func (o *observer) follow(in *fleet.Instance) {
+	var highest uint64
+	for {
+		if v := version(in); v > 0 && v < highest {
+			o.mu.Lock()
+			o.bad = append(o.bad, fmt.Sprintf("%s went from version %d to %d", in.Name, highest, v))
+			o.mu.Unlock()
+		} else {
+			highest = max(highest, v)
+		}
+		select {
+		case <-o.stop:
+			return
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// end stops the observer and returns what it found.
+func (o *observer) end() []string {
+	close(o.stop)
+	o.wg.Wait()
+	return o.bad
+}
+
+// Guards against a node that goes back to an older version, or misses one,
+// while nodes are killed, restarted and paused during changes (I1, I9).
+func TestVersionsOnlyRiseThroughKillsAndPauses(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 3, false)
+	o := observe(c.f)
+	random := rand.New(rand.NewPCG(1, 2))
+	for i := range 8 {
+		victim := c.f.Instances[1+random.IntN(len(c.f.Instances)-1)]
+		if i%2 == 0 {
+			victim.Node.Kill()
+		} else {
+			victim.Node.Pause()
+		}
+		code, out := c.apply(c.f.Instances[0], policy(3000+i), "-timeout", "10s")
+		is.Equal(code, faults.ExitOK) // the change is accepted
+		is.True(strings.Contains(out, fmt.Sprint(i+2)))
+		time.Sleep(300 * time.Millisecond)
+		if i%2 == 0 {
+			is.NoErr(victim.Node.Start())
+		} else {
+			victim.Node.Resume()
+		}
+	}
+	took := c.waitVersion(9, convergeTimeout)
+	t.Logf("the last of 8 changes is in force everywhere %s after it was accepted", took)
+	is.Equal(o.end(), nil)
+}
+
+// Guards against an outage of the store that stops calls or restarts, and
+// against a change that is half accepted during it.
+func TestStoreOutage(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 2, false)
+	c.faults(`{"Down":true}`)
+	code, _ := c.apply(c.f.Instances[1], policy(4000), "-timeout", "3s")
+	is.True(code == faults.ExitUnavailable || code == faults.ExitTimeout)
+	victim := c.f.Instances[3]
+	victim.Node.Kill()
+	is.NoErr(victim.Node.Start())
+	took := c.waitVersion(1, convergeTimeout)
+	t.Logf("a node restarted without the store has a version after %s", took)
+	for i, in := range c.f.Instances {
+		is.Equal(call(in, "GET", "/lots/1", fmt.Sprint("outage-", i), "", nil).status, 200)
+	}
+	c.faults(`{}`)
+	code, out := c.apply(c.f.Instances[1], policy(4000))
+	t.Log(out)
+	is.Equal(code, faults.ExitOK)
+	// The first attempt certainly failed or is the same content: one change.
+	for _, in := range c.f.Instances {
+		is.Equal(version(in), uint64(2))
+	}
+}
+
+// Guards against a lost answer that is reported as a failure or applied twice.
+func TestLostStoreAnswers(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 1, false)
+	for lost := 1; lost <= 4; lost++ {
+		c.faults(fmt.Sprintf(`{"LoseAnswers":%d}`, lost))
+		code, out := c.apply(c.f.Instances[1], policy(4000+lost))
+		t.Log(out)
+		is.Equal(code, faults.ExitOK)
+		is.Equal(version(c.f.Instances[1]), uint64(1+lost))
+	}
+}
+
+// Guards against two operators who both believe that their change of one
+// object was taken.
+func TestOperatorsRace(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 1, false)
+	const based = `{"objects":[{"kind":"Policy","name":"calls","revision":1,"spec":{"timeoutMs":%d}}]}`
+	codes := make([]int, 2)
+	outs := make([]string, 2)
+	var wg sync.WaitGroup
+	for i := range codes {
+		wg.Go(func() {
+			codes[i], outs[i] = c.apply(c.f.Instances[i+1], fmt.Sprintf(based, 5000+i))
+		})
+	}
+	wg.Wait()
+	t.Log(outs)
+	is.Equal(codes[0]+codes[1], faults.ExitConflict) // one is accepted, the other conflicts
+	loser := 0
+	if codes[1] != 0 {
+		loser = 1
+	}
+	is.True(strings.Contains(outs[loser], "calls")) // the conflict names the object
+}
+
+// Guards against a failure domain that stops serving when it is cut off, is
+// reported as in force while it cannot be asked, or stays behind afterwards.
+func TestCutFailureDomain(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 2, true)
+	const cut = "alta-a"
+	inside := c.f.Instances[4]
+	c.f.Links.Isolate(cut)
+	code, out := c.apply(c.f.Instances[0], policy(4500), "-wait", "-timeout", "6s")
+	t.Log(out)
+	is.Equal(code, faults.ExitTimeout) // accepted, and not in force everywhere
+	for i := range 20 {
+		a := call(inside, "GET", "/lots/1", fmt.Sprint("cut-", i), "", nil)
+		is.Equal(a.status, 200) // the failure domain serves its own targets
+	}
+	for deadline := time.Now().Add(2 * convergeTimeout); !strings.Contains(out, "unreachable") && time.Now().Before(deadline); {
+		time.Sleep(200 * time.Millisecond)
+		_, out = c.command(c.f.Instances[0], "status")
+	}
+	t.Log(out)
+	is.True(strings.Contains(out, "unreachable")) // the operator learns that it cannot be asked
+	code, _ = c.apply(inside, policy(4600), "-timeout", "4s")
+	is.True(code == faults.ExitUnavailable || code == faults.ExitTimeout)
+	c.f.Links.Rejoin(cut)
+	took := c.waitVersion(2, convergeTimeout)
+	t.Logf("the failure domain has the version %s after it was healed", took)
+}
+
+// Guards against unclear failures of the commands: each has its exit code.
+func TestExitCodes(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 1, false)
+	in := c.f.Instances[2]
+	code, out := c.apply(in, `{"objects":[{"kind":"Route","name":"x","spec":{"pathPrefix":"/x","service":"none"}}]}`)
+	is.Equal(code, faults.ExitRefused)
+	is.True(strings.Contains(out, "none")) // the fault names the missing service
+	code, _ = c.apply(in, `{"objects":[{"kind":"Route","nome":"x"}]}`)
+	is.Equal(code, faults.ExitRefused)
+	code, _ = c.command(in, "get", "route/none")
+	is.Equal(code, faults.ExitNotFound)
+	code, _ = c.command(in, "get", "--nonsense")
+	is.Equal(code, faults.ExitUsage)
+	in.Node.Kill()
+	code, _ = c.command(in, "status")
+	is.Equal(code, faults.ExitUnavailable)
+	is.Equal(version(c.f.Instances[0]), uint64(1)) // nothing was half done
+}
--- /dev/null
+++ b/e2e/main_test.go
@@ -0,0 +1,243 @@
+// Package e2e runs real processes: the siskingw binary, the store stand-in and
+// target stand-ins, with kills, pauses and cut links.
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"siskingw/admin"
+	"siskingw/bench/fleet"
+	"siskingw/targetstub"
+)
+
+// binDir holds the binaries that TestMain builds.
+var binDir string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "siskingw-e2e-")
+	if err != nil {
+		panic(err)
+	}
+	binDir = dir
+	build := exec.Command("go", "build", "-o", dir, "siskingw/cmd/siskingw", "siskingw/cmd/storestub", "siskingw/cmd/targetstub")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(fmt.Sprintf("build: %v\n%s", err, out))
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const (
+	readyTimeout = 20 * time.Second
+	// convergeTimeout is the bound of the target: in force everywhere within 10 s.
+	convergeTimeout = 10 * time.Second
+)
+
+// baseObjects routes pages, bids and uploads to the one service of the fleets.
+const baseObjects = `{"objects":[
+ {"kind":"EndpointSet","name":"floor","spec":{"announce":"auction-floor"}},
+ {"kind":"Policy","name":"calls","spec":{"timeoutMs":8000,"retries":2}},
+ {"kind":"Service","name":"floor","spec":{"endpointSet":"floor","policy":"calls"}},
+ {"kind":"Route","name":"lots","spec":{"pathPrefix":"/lots","service":"floor","kind":"page"}},
+ {"kind":"Route","name":"bids","spec":{"pathPrefix":"/bids","service":"floor","kind":"bid"}},
+ {"kind":"Route","name":"scans","spec":{"pathPrefix":"/scans","service":"floor","kind":"upload"}}]}`
+
+// cluster is a running fleet with the base objects in force.
+type cluster struct {
+	t   *testing.T
+	f   *fleet.Fleet
+	dir string
+}
+
+// start runs a fleet of three failure domains in two regions.
+func start(t *testing.T, perDomain int, relay bool) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir()}
+	domains := []fleet.Domain{
+		{Region: "sask", Name: "sask-a", Instances: perDomain, Service: "auction-floor", Slots: 9},
+		{Region: "sask", Name: "sask-b", Instances: perDomain, Service: "auction-floor", Slots: 9},
+		{Region: "alta", Name: "alta-a", Instances: perDomain, Service: "auction-floor", Slots: 9},
+	}
+	f, err := fleet.Start(t.Context(), fleet.Options{
+		BinDir: binDir, WorkDir: c.dir, Domains: domains, Relay: relay,
+		TargetArgs: []string{"-behavior", `{"workMs":5}`},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.f = f
+	t.Cleanup(func() {
+		f.Stop()
+		if t.Failed() {
+			c.printLogs()
+		}
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), readyTimeout)
+	defer cancel()
+	if err := f.WaitUp(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if code, out := c.apply(f.Instances[0], baseObjects); code != 0 {
+		t.Fatalf("apply exits with %d: %s", code, out)
+	}
+	if err := f.WaitReady(ctx); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// printLogs prints the end of each node's log.
+func (c *cluster) printLogs() {
+	const tailBytes = 2000
+	for _, in := range c.f.Instances {
+		b, _ := os.ReadFile(filepath.Join(c.dir, in.Name+".log"))
+		c.t.Logf("log of %s:\n%s", in.Name, b[max(0, len(b)-tailBytes):])
+	}
+}
+
+// command runs an operator command at a node and returns its exit code and output.
+func (c *cluster) command(in *fleet.Instance, args ...string) (int, string) {
+	args = append([]string{args[0], "-node", in.AdminAddr()}, args[1:]...)
+	out, err := exec.Command(filepath.Join(binDir, "siskingw"), args...).CombinedOutput()
+	if exit, ok := err.(*exec.ExitError); ok {
+		return exit.ExitCode(), string(out)
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return 0, string(out)
+}
+
+// apply writes objects to a file, applies it and waits until it is in force.
+func (c *cluster) apply(in *fleet.Instance, objects string, flags ...string) (int, string) {
+	if len(flags) == 0 {
+		flags = []string{"-wait", "-timeout", "20s"}
+	}
+	path := filepath.Join(c.t.TempDir(), "objects.json")
+	if err := os.WriteFile(path, []byte(objects), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	return c.command(in, append([]string{"apply", "-author", "test", "-f", path}, flags...)...)
+}
+
+// policy returns a change of one object.
+func policy(timeoutMs int) string {
+	return fmt.Sprintf(`{"objects":[{"kind":"Policy","name":"calls","spec":{"timeoutMs":%d,"retries":2}}]}`, timeoutMs)
+}
+
+// version returns the version in force on a node, 0 when it does not answer.
+func version(in *fleet.Instance) uint64 {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	client := admin.NewClient(in.AdminAddr())
+	defer client.Close()
+	v, err := client.Version(ctx)
+	if err != nil {
+		return 0
+	}
+	return v.Version
+}
+
+// waitVersion waits until every running node has at least the version.
+func (c *cluster) waitVersion(want uint64, timeout time.Duration) time.Duration {
+	c.t.Helper()
+	started := time.Now()
+	for _, in := range c.f.Instances {
+		for in.Node.Running() && version(in) < want {
+			if time.Since(started) > timeout {
+				c.t.Fatalf("node %s has version %d after %s, want %d", in.Name, version(in), timeout, want)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	return time.Since(started)
+}
+
+// faults sets the faults of the store.
+func (c *cluster) faults(f string) {
+	c.t.Helper()
+	resp, err := http.Post("http://"+c.f.ControlAddr()+"/faults", "application/json", strings.NewReader(f))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		c.t.Fatalf("faults are answered with %s", resp.Status)
+	}
+}
+
+// answer is what a caller got.
+type answer struct {
+	status  int // 0: no answer
+	outcome string
+	body    string
+	err     error
+}
+
+// callClient has a connection pool like an ordinary caller.
+var callClient = &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+// call sends one request of a caller on the instance.
+func call(in *fleet.Instance, method, path, id, key string, body []byte) answer {
+	req, err := http.NewRequest(method, in.OutboundURL()+path, bytes.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set(targetstub.HeaderRequestID, id)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	resp, err := callClient.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, outcome: resp.Header.Get("Siskingw-Outcome"), body: string(b), err: err}
+}
+
+// mint returns a new idempotency key, or nothing when the node refuses.
+func mint(in *fleet.Instance, service string) string {
+	resp, err := callClient.Post(in.OutboundURL()+"/siskingw/keys?service="+service, "", nil)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var minted struct{ Key string }
+	if json.NewDecoder(resp.Body).Decode(&minted) != nil {
+		return ""
+	}
+	return minted.Key
+}
+
+// ledger adds the entries of a target's ledger to sum, by request id.
+func ledger(in *fleet.Instance, sum map[string]targetstub.Entry) error {
+	resp, err := http.Get(in.TargetURL() + targetstub.PathLedger)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var l struct{ Entries map[string]targetstub.Entry }
+	if err := json.NewDecoder(resp.Body).Decode(&l); err != nil {
+		return err
+	}
+	for id, e := range l.Entries {
+		s := sum[id]
+		s.Started += e.Started
+		s.Finished += e.Finished
+		sum[id] = s
+	}
+	return nil
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -47,14 +47,18 @@
 	fleet := s.tracker.Summary(ctx)
 	out := admin.Status{Node: s.node.settings.ID, Version: s.node.current.Version()}
 	for _, d := range fleet.Domains {
-		out.Domains = append(out.Domains, adminDomain(d))
+		out.Domains = append(out.Domains, adminDomain(d, fleet.Newest))
 	}
 	return out
 }
 
-// adminDomain converts the status of one failure domain.
-func adminDomain(d status.Domain) admin.Domain {
+// adminDomain converts the status of one failure domain. A failure domain that
+// has not heard of the newest version has no member that confirmed it.
+func adminDomain(d status.Domain, newest uint64) admin.Domain {
 	out := admin.Domain{Name: d.Name, Region: d.Region, InForce: d.Version, Members: d.Live, Confirmed: d.Confirmed}
+	if d.Newest < newest {
+		out.Confirmed = 0
+	}
 	for _, l := range d.Laggards {
 		out.Laggards = append(out.Laggards, l.ID)
 	}
