--- /dev/null
+++ b/publish/fuzz_test.go
@@ -0,0 +1,33 @@
+package publish
+
+import (
+	"reflect"
+	"testing"
+)
+
+// Guards against a head that crashes a store reader, or that is accepted but
+// does not survive the swap that rewrites it.
+func FuzzDecodeHead(f *testing.F) {
+	h := Head{Version: 3, GCEpoch: 1, Operations: []OperationRef{{ID: "op", Version: 3}}}
+	h.Commit[0], h.Snapshot[0] = 1, 2
+	b, err := h.encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add([]byte(`{"version":1}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		h, err := DecodeHead(b)
+		if err != nil {
+			return
+		}
+		again, err := h.encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		back, err := DecodeHead(again)
+		if err != nil || back.Version != h.Version || back.Commit != h.Commit || !reflect.DeepEqual(back.withOperations(1, nil), h.withOperations(1, nil)) {
+			t.Fatalf("%+v became %+v (%v)", h, back, err)
+		}
+	})
+}
--- /dev/null
+++ b/publish/linearizable_test.go
@@ -0,0 +1,180 @@
+package publish
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+	"siskingw/object"
+	"siskingw/store/memstore"
+)
+
+// operatorInput is one operator's request for one object, or a read of it.
+type operatorInput struct {
+	key     string
+	read    bool
+	basedOn uint64
+}
+
+// operatorOutput is the answer: the revision read or produced, or that of the
+// conflict.
+type operatorOutput struct {
+	conflict bool
+	revision uint64
+}
+
+// revisionModel is a register of one object's revision with compare-and-set.
+var revisionModel = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := make(map[string][]porcupine.Operation)
+		for _, o := range history {
+			k := o.Input.(operatorInput).key
+			byKey[k] = append(byKey[k], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, p := range byKey {
+			parts = append(parts, p)
+		}
+		return parts
+	},
+	Init: func() any { return uint64(0) },
+	Step: func(state, input, output any) (bool, any) {
+		now, in, out := state.(uint64), input.(operatorInput), output.(operatorOutput)
+		switch {
+		case in.read:
+			return out.revision == now, now
+		case out.conflict:
+			return out.revision == now && in.basedOn != now, now
+		}
+		return in.basedOn == now && out.revision > now, out.revision
+	},
+	DescribeOperation: func(input, output any) string { return fmt.Sprintf("%+v -> %+v", input, output) },
+}
+
+// operator makes changes based on what it last saw and records its history.
+type operator struct {
+	t        *testing.T
+	id       int
+	a        *Acceptor
+	reader   *Reader
+	started  time.Time
+	seen     map[string]uint64
+	history  []porcupine.Operation
+	rng      *rand.Rand
+	attempts int
+}
+
+func (o *operator) record(in operatorInput, call func() operatorOutput) {
+	from := time.Since(o.started).Nanoseconds()
+	out := call()
+	o.history = append(o.history, porcupine.Operation{ClientId: o.id, Input: in, Call: from, Output: out, Return: time.Since(o.started).Nanoseconds()})
+	o.seen[in.key] = out.revision
+}
+
+// change repeats one request with the same operation id until its outcome is known.
+func (o *operator) change(n int, key string) {
+	based := o.seen[key]
+	req := request(fmt.Sprintf("%d-%d", o.id, n), endpoints(key, fmt.Sprintf("by-%d-%d", o.id, n)))
+	req.Changes[0].BasedOn = &based
+	o.record(operatorInput{key: key, basedOn: based}, func() operatorOutput {
+		for {
+			o.attempts++
+			res, err := o.a.Apply(o.t.Context(), req)
+			if err == nil {
+				return operatorOutput{revision: res.Version}
+			}
+			if c := ConflictsOf(err); len(c) == 1 {
+				return operatorOutput{conflict: true, revision: c[0].Revision}
+			}
+			if o.attempts > 10_000 || o.t.Context().Err() != nil {
+				o.t.Errorf("operator %d gave up: %v", o.id, err)
+				return operatorOutput{}
+			}
+		}
+	})
+}
+
+// read reads the object's revision from the store.
+func (o *operator) read(key string) {
+	o.record(operatorInput{key: key, read: true}, func() operatorOutput {
+		h, _, err := o.reader.Head(o.t.Context())
+		if errorx.IsOfType(err, faults.NotFound) {
+			return operatorOutput{} // no version exists yet
+		}
+		s, err := o.reader.Load(o.t.Context(), h, nil)
+		if err != nil {
+			o.t.Errorf("operator %d cannot read version %d: %v", o.id, h.Version, err)
+			return operatorOutput{}
+		}
+		if found := s.Get(object.Key{Kind: object.KindEndpointSet, Name: key}); found != nil {
+			return operatorOutput{revision: found.Revision}
+		}
+		return operatorOutput{}
+	})
+}
+
+// Guards against lost updates, double application and stale conflicts: the
+// histories of operators at three nodes, with lost answers and refused writes,
+// must be those of a register with compare-and-set for each object.
+func TestOperatorsAreLinearizable(t *testing.T) {
+	const operators, rounds, acceptors = 6, 30, 3
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			is := is.New(t)
+			mem := memstore.New(memstore.Options{})
+			var nodes []*Acceptor
+			for range acceptors {
+				nodes = append(nodes, start(t, mem, Options{}))
+			}
+			ops := make([]*operator, operators)
+			started := time.Now()
+			var wg sync.WaitGroup
+			for i := range ops {
+				o := &operator{
+					t: t, id: i, a: nodes[i%acceptors], reader: NewReader(mem), started: started,
+					seen: make(map[string]uint64), rng: rand.New(rand.NewPCG(seed, uint64(i))),
+				}
+				ops[i] = o
+				wg.Go(func() {
+					for n := range rounds {
+						key := fmt.Sprintf("k%d", o.rng.IntN(2))
+						switch {
+						case o.rng.IntN(3) == 0:
+							o.read(key)
+						case o.rng.IntN(4) == 0:
+							mem.SetFaults(memstore.Faults{LoseAnswers: 1 + o.rng.IntN(4), FailNextWrites: o.rng.IntN(3)})
+							fallthrough
+						default:
+							o.change(n, key)
+						}
+					}
+				})
+			}
+			wg.Wait()
+			mem.SetFaults(memstore.Faults{})
+			var history []porcupine.Operation
+			for _, o := range ops {
+				history = append(history, o.history...)
+			}
+			is.Equal(len(history), operators*rounds)
+			is.Equal(porcupine.CheckOperationsTimeout(revisionModel, history, 10*time.Second), porcupine.Ok)
+		})
+	}
+}
+
+// Guards against a check that accepts every history: a lost update is refused.
+func TestRevisionModelRefusesLostUpdate(t *testing.T) {
+	is := is.New(t)
+	in := operatorInput{key: "k"}
+	is.True(!porcupine.CheckOperations(revisionModel, []porcupine.Operation{
+		{ClientId: 0, Input: in, Call: 0, Output: operatorOutput{revision: 1}, Return: 2},
+		{ClientId: 1, Input: in, Call: 1, Output: operatorOutput{revision: 2}, Return: 3},
+	}))
+}
--- /dev/null
+++ b/snapshot/codec_test.go
@@ -0,0 +1,90 @@
+package snapshot
+
+import (
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+	"siskingw/object"
+)
+
+// Guards against a shard that a node accepts although the next delta would
+// give it another digest: the content must be canonical, in order and in place.
+func TestRebuildRefusesContentThatIsNotCanonical(t *testing.T) {
+	is := is.New(t)
+	s, err := New(1, sampleSet())
+	is.NoErr(err)
+	home := ShardOf(object.Key{Kind: object.KindEndpointSet, Name: "floor"})
+	line := `{"kind":"EndpointSet","name":"floor","spec":{"announce":"auction-floor"}}` + "\n"
+	is.Equal(string(s.ShardContent(home)), line)
+	for i, bad := range []string{line + line, " " + line, line[:len(line)-1], "{}\n", "null\n", `{"kind":"Route"` + "\n"} {
+		_, err := Rebuild(s, 2, s.Digest(), map[int][]byte{home: []byte(bad)})
+		if !errorx.IsOfType(err, faults.Corrupt) {
+			t.Errorf("case %d: got %v", i, err)
+		}
+	}
+	_, err = Rebuild(s, 2, s.Digest(), map[int][]byte{(home + 1) % ShardCount: []byte(line)})
+	is.True(errorx.IsOfType(err, faults.Corrupt))
+	same, err := Rebuild(s, 2, s.Digest(), map[int][]byte{home: []byte(line)})
+	is.NoErr(err)
+	is.Equal(same.Digest(), s.Digest())
+}
+
+// Guards against bytes from a peer that crash a node or give a snapshot whose
+// encoding differs.
+func FuzzDecode(f *testing.F) {
+	s, err := New(1, sampleSet())
+	if err != nil {
+		f.Fatal(err)
+	}
+	raw, err := Decompress(s.Encode())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s, err := Decode(Compress(raw))
+		if err != nil {
+			return
+		}
+		if back, err := Decode(s.Encode()); err != nil || back.Digest() != s.Digest() || back.Version() != s.Version() {
+			t.Fatalf("version %d does not survive encoding: %v", s.Version(), err)
+		}
+	})
+}
+
+// Guards against a delta from a peer that crashes a node, or that is applied
+// although its result is not what it states.
+func FuzzDecodeDelta(f *testing.F) {
+	base, err := New(1, sampleSet())
+	if err != nil {
+		f.Fatal(err)
+	}
+	next, err := base.With(2, []*object.Object{{Kind: object.KindPolicy, Name: "p", Policy: &object.PolicySpec{Retries: 1}}}, nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	b, err := EncodeDelta(Diff(base, next))
+	if err != nil {
+		f.Fatal(err)
+	}
+	raw, err := Decompress(b)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		_, _ = DecodeDelta(raw)
+		d, err := DecodeDelta(Compress(raw))
+		if err != nil {
+			return
+		}
+		d.BaseVersion, d.BaseDigest = base.Version(), base.Digest()
+		got, err := base.Apply(d)
+		if err == nil && (got.Digest() != d.Digest || got.Version() != d.Version || base.Digest() == (Digest{})) {
+			t.Fatalf("delta to %d gave version %d", d.Version, got.Version())
+		}
+	})
+}
