--- /dev/null
+++ b/snapshot/bench_test.go
@@ -0,0 +1,128 @@
+package snapshot
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"siskingw/object"
+)
+
+// benchServices is the number of services of the target size (design 1.3).
+const benchServices = 2100
+
+// targetSet returns one service, endpoint set and route for each service and a
+// policy for every ten.
+func targetSet() []*object.Object {
+	var set []*object.Object
+	for i := range benchServices {
+		name, policy := fmt.Sprintf("service-%04d", i), fmt.Sprintf("policy-%03d", i/10)
+		set = append(set,
+			&object.Object{Kind: object.KindEndpointSet, Name: name, Revision: uint64(i), Author: "ann", EndpointSet: &object.EndpointSetSpec{Announce: name, MinReady: 2}},
+			&object.Object{Kind: object.KindService, Name: name, Revision: uint64(i), Author: "ann", Service: &object.ServiceSpec{EndpointSet: name, Policy: policy, Protocol: "http"}},
+			&object.Object{Kind: object.KindRoute, Name: name, Revision: uint64(i), Author: "ann", Route: &object.RouteSpec{Host: name + ".example", PathPrefix: "/", Service: name, Kind: object.WorkPage}})
+		if i%10 == 0 {
+			set = append(set, &object.Object{Kind: object.KindPolicy, Name: policy, Revision: 1, Author: "ann", Policy: &object.PolicySpec{TimeoutMs: 500, Retries: 1}})
+		}
+	}
+	return set
+}
+
+func targetSnapshot(b *testing.B) *Snapshot {
+	b.Helper()
+	s, err := New(1, targetSet())
+	if err != nil {
+		b.Fatal(err)
+	}
+	return s
+}
+
+func BenchmarkNew(b *testing.B) {
+	set := targetSet()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := New(1, set); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkApply applies deltas of one changed route.
+func BenchmarkApply(b *testing.B) {
+	base := targetSnapshot(b)
+	changed := *base.Get(object.Key{Kind: object.KindRoute, Name: "service-0007"})
+	route := *changed.Route
+	route.Kind = object.WorkBid
+	changed.Route, changed.Revision = &route, 2
+	next, err := base.With(2, []*object.Object{&changed}, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	d := Diff(base, next)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := base.Apply(d); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkEncode(b *testing.B) {
+	s := targetSnapshot(b)
+	b.ReportAllocs()
+	size := 0
+	for b.Loop() {
+		size = len(s.Encode())
+	}
+	b.ReportMetric(float64(size), "encoded-bytes")
+}
+
+func BenchmarkDecode(b *testing.B) {
+	encoded := targetSnapshot(b).Encode()
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := Decode(encoded); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkMatch(b *testing.B) {
+	s := targetSnapshot(b)
+	for b.Loop() {
+		if s.Match("service-0007.example", "/lots/7") == nil {
+			b.Fatal("no route")
+		}
+	}
+}
+
+// BenchmarkMemory reports the heap that a decoded snapshot keeps, and what the
+// next version adds to it while both are held.
+func BenchmarkMemory(b *testing.B) {
+	encoded := targetSnapshot(b).Encode()
+	for b.Loop() {
+		before := heap()
+		s, err := Decode(encoded)
+		if err != nil {
+			b.Fatal(err)
+		}
+		decoded := heap()
+		next, err := s.With(2, nil, []object.Key{{Kind: object.KindRoute, Name: "service-0007"}})
+		if err != nil {
+			b.Fatal(err)
+		}
+		after := heap()
+		b.ReportMetric(float64(decoded-before), "snapshot-B")
+		b.ReportMetric(float64(after-decoded), "next-B")
+		runtime.KeepAlive(s)
+		runtime.KeepAlive(next)
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/snapshot/delta.go
+++ b/snapshot/delta.go
@@ -66,11 +66,15 @@
 		}
 		touched[ShardOf(o.Key())] = append(group, o)
 	}
-	return s.replaceShards(version, touched)
+	changed := slices.Clone(deletes)
+	for _, o := range upserts {
+		changed = append(changed, o.Key())
+	}
+	return s.replaceShards(version, touched, changed)
 }
 
 // replaceShards returns a snapshot that shares every shard not in touched.
-func (s *Snapshot) replaceShards(version uint64, touched map[int][]*object.Object) (*Snapshot, error) {
+func (s *Snapshot) replaceShards(version uint64, touched map[int][]*object.Object, changed []object.Key) (*Snapshot, error) {
 	next := &Snapshot{version: version, shards: s.shards}
 	for i, group := range touched {
 		slices.SortFunc(group, compareObjects)
@@ -80,9 +84,12 @@
 		}
 		next.shards[i] = sh
 	}
-	if err := next.seal(); err != nil {
+	next.digest = digestOf(&next.shards)
+	idx, err := s.index.update(next, changed)
+	if err != nil {
 		return nil, err
 	}
+	next.index = idx
 	return next, nil
 }
 
--- /dev/null
+++ b/snapshot/index_test.go
@@ -0,0 +1,92 @@
+package snapshot
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"pgregory.net/rapid"
+
+	"siskingw/faults"
+	"siskingw/object"
+)
+
+// drawUpsert draws an object of a small universe with references that may not
+// resolve.
+func drawUpsert(t *rapid.T) *object.Object {
+	n := func(label string) string { return fmt.Sprint("n", rapid.IntRange(0, 3).Draw(t, label)) }
+	opt := func(label string) string {
+		if rapid.Bool().Draw(t, label) {
+			return n(label)
+		}
+		return ""
+	}
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	case 0:
+		return &object.Object{Kind: object.KindEndpointSet, Name: n("name"), EndpointSet: &object.EndpointSetSpec{Announce: n("announce")}}
+	case 1:
+		return &object.Object{Kind: object.KindPolicy, Name: n("name"), Policy: &object.PolicySpec{Retries: rapid.IntRange(0, 3).Draw(t, "retries")}}
+	case 2:
+		return &object.Object{Kind: object.KindService, Name: n("name"), Service: &object.ServiceSpec{EndpointSet: n("set"), Policy: opt("policy")}}
+	}
+	return &object.Object{Kind: object.KindRoute, Name: n("name"), Route: &object.RouteSpec{
+		Host: opt("host"), PathPrefix: "/" + opt("prefix"), Service: n("service"), Policy: opt("policy"), Fallback: opt("fallback"),
+	}}
+}
+
+// Guards against an updated index that differs from a new one: a route to an
+// old endpoint set, a missed dangling reference, or a change of the index that
+// an older snapshot still uses.
+func TestUpdatedIndexEqualsNewIndex(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s, err := New(0, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for step := range rapid.IntRange(1, 25).Draw(t, "steps") {
+			var upserts []*object.Object
+			var deletes []object.Key
+			for range rapid.IntRange(1, 6).Draw(t, "changes") {
+				o := drawUpsert(t)
+				if rapid.IntRange(0, 3).Draw(t, "delete") == 0 && s.Get(o.Key()) != nil {
+					deletes = append(deletes, o.Key())
+				} else {
+					upserts = append(upserts, o)
+				}
+			}
+			next, err := s.With(uint64(step+1), upserts, deletes)
+			if errorx.IsOfType(err, faults.Invalid) {
+				continue // the same object was drawn twice for deletion
+			}
+			set := make(map[object.Key]*object.Object)
+			for _, o := range s.Objects() {
+				set[o.Key()] = o
+			}
+			for _, k := range deletes {
+				delete(set, k)
+			}
+			for _, o := range upserts {
+				set[o.Key()] = o
+			}
+			var all []*object.Object
+			for _, o := range set {
+				all = append(all, o)
+			}
+			want, wantErr := New(uint64(step+1), all)
+			if (err == nil) != (wantErr == nil) {
+				t.Fatalf("update says %v, a new index %v", err, wantErr)
+			}
+			if again, errAgain := newIndex(s); errAgain != nil || !reflect.DeepEqual(again, s.index) {
+				t.Fatal("the index of the older snapshot has changed")
+			}
+			if err != nil {
+				continue
+			}
+			if next.Digest() != want.Digest() || !reflect.DeepEqual(next.index, want.index) {
+				t.Fatalf("index differs after %v and %v", upserts, deletes)
+			}
+			s = next
+		}
+	})
+}
