publish: bound the search for an operation and speed up validation

The search now ends after 128 versions and the cache keeps the latest 256. Regular expressions took half of the validation; plain loops replace them, and the set is no longer sorted for it.

--- a/object/validate.go
+++ b/object/validate.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"regexp"
 	"slices"
 	"strings"
 	"time"
@@ -25,12 +24,6 @@
 	maxBodyBytes    int64 = 1 << 40
 )
 
-var (
-	labelPattern  = regexp.MustCompile(`^[a-z0-9]([-a-z0-9]*[a-z0-9])?$`)
-	hostPattern   = regexp.MustCompile(`^[a-z0-9]([-a-z0-9]*[a-z0-9])?(\.[a-z0-9]([-a-z0-9]*[a-z0-9])?)*$`)
-	prefixPattern = regexp.MustCompile(`^/[!-"$->@-~]*$`) // printable ASCII without space, # and ?
-)
-
 // Methods that HTTP does not define as idempotent; repeating them could run a
 // bid or a closure notice twice.
 var neverIdempotent = []string{http.MethodPost, http.MethodPatch, http.MethodConnect}
@@ -110,10 +103,10 @@
 	v.reference(o, "spec.service", KindService, r.Service, true)
 	v.reference(o, "spec.policy", KindPolicy, r.Policy, false)
 	v.reference(o, "spec.fallback", KindRoute, r.Fallback, false)
-	if r.Host != "" && (len(r.Host) > maxHostLength || !hostPattern.MatchString(r.Host)) {
+	if r.Host != "" && (len(r.Host) > maxHostLength || !isHostName(r.Host)) {
 		v.report(o, "spec.host", "%q is not a host name in lower case without port", r.Host)
 	}
-	if len(r.PathPrefix) > maxPrefixLength || !prefixPattern.MatchString(r.PathPrefix) {
+	if len(r.PathPrefix) > maxPrefixLength || !isPathPrefix(r.PathPrefix) {
 		v.report(o, "spec.pathPrefix", "%q must begin with / and hold at most %d printable characters other than space, ? and #", r.PathPrefix, maxPrefixLength)
 	}
 	if !slices.Contains([]WorkKind{"", WorkBid, WorkUpload, WorkPage}, r.Kind) {
@@ -157,8 +150,41 @@
 	}
 }
 
+// isLabel reports whether s consists of lower-case letters, digits and hyphens
+// and neither begins nor ends with a hyphen. Regular expressions took half of
+// the time of a validation.
+func isLabel(s string) bool {
+	for _, c := range []byte(s) {
+		if c != '-' && (c < '0' || c > '9') && (c < 'a' || c > 'z') {
+			return false
+		}
+	}
+	return s != "" && s[0] != '-' && s[len(s)-1] != '-'
+}
+
+// isHostName reports whether s consists of labels joined by dots.
+func isHostName(s string) bool {
+	for part := range strings.SplitSeq(s, ".") {
+		if !isLabel(part) {
+			return false
+		}
+	}
+	return true
+}
+
+// isPathPrefix reports whether s begins with / and consists of printable ASCII
+// characters other than space, ? and #.
+func isPathPrefix(s string) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c > '~' || c == '?' || c == '#' {
+			return false
+		}
+	}
+	return strings.HasPrefix(s, "/")
+}
+
 func (v *validation) dnsLabel(o *Object, field, s string) {
-	if len(s) > maxNameLength || !labelPattern.MatchString(s) {
+	if len(s) > maxNameLength || !isLabel(s) {
 		v.report(o, field, "%q is not a DNS label of at most %d characters", s, maxNameLength)
 	}
 }
--- a/publish/attempt.go
+++ b/publish/attempt.go
@@ -120,7 +120,7 @@
 	if since >= h.listsAfter() {
 		return 0, false, nil
 	}
-	oldest := h.Version
+	oldest, visited := h.Version, 0
 	_, err = r.walk(ctx, h, func(_ snapshot.Digest, c *Commit) bool {
 		for _, o := range c.Operations {
 			if o.ID == id {
@@ -128,7 +128,8 @@
 			}
 		}
 		oldest = c.ParentVersion
-		return !found && oldest > since
+		visited++
+		return !found && oldest > since && (since > 0 || visited < maxSettleCommits)
 	})
 	if err == nil && !found && since > 0 && oldest > since {
 		err = faults.StoreUnknown.New("operation %s may be part of versions %d to %d, which are no longer retained", id, since+1, oldest)
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -308,6 +308,24 @@
 	is.Equal(entries[0].Operations[0].Summary, "EndpointSet/a")
 }
 
+// Guards against a search for the operation id that reads every version since
+// the last collection again for each request.
+func TestRequestOfUnknownAgeCostsOneRead(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	a := start(t, mem, Options{BatchWindow: time.Microsecond})
+	const versions, counted = maxCachedCommits + 20, 10
+	var before memstore.Counts
+	for i := range versions {
+		if i == versions-counted {
+			before = mem.Counts()
+		}
+		_, err := a.Apply(t.Context(), request(fmt.Sprint("op", i), endpoints("a", fmt.Sprint("v", i))))
+		is.NoErr(err)
+	}
+	is.Equal(mem.Counts().Reads-before.Reads, uint64(counted)) // of the head
+}
+
 // Guards against a collection that deletes a part which an acceptor, paused
 // between its parts and its swap, is about to publish.
 func TestPausedAcceptorAcrossCollection(t *testing.T) {
--- a/publish/reader.go
+++ b/publish/reader.go
@@ -12,9 +12,15 @@
 	"siskingw/store"
 )
 
-// maxCachedCommits bounds the commits that a Reader remembers; one takes about
-// 3 KB of memory.
-const maxCachedCommits = 128
+const (
+	// maxCachedCommits bounds the commits that a Reader remembers; one takes
+	// about 3 KB of memory.
+	maxCachedCommits = 256
+	// maxSettleCommits bounds the commits in which an operation of unknown age
+	// is looked for. It is less than the cache holds, so that only the first
+	// search reads them all.
+	maxSettleCommits = 128
+)
 
 // Reader reads versions from the store. It is safe for concurrent use.
 type Reader struct {
@@ -22,7 +28,6 @@
 
 	mu      sync.Mutex
 	commits map[snapshot.Digest]*Commit
-	order   []snapshot.Digest // of commits, oldest first
 }
 
 // NewReader returns a Reader of the store.
@@ -65,12 +70,24 @@
 	if _, ok := r.commits[d]; ok {
 		return
 	}
-	if len(r.order) == maxCachedCommits {
-		delete(r.commits, r.order[0])
-		r.order = r.order[1:]
+	if len(r.commits) == maxCachedCommits {
+		delete(r.commits, r.oldest())
 	}
 	r.commits[d] = c
-	r.order = append(r.order, d)
+}
+
+// oldest returns the cached commit with the lowest version. A walk starts at
+// the latest commit; evicting in order of arrival would evict what the next
+// walk reads first.
+func (r *Reader) oldest() snapshot.Digest {
+	var digest snapshot.Digest
+	var found *Commit
+	for d, c := range r.commits {
+		if found == nil || c.Version < found.Version {
+			digest, found = d, c
+		}
+	}
+	return digest
 }
 
 // walk calls visit for the head's commit and its ancestors, latest first,
--- a/publish/request.go
+++ b/publish/request.go
@@ -46,8 +46,8 @@
 	OperationID string `json:"operationId"`
 	Author      string `json:"author"`
 	// Since is a version that existed when the operation id was made. The
-	// id is looked for in later versions only. 0 looks in every version that
-	// the store retains, which takes up to 64 reads.
+	// id is looked for in later versions only. 0 looks in the latest 128
+	// versions, as far as the store retains them; each may take one read.
 	Since   uint64   `json:"since,omitempty"`
 	Changes []Change `json:"changes"`
 }
--- a/publish/working.go
+++ b/publish/working.go
@@ -90,8 +90,8 @@
 
 // objects returns the base with the given changes.
 func (w *working) objects(changed map[object.Key]*object.Object) []*object.Object {
-	var set []*object.Object
-	for _, o := range w.base.Objects() {
+	set := make([]*object.Object, 0, w.base.Len()+len(changed))
+	for o := range w.base.All() {
 		if _, ok := changed[o.Key()]; !ok {
 			set = append(set, o)
 		}
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"iter"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -167,6 +168,19 @@
 	return sh.objects[i]
 }
 
+// All yields every object in the order of the shards.
+func (s *Snapshot) All() iter.Seq[*object.Object] {
+	return func(yield func(*object.Object) bool) {
+		for _, sh := range s.shards {
+			for _, o := range sh.objects {
+				if !yield(o) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Objects returns every object, sorted by key.
 func (s *Snapshot) Objects() []*object.Object {
 	all := make([]*object.Object, 0, s.Len())
