--- a/cli/change.go
+++ b/cli/change.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"strconv"
-	"strings"
 
 	"github.com/google/uuid"
 	"github.com/joomcode/errorx"
@@ -155,13 +154,13 @@
 		return usageError("no author is known; use -author")
 	}
 	req := publish.Request{OperationID: c.operation, Author: c.author, Changes: changes}
+	live, err := e.client.Objects(ctx, "")
+	if err != nil {
+		return err
+	}
+	setRevisions(changes, live)
 	if req.OperationID == "" {
-		live, err := e.client.Objects(ctx, "")
-		if err != nil {
-			return err
-		}
 		req.OperationID, req.Since = uuid.NewString(), live.Version
-		setRevisions(changes, live)
 	}
 	if c.overwrite {
 		for i := range changes {
@@ -175,10 +174,31 @@
 		}
 		return err
 	}
-	if err := c.report(e, req.OperationID, res); err != nil || !c.wait {
+	out := changeResult{Result: res, OperationID: req.OperationID}
+	if !c.wait {
+		return e.print(out, out.rows())
+	}
+	st, waitErr := e.waitFor(ctx, res.Version)
+	out.Status = &st
+	if err := e.print(out, append(out.rows(), statusRows(st, res.Version)...)); err != nil {
 		return err
 	}
-	return e.waitFor(ctx, res.Version)
+	return waitErr
+}
+
+// changeResult is what a command that changes objects prints.
+type changeResult struct {
+	publish.Result
+	OperationID string        `json:"operationId"`
+	Status      *admin.Status `json:"status,omitempty"` // with -wait: the last one
+}
+
+func (r changeResult) rows() [][]string {
+	text := "already as declared"
+	if r.Changed {
+		text = "accepted"
+	}
+	return [][]string{{"version " + strconv.FormatUint(r.Version, 10) + " " + text}}
 }
 
 // setRevisions bases changes without a stated revision on the live objects. An
@@ -195,14 +215,3 @@
 		}
 	}
 }
-
-func (c *changeFlags) report(e *env, id string, res publish.Result) error {
-	text := "already as declared"
-	if res.Changed {
-		text = "accepted"
-	}
-	return e.print(struct {
-		publish.Result
-		OperationID string `json:"operationId"`
-	}{res, id}, [][]string{{"version " + strconv.FormatUint(res.Version, 10) + " " + strings.TrimSpace(text)}})
-}
--- a/cli/read.go
+++ b/cli/read.go
@@ -141,13 +141,18 @@
 	if version == 0 {
 		version = st.Version
 	}
+	var waitErr error
 	if c.wait {
-		return e.waitFor(ctx, version)
+		st, waitErr = e.waitFor(ctx, version)
 	}
-	return e.printStatus(st, version)
+	if err := e.print(st, statusRows(st, version)); err != nil {
+		return err
+	}
+	return waitErr
 }
 
-func (e *env) printStatus(st admin.Status, version uint64) error {
+// statusRows returns the table of the failure domains.
+func statusRows(st admin.Status, version uint64) [][]string {
 	rows := [][]string{{"FAILURE DOMAIN", "REGION", "STATE", "IN FORCE", "CONFIRMED", "LAGGARDS"}}
 	for _, d := range st.Domains {
 		state := string(d.StateOf(version))
@@ -159,13 +164,14 @@
 			fmt.Sprintf("%d of %d", d.Confirmed, d.Members), strings.Join(d.Laggards, " "),
 		})
 	}
-	return e.print(st, rows)
+	return rows
 }
 
-// waitFor polls the status until the version is in force everywhere. It prints
-// the last status and returns a Timeout error when ctx ends first. A node that
-// does not answer for a while is asked again.
-func (e *env) waitFor(ctx context.Context, version uint64) error {
+// waitFor polls the status until the version is in force everywhere. It returns
+// the last status, and a Timeout error when ctx ends first. A node that does
+// not answer for a while is asked again.
+func (e *env) waitFor(ctx context.Context, version uint64) (admin.Status, error) {
+	defer e.endProgress()
 	started := time.Now()
 	var last admin.Status
 	for {
@@ -175,21 +181,15 @@
 			e.showProgress(st, version, time.Since(started))
 		}
 		if err == nil && st.InForce(version) {
-			e.endProgress()
-			return e.printStatus(st, version)
+			return st, nil
 		}
 		if err != nil && ctx.Err() == nil && !errorx.HasTrait(err, faults.Retriable) && !errorx.IsOfType(err, faults.Timeout) {
-			e.endProgress()
-			return err
+			return last, err
 		}
 		select {
 		case <-time.After(pollInterval):
 		case <-ctx.Done():
-			e.endProgress()
-			if err := e.printStatus(last, version); err != nil {
-				return err
-			}
-			return faults.Timeout.New("version %d is not in force everywhere after %s", version, e.timeout)
+			return last, faults.Timeout.New("version %d is not in force everywhere after %s", version, e.timeout)
 		}
 	}
 }
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -382,3 +382,62 @@
 	is.Equal(len(parts), 1)
 	is.Equal(u.commit.Delta, snapshot.Digest{})
 }
+
+// Guards against versions that nodes refuse as old after the store was restored
+// from a copy: the next version is above the one in force on this node.
+func TestVersionRisesAfterStoreWasRestored(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	_, err := start(t, mem, Options{}).Apply(t.Context(), request("first", endpoints("a", "one")))
+	is.NoErr(err)
+	lost, err := snapshot.New(50, []*object.Object{endpoints("a", "lost")})
+	is.NoErr(err)
+	cur := new(snapshot.Current)
+	is.NoErr(cur.Advance(lost))
+	a := NewAcceptor(mem, cur, Options{BatchWindow: time.Millisecond})
+	run(t, a)
+	res, err := a.Apply(t.Context(), request("second", endpoints("b", "two")))
+	is.NoErr(err)
+	is.Equal(res.Version, uint64(51))
+	r := NewReader(mem)
+	h, _, err := r.Head(t.Context())
+	is.NoErr(err)
+	s, err := r.Load(t.Context(), h, lost)
+	is.NoErr(err)
+	is.Equal(s.Get(endpoints("a", "").Key()).EndpointSet.Announce, "one")
+	is.Equal(s.Digest(), load(t, mem).Digest())
+}
+
+// Guards against a collector that works where it is not due, or that forgets
+// to work where it is.
+func TestCollectorRunsWhereDue(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	_, err := start(t, mem, Options{}).Apply(t.Context(), request("first", endpoints("a", "one")))
+	is.NoErr(err)
+	_, err = mem.Put(t.Context(), partPrefix+"orphan", []byte("x"), 0)
+	is.NoErr(err)
+	clock := clockwork.NewFakeClock()
+	var due atomic.Bool
+	asked := make(chan struct{})
+	c := NewCollector(mem, CollectorOptions{Clock: clock, Due: func() bool { asked <- struct{}{}; return due.Load() }})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = c.Run(ctx) }()
+	is.NoErr(clock.BlockUntilContext(t.Context(), 1))
+	tick := func() { clock.Advance(defaultInterval); <-asked }
+	tick()
+	tick()
+	tick()
+	_, err = mem.Get(t.Context(), partPrefix+"orphan")
+	is.NoErr(err) // not due so far
+	due.Store(true)
+	for range 5 { // first pass, two intervals until MinAge, and one to finish
+		tick()
+	}
+	cancel()
+	<-done
+	_, err = mem.Get(t.Context(), partPrefix+"orphan")
+	is.True(errorx.IsOfType(err, faults.NotFound))
+	is.Equal(load(t, mem).Version(), uint64(1))
+}
--- a/snapshot/current.go
+++ b/snapshot/current.go
@@ -35,8 +35,13 @@
 }
 
 // Advance puts next in force. It returns a Stale error, and changes nothing,
-// unless next has a higher version than the snapshot in force.
+// unless next has a higher version than the snapshot in force, and a Corrupt
+// error when next did not come from a constructor of this package. The caller
+// counts and logs the refusal.
 func (c *Current) Advance(next *Snapshot) error {
+	if err := next.sealed(); err != nil {
+		return err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now := c.snap.Load(); now != nil && next.version <= now.version {
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -135,6 +135,31 @@
 	return d
 }
 
+// Check verifies that the content, the digests and the references agree. It
+// returns a Corrupt or Dangling error. Constructors leave nothing to find, so
+// an error means that a shared object was changed.
+func (s *Snapshot) Check() error {
+	again, err := New(s.version, slices.Collect(s.All()))
+	if err != nil {
+		return err
+	}
+	for i, sh := range again.shards {
+		if sh.digest != s.shards[i].digest || sha256.Sum256(s.shards[i].content) != s.shards[i].digest {
+			return faults.Corrupt.New("shard %d of version %d does not match its digest", i, s.version)
+		}
+	}
+	return s.sealed()
+}
+
+// sealed returns a Corrupt error unless the snapshot came from a constructor,
+// which resolves every reference, and its digest covers its shards.
+func (s *Snapshot) sealed() error {
+	if s == nil || s.index == nil || digestOf(&s.shards) != s.digest {
+		return faults.Corrupt.New("snapshot is not complete")
+	}
+	return nil
+}
+
 // Version returns the version of the snapshot.
 func (s *Snapshot) Version() uint64 { return s.version }
 
--- a/snapshot/snapshot_test.go
+++ b/snapshot/snapshot_test.go
@@ -58,3 +58,18 @@
 	_, err = base.With(2, nil, []object.Key{{Kind: object.KindService, Name: "floor"}})
 	is.True(errorx.IsOfType(err, faults.Dangling))
 }
+
+// Guards against a snapshot whose objects are changed after it was sealed, and
+// against one that was never completed.
+func TestCheckFindsChangedObject(t *testing.T) {
+	is := is.New(t)
+	s, err := New(1, sampleSet())
+	is.NoErr(err)
+	is.NoErr(s.Check())
+	s.Get(object.Key{Kind: object.KindRoute, Name: "bids"}).Route.PathPrefix = "/other"
+	is.True(errorx.IsOfType(s.Check(), faults.Corrupt))
+	var c Current
+	is.True(errorx.IsOfType(c.Advance(nil), faults.Corrupt))
+	is.True(errorx.IsOfType(c.Advance(&Snapshot{version: 9}), faults.Corrupt))
+	is.True(c.Load() == nil)
+}
