--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"iter"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -134,6 +135,31 @@
 	return d
 }
 
+// Check verifies that the content, the digests and the references agree. It
+// returns a Corrupt or Dangling error. Constructors leave nothing to find, so
+// an error means that a shared object was changed.
+func (s *Snapshot) Check() error {
+	again, err := New(s.version, slices.Collect(s.All()))
+	if err != nil {
+		return err
+	}
+	for i, sh := range again.shards {
+		if sh.digest != s.shards[i].digest || sha256.Sum256(s.shards[i].content) != s.shards[i].digest {
+			return faults.Corrupt.New("shard %d of version %d does not match its digest", i, s.version)
+		}
+	}
+	return s.sealed()
+}
+
+// sealed returns a Corrupt error unless the snapshot came from a constructor,
+// which resolves every reference, and its digest covers its shards.
+func (s *Snapshot) sealed() error {
+	if s == nil || s.index == nil || digestOf(&s.shards) != s.digest {
+		return faults.Corrupt.New("snapshot is not complete")
+	}
+	return nil
+}
+
 // Version returns the version of the snapshot.
 func (s *Snapshot) Version() uint64 { return s.version }
 
@@ -167,6 +193,19 @@
 	return sh.objects[i]
 }
 
+// All yields every object in the order of the shards.
+func (s *Snapshot) All() iter.Seq[*object.Object] {
+	return func(yield func(*object.Object) bool) {
+		for _, sh := range s.shards {
+			for _, o := range sh.objects {
+				if !yield(o) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Objects returns every object, sorted by key.
 func (s *Snapshot) Objects() []*object.Object {
 	all := make([]*object.Object, 0, s.Len())
