member: test restarts with an earlier clock and readers during merges

Both cases were only covered by reasoning: a process whose clock went back must raise its incarnation above its predecessor's, and readers take no lock.

--- a/member/cluster_test.go
+++ b/member/cluster_test.go
@@ -78,6 +78,7 @@
 	links *links
 	nodes map[string]*testNode
 	seeds []Seed
+	skew  time.Duration // subtracted from the clock that makes incarnations
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -108,7 +109,7 @@
 // launch runs a node on a listener; it joins on its own. link names the node's
 // side of cut links; it is the failure domain unless a test splits that.
 func (c *cluster) launch(l net.Listener, id, failureDomain, region, link string) *testNode {
-	self := Record{ID: id, Incarnation: uint64(time.Now().UnixMilli()), Sequence: 1, FailureDomain: failureDomain,
+	self := Record{ID: id, Incarnation: uint64(time.Now().Add(-c.skew).UnixMilli()), Sequence: 1, FailureDomain: failureDomain,
 		Region: region, PeerAddr: l.Addr().String(), Service: "svc", Slots: 1}
 	n := &testNode{dir: NewDirectory(self, DirectoryOptions{}), done: make(chan struct{})}
 	n.pool = peer.NewPool(self.Place(), &peer.Traffic{}, peer.Options{Dial: c.links.dialer(link)})
@@ -284,3 +285,24 @@
 		return holdsLive(count)(n)
 	}))
 }
+
+// Guards against a restarted node whose clock went back, so that its records
+// lose against those of its former process.
+func TestRestartWithAnEarlierClock(t *testing.T) {
+	c := newCluster(t)
+	for i := range 4 {
+		c.start(fmt.Sprintf("n%d", i), fmt.Sprintf("fd-%d", i%2), "region", "any")
+	}
+	c.within(2*time.Second, "join", holdsLive(4))
+	old := c.nodes["n3"].dir.Self().Incarnation
+	c.nodes["n3"].stop()
+	c.skew = time.Hour
+	restarted := c.start("n3", "fd-1", "region", "any")
+	c.within(2*time.Second, "restart", func(n *testNode) string {
+		r := n.dir.Lookup("n3")
+		if r.Incarnation <= old || r.PeerAddr != restarted.dir.Self().PeerAddr || r.State != Alive {
+			return fmt.Sprint(*r)
+		}
+		return ""
+	})
+}
--- a/member/directory_test.go
+++ b/member/directory_test.go
@@ -128,3 +128,32 @@
 	old := clock.Now().Add(-2 * time.Hour).UnixMilli()
 	is.Equal(len(d.Merge([]Record{{ID: "x", Incarnation: 1, State: Dead, DepartedMs: old}})), 0)
 }
+
+// Guards against readers that see a list while it changes; run with -race.
+func TestReadersNeedNoLock(t *testing.T) {
+	is := is.New(t)
+	d := newTestDirectory()
+	records := fleet(200)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for i := range 200 {
+			records[i].State = Alive + State(i%5)
+			d.Merge(records[:i+1])
+		}
+	}()
+	for running := true; running; {
+		select {
+		case <-done:
+			running = false
+		default:
+		}
+		for _, info := range d.FailureDomains() {
+			is.True(slices.IsSortedFunc(d.Ranked(info.Name), CompareRank))
+		}
+		for _, r := range d.Endpoints("service-0007") {
+			is.True(r.Live())
+		}
+		_ = d.Lookup(records[7].ID)
+	}
+}
