Add silent failures to meshbench spread and bound gossip partners

Pull at 200 nodes failed 6 of 12 changes because connections between random nodes exceeded the limit of file descriptors; nodes now keep 24 gossip partners.

--- a/bench/spread/command.go
+++ b/bench/spread/command.go
@@ -26,7 +26,7 @@
 	objects, changes      int
 	every, idle           time.Duration
 	kill                  float64
-	herd                  bool
+	herd, silent          bool
 	outage                time.Duration
 }
 
@@ -51,6 +51,7 @@
 	f.DurationVar(&c.every, "every", 500*time.Millisecond, "time between changes")
 	f.DurationVar(&c.idle, "idle", 2*time.Second, "time without changes, measured first")
 	f.Float64Var(&c.kill, "kill", 0, "share of the nodes killed without notice at the first change")
+	f.BoolVar(&c.silent, "silent", false, "killed nodes fall silent instead of closing their connections")
 	f.BoolVar(&c.herd, "herd", false, "restart many nodes at once instead")
 	f.DurationVar(&c.outage, "outage", 30*time.Second, "outage of the store in the restart of all nodes")
 }
@@ -87,7 +88,7 @@
 	var plans []Plan
 	for _, s := range services {
 		for _, n := range nodes {
-			plans = append(plans, Plan{Nodes: n, Services: s, Objects: min(c.objects, s), Changes: c.changes, Every: c.every, Idle: c.idle, Kill: c.kill})
+			plans = append(plans, Plan{Nodes: n, Services: s, Objects: min(c.objects, s), Changes: c.changes, Every: c.every, Idle: c.idle, Kill: c.kill, Silent: c.silent})
 		}
 	}
 	resultHeader(os.Stdout)
--- a/bench/spread/fleet.go
+++ b/bench/spread/fleet.go
@@ -44,16 +44,20 @@
 	view    member.View
 	traffic *peer.Traffic
 
+	near, far []*node // partners for gossip and heartbeats
+
 	mu     sync.Mutex
 	cur    *snapshot.Current
 	spread *spread.Node
 	trans  spread.Transport
 	server *grpc.Server
-	pool   *peer.Pool
-	cancel context.CancelFunc
-	at     map[uint64]time.Time // when each version came in force
-	ready  time.Time
-	dead   bool
+	// frozen silences the node's listener, stopped ends what it left open.
+	frozen, stopped chan struct{}
+	pool            *peer.Pool
+	cancel          context.CancelFunc
+	at              map[uint64]time.Time // when each version came in force
+	ready           time.Time
+	dead            bool
 	// onAdvance is called with each version after the first; it may be nil.
 	onAdvance func(s *snapshot.Snapshot)
 }
@@ -77,6 +81,7 @@
 	v.place = f.nodes[0].place()
 	for i, nd := range f.nodes {
 		nd.view = s.view(f, nd)
+		nd.near, nd.far = f.partners(nd)
 		nd.start(listeners[i], base)
 	}
 	return f, nil
@@ -133,7 +138,8 @@
 	opts := spread.Options{View: n.view, Current: n.cur, Transport: n.trans, StoreRegion: n.fleet.versions.place.Region, Log: n.fleet.log}
 	n.fleet.strategy.configure(n, &opts)
 	n.spread = spread.New(opts)
-	n.server = peer.NewServer()
+	n.server, n.frozen, n.stopped = peer.NewServer(), make(chan struct{}), make(chan struct{})
+	l = &freezer{Listener: l, frozen: n.frozen, stopped: n.stopped}
 	n.spread.Register(n.server)
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
@@ -147,12 +153,26 @@
 	n.mu.Lock()
 	n.dead = true
 	server, pool, cancel := n.server, n.pool, n.cancel
+	select {
+	case <-n.stopped:
+	default:
+		close(n.stopped)
+	}
 	n.mu.Unlock()
 	cancel()
 	server.Stop()
 	pool.Close()
 }
 
+// freeze silences the node: its connections stay open and it does nothing.
+func (n *node) freeze() {
+	n.mu.Lock()
+	n.dead = true
+	n.mu.Unlock()
+	close(n.frozen)
+	n.cancel()
+}
+
 // restart starts a process without state at the same address.
 func (n *node) restart() error {
 	l, err := net.Listen("tcp", n.rec.PeerAddr)
@@ -238,18 +258,39 @@
 // peerOf returns the address of a node.
 func peerOf(n *node) spread.Peer { return spread.PeerOf(&n.rec) }
 
-// randomPeer returns another node; in the same failure domain if near is set.
-func (f *fleet) randomPeer(n *node, near bool) *node {
-	var others []*node
-	for _, o := range f.nodes {
-		if o != n && (!near || o.rec.FailureDomain == n.rec.FailureDomain) {
-			others = append(others, o)
+const (
+	// Gossip partners of a node. They are drawn once, because a connection
+	// between every two of 200 nodes would need 80,000 file descriptors.
+	nearPartners = 16
+	farPartners  = 8
+)
+
+// partners returns some other nodes of the failure domain and of the fleet.
+func (f *fleet) partners(n *node) (near, far []*node) {
+	for _, i := range rand.Perm(len(f.nodes)) {
+		o := f.nodes[i]
+		switch {
+		case o == n:
+		case o.rec.FailureDomain == n.rec.FailureDomain && len(near) < nearPartners:
+			near = append(near, o)
+		case o.rec.FailureDomain != n.rec.FailureDomain && len(far) < farPartners:
+			far = append(far, o)
 		}
 	}
-	if len(others) == 0 {
+	return near, far
+}
+
+// randomPeer returns one of the node's partners; in the same failure domain if
+// near is set.
+func (n *node) randomPeer(near bool) *node {
+	from := n.far
+	if near {
+		from = n.near
+	}
+	if len(from) == 0 {
 		return nil
 	}
-	return others[rand.IntN(len(others))]
+	return from[rand.IntN(len(from))]
 }
 
 // counting counts the calls of a node and the snapshot transfers of the fleet.
--- a/bench/spread/link.go
+++ b/bench/spread/link.go
@@ -120,6 +120,62 @@
 	return l.Conn.Close()
 }
 
+// freezer wraps a listener so that its connections can fall silent, like those
+// of an instance that lost power or its network.
+type freezer struct {
+	net.Listener
+	frozen  chan struct{} // closed to silence every connection
+	stopped chan struct{} // closed to end silent connections
+}
+
+// Accept implements net.Listener.
+func (f *freezer) Accept() (net.Conn, error) {
+	c, err := f.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &freezing{Conn: c, frozen: f.frozen, stopped: f.stopped, closed: make(chan struct{})}, nil
+}
+
+type freezing struct {
+	net.Conn
+	frozen, stopped, closed chan struct{}
+	once                    sync.Once
+}
+
+func (c *freezing) silent() bool {
+	select {
+	case <-c.frozen:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *freezing) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.silent() {
+		select {
+		case <-c.closed:
+		case <-c.stopped:
+		}
+		return 0, io.EOF
+	}
+	return n, err
+}
+
+func (c *freezing) Write(b []byte) (int, error) {
+	if c.silent() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+func (c *freezing) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // pause waits for d and reports false when ctx ends first.
 func pause(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/bench/spread/run.go
+++ b/bench/spread/run.go
@@ -20,6 +20,7 @@
 	Every           time.Duration // time between changes
 	Idle            time.Duration // time without changes, measured first
 	Kill            float64       // share of the nodes killed at the first measured change
+	Silent          bool          // killed nodes fall silent instead of closing their connections
 }
 
 const (
@@ -145,7 +146,11 @@
 	r.DeltaBytes += len(f.versions.delta)
 	start := time.Now()
 	for _, v := range victims {
-		go v.kill()
+		if p.Silent {
+			v.freeze()
+		} else {
+			go v.kill()
+		}
 	}
 	if f.strategy.offer {
 		// The answer to the swap takes the way back from the store.
--- a/bench/spread/strategy.go
+++ b/bench/spread/strategy.go
@@ -58,7 +58,7 @@
 func heartbeats(ctx context.Context, n *node) {
 	pause(ctx, rand.N(heartbeat))
 	for pause(ctx, heartbeat) {
-		if p := n.fleet.randomPeer(n, true); p != nil {
+		if p := n.randomPeer(true); p != nil {
 			_ = n.spread.Compare(ctx, peerOf(p))
 		}
 	}
@@ -96,7 +96,7 @@
 		if i >= gossipFanout && !pause(ctx, gossipStep) {
 			return
 		}
-		if p := n.fleet.randomPeer(n, rand.IntN(10) < nearShare); p != nil {
+		if p := n.randomPeer(rand.IntN(10) < nearShare); p != nil {
 			go func() { _, _ = trans.Offer(ctx, peerOf(p), r) }()
 		}
 	}
@@ -107,7 +107,7 @@
 	trans := n.trans
 	pause(ctx, rand.N(every))
 	for pause(ctx, every) {
-		p := n.fleet.randomPeer(n, rand.IntN(10) < nearShare)
+		p := n.randomPeer(rand.IntN(10) < nearShare)
 		if p == nil {
 			continue
 		}
