Keep starting nodes that know few members off the store

A starting node sees only itself until it has joined and took itself for a relay, so a restarting failure domain would call the store from every node: 80 calls from 40 nodes in a test. The store reader duty now has to be held for 3 s, with more jitter for a node that knows nobody, and the first seed hint is written after one period. The test sees at most 6 calls, from the 3 relays.

--- a/spread/fake_test.go
+++ b/spread/fake_test.go
@@ -36,6 +36,9 @@
 	lostFirst                    func(kind string, from, to Peer) bool
 	sent                         map[string]int // messages by kind and link class
 
+	joinAfter time.Duration // a started node sees only itself for so long
+	seeds     []Peer
+
 	published map[uint64]*snapshot.Snapshot
 	faults    []string // broken invariants
 }
@@ -117,7 +120,7 @@
 	if s != nil {
 		_ = p.cur.Advance(s)
 	}
-	p.node = New(Options{View: fakeView{f, r}, Current: p.cur, Transport: fakeTransport{f, PeerOf(r)},
+	p.node = New(Options{View: joiningView{fakeView{f, r}, time.Now().Add(f.joinAfter)}, Seeds: f.seeds, Current: p.cur, Transport: fakeTransport{f, PeerOf(r)},
 		Source: f.source, StoreRegion: "r0"})
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
@@ -284,6 +287,29 @@
 	return nil
 }
 
+// joiningView shows only the node itself until it has joined.
+type joiningView struct {
+	fakeView
+	joined time.Time
+}
+
+func (v joiningView) Generation() uint64 {
+	if time.Now().Before(v.joined) {
+		return 0
+	}
+	return v.fakeView.Generation()
+}
+
+func (v joiningView) Ranked(domain string) []*member.Record {
+	if !time.Now().Before(v.joined) {
+		return v.fakeView.Ranked(domain)
+	}
+	if domain == v.self.FailureDomain {
+		return []*member.Record{v.self}
+	}
+	return nil
+}
+
 // fakeTransport calls the handlers of the other nodes with faults on the way.
 type fakeTransport struct {
 	fleet *fleet
--- a/spread/hints.go
+++ b/spread/hints.go
@@ -47,10 +47,12 @@
 }
 
 // Run keeps this node's hint in the store while it is a relay of the store's
-// region, until ctx ends. Failures of the store only delay a renewal.
+// region, until ctx ends. Failures of the store only delay a renewal. The first
+// hint is written after one period, because a starting node that knows few
+// members takes itself for a relay.
 func (h Hints) Run(ctx context.Context, storeRegion string) error {
 	var lease store.LeaseID
-	for ok := true; ok; ok = sleep(ctx, jittered(hintEvery)) {
+	for sleep(ctx, jittered(hintEvery)) {
 		self := h.View.Self()
 		if self.Region != storeRegion || !member.IsRelay(h.View, self.ID) {
 			lease = 0 // the old hint lapses with its lease
--- a/spread/published_test.go
+++ b/spread/published_test.go
@@ -28,7 +28,7 @@
 		n := New(Options{View: fakeView{f, f.records[0]}, Current: cur, Transport: fakeTransport{f, PeerOf(f.records[0])},
 			Source: NewSource(st, publish.NewReader(st)), StoreRegion: "r0"})
 		go func() { _ = n.Run(ctx) }()
-		time.Sleep(5 * time.Second)
+		time.Sleep(dutySettle + aloneSpread + time.Second)
 		is.True(!n.Ready())
 		apply := func(id, name string) uint64 {
 			result, err := acceptor.Apply(ctx, publish.Request{OperationID: id, Author: "ann", Changes: []publish.Change{
--- a/spread/recovery_test.go
+++ b/spread/recovery_test.go
@@ -96,6 +96,32 @@
 	})
 }
 
+// Guards against starting nodes that know only themselves and their seeds, take
+// themselves for relays and all call the store or fetch over the paid link.
+func TestHerdThatHasNotJoinedSparesStoreAndPaidLink(t *testing.T) {
+	f := newFleet(24, 1, 2, 40)
+	for _, i := range []int{0, 1, 2, 40, 41} {
+		f.seeds = append(f.seeds, PeerOf(f.records[i]))
+	}
+	f.run(t, func() {
+		is := is.New(t)
+		version := f.accept(f.records[0])
+		f.converge(t, version, time.Second)
+		time.Sleep(7 * time.Second)
+		before := f.source.total(&f.source.calls)
+		f.joinAfter = 2 * time.Second
+		f.restart(f.records[:40])
+		took := f.converge(t, version, 20*time.Second)
+		t.Logf("took %s", took)
+		time.Sleep(7 * time.Second)
+		is.Equal(f.count("snapshot same-region"), 1)
+		// Each of the 3 relays of the failure domain reads the head and watches.
+		if n := f.source.total(&f.source.calls) - before; n > 3*2 {
+			t.Errorf("%d store calls", n)
+		}
+	})
+}
+
 // Guards against a source that serves any number of transfers at once.
 func TestBusySourceNamesOthers(t *testing.T) {
 	f := newFleet(23, 1, 1, 1)
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -242,6 +242,7 @@
 	f := newFleet(8, 2, 2, 6)
 	f.run(t, func() {
 		is := is.New(t)
+		time.Sleep(2 * dutySettle)
 		next, _ := f.change()
 		is.True(f.converge(t, next.Version(), 5*time.Second) < 500*time.Millisecond)
 		is.Equal(f.source.total(&f.source.loads), 1)
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -48,6 +48,14 @@
 	storeSilence = 5 * time.Second
 	// dutyCheck is the period at which a node checks whether it is a reader.
 	dutyCheck = 500 * time.Millisecond
+	// dutySettle is how long a node must hold the duty before it calls the
+	// store. A starting node knows few members at first and would take itself
+	// for a relay; with a whole failure domain starting, that would be
+	// thousands of store calls at once.
+	dutySettle = 3 * time.Second
+	// aloneSpread is the full jitter added for a node that knows no other
+	// member: all nodes may be in that state at once.
+	aloneSpread = 10 * time.Second
 	// pollEvery is the period at which a reader reads the head although its
 	// watch reports nothing, in case the watch stalled.
 	pollEvery = 30 * time.Second
@@ -64,24 +72,43 @@
 // runStoreReader watches the head of the store while this node has the duty.
 func (n *Node) runStoreReader() {
 	retry := storeRetryBase
-	for n.ctx.Err() == nil {
-		if !n.isReader() {
-			sleep(n.ctx, dutyCheck)
-			continue
-		}
+	for n.awaitDuty() {
 		started := time.Now()
 		err := n.watchStore()
-		if err == nil || n.ctx.Err() != nil {
-			continue // no longer a reader, or stopped
+		for err != nil && n.ctx.Err() == nil && n.isReader() {
+			n.stats.storeErrors.Inc()
+			n.log.Info("store watch ended", "cause", cause(err), "error", err.Error())
+			if time.Since(started) > storeRetryMax {
+				retry = storeRetryBase
+			}
+			sleep(n.ctx, rand.N(retry))
+			retry = min(2*retry, storeRetryMax)
+			started = time.Now()
+			err = n.watchStore()
 		}
-		n.stats.storeErrors.Inc()
-		n.log.Info("store watch ended", "cause", cause(err), "error", err.Error())
-		if time.Since(started) > storeRetryMax {
-			retry = storeRetryBase
+	}
+}
+
+// awaitDuty waits until the node has held the duty for long enough. It reports
+// false when the node stops.
+func (n *Node) awaitDuty() bool {
+	var since time.Time
+	var settle time.Duration
+	for n.ctx.Err() == nil {
+		switch {
+		case !n.isReader():
+			since = time.Time{}
+		case since.IsZero():
+			since, settle = time.Now(), dutySettle
+			if n.topology().alone() {
+				settle += rand.N(aloneSpread)
+			}
+		case time.Since(since) >= settle:
+			return true
 		}
-		sleep(n.ctx, rand.N(retry))
-		retry = min(2*retry, storeRetryMax)
+		sleep(n.ctx, dutyCheck)
 	}
+	return false
 }
 
 // isReader reports whether this node watches the store: the relays of the
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -77,6 +77,11 @@
 // isRelay reports whether the node is a relay of its failure domain.
 func (t *topology) isRelay() bool { return t.rank >= 0 }
 
+// alone reports whether the node knows no other member.
+func (t *topology) alone() bool {
+	return len(t.ranked) <= 1 && len(t.domains) == 0 && len(t.regions) == 0
+}
+
 // domainIndex returns how many failure domains of the region come before the
 // node's own in the order of succession.
 func (t *topology) domainIndex() int {
