Serve calls between nodes on the goroutine of their connection

The server of net/http starts a goroutine for each request that watches the connection for its end. On mostly idle processors each start wakes a thread. NodeServer reads with http.ReadRequest and answers on the connection's own goroutine; one goroutine learns of closed connections from an epoll instance in which each connection is registered once.

--- a/bench/calls/role.go
+++ b/bench/calls/role.go
@@ -82,11 +82,15 @@
 	if err != nil {
 		return err
 	}
-	addr, err := serve(handler)
+	server := proxy.NewServer(handler, proxy.ServerOptions{}).Serve
+	if r.role == roleInbound {
+		server = proxy.NewNodeServer(handler, proxy.ServerOptions{}).Serve
+	}
+	addr, err := serve(server)
 	if err != nil {
 		return err
 	}
-	stats, err := serve(http.HandlerFunc(serveStats))
+	stats, err := serve(proxy.NewServer(http.HandlerFunc(serveStats), proxy.ServerOptions{}).Serve)
 	if err != nil {
 		return err
 	}
@@ -95,13 +99,13 @@
 	return nil
 }
 
-// serve serves the handler on a loopback port.
-func serve(h http.Handler) (addr string, err error) {
+// serve serves on a loopback port.
+func serve(server func(net.Listener) error) (addr string, err error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", faults.Internal.Wrap(err, "no listener")
 	}
-	go proxy.NewServer(h, proxy.ServerOptions{}).Serve(l)
+	go server(l)
 	return l.Addr().String(), nil
 }
 
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -50,7 +50,7 @@
 // Stop drains and shuts the server down. It keeps answering new calls with
 // not-run for linger, because a call that meets a closed connection could only
 // be reported as unknown. It returns the server's error when ctx ends first.
-func (in *Inbound) Stop(ctx context.Context, srv *http.Server, linger time.Duration) error {
+func (in *Inbound) Stop(ctx context.Context, srv interface{ Shutdown(context.Context) error }, linger time.Duration) error {
 	in.Drain()
 	t := time.NewTimer(linger)
 	defer t.Stop()
--- /dev/null
+++ b/proxy/nodeserver.go
@@ -0,0 +1,274 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"siskingw/faults"
+)
+
+// NodeServer serves an Inbound to other nodes. It reads with http.ReadRequest
+// and answers on the goroutine of the connection. The server of net/http starts
+// a goroutine for each request that watches the connection; with mostly idle
+// processors, waking a thread for it cost more than the call itself (see
+// docs/measurements-calls.md). Here one goroutine watches all connections.
+//
+// It is for the connections between nodes only: it speaks HTTP/1.1 without
+// upgrades and leaves the checks on arbitrary callers to NewServer.
+type NodeServer struct {
+	handler http.Handler
+	opts    ServerOptions
+
+	mu       sync.Mutex
+	hangups  *hangups
+	listener net.Listener
+	conns    map[*nodeConn]struct{}
+	closing  bool
+	empty    chan struct{} // closed when the last connection ends after closing
+}
+
+// NewNodeServer returns a server for connections from other nodes.
+func NewNodeServer(handler http.Handler, opts ServerOptions) *NodeServer {
+	return &NodeServer{
+		handler: handler, opts: opts.withDefaults(),
+		conns: make(map[*nodeConn]struct{}), empty: make(chan struct{}),
+	}
+}
+
+// Serve accepts connections until Shutdown or Close, and then returns
+// http.ErrServerClosed.
+func (s *NodeServer) Serve(l net.Listener) error {
+	h, err := newHangups()
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	if s.closing {
+		s.mu.Unlock()
+		l.Close()
+		h.close()
+		return http.ErrServerClosed
+	}
+	s.listener, s.hangups = l, h
+	s.mu.Unlock()
+	for {
+		nc, err := l.Accept()
+		if err != nil {
+			return s.acceptFailed(err)
+		}
+		c := &nodeConn{server: s, Conn: nc}
+		if s.track(c) {
+			go c.serve()
+		}
+	}
+}
+
+func (s *NodeServer) acceptFailed(err error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return http.ErrServerClosed
+	}
+	return faults.Internal.Wrap(err, "accept")
+}
+
+// track adds a connection; it closes it and reports false while closing.
+func (s *NodeServer) track(c *nodeConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		c.Close()
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+// untrack removes a connection that has ended.
+func (s *NodeServer) untrack(c *nodeConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	s.checkEmpty()
+}
+
+// checkEmpty reports the end of the last connection. The server is locked.
+func (s *NodeServer) checkEmpty() {
+	if s.closing && len(s.conns) == 0 && s.empty != nil {
+		close(s.empty)
+		s.empty = nil
+		if s.hangups != nil {
+			s.hangups.close()
+		}
+	}
+}
+
+// Shutdown stops accepting, closes idle connections and waits for the calls in
+// flight. It returns a Timeout error when ctx ends first.
+func (s *NodeServer) Shutdown(ctx context.Context) error {
+	empty := s.stop(func(c *nodeConn) bool { return !c.busy })
+	if empty == nil {
+		return nil
+	}
+	select {
+	case <-empty:
+		return nil
+	case <-ctx.Done():
+		return faults.Timeout.Wrap(ctx.Err(), "calls are still in flight")
+	}
+}
+
+// Close closes the listener and all connections at once.
+func (s *NodeServer) Close() error {
+	s.stop(func(*nodeConn) bool { return true })
+	return nil
+}
+
+// stop closes the listener and the connections for which f is true.
+func (s *NodeServer) stop(f func(*nodeConn) bool) (empty <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closing = true
+	empty = s.empty
+	if s.listener != nil {
+		s.listener.Close()
+	}
+	for c := range s.conns {
+		if f(c) {
+			c.Close()
+		}
+	}
+	s.checkEmpty()
+	return empty
+}
+
+// nodeConn is a connection from another node.
+type nodeConn struct {
+	net.Conn
+	server *NodeServer
+	busy   bool // a request is being read or served; guarded by the server's lock
+	left   int  // bytes that may still be read of a request's header; -1 in the body
+	br     *bufio.Reader
+	w      nodeWriter
+}
+
+// Read bounds the bytes of a request's header.
+func (c *nodeConn) Read(p []byte) (int, error) {
+	if c.left < 0 {
+		return c.Conn.Read(p)
+	}
+	if c.left == 0 {
+		return 0, faults.Invalid.New("the request's header is too large")
+	}
+	n, err := c.Conn.Read(p[:min(len(p), c.left)])
+	c.left -= n
+	return n, err
+}
+
+// setBusy marks the connection; it reports false when the server is closing.
+func (c *nodeConn) setBusy(busy bool) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.busy = busy
+	return !c.server.closing
+}
+
+// serve serves requests until the connection ends.
+func (c *nodeConn) serve() {
+	defer c.server.untrack(c)
+	defer c.Close()
+	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), connKey{}, c.Conn))
+	defer cancel()
+	if sc, ok := c.Conn.(syscall.Conn); ok {
+		remove, err := c.server.hangups.add(sc, cancel)
+		if err != nil {
+			return
+		}
+		defer remove()
+	}
+	c.br = bufio.NewReaderSize(c, connBufferBytes)
+	c.w = nodeWriter{conn: c, bw: bufio.NewWriterSize(c.Conn, connBufferBytes), header: make(http.Header)}
+	for c.serveOne(ctx) {
+	}
+}
+
+// serveOne reads and serves one request. It reports whether the connection can
+// be used for another.
+func (c *nodeConn) serveOne(ctx context.Context) bool {
+	c.left = c.server.opts.MaxHeaderBytes
+	if c.SetReadDeadline(time.Now().Add(c.server.opts.IdleTimeout)) != nil {
+		return false
+	}
+	if _, err := c.br.Peek(1); err != nil {
+		return false
+	}
+	if !c.setBusy(true) {
+		c.w.refuse(http.StatusServiceUnavailable)
+		c.linger()
+		return false
+	}
+	if buffered, _ := c.br.Peek(c.br.Buffered()); !bytes.Contains(buffered, headerEnd) {
+		if c.SetReadDeadline(time.Now().Add(c.server.opts.HeaderTimeout)) != nil {
+			return false
+		}
+	}
+	r, err := http.ReadRequest(c.br)
+	if err != nil || r.ProtoMajor != 1 || r.ProtoMinor != 1 {
+		c.w.refuse(http.StatusBadRequest)
+		c.linger()
+		return false
+	}
+	c.left = -1
+	if c.SetWriteDeadline(time.Now().Add(stallTimeout)) != nil {
+		return false
+	}
+	reuse := c.handle(r.WithContext(ctx))
+	return c.setBusy(false) && reuse
+}
+
+var headerEnd = []byte("\r\n\r\n")
+
+// handle runs the handler. It reports whether the exchange was complete.
+func (c *nodeConn) handle(r *http.Request) (reuse bool) {
+	defer func() {
+		if p := recover(); p != nil {
+			reuse = false
+			if p != http.ErrAbortHandler {
+				c.server.opts.Log.Error(faults.Internal.New("%v", p), "panic while serving a call", "remote", c.RemoteAddr().String())
+			}
+		}
+	}()
+	body := &nodeBody{conn: c, body: r.Body, eof: r.ContentLength == 0, expect: len(r.Header["Expect"]) > 0}
+	r.Body = body
+	c.w.begin(r, body)
+	c.server.handler.ServeHTTP(&c.w, r)
+	if !c.w.finish() {
+		return false
+	}
+	if !body.eof {
+		c.linger()
+		return false
+	}
+	return !c.w.close && !r.Close
+}
+
+// linger lets the node read an answer that came before the end of its request:
+// closing with unread bytes would reset the connection.
+func (c *nodeConn) linger() {
+	if tc, ok := c.Conn.(*net.TCPConn); ok && tc.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(drainWait))
+		buf := copyBuffers.Get().(*copyBuffer)
+		defer copyBuffers.Put(buf)
+		for {
+			if _, err := c.Conn.Read(buf[:]); err != nil {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/proxy/nodewriter.go
@@ -0,0 +1,215 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"siskingw/faults"
+)
+
+// nodeBody is the body of a request from another node. It remembers its end
+// and asks a node that waits for 100 Continue to proceed.
+type nodeBody struct {
+	conn   *nodeConn
+	body   io.ReadCloser
+	eof    bool
+	expect bool
+}
+
+// Read reads the body.
+func (b *nodeBody) Read(p []byte) (int, error) {
+	if b.expect {
+		b.expect = false
+		if err := b.conn.w.proceed(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := b.body.Read(p)
+	if err == io.EOF {
+		b.eof = true
+	}
+	return n, err
+}
+
+// Close does nothing: what is left of the body ends the connection.
+func (b *nodeBody) Close() error { return nil }
+
+// nodeWriter is the http.ResponseWriter of a connection from another node. It
+// frames the answer by the handler's Content-Length or in chunks.
+type nodeWriter struct {
+	conn   *nodeConn
+	header http.Header
+	body   *nodeBody
+	head   bool // the request's method is HEAD
+
+	mu       sync.Mutex // a streamed body proceeds on another goroutine
+	bw       *bufio.Writer
+	status   int   // 0 until the final header is written
+	length   int64 // of the body, -1 when it is sent in chunks
+	written  int64
+	trailers []string
+	close    bool // the connection ends after this answer
+	failed   bool
+}
+
+// begin prepares the writer for the answer to r.
+func (w *nodeWriter) begin(r *http.Request, body *nodeBody) {
+	clear(w.header)
+	w.body, w.head = body, r.Method == http.MethodHead
+	w.status, w.length, w.written, w.close, w.failed = 0, 0, 0, false, false
+	w.trailers = w.trailers[:0]
+}
+
+// Header returns the header of the answer.
+func (w *nodeWriter) Header() http.Header { return w.header }
+
+// WriteHeader sends the header of an interim answer, or buffers the final one.
+func (w *nodeWriter) WriteHeader(status int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.status != 0 {
+		return
+	}
+	if status < http.StatusOK {
+		w.statusLine(status)
+		w.failed = w.header.Write(w.bw) != nil || w.end() != nil || w.bw.Flush() != nil
+		return
+	}
+	w.status = status
+	w.frame()
+	if _, ok := w.header["Date"]; !ok {
+		w.header["Date"] = []string{time.Now().UTC().Format(http.TimeFormat)}
+	}
+	w.statusLine(status)
+	w.failed = w.header.Write(w.bw) != nil || w.end() != nil
+}
+
+// frame decides how the end of the body is marked. The writer is locked.
+func (w *nodeWriter) frame() {
+	for _, v := range w.header["Connection"] {
+		w.close = w.close || v == "close"
+	}
+	if w.noBody() {
+		return
+	}
+	if v := w.header["Content-Length"]; len(v) == 1 {
+		if n, err := strconv.ParseInt(v[0], 10, 64); err == nil && n >= 0 {
+			w.length = n
+			return
+		}
+	}
+	delete(w.header, "Content-Length")
+	w.length = -1
+	w.header["Transfer-Encoding"] = chunked
+	for _, v := range w.header["Trailer"] {
+		for t := range strings.SplitSeq(v, ",") {
+			w.trailers = append(w.trailers, http.CanonicalHeaderKey(strings.TrimSpace(t)))
+		}
+	}
+}
+
+// noBody reports whether the answer has no body whatever its header says.
+func (w *nodeWriter) noBody() bool {
+	return w.head || w.status == http.StatusNoContent || w.status == http.StatusNotModified
+}
+
+func (w *nodeWriter) statusLine(status int) {
+	w.bw.WriteString("HTTP/1.1 ") // a failed write fails the flush as well
+	w.bw.WriteString(strconv.Itoa(status))
+	w.bw.WriteByte(' ')
+	w.bw.WriteString(http.StatusText(status))
+	w.bw.WriteString("\r\n")
+}
+
+func (w *nodeWriter) end() error {
+	_, err := w.bw.WriteString("\r\n")
+	return err
+}
+
+// Write sends a part of the body.
+func (w *nodeWriter) Write(p []byte) (int, error) {
+	if w.status == 0 {
+		w.WriteHeader(http.StatusOK)
+	}
+	if w.failed {
+		return 0, faults.PeerUnavailable.New("the connection has failed")
+	}
+	if w.noBody() || len(p) == 0 {
+		return len(p), nil
+	}
+	w.written += int64(len(p))
+	if w.length >= 0 {
+		if w.written > w.length {
+			w.failed = true
+			return 0, http.ErrContentLength
+		}
+		return w.bw.Write(p)
+	}
+	w.bw.WriteString(strconv.FormatInt(int64(len(p)), 16))
+	w.bw.WriteString("\r\n")
+	n, err := w.bw.Write(p)
+	if err == nil {
+		err = w.end()
+	}
+	return n, err
+}
+
+// finish ends the answer and reports whether it was complete and sent.
+func (w *nodeWriter) finish() bool {
+	if w.status == 0 {
+		w.header["Content-Length"] = []string{"0"}
+		w.WriteHeader(http.StatusOK)
+	}
+	if w.failed || !w.noBody() && w.length >= 0 && w.written != w.length {
+		return false
+	}
+	if !w.noBody() && w.length < 0 {
+		w.bw.WriteString("0\r\n")
+		trailer := make(http.Header, len(w.trailers))
+		for _, k := range w.trailers {
+			trailer[k] = w.header[k]
+		}
+		if trailer.Write(w.bw) != nil || w.end() != nil {
+			return false
+		}
+	}
+	return w.bw.Flush() == nil
+}
+
+// proceed sends 100 Continue unless the answer has begun.
+func (w *nodeWriter) proceed() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.status != 0 {
+		return nil
+	}
+	w.statusLine(http.StatusContinue)
+	if err := w.end(); err != nil {
+		return err
+	}
+	return w.bw.Flush()
+}
+
+// refuse answers a request that is not read to its end.
+func (w *nodeWriter) refuse(status int) {
+	w.statusLine(status)
+	w.bw.WriteString(HeaderOutcome + ": " + OutcomeNotRun + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+	_ = w.bw.Flush() // the connection ends in any case
+}
+
+// FlushError sends what is buffered.
+func (w *nodeWriter) FlushError() error { return w.bw.Flush() }
+
+// SetReadDeadline bounds the reading of the request's body.
+func (w *nodeWriter) SetReadDeadline(t time.Time) error { return w.conn.SetReadDeadline(t) }
+
+// SetWriteDeadline bounds the writing of the answer.
+func (w *nodeWriter) SetWriteDeadline(t time.Time) error { return w.conn.SetWriteDeadline(t) }
+
+// EnableFullDuplex does nothing: an answer never waits for the request's body.
+func (w *nodeWriter) EnableFullDuplex() error { return nil }
--- a/proxy/rig_test.go
+++ b/proxy/rig_test.go
@@ -21,13 +21,6 @@
 
 // serveOn runs a server for the length of the test and returns its address.
 func serveOn(t testing.TB, h http.Handler) string {
-	t.Helper()
-	srv, addr := startServer(t, h)
-	t.Cleanup(func() { srv.Close() })
-	return addr
-}
-
-func startServer(t testing.TB, h http.Handler) (*http.Server, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -35,7 +28,8 @@
 	}
 	srv := NewServer(h, ServerOptions{})
 	go srv.Serve(l)
-	return srv, l.Addr().String()
+	t.Cleanup(func() { srv.Close() })
+	return l.Addr().String()
 }
 
 // rig is an outbound node in front of inbound nodes, one for each target.
@@ -45,7 +39,7 @@
 	view     *member.Directory
 	records  []*member.Record
 	inbounds []*Inbound
-	servers  []*http.Server
+	servers  []*NodeServer
 	gates    []*admit.Gate
 	ledgers  []*idem.Ledger
 	client   *http.Client
@@ -61,7 +55,12 @@
 		id := string(rune('a' + i))
 		gate, ledger := admit.New(admit.Options{Slots: 64}), idem.NewLedger(id, 1, idem.Options{})
 		in := NewInbound(InboundOptions{Target: target, Gate: gate, Ledger: ledger})
-		srv, addr := startServer(t, in)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		srv, addr := NewNodeServer(in, ServerOptions{}), l.Addr().String()
+		go srv.Serve(l)
 		t.Cleanup(func() { srv.Close() })
 		r.gates, r.ledgers = append(r.gates, gate), append(r.ledgers, ledger)
 		r.inbounds, r.servers = append(r.inbounds, in), append(r.servers, srv)
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/go-logr/logr"
 )
 
 // ServerOptions bounds the connections of a listener. Zero values mean the defaults.
@@ -12,6 +14,7 @@
 	HeaderTimeout  time.Duration // for reading a request's header; default 5 s
 	IdleTimeout    time.Duration // between requests; default 75 s
 	MaxHeaderBytes int           // default 64 KB
+	Log            logr.Logger   // of a NodeServer; the zero value logs nothing
 }
 
 const (
@@ -25,15 +28,7 @@
 
 // NewServer returns a server for one of the handlers. It speaks HTTP/1.1 only.
 func NewServer(handler http.Handler, opts ServerOptions) *http.Server {
-	if opts.HeaderTimeout <= 0 {
-		opts.HeaderTimeout = defaultHeaderTimeout
-	}
-	if opts.IdleTimeout <= 0 {
-		opts.IdleTimeout = defaultServerIdle
-	}
-	if opts.MaxHeaderBytes <= 0 {
-		opts.MaxHeaderBytes = defaultMaxHeaderBytes
-	}
+	opts = opts.withDefaults()
 	return &http.Server{
 		Handler:                      handler,
 		DisableGeneralOptionsHandler: true,
@@ -46,3 +41,16 @@
 		},
 	}
 }
+
+func (opts ServerOptions) withDefaults() ServerOptions {
+	if opts.HeaderTimeout <= 0 {
+		opts.HeaderTimeout = defaultHeaderTimeout
+	}
+	if opts.IdleTimeout <= 0 {
+		opts.IdleTimeout = defaultServerIdle
+	}
+	if opts.MaxHeaderBytes <= 0 {
+		opts.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
+	return opts
+}
