Serve callers as well on the goroutine of their connection

ConnServer, the former NodeServer, now serves the outbound listener too. It makes the checks that http.ReadRequest leaves to its caller, answers HTTP/1.0, lingers before it closes a connection with unread bytes, and accepts again after the process ran out of descriptors.

--- a/bench/calls/role.go
+++ b/bench/calls/role.go
@@ -83,8 +83,8 @@
 		return err
 	}
 	server := proxy.NewServer(handler, proxy.ServerOptions{}).Serve
-	if r.role == roleInbound {
-		server = proxy.NewNodeServer(handler, proxy.ServerOptions{}).Serve
+	if r.role == roleInbound || r.role == roleOutbound {
+		server = proxy.NewConnServer(handler, proxy.ServerOptions{}).Serve
 	}
 	addr, err := serve(server)
 	if err != nil {
--- a/proxy/nodewriter.go
+++ b/proxy/answerwriter.go
@@ -12,17 +12,17 @@
 	"siskingw/faults"
 )
 
-// nodeBody is the body of a request from another node. It remembers its end
-// and asks a node that waits for 100 Continue to proceed.
-type nodeBody struct {
-	conn   *nodeConn
+// serverBody is the body of a request. It remembers its end and asks a peer
+// that waits for 100 Continue to proceed.
+type serverBody struct {
+	conn   *serverConn
 	body   io.ReadCloser
 	eof    bool
 	expect bool
 }
 
 // Read reads the body.
-func (b *nodeBody) Read(p []byte) (int, error) {
+func (b *serverBody) Read(p []byte) (int, error) {
 	if b.expect {
 		b.expect = false
 		if err := b.conn.w.proceed(); err != nil {
@@ -37,15 +37,17 @@
 }
 
 // Close does nothing: what is left of the body ends the connection.
-func (b *nodeBody) Close() error { return nil }
+func (b *serverBody) Close() error { return nil }
 
-// nodeWriter is the http.ResponseWriter of a connection from another node. It
-// frames the answer by the handler's Content-Length or in chunks.
-type nodeWriter struct {
-	conn   *nodeConn
+// answerWriter is the http.ResponseWriter of a connection. It frames the answer
+// by the handler's Content-Length or in chunks; to an HTTP/1.0 caller, an answer
+// without a length ends with the connection.
+type answerWriter struct {
+	conn   *serverConn
 	header http.Header
-	body   *nodeBody
+	body   *serverBody
 	head   bool // the request's method is HEAD
+	old    bool // the request is HTTP/1.0
 
 	mu       sync.Mutex // a streamed body proceeds on another goroutine
 	bw       *bufio.Writer
@@ -58,24 +60,27 @@
 }
 
 // begin prepares the writer for the answer to r.
-func (w *nodeWriter) begin(r *http.Request, body *nodeBody) {
+func (w *answerWriter) begin(r *http.Request, body *serverBody) {
 	clear(w.header)
-	w.body, w.head = body, r.Method == http.MethodHead
+	w.body, w.head, w.old = body, r.Method == http.MethodHead, r.ProtoMinor == 0
 	w.status, w.length, w.written, w.close, w.failed = 0, 0, 0, false, false
 	w.trailers = w.trailers[:0]
 }
 
 // Header returns the header of the answer.
-func (w *nodeWriter) Header() http.Header { return w.header }
+func (w *answerWriter) Header() http.Header { return w.header }
 
 // WriteHeader sends the header of an interim answer, or buffers the final one.
-func (w *nodeWriter) WriteHeader(status int) {
+func (w *answerWriter) WriteHeader(status int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.status != 0 {
 		return
 	}
 	if status < http.StatusOK {
+		if w.old {
+			return
+		}
 		w.statusLine(status)
 		w.failed = w.header.Write(w.bw) != nil || w.end() != nil || w.bw.Flush() != nil
 		return
@@ -90,7 +95,10 @@
 }
 
 // frame decides how the end of the body is marked. The writer is locked.
-func (w *nodeWriter) frame() {
+func (w *answerWriter) frame() {
+	if w.old {
+		w.header["Connection"] = connectionClose
+	}
 	for _, v := range w.header["Connection"] {
 		w.close = w.close || v == "close"
 	}
@@ -105,6 +113,9 @@
 	}
 	delete(w.header, "Content-Length")
 	w.length = -1
+	if w.old {
+		return
+	}
 	w.header["Transfer-Encoding"] = chunked
 	for _, v := range w.header["Trailer"] {
 		for t := range strings.SplitSeq(v, ",") {
@@ -114,11 +125,11 @@
 }
 
 // noBody reports whether the answer has no body whatever its header says.
-func (w *nodeWriter) noBody() bool {
+func (w *answerWriter) noBody() bool {
 	return w.head || w.status == http.StatusNoContent || w.status == http.StatusNotModified
 }
 
-func (w *nodeWriter) statusLine(status int) {
+func (w *answerWriter) statusLine(status int) {
 	w.bw.WriteString("HTTP/1.1 ") // a failed write fails the flush as well
 	w.bw.WriteString(strconv.Itoa(status))
 	w.bw.WriteByte(' ')
@@ -126,13 +137,13 @@
 	w.bw.WriteString("\r\n")
 }
 
-func (w *nodeWriter) end() error {
+func (w *answerWriter) end() error {
 	_, err := w.bw.WriteString("\r\n")
 	return err
 }
 
 // Write sends a part of the body.
-func (w *nodeWriter) Write(p []byte) (int, error) {
+func (w *answerWriter) Write(p []byte) (int, error) {
 	if w.status == 0 {
 		w.WriteHeader(http.StatusOK)
 	}
@@ -150,6 +161,9 @@
 		}
 		return w.bw.Write(p)
 	}
+	if w.old {
+		return w.bw.Write(p)
+	}
 	w.bw.WriteString(strconv.FormatInt(int64(len(p)), 16))
 	w.bw.WriteString("\r\n")
 	n, err := w.bw.Write(p)
@@ -160,7 +174,7 @@
 }
 
 // finish ends the answer and reports whether it was complete and sent.
-func (w *nodeWriter) finish() bool {
+func (w *answerWriter) finish() bool {
 	if w.status == 0 {
 		w.header["Content-Length"] = []string{"0"}
 		w.WriteHeader(http.StatusOK)
@@ -168,7 +182,7 @@
 	if w.failed || !w.noBody() && w.length >= 0 && w.written != w.length {
 		return false
 	}
-	if !w.noBody() && w.length < 0 {
+	if !w.noBody() && w.length < 0 && !w.old {
 		w.bw.WriteString("0\r\n")
 		trailer := make(http.Header, len(w.trailers))
 		for _, k := range w.trailers {
@@ -182,7 +196,7 @@
 }
 
 // proceed sends 100 Continue unless the answer has begun.
-func (w *nodeWriter) proceed() error {
+func (w *answerWriter) proceed() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.status != 0 {
@@ -196,20 +210,20 @@
 }
 
 // refuse answers a request that is not read to its end.
-func (w *nodeWriter) refuse(status int) {
+func (w *answerWriter) refuse(status int) {
 	w.statusLine(status)
 	w.bw.WriteString(HeaderOutcome + ": " + OutcomeNotRun + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 	_ = w.bw.Flush() // the connection ends in any case
 }
 
 // FlushError sends what is buffered.
-func (w *nodeWriter) FlushError() error { return w.bw.Flush() }
+func (w *answerWriter) FlushError() error { return w.bw.Flush() }
 
 // SetReadDeadline bounds the reading of the request's body.
-func (w *nodeWriter) SetReadDeadline(t time.Time) error { return w.conn.SetReadDeadline(t) }
+func (w *answerWriter) SetReadDeadline(t time.Time) error { return w.conn.SetReadDeadline(t) }
 
 // SetWriteDeadline bounds the writing of the answer.
-func (w *nodeWriter) SetWriteDeadline(t time.Time) error { return w.conn.SetWriteDeadline(t) }
+func (w *answerWriter) SetWriteDeadline(t time.Time) error { return w.conn.SetWriteDeadline(t) }
 
 // EnableFullDuplex does nothing: an answer never waits for the request's body.
-func (w *nodeWriter) EnableFullDuplex() error { return nil }
+func (w *answerWriter) EnableFullDuplex() error { return nil }
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -58,7 +58,7 @@
 func newCall(w http.ResponseWriter, r *http.Request) *call {
 	c := callPool.Get().(*call)
 	c.w, c.r, c.start, c.ctx = w, r, time.Now(), r.Context()
-	c.expects = len(r.Header["Expect"]) > 0
+	c.expects = r.Header.Get("Expect") != ""
 	return c
 }
 
--- a/proxy/nodeserver.go
+++ b/proxy/connserver.go
@@ -4,46 +4,48 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"golang.org/x/net/http/httpguts"
+
 	"siskingw/faults"
 )
 
-// NodeServer serves an Inbound to other nodes. It reads with http.ReadRequest
-// and answers on the goroutine of the connection. The server of net/http starts
-// a goroutine for each request that watches the connection; with mostly idle
-// processors, waking a thread for it cost more than the call itself (see
-// docs/measurements-calls.md). Here one goroutine watches all connections.
-//
-// It is for the connections between nodes only: it speaks HTTP/1.1 without
-// upgrades and leaves the checks on arbitrary callers to NewServer.
-type NodeServer struct {
+// ConnServer serves calls to an Outbound or Inbound. It reads with
+// http.ReadRequest and answers on the goroutine of the connection. The server
+// of net/http starts a goroutine for each request that watches the connection;
+// with mostly idle processors, waking a thread for it was a third of the CPU
+// time of a call (see docs/measurements-calls.md). Here one goroutine watches
+// all connections. It speaks HTTP/1.0 and 1.1 without upgrades.
+type ConnServer struct {
 	handler http.Handler
 	opts    ServerOptions
 
 	mu       sync.Mutex
 	hangups  *hangups
 	listener net.Listener
-	conns    map[*nodeConn]struct{}
+	conns    map[*serverConn]struct{}
 	closing  bool
 	empty    chan struct{} // closed when the last connection ends after closing
 }
 
-// NewNodeServer returns a server for connections from other nodes.
-func NewNodeServer(handler http.Handler, opts ServerOptions) *NodeServer {
-	return &NodeServer{
+// NewConnServer returns a server for calls.
+func NewConnServer(handler http.Handler, opts ServerOptions) *ConnServer {
+	return &ConnServer{
 		handler: handler, opts: opts.withDefaults(),
-		conns: make(map[*nodeConn]struct{}), empty: make(chan struct{}),
+		conns: make(map[*serverConn]struct{}), empty: make(chan struct{}),
 	}
 }
 
 // Serve accepts connections until Shutdown or Close, and then returns
 // http.ErrServerClosed.
-func (s *NodeServer) Serve(l net.Listener) error {
+func (s *ConnServer) Serve(l net.Listener) error {
 	h, err := newHangups()
 	if err != nil {
 		return err
@@ -57,19 +59,48 @@
 	}
 	s.listener, s.hangups = l, h
 	s.mu.Unlock()
-	for {
+	for delay := minAcceptDelay; ; {
 		nc, err := l.Accept()
+		if err != nil && s.acceptAgain(err) {
+			time.Sleep(delay)
+			delay = min(2*delay, maxAcceptDelay)
+			continue
+		}
 		if err != nil {
 			return s.acceptFailed(err)
 		}
-		c := &nodeConn{server: s, Conn: nc}
+		delay = minAcceptDelay
+		c := &serverConn{server: s, Conn: nc}
 		if s.track(c) {
 			go c.serve()
 		}
 	}
 }
 
-func (s *NodeServer) acceptFailed(err error) error {
+// Waiting times after a failed accept.
+const (
+	minAcceptDelay = 5 * time.Millisecond
+	maxAcceptDelay = time.Second
+)
+
+// acceptAgain reports whether accepting can succeed later: the process may be
+// out of file descriptors for a while, or a caller may have given up.
+func (s *ConnServer) acceptAgain(err error) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closing {
+		return false
+	}
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			s.opts.Log.Error(err, "accept failed, trying again")
+			return true
+		}
+	}
+	return false
+}
+
+func (s *ConnServer) acceptFailed(err error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing {
@@ -79,7 +110,7 @@
 }
 
 // track adds a connection; it closes it and reports false while closing.
-func (s *NodeServer) track(c *nodeConn) bool {
+func (s *ConnServer) track(c *serverConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closing {
@@ -91,7 +122,7 @@
 }
 
 // untrack removes a connection that has ended.
-func (s *NodeServer) untrack(c *nodeConn) {
+func (s *ConnServer) untrack(c *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
@@ -99,7 +130,7 @@
 }
 
 // checkEmpty reports the end of the last connection. The server is locked.
-func (s *NodeServer) checkEmpty() {
+func (s *ConnServer) checkEmpty() {
 	if s.closing && len(s.conns) == 0 && s.empty != nil {
 		close(s.empty)
 		s.empty = nil
@@ -111,8 +142,8 @@
 
 // Shutdown stops accepting, closes idle connections and waits for the calls in
 // flight. It returns a Timeout error when ctx ends first.
-func (s *NodeServer) Shutdown(ctx context.Context) error {
-	empty := s.stop(func(c *nodeConn) bool { return !c.busy })
+func (s *ConnServer) Shutdown(ctx context.Context) error {
+	empty := s.stop(func(c *serverConn) bool { return !c.busy })
 	if empty == nil {
 		return nil
 	}
@@ -125,13 +156,13 @@
 }
 
 // Close closes the listener and all connections at once.
-func (s *NodeServer) Close() error {
-	s.stop(func(*nodeConn) bool { return true })
+func (s *ConnServer) Close() error {
+	s.stop(func(*serverConn) bool { return true })
 	return nil
 }
 
 // stop closes the listener and the connections for which f is true.
-func (s *NodeServer) stop(f func(*nodeConn) bool) (empty <-chan struct{}) {
+func (s *ConnServer) stop(f func(*serverConn) bool) (empty <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closing = true
@@ -148,18 +179,18 @@
 	return empty
 }
 
-// nodeConn is a connection from another node.
-type nodeConn struct {
+// serverConn is a connection from a caller or from another node.
+type serverConn struct {
 	net.Conn
-	server *NodeServer
+	server *ConnServer
 	busy   bool // a request is being read or served; guarded by the server's lock
 	left   int  // bytes that may still be read of a request's header; -1 in the body
 	br     *bufio.Reader
-	w      nodeWriter
+	w      answerWriter
 }
 
 // Read bounds the bytes of a request's header.
-func (c *nodeConn) Read(p []byte) (int, error) {
+func (c *serverConn) Read(p []byte) (int, error) {
 	if c.left < 0 {
 		return c.Conn.Read(p)
 	}
@@ -172,7 +203,7 @@
 }
 
 // setBusy marks the connection; it reports false when the server is closing.
-func (c *nodeConn) setBusy(busy bool) bool {
+func (c *serverConn) setBusy(busy bool) bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	c.busy = busy
@@ -180,7 +211,7 @@
 }
 
 // serve serves requests until the connection ends.
-func (c *nodeConn) serve() {
+func (c *serverConn) serve() {
 	defer c.server.untrack(c)
 	defer c.Close()
 	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), connKey{}, c.Conn))
@@ -193,14 +224,14 @@
 		defer remove()
 	}
 	c.br = bufio.NewReaderSize(c, connBufferBytes)
-	c.w = nodeWriter{conn: c, bw: bufio.NewWriterSize(c.Conn, connBufferBytes), header: make(http.Header)}
+	c.w = answerWriter{conn: c, bw: bufio.NewWriterSize(c.Conn, connBufferBytes), header: make(http.Header)}
 	for c.serveOne(ctx) {
 	}
 }
 
 // serveOne reads and serves one request. It reports whether the connection can
 // be used for another.
-func (c *nodeConn) serveOne(ctx context.Context) bool {
+func (c *serverConn) serveOne(ctx context.Context) bool {
 	c.left = c.server.opts.MaxHeaderBytes
 	if c.SetReadDeadline(time.Now().Add(c.server.opts.IdleTimeout)) != nil {
 		return false
@@ -219,8 +250,8 @@
 		}
 	}
 	r, err := http.ReadRequest(c.br)
-	if err != nil || r.ProtoMajor != 1 || r.ProtoMinor != 1 {
-		c.w.refuse(http.StatusBadRequest)
+	if status := c.check(r, err); status != 0 {
+		c.w.refuse(status)
 		c.linger()
 		return false
 	}
@@ -232,10 +263,39 @@
 	return c.setBusy(false) && reuse
 }
 
+// check returns the status to refuse a request with, or 0. It covers what
+// http.ReadRequest leaves to its caller.
+func (c *serverConn) check(r *http.Request, err error) int {
+	switch {
+	case err != nil && c.left == 0:
+		return http.StatusRequestHeaderFieldsTooLarge
+	case err != nil:
+		return http.StatusBadRequest
+	case r.ProtoMajor != 1:
+		return http.StatusHTTPVersionNotSupported
+	case !httpguts.ValidHostHeader(r.Host):
+		return http.StatusBadRequest
+	}
+	for name, values := range r.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return http.StatusBadRequest
+		}
+		for _, v := range values {
+			if !httpguts.ValidHeaderFieldValue(v) {
+				return http.StatusBadRequest
+			}
+		}
+	}
+	if v := r.Header["Expect"]; len(v) > 0 && v[0] != "" && !strings.EqualFold(v[0], expectContinue[0]) {
+		return http.StatusExpectationFailed
+	}
+	return 0
+}
+
 var headerEnd = []byte("\r\n\r\n")
 
 // handle runs the handler. It reports whether the exchange was complete.
-func (c *nodeConn) handle(r *http.Request) (reuse bool) {
+func (c *serverConn) handle(r *http.Request) (reuse bool) {
 	defer func() {
 		if p := recover(); p != nil {
 			reuse = false
@@ -244,7 +304,7 @@
 			}
 		}
 	}()
-	body := &nodeBody{conn: c, body: r.Body, eof: r.ContentLength == 0, expect: len(r.Header["Expect"]) > 0}
+	body := &serverBody{conn: c, body: r.Body, eof: r.ContentLength == 0, expect: r.Header.Get("Expect") != "" && r.ProtoMinor > 0}
 	r.Body = body
 	c.w.begin(r, body)
 	c.server.handler.ServeHTTP(&c.w, r)
@@ -258,9 +318,9 @@
 	return !c.w.close && !r.Close
 }
 
-// linger lets the node read an answer that came before the end of its request:
+// linger lets the peer read an answer that came before the end of its request:
 // closing with unread bytes would reset the connection.
-func (c *nodeConn) linger() {
+func (c *serverConn) linger() {
 	if tc, ok := c.Conn.(*net.TCPConn); ok && tc.CloseWrite() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(drainWait))
 		buf := copyBuffers.Get().(*copyBuffer)
--- a/proxy/fuzz_test.go
+++ b/proxy/fuzz_test.go
@@ -61,7 +61,7 @@
 	})
 	r := newRig(f, nil, rt.addr)
 	var calls atomic.Int32
-	guarded := serveOn(f, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+	_, guarded := serveCalls(f, http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		defer func() {
 			if p := recover(); p != nil {
 				if p != http.ErrAbortHandler {
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -67,6 +67,9 @@
 	if status, reason := checkRequest(c.r); status != 0 {
 		return &refusal{status: status, outcome: OutcomeNotRun, reason: reason, hangUp: true}
 	}
+	if c.r.Host == "" && c.r.ProtoAtLeast(1, 1) {
+		return &refusal{status: http.StatusBadRequest, outcome: OutcomeNotRun, reason: "the request names no host", hangUp: true}
+	}
 	snap := o.opts.Current.Load()
 	if snap == nil {
 		return notRun("no configuration is in force yet", nil)
--- a/proxy/rig_test.go
+++ b/proxy/rig_test.go
@@ -32,6 +32,19 @@
 	return l.Addr().String()
 }
 
+// serveCalls runs a ConnServer for the length of the test.
+func serveCalls(t testing.TB, h http.Handler) (*ConnServer, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := NewConnServer(h, ServerOptions{HeaderTimeout: 200 * time.Millisecond})
+	go srv.Serve(l)
+	t.Cleanup(func() { srv.Close() })
+	return srv, l.Addr().String()
+}
+
 // rig is an outbound node in front of inbound nodes, one for each target.
 type rig struct {
 	addr     string // of the outbound listener
@@ -39,7 +52,7 @@
 	view     *member.Directory
 	records  []*member.Record
 	inbounds []*Inbound
-	servers  []*NodeServer
+	servers  []*ConnServer
 	gates    []*admit.Gate
 	ledgers  []*idem.Ledger
 	client   *http.Client
@@ -55,13 +68,7 @@
 		id := string(rune('a' + i))
 		gate, ledger := admit.New(admit.Options{Slots: 64}), idem.NewLedger(id, 1, idem.Options{})
 		in := NewInbound(InboundOptions{Target: target, Gate: gate, Ledger: ledger})
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		srv, addr := NewNodeServer(in, ServerOptions{}), l.Addr().String()
-		go srv.Serve(l)
-		t.Cleanup(func() { srv.Close() })
+		srv, addr := serveCalls(t, in)
 		r.gates, r.ledgers = append(r.gates, gate), append(r.ledgers, ledger)
 		r.inbounds, r.servers = append(r.inbounds, in), append(r.servers, srv)
 		r.records = append(r.records, &member.Record{
@@ -89,7 +96,7 @@
 		t.Fatal(err)
 	}
 	r.out = NewOutbound(OutboundOptions{Current: &current, Balancer: balance.New(r.view, balance.Options{}), View: r.view})
-	r.addr = serveOn(t, r.out)
+	_, r.addr = serveCalls(t, r.out)
 	tr := &http.Transport{DisableCompression: true}
 	t.Cleanup(tr.CloseIdleConnections)
 	r.client = &http.Client{Transport: tr, Timeout: 10 * time.Second}
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -14,7 +14,7 @@
 	HeaderTimeout  time.Duration // for reading a request's header; default 5 s
 	IdleTimeout    time.Duration // between requests; default 75 s
 	MaxHeaderBytes int           // default 64 KB
-	Log            logr.Logger   // of a NodeServer; the zero value logs nothing
+	Log            logr.Logger   // of a ConnServer; the zero value logs nothing
 }
 
 const (
