Compare what each path adds in rounds

One histogram of the whole run takes its upper quantiles from moments of other load on the machine. meshbench calls now compares rounds of 5 s as well and prints the least and the median, and can set GOMAXPROCS of the nodes.

--- a/bench/calls/calls.go
+++ b/bench/calls/calls.go
@@ -29,6 +29,8 @@
 	duration time.Duration
 	warmup   time.Duration
 	step     time.Duration
+	round    time.Duration
+	procs    int
 	profiles string
 }
 
@@ -49,6 +51,8 @@
 	f.DurationVar(&c.duration, "duration", 30*time.Second, "length of the open loop")
 	f.DurationVar(&c.warmup, "warmup", 3*time.Second, "open loop before the measurement")
 	f.DurationVar(&c.step, "step", 2*time.Second, "length of each step of the closed loop, 0 for none")
+	f.DurationVar(&c.round, "round", 5*time.Second, "part of the open loop of which quantiles are compared")
+	f.IntVar(&c.procs, "procs", 0, "GOMAXPROCS of the nodes and of the baseline, 0 for the default")
 	f.StringVar(&c.profiles, "profiles", "", "directory for profiles of the nodes during the open loop")
 }
 
@@ -69,13 +73,16 @@
 }
 
 // start starts a role and waits for its addresses.
-func start(ctx context.Context, role, next string) (*process, error) {
+func start(ctx context.Context, role, next string, procs int) (*process, error) {
 	exe, err := os.Executable()
 	if err != nil {
 		return nil, faults.Internal.Wrap(err, "own program")
 	}
 	p := &process{role: role, cmd: exec.CommandContext(ctx, exe, "calls-role", "-role", role, "-next", next)}
 	p.cmd.Stderr = os.Stderr
+	if procs > 0 && role != roleTarget {
+		p.cmd.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", procs))
+	}
 	if p.stdin, err = p.cmd.StdinPipe(); err != nil {
 		return nil, faults.Internal.Wrap(err, "pipe to %s", role)
 	}
@@ -137,7 +144,7 @@
 		{roleTarget, ""}, {roleInbound, roleTarget}, {roleOutbound, roleInbound},
 		{roleBaselineInbound, roleTarget}, {roleBaselineOutbound, roleBaselineInbound},
 	} {
-		p, err := start(ctx, r[0], addr[r[1]])
+		p, err := start(ctx, r[0], addr[r[1]], c.procs)
 		if err != nil {
 			return err
 		}
@@ -169,7 +176,11 @@
 	if c.profiles != "" {
 		wait = c.profile(nodes[:2])
 	}
-	n := openLoop(paths, c.rate, c.duration)
+	n, rounds := 0, newRounds(paths)
+	for left := c.duration; left > 0; left -= c.round {
+		n += openLoop(paths, c.rate, min(left, c.round))
+		rounds.end()
+	}
 	wait()
 	after, err := readAll(nodes)
 	if err != nil {
@@ -177,7 +188,6 @@
 	}
 	fmt.Printf("open loop: %d calls on each path at %g/s for %v, processes: caller, target, 2 nodes, 2 baseline hops\n", n, c.rate, c.duration)
 	fmt.Printf("%-10s %9s %9s %9s %9s %9s %9s %7s\n", "ms", "p50", "p99", "p99.9", "+p50", "+p99", "+p99.9", "errors")
-	quantiles := []float64{50, 99, 99.9}
 	for _, p := range paths {
 		fmt.Printf("%-10s", p.name)
 		for _, q := range quantiles {
@@ -188,6 +198,7 @@
 		}
 		fmt.Printf(" %7d\n", p.errors.Load())
 	}
+	rounds.print()
 	for i, p := range nodes {
 		calls := uint64(n)
 		fmt.Printf("%-18s %4d allocations, %6d bytes, %6.1f µs CPU for each call\n", p.role,
@@ -236,10 +247,10 @@
 	for _, p := range nodes {
 		wg.Go(func() {
 			seconds := max(int(c.duration/time.Second), 1)
-			for name, query := range map[string]string{"cpu": fmt.Sprintf("/?profile=%d", seconds), "allocs": "/allocs"} {
-				b, err := p.get(query)
+			for _, f := range [][2]string{{"cpu", fmt.Sprintf("/?profile=%d", seconds)}, {"allocs", "/allocs"}} {
+				b, err := p.get(f[1])
 				if err == nil {
-					err = os.WriteFile(filepath.Join(c.profiles, strings.Join([]string{p.role, name, "prof"}, ".")), b, 0o644)
+					err = os.WriteFile(filepath.Join(c.profiles, strings.Join([]string{p.role, f[0], "prof"}, ".")), b, 0o644)
 				}
 				if err != nil {
 					fmt.Fprintln(os.Stderr, err)
--- a/bench/calls/load.go
+++ b/bench/calls/load.go
@@ -32,6 +32,7 @@
 
 	mu     sync.Mutex
 	hist   *hdrhistogram.Histogram // of latencies in ns
+	round  *hdrhistogram.Histogram // the same, of the current round
 	errors atomic.Int64
 }
 
@@ -51,6 +52,7 @@
 // reset forgets what was measured.
 func (p *path) reset() {
 	p.hist = hdrhistogram.New(1000, maxLatency.Nanoseconds(), 3)
+	p.round = hdrhistogram.New(1000, maxLatency.Nanoseconds(), 3)
 	p.errors.Store(0)
 }
 
@@ -66,6 +68,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	_ = p.hist.RecordValue(d.Nanoseconds()) // callTimeout is below maxLatency
+	_ = p.round.RecordValue(d.Nanoseconds())
 }
 
 func (p *path) exchange() (start time.Time, err error) {
--- /dev/null
+++ b/bench/calls/rounds.go
@@ -0,0 +1,58 @@
+package calls
+
+import (
+	"fmt"
+	"slices"
+)
+
+// rounds holds what each path added in each round. On a machine with other
+// load, the median over rounds shows more than one histogram of the whole run,
+// whose upper quantiles come from the moments of other load.
+type rounds struct {
+	paths []*path
+	added [][3]float64 // ms at each quantile, for all paths but the first in turn
+}
+
+var quantiles = [3]float64{50, 99, 99.9}
+
+func newRounds(paths []*path) *rounds {
+	r := &rounds{paths: paths}
+	r.clear()
+	return r
+}
+
+func (r *rounds) clear() {
+	for _, p := range r.paths {
+		p.round.Reset()
+	}
+}
+
+// end compares the paths with the first, direct one and begins a new round.
+func (r *rounds) end() {
+	for _, p := range r.paths[1:] {
+		var a [3]float64
+		for i, q := range quantiles {
+			a[i] = float64(p.round.ValueAtQuantile(q)-r.paths[0].round.ValueAtQuantile(q)) / 1e6
+		}
+		r.added = append(r.added, a)
+	}
+	r.clear()
+}
+
+// print shows the least and the median of what each path added.
+func (r *rounds) print() {
+	others := len(r.paths) - 1
+	n := len(r.added) / others
+	for k, p := range r.paths[1:] {
+		fmt.Printf("%-10s added in %d rounds, least/median:", p.name, n)
+		for i, q := range quantiles {
+			var v []float64
+			for j := range n {
+				v = append(v, r.added[j*others+k][i])
+			}
+			slices.Sort(v)
+			fmt.Printf("  p%g %.3f/%.3f", q, v[0], v[n/2])
+		}
+		fmt.Println(" ms")
+	}
+}
