Hold more keys in the ledger's memory

With 256 counted bytes for each key and 100-byte answers, 16 MB held 38,746 keys: 65 keyed calls/s over the 10 minutes that a key lives. Entries are now found by nonce, keep the owner only for keys of other processes, and hold an answer as one string.

--- a/idem/answer.go
+++ b/idem/answer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"net/http"
+	"strings"
 )
 
 // Answer is a target's complete response.
@@ -15,49 +16,61 @@
 // encode returns the answer in one block of memory, because a header map of a
 // few fields takes more memory than a short body. Format: status, number of
 // header values, then name and value of each, then the body.
-func (a *Answer) encode() []byte {
-	size, values := len(a.Body)+2*binary.MaxVarintLen64, 0
+func (a *Answer) encode() string {
+	size, values := len(a.Body)+2*binary.MaxVarintLen16, 0
 	for name, vs := range a.Header {
 		for _, v := range vs {
 			values++
 			size += len(name) + len(v) + 2*binary.MaxVarintLen16
 		}
 	}
-	b := make([]byte, 0, size)
-	b = binary.AppendUvarint(b, uint64(a.Status))
-	b = binary.AppendUvarint(b, uint64(values))
+	var b strings.Builder
+	b.Grow(size)
+	writeUvarint(&b, uint64(a.Status))
+	writeUvarint(&b, uint64(values))
 	for name, vs := range a.Header {
 		for _, v := range vs {
-			b = appendString(b, name)
-			b = appendString(b, v)
+			writeString(&b, name)
+			writeString(&b, v)
 		}
 	}
-	return append(b, a.Body...)
+	b.Write(a.Body)
+	return b.String()
 }
 
-// decodeAnswer returns the answer that encode wrote to b.
-func decodeAnswer(b []byte) *Answer {
+// decodeAnswer returns the answer that encode wrote to s.
+func decodeAnswer(s string) *Answer {
 	a := &Answer{Header: make(http.Header)}
-	status, n := binary.Uvarint(b)
-	a.Status, b = int(status), b[n:]
-	values, n := binary.Uvarint(b)
-	b = b[n:]
+	status, s := cutUvarint(s)
+	a.Status = int(status)
+	values, s := cutUvarint(s)
 	for range values {
 		var name, value string
-		name, b = cutString(b)
-		value, b = cutString(b)
+		name, s = cutString(s)
+		value, s = cutString(s)
 		a.Header[name] = append(a.Header[name], value)
 	}
-	a.Body = b
+	a.Body = []byte(s)
 	return a
 }
 
-func appendString(b []byte, s string) []byte {
-	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
+func writeUvarint(b *strings.Builder, v uint64) {
+	var buf [binary.MaxVarintLen64]byte
+	b.Write(buf[:binary.PutUvarint(buf[:], v)])
 }
 
-func cutString(b []byte) (string, []byte) {
-	size, n := binary.Uvarint(b)
-	end := n + int(size)
-	return string(b[n:end]), b[end:]
+func writeString(b *strings.Builder, s string) {
+	writeUvarint(b, uint64(len(s)))
+	b.WriteString(s)
+}
+
+func cutUvarint(s string) (uint64, string) {
+	head := []byte(s[:min(len(s), binary.MaxVarintLen64)])
+	v, n := binary.Uvarint(head)
+	return v, s[n:]
+}
+
+func cutString(s string) (string, string) {
+	size, s := cutUvarint(s)
+	return s[:size], s[size:]
 }
--- a/idem/expiry.go
+++ b/idem/expiry.go
@@ -15,7 +15,7 @@
 	if x.buckets == nil {
 		x.buckets = make(map[int64]*entry)
 	}
-	second := e.key.IssuedMs / msPerSecond
+	second := e.issuedMs / msPerSecond
 	if len(x.buckets) == 0 || second < x.oldest {
 		x.oldest = second
 	}
@@ -27,7 +27,7 @@
 
 // remove takes e out of its bucket.
 func (x *expiryList) remove(e *entry) {
-	second := e.key.IssuedMs / msPerSecond
+	second := e.issuedMs / msPerSecond
 	if e.older != nil {
 		e.older.newer = e.newer
 	}
--- a/idem/ledger.go
+++ b/idem/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -21,9 +22,12 @@
 	// answerShare is the part of the memory bound, in percent, that held
 	// answers may fill. The rest stays free to record that further keys ran.
 	answerShare = 50
-	// entryBytes is the cost of one entry without its answer: the entry and its
-	// share of the map. The heap measures 180 to 240, depending on the map's load.
-	entryBytes = 256
+	// entryBytes is the cost of one entry without its answer: 96 for the entry and
+	// up to 80 for its share of a map that has just grown. With 154 the heap held
+	// 0.5% more than was counted.
+	entryBytes = 176
+	// answerBytes is what the allocator rounds an answer up by, on average.
+	answerBytes = 16
 )
 
 // Action is what the node does with a keyed request.
@@ -77,7 +81,7 @@
 	opts        Options
 
 	mu          sync.Mutex
-	entries     map[Key]*entry
+	entries     map[[nonceBytes]byte]*entry
 	expiry      expiryList
 	bytes       int // counted memory of entries and answers
 	answerBytes int // part of bytes held by answers
@@ -94,19 +98,59 @@
 	moved          // handed over, will never run here
 )
 
-// entry is what the ledger knows of one key. The ledger's lock guards it.
+// entry is what the ledger knows of one key. It is kept small, because the
+// number of keys that fit into the memory bound limits the keyed calls per
+// second. The ledger's lock guards it.
 type entry struct {
-	key          Key
-	state        state
-	expired      bool   // no longer filed for expiry
-	answer       []byte // encoded, nil when it is not held
+	nonce        [nonceBytes]byte
+	issuedMs     int64
+	origin       *origin // whose key it is; nil for the ledger's own
+	answer       string  // encoded, empty when it is not held
 	to           *member.Record
 	settled      chan struct{} // closed when a running key leaves that state; nil until awaited
 	older, newer *entry        // neighbours in the expiry list
+	state        state
+	expired      bool // no longer filed for expiry
+}
+
+// origin is the owner that a key names when it is another process.
+type origin struct {
+	owner       string
+	incarnation uint64
+}
+
+// originBytes is the cost of an origin without its owner's id.
+const originBytes = 32
+
+// size returns the bytes that the entry is counted with.
+func (e *entry) size() int {
+	n := entryBytes
+	if e.origin != nil {
+		n += originBytes + len(e.origin.owner)
+	}
+	if e.answer != "" {
+		n += len(e.answer) + answerBytes
+	}
+	return n
 }
 
-// size returns the bytes that the entry is counted with, without its answer.
-func (e *entry) size() int { return entryBytes + len(e.key.Owner) }
+// newEntry returns the entry for k.
+func (l *Ledger) newEntry(k Key, s state) *entry {
+	e := &entry{nonce: k.Nonce, issuedMs: k.IssuedMs, state: s}
+	if k.Owner != l.owner || k.Incarnation != l.incarnation {
+		e.origin = &origin{strings.Clone(k.Owner), k.Incarnation}
+	}
+	return e
+}
+
+// key returns the key of an entry.
+func (l *Ledger) key(e *entry) Key {
+	k := Key{Owner: l.owner, Incarnation: l.incarnation, IssuedMs: e.issuedMs, Nonce: e.nonce}
+	if e.origin != nil {
+		k.Owner, k.Incarnation = e.origin.owner, e.origin.incarnation
+	}
+	return k
+}
 
 // NewLedger returns an empty ledger of the process with the given identity.
 func NewLedger(ownerID string, incarnation uint64, opts Options) *Ledger {
@@ -116,7 +160,7 @@
 	if opts.Now == nil {
 		opts.Now = processClock()
 	}
-	return &Ledger{owner: ownerID, incarnation: incarnation, opts: opts, entries: make(map[Key]*entry)}
+	return &Ledger{owner: ownerID, incarnation: incarnation, opts: opts, entries: make(map[[nonceBytes]byte]*entry)}
 }
 
 // Drain makes the ledger hand over keys that it has not run. next selects the
@@ -153,7 +197,10 @@
 	if now.Add(-keyLifetime).UnixMilli() >= k.IssuedMs {
 		return unknown(errExpired)
 	}
-	if e, ok := l.entries[k]; ok {
+	if e, ok := l.entries[k.Nonce]; ok {
+		if l.key(e) != k {
+			return unknown(errNonce)
+		}
 		return l.known(e)
 	}
 	if !l.owns(k, v) {
@@ -162,13 +209,14 @@
 	if now.Add(maxAhead).UnixMilli() < k.IssuedMs {
 		return refused(errFuture)
 	}
-	if e := (&entry{key: k}); l.bytes+e.size() > l.opts.MaxBytes {
+	e := l.newEntry(k, running)
+	if l.bytes+e.size() > l.opts.MaxBytes {
 		return refused(errFull)
 	}
 	if l.next != nil {
-		return l.move(k)
+		return l.move(k, e)
 	}
-	l.add(&entry{key: k, state: running})
+	l.add(e)
 	return Decision{Action: Run}, nil, nil
 }
 
@@ -182,12 +230,12 @@
 }
 
 // move hands an unseen key over to another owner.
-func (l *Ledger) move(k Key) (Decision, <-chan struct{}, error) {
+func (l *Ledger) move(k Key, e *entry) (Decision, <-chan struct{}, error) {
 	to := l.next(k)
 	if to == nil || to.ID == l.owner {
 		return refused(errNoOwner)
 	}
-	e := &entry{key: k, state: moved, to: to}
+	e.state, e.to = moved, to
 	l.add(e)
 	return l.known(e)
 }
@@ -201,12 +249,12 @@
 		}
 		return Decision{}, e.settled, nil
 	case finished:
-		if e.answer == nil {
+		if e.answer == "" {
 			return Decision{Action: Ran}, nil, nil
 		}
 		return Decision{Action: Replay, Answer: decodeAnswer(e.answer)}, nil, nil
 	case moved:
-		v := voucher(l.opts.Secret, e.key, e.to.ID, e.to.Incarnation)
+		v := voucher(l.opts.Secret, l.key(e), e.to.ID, e.to.Incarnation)
 		return Decision{Action: Moved, Owner: e.to, Voucher: v}, nil, nil
 	}
 	return unknown(errLost)
@@ -216,6 +264,7 @@
 // refusal costs more than the decision.
 var (
 	errExpired = faults.OutcomeUnknown.New("key has expired")
+	errNonce   = faults.OutcomeUnknown.New("another key has the same nonce")
 	errForeign = faults.OutcomeUnknown.New("key belongs to another process")
 	errLost    = faults.OutcomeUnknown.New("an earlier attempt may have run")
 	errFuture  = faults.NotRun.New("key was issued in the future")
--- a/idem/property_test.go
+++ b/idem/property_test.go
@@ -238,7 +238,7 @@
 // accept records k as if the process might run it.
 func accept(h *history, owner int, k Key) {
 	l := h.procs[owner].ledger
-	if _, ok := l.entries[k]; !ok {
+	if _, ok := l.entries[k.Nonce]; !ok {
 		l.owner, l.incarnation = k.Owner, k.Incarnation
 	}
 }
@@ -249,24 +249,24 @@
 		"restart keeps the incarnation": {restart: true},
 		"clock follows wall clock":      {clock: true},
 		"key forgotten after the run": {settle: func(h *history, owner int, k Key) {
-			delete(h.procs[owner].ledger.entries, k)
+			delete(h.procs[owner].ledger.entries, k.Nonce)
 		}},
 		"hand-over forgotten": {begin: func(h *history, owner int, k Key) {
-			if e := h.procs[owner].ledger.entries[k]; e != nil && e.state == moved {
-				delete(h.procs[owner].ledger.entries, k)
+			if e := h.procs[owner].ledger.entries[k.Nonce]; e != nil && e.state == moved {
+				delete(h.procs[owner].ledger.entries, k.Nonce)
 				h.procs[owner].ledger.next = nil
 			}
 		}},
 		"key accepted without a voucher": {begin: accept},
 		"lost call counts as not run": {settle: func(h *history, owner int, k Key) {
-			if e := h.procs[owner].ledger.entries[k]; e != nil && e.state == lost {
+			if e := h.procs[owner].ledger.entries[k.Nonce]; e != nil && e.state == lost {
 				e.state = running
 				h.procs[owner].ledger.NotRun(k)
 			}
 		}},
 		"answers mixed up": {settle: func(h *history, owner int, k Key) {
 			for _, e := range h.procs[owner].ledger.entries {
-				if e.answer != nil {
+				if e.answer != "" {
 					e.answer = (&Answer{Status: 200}).encode()
 				}
 			}
--- a/idem/settle.go
+++ b/idem/settle.go
@@ -1,20 +1,18 @@
 package idem
 
-import "strings"
-
 // Finish records that the target answered k in full. The answer is held for
 // repeats if it is at most MaxAnswerBytes and memory allows; the ledger
 // remembers in any case that the key ran.
 func (l *Ledger) Finish(k Key, a *Answer) {
-	var held []byte
+	var held string
 	if a != nil && len(a.Body) <= MaxAnswerBytes {
 		held = a.encode()
 	}
 	l.settle(k, func(e *entry) {
 		e.state = finished
-		n := cap(held)
+		n := len(held) + answerBytes
 		answers := l.opts.MaxBytes / 100 * answerShare
-		if n > MaxAnswerBytes || l.answerBytes+n > answers || l.bytes+n > l.opts.MaxBytes {
+		if held == "" || len(held) > MaxAnswerBytes || l.answerBytes+n > answers || l.bytes+n > l.opts.MaxBytes {
 			return
 		}
 		e.answer = held
@@ -43,12 +41,12 @@
 func (l *Ledger) settle(k Key, f func(*entry)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	e, ok := l.entries[k]
-	if !ok || e.state != running {
+	e, ok := l.entries[k.Nonce]
+	if !ok || l.key(e) != k || e.state != running {
 		return
 	}
 	f(e)
-	if e.expired && l.entries[k] == e {
+	if e.expired && l.entries[k.Nonce] == e {
 		l.forget(e)
 	}
 	if e.settled != nil {
@@ -59,21 +57,18 @@
 
 // add records a key. The ledger is locked.
 func (l *Ledger) add(e *entry) {
-	if e.key.Owner == l.owner {
-		e.key.Owner = l.owner // shares the string instead of keeping the whole header value
-	} else {
-		e.key.Owner = strings.Clone(e.key.Owner)
-	}
-	l.entries[e.key] = e
+	l.entries[e.nonce] = e
 	l.bytes += e.size()
 	l.expiry.add(e)
 }
 
 // forget removes an entry that is not filed for expiry. The ledger is locked.
 func (l *Ledger) forget(e *entry) {
-	delete(l.entries, e.key)
-	l.bytes -= e.size() + cap(e.answer)
-	l.answerBytes -= cap(e.answer)
+	delete(l.entries, e.nonce)
+	l.bytes -= e.size()
+	if e.answer != "" {
+		l.answerBytes -= len(e.answer) + answerBytes
+	}
 }
 
 // Stats describes the memory of a ledger.
--- a/idem/waiters_test.go
+++ b/idem/waiters_test.go
@@ -62,7 +62,7 @@
 				time.Sleep(keyLifetime + time.Second) // entries are filed by second
 				l.Begin(t.Context(), Mint(ownerA, time.Now()), "")
 				is.Equal(l.Stats().Keys, 1) // the settled key is forgotten
-				is.Equal(l.Stats().Bytes, entryBytes+len(ownerA.ID))
+				is.Equal(l.Stats().Bytes, entryBytes)
 			})
 		})
 	}
@@ -87,29 +87,31 @@
 }
 
 // Guards against memory that the ledger does not count: a full ledger must stay
-// within its bound on the heap, and refuse further keys as not run.
+// within its bound on the heap, and refuse further keys as not run. The bounds
+// differ so that the map is met shortly after and shortly before it grows.
 func TestFullLedgerStaysWithinItsBound(t *testing.T) {
-	is := is.New(t)
-	before := heap()
-	l := NewLedger("a", 1, Options{})
-	keys := 0
-	for ; ; keys++ {
-		header := Mint(ownerA, time.Now()).String()
-		k, err := Parse(header)
-		is.NoErr(err)
-		d, err := l.Begin(t.Context(), k, "")
-		if d.Action == Refused {
-			is.True(err != nil)
-			break
+	for _, bound := range []int{3 << 20, 5 << 20, 7 << 20, 10 << 20, DefaultMaxBytes} {
+		is := is.New(t)
+		before := heap()
+		l := NewLedger("a", 1, Options{MaxBytes: bound})
+		keys := 0
+		for ; ; keys++ {
+			k, err := Parse(Mint(ownerA, time.Now()).String())
+			is.NoErr(err)
+			d, err := l.Begin(t.Context(), k, "")
+			if d.Action == Refused {
+				is.True(err != nil)
+				break
+			}
+			h := http.Header{"Content-Type": {"text/plain"}, "X-Request-Id": {"0123456789"}}
+			l.Finish(k, &Answer{Status: 200, Header: h, Body: make([]byte, 100)})
 		}
-		h := http.Header{"Content-Type": {"text/plain"}, "X-Request-Id": {"0123456789"}}
-		l.Finish(k, &Answer{Status: 200, Header: h, Body: make([]byte, 100)})
+		used := heap() - before
+		t.Logf("%d keys, %d bytes counted, %d on the heap", keys, l.Stats().Bytes, used)
+		is.True(l.Stats().Bytes <= bound)
+		is.True(used <= bound)
+		runtime.KeepAlive(l)
 	}
-	used := heap() - before
-	t.Logf("%d keys, %d bytes counted, %d on the heap", keys, l.Stats().Bytes, used)
-	is.True(l.Stats().Bytes <= DefaultMaxBytes)
-	is.True(used <= DefaultMaxBytes)
-	runtime.KeepAlive(l)
 }
 
 func heap() int {
