Let calls' durations bound the load that targets report

A target that reported no load while its calls were slow kept the share that its report asked for, and a healthy one that reported load 10 got 0.6% of the calls instead of 12.5%. A report now counts only within a quarter of what the durations of the target's calls suggest against the median of its locality.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -209,6 +209,53 @@
 			f.report = func(_ string, r Report) Report { r.Refused = false; return r }
 		},
 	},
+	"false reports move few calls": {
+		guards: "a healthy target that gets no calls because it reports too much load",
+		check: func(f *fixture) error {
+			for i := range 6 {
+				f.view.set(f.record(fmt.Sprintf("sask-1-more-%d", i), "sask-1"))
+			}
+			f.now = f.now.Add(DefaultSlowStart)
+			got := make(map[string]int)
+			var held []*Picked
+			for range 4000 { // 16 calls in flight on 32 slots
+				p, err := f.b.Pick(&f.set, nil, nil)
+				if err != nil {
+					return err
+				}
+				got[p.Record.ID]++
+				f.now = f.now.Add(time.Millisecond)
+				if held = append(held, p); len(held) > 16 {
+					f.done(held[0], Report{Load: f.load(held[0]), Duration: 16 * time.Millisecond})
+					held = held[1:]
+				}
+			}
+			return want(got["sask-1-0"] > 4000/8/2, "%d of 4000 calls", got["sask-1-0"])
+		},
+		defect: func(f *fixture) {
+			f.report = func(_ string, r Report) Report { r.Duration = 0; return r }
+		},
+	},
+	"slow target": {
+		guards: "a slow target that hides behind a low report, or is not used again once it recovered",
+		check: func(f *fixture) error {
+			slow := func(ms time.Duration) func(string) Report {
+				return func(id string) Report {
+					if id == "sask-1-0" {
+						return Report{Load: 0.01, Duration: ms * time.Millisecond}
+					}
+					return Report{Load: 0.5, Duration: 10 * time.Millisecond}
+				}
+			}
+			before := f.calls(400, 10*time.Millisecond, slow(100))["sask-1-0"]
+			f.calls(1000, 10*time.Millisecond, slow(1))
+			after := f.calls(400, 10*time.Millisecond, slow(1))["sask-1-0"]
+			return want(before < 60 && after > 150, "%d of 400 calls while slow, %d later", before, after)
+		},
+		defect: func(f *fixture) {
+			f.report = func(_ string, r Report) Report { r.Duration = 10 * time.Millisecond; return r }
+		},
+	},
 	"idle services are dropped": {
 		guards: "state that grows with every service ever called",
 		check: func(f *fixture) error {
@@ -245,6 +292,14 @@
 	return slices.ContainsFunc(v.(*service).table.Load().all, func(e *endpoint) bool { return e.bad(f.b.now()) })
 }
 
+// load returns what the first target reports, which is too much, and the truth for others.
+func (f *fixture) load(p *Picked) float64 {
+	if p.Record.ID == "sask-1-0" {
+		return 10
+	}
+	return 0.5
+}
+
 // untilTried returns the time until a target is called again.
 func (f *fixture) untilTried(id string, outcome func(string) Report) time.Duration {
 	start := f.now
--- a/balance/choice.go
+++ b/balance/choice.go
@@ -17,15 +17,10 @@
 // scan finds a usable endpoint if there is one.
 const maxDraws = 4
 
-// reportWeight is the weight of reported load against what the node's own calls
-// show. Below 1, so that a report can only decide between targets whose calls
-// look alike.
+// reportWeight is the weight of reported load against the node's own calls in
+// flight. Both are in calls per slot.
 const reportWeight = 0.5
 
-// maxReport bounds a report in the comparison, so that a target that reports
-// too much is still tried.
-const maxReport = 2.0
-
 // evidenceScore is the score of a target whose calls all fail or are refused,
 // in calls per slot.
 const evidenceScore = 4.0
@@ -113,7 +108,7 @@
 		return x
 	}
 	y := c.draw(l, x)
-	if y == nil || c.score(x) <= c.score(y) {
+	if y == nil || c.score(l, x) <= c.score(l, y) {
 		return x
 	}
 	return y
@@ -160,10 +155,10 @@
 	return len(c.skip) == 0 || !slices.Contains(c.skip, e.record.Load().ID)
 }
 
-// score rates an endpoint; lower is better. The unit is calls per slot.
-func (c *choice) score(e *endpoint) float64 {
+// score rates an endpoint of l; lower is better. The unit is calls per slot.
+func (c *choice) score(l *locality, e *endpoint) float64 {
 	own := float64(e.inFlight.Load()) / e.slots()
-	reported := min(e.reported(c.now, c.b.opts.LoadMaxAge), maxReport)
+	reported := l.bound(e, e.reported(c.now, c.b.opts.LoadMaxAge))
 	return own + evidenceScore*e.shown(c.now) + reportWeight*reported
 }
 
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -67,7 +67,8 @@
 	load   atomic.Uint64 // float64 bits of the smoothed reported load
 	loadAt atomic.Int64
 
-	pace atomic.Uint64 // float64 bits of the average of log2 of durations in ns; 0 without calls
+	paceAt atomic.Int64
+	pace   atomic.Uint64 // float64 bits of the average of log2 of durations in ns; 0 without calls
 
 	evidence   atomic.Uint64 // float64 bits of the average of failures and refusals, 0..1
 	evidenceAt atomic.Int64
@@ -125,7 +126,7 @@
 	e.addReport(r.Load, now)
 	failed := r.Failed || r.Unreachable
 	if !failed && !r.Refused && r.Duration > 0 {
-		e.addPace(r.Duration)
+		e.addPace(r.Duration, now)
 	}
 	e.addEvidence(failed || r.Refused, now)
 	switch {
@@ -154,17 +155,26 @@
 	e.loadAt.Store(now)
 }
 
-// paceWeight is the weight of one call in the pace. The average is taken of
-// logarithms, so that one upload among pages does not make a target look slow.
-const paceWeight = 0.05
+// A call moves the pace by at least paceWeight, and more after a time without
+// calls, so that a target that was slow is soon known to have recovered. The
+// average is taken of logarithms, so that one upload among pages does not make a
+// target look slow.
+const (
+	paceWeight    = 0.05
+	paceMaxWeight = 0.25
+	paceHalfLife  = 2 * time.Second
+)
 
 // addPace adds the duration of a successful call.
-func (e *endpoint) addPace(d time.Duration) {
+func (e *endpoint) addPace(d time.Duration, now int64) {
 	v := math.Log2(float64(d))
 	if old := math.Float64frombits(e.pace.Load()); old > 0 {
-		v = old + paceWeight*(v-old)
+		gap := float64(now - e.paceAt.Load())
+		weight := 1 - math.Exp2(-gap/float64(paceHalfLife))
+		v = old + min(max(weight, paceWeight), paceMaxWeight)*(v-old)
 	}
 	e.pace.Store(math.Float64bits(v))
+	e.paceAt.Store(now)
 }
 
 // addEvidence moves the average towards 1 for bad calls and towards 0 for good ones.
--- a/balance/fake_test.go
+++ b/balance/fake_test.go
@@ -133,12 +133,12 @@
 }
 
 func (f *fixture) done(p *Picked, r Report) {
-	if f.report != nil {
-		r = f.report(p.Record.ID, r)
-	}
 	if r.Duration == 0 {
 		r.Duration = time.Millisecond
 	}
+	if f.report != nil {
+		r = f.report(p.Record.ID, r)
+	}
 	p.Done(r)
 }
 
--- a/balance/service.go
+++ b/balance/service.go
@@ -56,6 +56,8 @@
 	load      atomic.Uint64 // float64 bits, smoothed load per slot
 	loadAt    atomic.Int64
 	maxRamp   atomic.Uint64 // float64 bits, highest ramp of the endpoints
+	report    atomic.Uint64 // float64 bits, median of the fresh reported loads
+	pace      atomic.Uint64 // float64 bits, median of the endpoints' pace
 }
 
 func newService(announce string, slowStart time.Duration) *service {
--- a/bench/load/balance.go
+++ b/bench/load/balance.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -16,15 +17,15 @@
 // Figures of the balancing runs: eight targets like those of auction-floor,
 // called by nodes that do not know of each other.
 const (
-	targets       = 8
-	callers       = 20
-	balanceLoad   = 0.7 // of the capacity of all targets
-	slowFactor    = 5
-	oddTarget     = 0 // the target that misbehaves
-	serviceName   = "auction-floor"
-	lowReport     = 0.01
-	highReport    = 10
-	retriesOfCall = 1
+	targets        = 8
+	defaultCallers = 20
+	balanceLoad    = 0.7 // of the capacity of all targets
+	slowFactor     = 5
+	oddTarget      = 0 // the target that misbehaves
+	serviceName    = "auction-floor"
+	lowReport      = 0.01
+	highReport     = 10
+	retriesOfCall  = 1
 )
 
 // selector selects a target for a call and learns how it went.
@@ -144,13 +145,16 @@
 func (c *Command) balancing(ctx context.Context) error {
 	capacity := targets * targetSlots / targetWork.Seconds()
 	t := newTable(c.out, fmt.Sprintf("Balancing without HTTP: %d targets with %d slots, %v work, %d callers, %.0f%% of %.0f/s, one retry of refused calls, %v per run",
-		targets, targetSlots, targetWork, callers, 100*balanceLoad, capacity, c.duration),
+		targets, targetSlots, targetWork, c.callers, 100*balanceLoad, capacity, c.duration),
 		"case", "policy", "good/s", "good %", "refused/s", "failed/s", "p50 ms", "p99 ms", "share of the odd target %")
 	for _, k := range balanceCases {
 		for _, p := range balancePolicies {
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
+			if !strings.Contains(k.name+", "+p.name, c.only) {
+				continue
+			}
 			cl := newCluster()
 			k.setup(cl)
 			r := c.balanceRun(ctx, cl, p.make, balanceLoad*capacity)
@@ -170,14 +174,14 @@
 
 // balanceRun makes calls from callers with a selector each.
 func (c *Command) balanceRun(ctx context.Context, cl *cluster, policy func() selector, rate float64) *Result {
-	var selectors [callers]selector
+	selectors := make([]selector, max(c.callers, 1))
 	for i := range selectors {
 		selectors[i] = policy()
 	}
 	var next atomic.Int64
 	g := generator{rate: rate, duration: c.duration, mix: defaultMix, deadline: callDeadline}
 	g.call = func(ctx context.Context, kind object.WorkKind) Outcome {
-		s := selectors[next.Add(1)%callers]
+		s := selectors[next.Add(1)%int64(len(selectors))]
 		skip := -1
 		for retry := 0; ; retry++ {
 			target, done := s.pick(skip)
--- a/bench/load/command.go
+++ b/bench/load/command.go
@@ -16,6 +16,8 @@
 	out        io.Writer
 	experiment string
 	duration   time.Duration
+	callers    int    // nodes that call in the balancing runs
+	only       string // part of the names of the balancing cases or policies to run
 }
 
 // Name returns the name of the subcommand.
@@ -26,12 +28,14 @@
 
 // Usage returns the help text.
 func (*Command) Usage() string {
-	return "load -experiment gates|balance|proxies|retries [-duration 10s]\n"
+	return "load -experiment gates|balance|proxies|retries [-duration 10s] [-callers 20] [-only text]\n"
 }
 
 // SetFlags registers the flags.
 func (c *Command) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.experiment, "experiment", "gates", "gates, balance, proxies or retries")
+	f.IntVar(&c.callers, "callers", defaultCallers, "calling nodes of the balancing runs")
+	f.StringVar(&c.only, "only", "", "run only balancing cases whose case or policy name contains this text")
 	f.DurationVar(&c.duration, "duration", 10*time.Second, "time of each run")
 }
 
