--- a/cmd/meshbench/main.go
+++ b/cmd/meshbench/main.go
@@ -1,4 +1,5 @@
-// Command meshbench runs experiments on siskingw and its parts.
+// Command meshbench loads and measures siskingw on one machine. It is not part
+// of the product.
 package main
 
 import (
@@ -6,18 +7,27 @@
 	"flag"
 	"os"
 	"os/signal"
-	"syscall"
 
 	"github.com/google/subcommands"
 
+	"siskingw/bench/calls"
+	"siskingw/bench/demo"
 	"siskingw/bench/load"
+	"siskingw/bench/members"
+	"siskingw/bench/spread"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(&load.Command{}, "")
+	subcommands.Register(new(spread.Command), "")
+	subcommands.Register(new(members.Command), "")
+	subcommands.Register(new(calls.Command), "")
+	subcommands.Register(new(calls.Role), "internal")
+	subcommands.Register(new(load.Command), "")
+	subcommands.Register(new(demo.Command), "")
 	flag.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	os.Exit(int(subcommands.Execute(ctx)))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	status := subcommands.Execute(ctx)
+	stop()
+	os.Exit(int(status))
 }
--- a/spread/node.go
+++ b/spread/node.go
@@ -73,6 +73,7 @@
 	spread uint64     // highest version handed to forward
 
 	hist      history
+	foreign   atomic.Uint64 // highest version that entered in another region, as far as known
 	links     links
 	pending   pendingGroups
 	wants     *ring.Ring[want]
@@ -104,6 +105,7 @@
 		wants:     ring.New[want](maxWants, ring.DropOldest),
 		transfers: make(chan struct{}, maxTransfers),
 	}
+	opts.Metrics.GetOrCreateGauge("siskingw_spread_version", func() float64 { return float64(n.cur.Version()) })
 	n.recovery.wake = make(chan struct{}, 1)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
@@ -173,6 +175,9 @@
 	}
 	n.hist.add(entries...)
 	n.spread = max(n.spread, next.Version())
+	if ev.origin != n.view.Self().Region {
+		n.foreign.Store(next.Version())
+	}
 	n.forward(ev)
 	return nil
 }
--- a/spread/transport.go
+++ b/spread/transport.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
 
 	"siskingw/faults"
@@ -34,20 +35,36 @@
 )
 
 // grpcTransport is the Transport over the connection cache of package peer.
-type grpcTransport struct{ pool *peer.Pool }
+type grpcTransport struct {
+	pool    *peer.Pool
+	self    peer.Place
+	streams *streams
+}
 
-// NewTransport returns the Transport over a connection pool.
-func NewTransport(pool *peer.Pool) Transport { return grpcTransport{pool} }
+// NewTransport returns the Transport over the connection pool of a node at the
+// given place.
+func NewTransport(pool *peer.Pool, self peer.Place) Transport {
+	return grpcTransport{pool: pool, self: self, streams: new(streams)}
+}
 
+// client returns the client for a peer. A connection in backoff is tried at
+// once: pushes and recovery have their own limits and jitter, and a peer that
+// restarted must not stay unused for gRPC's backoff of up to 2 min.
 func (t grpcTransport) client(to Peer) (peerpb.SpreadClient, error) {
 	cc, err := t.pool.Conn(to.Addr, to.Place())
 	if err != nil {
 		return nil, err
 	}
+	if c, ok := cc.(*grpc.ClientConn); ok && c.GetState() == connectivity.TransientFailure {
+		c.ResetConnectBackoff()
+	}
 	return peerpb.NewSpreadClient(cc), nil
 }
 
 func (t grpcTransport) Offer(ctx context.Context, to Peer, r *peerpb.OfferRequest) (*peerpb.OfferReply, error) {
+	if peer.Class(t.self, to.Place()) == peer.CrossRegion {
+		return t.offerOnStream(ctx, to, r)
+	}
 	return call(ctx, t, to, r, peerpb.SpreadClient.Offer)
 }
 
