Measure where calls go when the own failure domain is too small

meshbench load -experiment overflow runs callers in one of four failure domains at 0.5 to 4 times its capacity.

--- a/bench/load/command.go
+++ b/bench/load/command.go
@@ -28,12 +28,12 @@
 
 // Usage returns the help text.
 func (*Command) Usage() string {
-	return "load -experiment gates|balance|proxies|retries [-duration 10s] [-callers 20] [-only text]\n"
+	return "load -experiment gates|balance|overflow|proxies|retries [-duration 10s] [-callers 20] [-only text]\n"
 }
 
 // SetFlags registers the flags.
 func (c *Command) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.experiment, "experiment", "gates", "gates, balance, proxies or retries")
+	f.StringVar(&c.experiment, "experiment", "gates", "gates, balance, overflow, proxies or retries")
 	f.IntVar(&c.callers, "callers", defaultCallers, "calling nodes of the balancing runs")
 	f.StringVar(&c.only, "only", "", "run only balancing cases whose case or policy name contains this text")
 	f.DurationVar(&c.duration, "duration", 10*time.Second, "time of each run")
@@ -43,10 +43,11 @@
 func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	c.out = os.Stdout
 	experiments := map[string]func(context.Context) error{
-		"gates":   c.gates,
-		"balance": c.balancing,
-		"proxies": c.proxies,
-		"retries": c.retries,
+		"gates":    c.gates,
+		"balance":  c.balancing,
+		"overflow": c.overflow,
+		"proxies":  c.proxies,
+		"retries":  c.retries,
 	}
 	run, ok := experiments[c.experiment]
 	if !ok {
