Answer before the bookkeeping and allocate less for each call

An answer of known length is now flushed before slots, pools and metrics are updated, and the watch for cancellation starts while the next hop works. The request body's reader and the answer's header function are kept between calls. A call whose caller is gone is not sent any more.

--- a/proxy/answerwriter.go
+++ b/proxy/answerwriter.go
@@ -45,7 +45,6 @@
 type answerWriter struct {
 	conn   *serverConn
 	header http.Header
-	body   *serverBody
 	head   bool // the request's method is HEAD
 	old    bool // the request is HTTP/1.0
 
@@ -60,9 +59,9 @@
 }
 
 // begin prepares the writer for the answer to r.
-func (w *answerWriter) begin(r *http.Request, body *serverBody) {
+func (w *answerWriter) begin(r *http.Request) {
 	clear(w.header)
-	w.body, w.head, w.old = body, r.Method == http.MethodHead, r.ProtoMinor == 0
+	w.head, w.old = r.Method == http.MethodHead, r.ProtoMinor == 0
 	w.status, w.length, w.written, w.close, w.failed = 0, 0, 0, false, false
 	w.trailers = w.trailers[:0]
 }
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -21,7 +21,8 @@
 // body is the body of a request: absent, buffered or streamed.
 type body struct {
 	buf      []byte // reused between calls
-	reader   bytes.Reader
+	reader   *bytes.Reader
+	closer   io.ReadCloser // of reader
 	buffered bool
 	streamed bool
 	touched  atomic.Bool // a byte of a streamed body was read, or may have been
@@ -65,8 +66,12 @@
 func (b *body) attach(out *http.Request, in *http.Request) {
 	switch {
 	case b.buffered:
+		if b.closer == nil {
+			b.reader = bytes.NewReader(b.buf)
+			b.closer = io.NopCloser(b.reader)
+		}
 		b.reader.Reset(b.buf)
-		out.Body = io.NopCloser(&b.reader)
+		out.Body = b.closer
 		out.ContentLength = int64(len(b.buf))
 	case b.streamed:
 		out.Body = in.Body
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -64,10 +64,10 @@
 
 // free returns the call to the pool. It must not run while an upload is active.
 func (c *call) free() {
-	header, buf := c.header, c.body.buf
+	header, buf, reader, closer := c.header, c.body.buf, c.body.reader, c.body.closer
 	clear(header)
 	*c = call{header: header}
-	c.body.buf = buf
+	c.body.buf, c.body.reader, c.body.closer = buf, reader, closer
 	callPool.Put(c)
 }
 
--- a/proxy/connserver.go
+++ b/proxy/connserver.go
@@ -187,6 +187,7 @@
 	left   int  // bytes that may still be read of a request's header; -1 in the body
 	br     *bufio.Reader
 	w      answerWriter
+	body   serverBody // of the current request
 }
 
 // Read bounds the bytes of a request's header.
@@ -304,14 +305,14 @@
 			}
 		}
 	}()
-	body := &serverBody{conn: c, body: r.Body, eof: r.ContentLength == 0, expect: r.Header.Get("Expect") != "" && r.ProtoMinor > 0}
-	r.Body = body
-	c.w.begin(r, body)
+	c.body = serverBody{conn: c, body: r.Body, eof: r.ContentLength == 0, expect: r.Header.Get("Expect") != "" && r.ProtoMinor > 0}
+	r.Body = &c.body
+	c.w.begin(r)
 	c.server.handler.ServeHTTP(&c.w, r)
 	if !c.w.finish() {
 		return false
 	}
-	if !body.eof {
+	if !c.body.eof {
 		c.linger()
 		return false
 	}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -31,6 +31,11 @@
 // start sends the request and reads the header of the answer. A refusal ends
 // the exchange; otherwise the caller must end it with finish.
 func (x *exchange) start(ctx context.Context, c *call, addr string) *refusal {
+	if err := ctx.Err(); err != nil {
+		f := notRun("the caller is gone", err)
+		f.callerFault = true
+		return f
+	}
 	cn, err := x.pool.get(ctx, addr, c.deadline)
 	if err != nil {
 		f := notRun("the next hop does not take the call", err)
@@ -42,10 +47,16 @@
 		x.pool.discard(cn)
 		return notRun("the next hop does not take the call", err)
 	}
-	x.stop = context.AfterFunc(ctx, cn.abort)
+	if c.body.streamed {
+		x.stop = context.AfterFunc(ctx, cn.abort)
+	}
 	if err := x.send(c); err != nil {
 		return x.fail("the request was not sent in full", err)
 	}
+	if x.stop == nil {
+		// The next hop works meanwhile; a buffered request is sent without waiting.
+		x.stop = context.AfterFunc(ctx, cn.abort)
+	}
 	sentAt := time.Now()
 	resp, err := x.receive(c)
 	c.waited += time.Since(sentAt)
@@ -146,7 +157,7 @@
 		x.upload.cancel()
 		x.upload = nil
 	}
-	watched := x.stop()
+	watched := x.stop == nil || x.stop()
 	if complete && watched && !x.resp.Close && x.conn.br.Buffered() == 0 {
 		x.pool.put(x.conn)
 	} else {
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -24,6 +24,7 @@
 type Inbound struct {
 	opts     InboundOptions
 	draining atomic.Bool
+	extra    func(http.Header) // nodeHeader, bound once
 }
 
 const (
@@ -36,7 +37,9 @@
 	if opts.Pool == nil {
 		opts.Pool = NewPool(PoolOptions{})
 	}
-	return &Inbound{opts: opts}
+	in := &Inbound{opts: opts}
+	in.extra = in.nodeHeader
+	return in
 }
 
 // Drain refuses new work from now on, with not-run and Siskingw-Draining, and
@@ -147,7 +150,7 @@
 		c.load = in.opts.Gate.Load() // the caller is on this instance
 		return
 	}
-	c.extra = in.nodeHeader
+	c.extra = in.extra
 }
 
 // nodeHeader sets the headers for the caller's node on an answer.
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -35,6 +35,9 @@
 		h[k] = v
 	}
 	done = true
+	if f, ok := c.w.(interface{ FlushError() error }); ok && x.resp.ContentLength >= 0 {
+		_ = f.FlushError() // now, before the bookkeeping; a failure ends the connection
+	}
 	return nil
 }
 
