Close a key that its owner refuses as not run

Cause: after a refusal as not-run the ledger forgot the key, so that a repeat could run. An earlier attempt that is held up, for example in a caller's node that is paused, arrives like a repeat: it ran after the caller had been told that the bid did not run and had placed it again under a new key.

Change: the owner keeps the key as closed until it expires. A first attempt (Siskingw-First) may be repeated after a refusal, because no other attempt can be on its way. A refusal that cannot be recorded is unknown for a repeat. A node that must raise its incarnation keeps accepting keys of both.

Ruled out: an absolute deadline in the request (needs clocks that agree), and resetting abandoned connections (does not cover a paused node).

Measured: the property test finds the old behaviour as a planted fault; idem and proxy tests pass.

--- a/idem/ledger.go
+++ b/idem/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -35,24 +36,27 @@
 
 // The actions.
 const (
-	// Run: this request runs the key; Finish, Lost or NotRun must follow.
+	// Run: this request runs the key; Finish, Lost, NotRun or Withdraw must follow.
 	Run Action = iota + 1
 	// Replay: the key ran; Decision.Answer is its answer.
 	Replay
 	// Moved: the key was handed over to Decision.Owner with Decision.Voucher.
 	Moved
-	// Refused: the key certainly never ran.
+	// Refused: the key has not run here so far; an earlier attempt that is
+	// still on its way may run later.
 	Refused
 	// Unknown: the key may have run.
 	Unknown
 	// Ran: the key ran and was answered in full, but the answer is not held.
 	Ran
+	// Closed: the key certainly never ran and never will.
+	Closed
 )
 
 // String returns the action's name.
 func (a Action) String() string {
-	names := [...]string{Run: "run", Replay: "replay", Moved: "moved", Refused: "refused", Unknown: "unknown", Ran: "ran"}
-	if a < Run || a > Ran {
+	names := [...]string{Run: "run", Replay: "replay", Moved: "moved", Refused: "refused", Unknown: "unknown", Ran: "ran", Closed: "closed"}
+	if a < Run || a > Closed {
 		return "invalid"
 	}
 	return names[a]
@@ -77,7 +81,7 @@
 // the key is accepted; when its memory is full it refuses new keys instead.
 type Ledger struct {
 	owner       string
-	incarnation uint64
+	incarnation uint64 // at the start of the process
 	opts        Options
 
 	mu          sync.Mutex
@@ -86,6 +90,7 @@
 	bytes       int // counted memory of entries and answers
 	answerBytes int // part of bytes held by answers
 	next        func(Key) *member.Record
+	adopted     []uint64 // further incarnations of this process, the latest last
 }
 
 // state is the progress of one key.
@@ -96,6 +101,7 @@
 	finished       // ran, answer held or not
 	lost           // may have run
 	moved          // handed over, will never run here
+	closed         // refused for good, never ran and never will
 )
 
 // entry is what the ledger knows of one key. It is kept small, because the
@@ -163,6 +169,24 @@
 	return &Ledger{owner: ownerID, incarnation: incarnation, opts: opts, entries: make(map[[nonceBytes]byte]*entry)}
 }
 
+// Adopt adds an incarnation that this same process has taken on, as it does
+// when others know its id with a higher one.
+func (l *Ledger) Adopt(incarnation uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if incarnation != l.latest() {
+		l.adopted = append(l.adopted, incarnation)
+	}
+}
+
+// latest returns the incarnation that others know. The ledger is locked.
+func (l *Ledger) latest() uint64 {
+	if n := len(l.adopted); n > 0 {
+		return l.adopted[n-1]
+	}
+	return l.incarnation
+}
+
 // Drain makes the ledger hand over keys that it has not run. next selects the
 // new owner for a key and returns nil when there is none.
 func (l *Ledger) Drain(next func(Key) *member.Record) {
@@ -172,8 +196,9 @@
 }
 
 // Begin decides about a keyed request and waits while the key runs. The error
-// is a NotRun error with Refused, an OutcomeUnknown error with Unknown, and nil
-// otherwise. After Run the caller must call Finish, Lost or NotRun.
+// is a NotRun error with Refused and Closed, an OutcomeUnknown error with
+// Unknown, and nil otherwise. After Run the caller must call Finish, Lost,
+// NotRun or Withdraw.
 func (l *Ledger) Begin(ctx context.Context, k Key, v string) (Decision, error) {
 	for {
 		l.mu.Lock()
@@ -223,10 +248,10 @@
 // owns reports whether this process may run k: it is named in the key, or the
 // voucher hands the key over to it.
 func (l *Ledger) owns(k Key, v string) bool {
-	if k.Owner == l.owner && k.Incarnation == l.incarnation {
+	if k.Owner == l.owner && (k.Incarnation == l.incarnation || slices.Contains(l.adopted, k.Incarnation)) {
 		return true
 	}
-	return validVoucher(l.opts.Secret, v, k, l.owner, l.incarnation)
+	return validVoucher(l.opts.Secret, v, k, l.owner, l.latest())
 }
 
 // move hands an unseen key over to another owner.
@@ -256,6 +281,8 @@
 	case moved:
 		v := voucher(l.opts.Secret, l.key(e), e.to.ID, e.to.Incarnation)
 		return Decision{Action: Moved, Owner: e.to, Voucher: v}, nil, nil
+	case closed:
+		return Decision{Action: Closed}, nil, errClosed
 	}
 	return unknown(errLost)
 }
@@ -269,6 +296,7 @@
 	errLost    = faults.OutcomeUnknown.New("an earlier attempt may have run")
 	errFuture  = faults.NotRun.New("key was issued in the future")
 	errFull    = faults.NotRun.New("ledger is full")
+	errClosed  = faults.NotRun.New("key was refused for good")
 	errNoOwner = faults.NotRun.New("owner is draining and knows no other owner")
 )
 
--- a/idem/property_test.go
+++ b/idem/property_test.go
@@ -30,7 +30,7 @@
 	return op{
 		What:  rapid.SampledFrom([]string{"mint", "begin", "begin", "begin", "begin", "settle", "settle", "drain", "restart", "advance"}).Draw(t, "what"),
 		Owner: rapid.IntRange(0, 1).Draw(t, "owner"), Index: rapid.IntRange(0, 30).Draw(t, "index"),
-		Voucher: rapid.IntRange(0, 2).Draw(t, "voucher"), How: rapid.IntRange(0, 3).Draw(t, "how"),
+		Voucher: rapid.IntRange(0, 2).Draw(t, "voucher"), How: rapid.IntRange(0, 4).Draw(t, "how"),
 		Seconds: rapid.SampledFrom([]int{-700, -10, 0, 1, 4, 6, 10, 60, 300, 590, 700}).Draw(t, "seconds"),
 	}
 }), 50, 200)
@@ -64,6 +64,7 @@
 	procs    [2]*process
 	keys     []Key
 	vouchers map[Key]string
+	closed   map[Key]bool // refused for good
 	running  []run
 	ran      map[Key]int
 	answers  map[Key]*Answer
@@ -72,7 +73,7 @@
 const testMaxBytes = 8 * entryBytes
 
 func runHistory(steps []op, f fault) error {
-	h := &history{f: f, vouchers: map[Key]string{}, ran: map[Key]int{}, answers: map[Key]*Answer{}}
+	h := &history{f: f, vouchers: map[Key]string{}, closed: map[Key]bool{}, ran: map[Key]int{}, answers: map[Key]*Answer{}}
 	for i := range h.procs {
 		h.procs[i] = &process{clock: time.UnixMilli(1_800_000_000_000)}
 		h.restart(i)
@@ -154,8 +155,8 @@
 	ran := h.ran[k] > 0 || h.isRunning(k)
 	switch d.Action {
 	case Run:
-		if ran {
-			return fmt.Errorf("key runs again")
+		if ran || h.closed[k] {
+			return fmt.Errorf("key runs again or after it was refused for good")
 		}
 		h.running = append(h.running, r)
 	case Refused:
@@ -170,6 +171,11 @@
 		if h.ran[k] == 0 {
 			return fmt.Errorf("key did not run")
 		}
+	case Closed:
+		if ran || !errorx.IsOfType(err, faults.NotRun) {
+			return fmt.Errorf("closed as not run, but it ran: %v, error %v", ran, err)
+		}
+		h.closed[k] = true
 	case Moved:
 		h.vouchers[k] = d.Voucher
 	case Unknown:
@@ -207,7 +213,10 @@
 	}
 	switch s.How {
 	case 0:
+		p.ledger.Withdraw(r.key)
+	case 2:
 		p.ledger.NotRun(r.key)
+		h.closed[r.key] = true
 	case 1:
 		h.ran[r.key]++
 		p.ledger.Lost(r.key)
@@ -261,7 +270,12 @@
 		"lost call counts as not run": {settle: func(h *history, owner int, k Key) {
 			if e := h.procs[owner].ledger.entries[k.Nonce]; e != nil && e.state == lost {
 				e.state = running
-				h.procs[owner].ledger.NotRun(k)
+				h.procs[owner].ledger.Withdraw(k)
+			}
+		}},
+		"refused key forgotten": {settle: func(h *history, owner int, k Key) {
+			if e := h.procs[owner].ledger.entries[k.Nonce]; e != nil && e.state == closed {
+				delete(h.procs[owner].ledger.entries, k.Nonce)
 			}
 		}},
 		"answers mixed up": {settle: func(h *history, owner int, k Key) {
--- a/idem/settle.go
+++ b/idem/settle.go
@@ -26,8 +26,16 @@
 	l.settle(k, func(e *entry) { e.state = lost })
 }
 
-// NotRun records that k certainly did not run; a repeat may run.
+// NotRun records that k certainly did not run, and closes it: the caller is
+// told so and may do the work under a new key, and an earlier attempt with k
+// that was held up on its way must not run after that.
 func (l *Ledger) NotRun(k Key) {
+	l.settle(k, func(e *entry) { e.state = closed })
+}
+
+// Withdraw forgets that k was tried; a repeat may run. It is for the first
+// attempt only, when no other one can be on its way.
+func (l *Ledger) Withdraw(k Key) {
 	l.settle(k, func(e *entry) {
 		if !e.expired {
 			l.expiry.remove(e)
--- a/idem/waiters_test.go
+++ b/idem/waiters_test.go
@@ -8,8 +8,10 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
 
+	"siskingw/faults"
 	"siskingw/member"
 )
 
@@ -24,7 +26,8 @@
 		"finish":           {end: func(l *Ledger, k Key) { l.Finish(k, &Answer{Status: 200}) }, action: Replay},
 		"finish unheld":    {end: func(l *Ledger, k Key) { l.Finish(k, nil) }, action: Ran},
 		"lost":             {end: func(l *Ledger, k Key) { l.Lost(k) }, action: Unknown},
-		"not run":          {end: func(l *Ledger, k Key) { l.NotRun(k) }, run: 1, action: Unknown},
+		"not run":          {end: func(l *Ledger, k Key) { l.NotRun(k) }, action: Closed},
+		"withdrawn":        {end: func(l *Ledger, k Key) { l.Withdraw(k) }, run: 1, action: Unknown},
 		"callers give up":  {end: func(*Ledger, Key) { time.Sleep(time.Minute) }, action: Unknown},
 		"late and expired": {end: func(l *Ledger, k Key) { time.Sleep(keyLifetime); l.Finish(k, nil) }, action: Unknown},
 	}
@@ -121,8 +124,47 @@
 	return int(m.HeapAlloc)
 }
 
-// Guards against uncounted growth by keys that are tried and not run.
-func TestNotRunLeavesNothingBehind(t *testing.T) {
+// Guards against an attempt that was held up on its way and runs after a
+// repeat of it was refused as not run.
+func TestRefusedKeyStaysClosed(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger("a", 1, Options{})
+	k := Mint(ownerA, time.Now())
+	d, err := l.Begin(t.Context(), k, "")
+	is.NoErr(err)
+	is.Equal(d.Action, Run)
+	l.NotRun(k)
+	for range 2 {
+		d, err = l.Begin(t.Context(), k, "")
+		is.Equal(d.Action, Closed)
+		is.True(errorx.IsOfType(err, faults.NotRun))
+	}
+}
+
+// Guards against keys that no process takes after the owner had to raise its
+// incarnation above one that others knew, and against another process's keys.
+func TestAdoptedIncarnation(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger("a", 1, Options{})
+	raised := *ownerA
+	raised.Incarnation = 7
+	for _, k := range []Key{Mint(ownerA, time.Now()), Mint(&raised, time.Now())} {
+		l.Adopt(7)
+		d, err := l.Begin(t.Context(), k, "")
+		is.NoErr(err)
+		is.Equal(d.Action, Run)
+		l.Finish(k, &Answer{Status: 200})
+		d, err = l.Begin(t.Context(), k, "")
+		is.NoErr(err)
+		is.Equal(d.Action, Replay)
+	}
+	raised.Incarnation = 6
+	d, _ := l.Begin(t.Context(), Mint(&raised, time.Now()), "")
+	is.Equal(d.Action, Unknown)
+}
+
+// Guards against uncounted growth by keys that are tried and withdrawn.
+func TestWithdrawLeavesNothingBehind(t *testing.T) {
 	is := is.New(t)
 	l := NewLedger("a", 1, Options{})
 	k := Mint(ownerA, time.Now())
@@ -130,7 +172,7 @@
 		d, err := l.Begin(t.Context(), k, "")
 		is.NoErr(err)
 		is.Equal(d.Action, Run)
-		l.NotRun(k)
+		l.Withdraw(k)
 	}
 	is.Equal(l.Stats(), Stats{})
 	is.Equal(len(l.expiry.buckets), 0)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -150,6 +150,9 @@
 	if c.expects {
 		c.header[HeaderExpect] = headerTrue
 	}
+	if c.first {
+		c.header[HeaderFirst] = headerTrue
+	}
 }
 
 // refusal is the end of a call without an answer of the target.
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -6,9 +6,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/joomcode/errorx"
-
-	"siskingw/faults"
 	"siskingw/idem"
 )
 
@@ -31,8 +28,10 @@
 	}
 	d, err := in.opts.Ledger.Begin(ctx, key, c.voucher)
 	switch {
-	case errorx.IsOfType(err, faults.NotRun):
+	case d.Action == idem.Closed, d.Action == idem.Refused && c.first:
 		return notRun("the ledger refuses the key", err)
+	case d.Action == idem.Refused:
+		return unknown("the ledger refuses the key, and an earlier attempt may still arrive", err)
 	case err != nil:
 		return unknown("the key may have run", err)
 	}
@@ -60,15 +59,19 @@
 	settle := in.opts.Ledger.Lost
 	defer func() { settle(key) }()
 	ticket, err := in.opts.Gate.Enter(ctx, c.kind)
+	notRunYet := in.opts.Ledger.NotRun
+	if c.first {
+		notRunYet = in.opts.Ledger.Withdraw
+	}
 	if err != nil {
-		settle = in.opts.Ledger.NotRun
+		settle = notRunYet
 		return notRun("the target's node refuses the call", err)
 	}
 	defer ticket.Leave()
 	x := exchange{pool: in.opts.Pool}
 	if f := in.start(&x, c, context.WithoutCancel(ctx)); f != nil {
 		if f.outcome == OutcomeNotRun {
-			settle = in.opts.Ledger.NotRun
+			settle = notRunYet
 		}
 		return f
 	}
--- a/proxy/keyed_test.go
+++ b/proxy/keyed_test.go
@@ -119,19 +119,26 @@
 	is.Equal(resp.Header.Get(HeaderOutcome), OutcomeUnknown)
 }
 
-// Guards against a refusal by the owner's gate that is not stated as not-run,
-// and against a key that cannot run afterwards.
+// Guards against a refusal by the owner that is not stated as not-run, against
+// a first attempt after whose refusal the key cannot run, and against a repeat
+// that runs after the key was refused for good.
 func TestGateRefusalOfKeyIsNotRun(t *testing.T) {
 	is := is.New(t)
 	rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool { io.WriteString(nc, okAnswer); return true })
 	r := newRig(t, nil, closedAddr(t))
 	key, _ := r.mint(t)
-	resp, _ := r.do(t, "POST", "/bids", "bid", HeaderKey, key)
+	resp, _ := r.do(t, "POST", "/bids", "bid", HeaderKey, key, HeaderFirst, "true")
+	is.Equal(resp.Header.Get(HeaderOutcome), OutcomeNotRun)
+	closed, _ := r.mint(t)
+	resp, _ = r.do(t, "POST", "/bids", "bid", HeaderKey, closed)
 	is.Equal(resp.Header.Get(HeaderOutcome), OutcomeNotRun)
 	r.inbounds[0].opts.Target = rt.addr // the target has come up
 	resp, _ = r.do(t, "POST", "/bids", "bid", HeaderKey, key)
 	is.Equal(resp.StatusCode, 200)
 	is.Equal(rt.runs.Load(), int32(1))
+	resp, _ = r.do(t, "POST", "/bids", "bid", HeaderKey, closed)
+	is.Equal(resp.Header.Get(HeaderOutcome), OutcomeNotRun)
+	is.Equal(rt.runs.Load(), int32(1))
 }
 
 // Guards against hops without a span and spans without their parent.
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -62,6 +62,9 @@
 			last.retried = last.retried || retry > 0
 			return last
 		}
+		if f.outcome == OutcomeUnknown {
+			c.first = false // the attempt that failed may still arrive
+		}
 		o.opts.Metrics.retry()
 	}
 }
