publish: show in history what a request changed

History listed every object of an applied file, also those that were already as declared. The summary now names the objects that the request changed. Readers decide by the version gap whether deltas take fewer reads than shards, instead of walking up to 32 commits first. The commands ask 127.0.0.1:15004 by default, the admin port of the example settings.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -22,7 +22,7 @@
 )
 
 // DefaultNode is the address of the admin listener that commands ask.
-const DefaultNode = "127.0.0.1:7701"
+const DefaultNode = "127.0.0.1:15004"
 
 // nodeVariable is the environment variable that replaces DefaultNode.
 const nodeVariable = "SISKINGW_NODE"
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -124,7 +124,8 @@
 
 	_, out, _ = r.run("history")
 	is.Equal(strings.Count(out, "\n"), 4)
-	is.True(strings.Contains(out, "EndpointSet/floor, Service/floor"))
+	is.True(strings.Contains(out, "ann     EndpointSet/floor, Service/floor "))
+	is.True(strings.Contains(out, "bob     EndpointSet/floor "))
 	_, out, _ = r.run("version", "-o", "json")
 	var v admin.Version
 	is.NoErr(json.Unmarshal([]byte(out), &v))
--- a/publish/attempt.go
+++ b/publish/attempt.go
@@ -73,11 +73,11 @@
 		return err
 	}
 	w := newWorking(base, max(head.Version, t.a.cur.Version())+1)
-	accepted := t.evaluate(w, head.Version)
-	if len(accepted) == 0 {
+	list := t.evaluate(w, head.Version)
+	if len(list) == 0 {
 		return nil
 	}
-	return t.swap(ctx, head, rev, w, accepted)
+	return t.swap(ctx, head, rev, w, list)
 }
 
 // settle gives the requests that the store already contains their version.
@@ -107,7 +107,7 @@
 		return
 	}
 	t.unsettled = nil
-	t.a.accepted(u)
+	t.a.announce(u)
 }
 
 // findOperation looks for an operation in the head and, where the head's list
@@ -139,28 +139,34 @@
 
 // evaluate stages every request that has no outcome yet and returns those that
 // change something; w holds their changes.
-func (t *attempt) evaluate(w *working, current uint64) []*pending {
+func (t *attempt) evaluate(w *working, current uint64) []accepted {
 	open := slices.DeleteFunc(slices.Clone(t.batch), func(p *pending) bool {
 		_, ok := t.outcomes[p]
 		return ok
 	})
-	verdicts, accepted := w.stageAll(open, current, nil)
-	if len(accepted) > 0 && w.validate(w.changed) != nil {
+	verdicts, list := w.stageAll(open, current, nil)
+	if len(list) > 0 && w.validate(w.changed) != nil {
 		// At least one request is at fault: validate them one by one.
-		verdicts, accepted = w.stageAll(open, current, w.validate)
+		verdicts, list = w.stageAll(open, current, w.validate)
 	}
 	maps.Copy(t.outcomes, verdicts)
-	return accepted
+	return list
+}
+
+// accepted is a request that changes something, and what it changes.
+type accepted struct {
+	*pending
+	staged map[object.Key]*object.Object // nil: deleted
 }
 
 // stageAll evaluates the requests in order and leaves the changes in w. It
 // returns the outcomes of those that change nothing and the list of those that
 // do. A request in neither must wait for the next version. validate, unless
 // nil, checks each request together with those accepted before it.
-func (w *working) stageAll(open []*pending, current uint64, validate func(map[object.Key]*object.Object) error) (map[*pending]outcome, []*pending) {
+func (w *working) stageAll(open []*pending, current uint64, validate func(map[object.Key]*object.Object) error) (map[*pending]outcome, []accepted) {
 	w.changed = make(map[object.Key]*object.Object)
 	verdicts := make(map[*pending]outcome)
-	var accepted []*pending
+	var list []accepted
 	ids := make(map[string]bool)
 	for _, p := range open {
 		if ids[p.OperationID] || w.overlaps(p.Request) {
@@ -180,19 +186,19 @@
 			verdicts[p] = outcome{result: Result{Version: current}}
 		default:
 			w.changed = changed
-			accepted = append(accepted, p)
+			list = append(list, accepted{p, staged})
 		}
 	}
-	return verdicts, accepted
+	return verdicts, list
 }
 
 // swap writes the parts of the next version and puts it into the head.
-func (t *attempt) swap(ctx context.Context, head Head, rev int64, w *working, accepted []*pending) error {
+func (t *attempt) swap(ctx context.Context, head Head, rev int64, w *working, list []accepted) error {
 	next, delta, err := w.next()
 	if err != nil {
 		return err
 	}
-	ops := t.a.operations(accepted)
+	ops := t.a.operations(list)
 	u := &published{next: next, delta: delta, swapped: rev}
 	parts, err := u.parts(head, w.base, ops)
 	if err != nil {
@@ -220,10 +226,10 @@
 		return err
 	}
 	t.unsettled = nil
-	for _, p := range accepted {
-		t.outcomes[p] = outcome{result: Result{Version: next.Version(), Changed: true}}
+	for _, p := range list {
+		t.outcomes[p.pending] = outcome{result: Result{Version: next.Version(), Changed: true}}
 	}
-	t.a.accepted(u)
+	t.a.announce(u)
 	return nil
 }
 
@@ -302,17 +308,17 @@
 }
 
 // operations describes the accepted requests for the commit.
-func (a *Acceptor) operations(accepted []*pending) []Operation {
+func (a *Acceptor) operations(list []accepted) []Operation {
 	now := a.opts.Clock.Now().UTC().Truncate(time.Millisecond)
 	var ops []Operation
-	for _, p := range accepted {
-		ops = append(ops, Operation{ID: p.OperationID, Author: p.Author, Time: now, Summary: summary(p.Changes)})
+	for _, p := range list {
+		ops = append(ops, Operation{ID: p.OperationID, Author: p.Author, Time: now, Summary: summary(p.staged)})
 	}
 	return ops
 }
 
-// accepted reports a version that this node published.
-func (a *Acceptor) accepted(u *published) {
+// announce reports a version that this node published.
+func (a *Acceptor) announce(u *published) {
 	a.last = u.next
 	a.reader.remember(u.commitID, u.commit)
 	a.opts.Log.Info("version published", "version", u.next.Version(), "operations", len(u.commit.Operations))
--- a/publish/reader.go
+++ b/publish/reader.go
@@ -126,8 +126,9 @@
 		return nil, faults.Corrupt.New("head names version %d, its commit version %d", h.Version, c.Version)
 	}
 	changed := changedShards(c, base)
-	if base != nil && base.Version() < h.Version {
-		next, err := r.loadDeltas(ctx, h, base, len(changed))
+	const readsPerDelta = 2 // the delta and its commit, except the commit read above
+	if base != nil && base.Version() < h.Version && readsPerDelta*(h.Version-base.Version())-1 <= uint64(len(changed)) {
+		next, err := r.loadDeltas(ctx, h, base)
 		if next != nil || err != nil {
 			return next, err
 		}
@@ -147,15 +148,14 @@
 }
 
 // loadDeltas applies the deltas from base to the head. It returns nil when the
-// chain is broken or takes more reads than the shards do.
-func (r *Reader) loadDeltas(ctx context.Context, h Head, base *snapshot.Snapshot, shards int) (*snapshot.Snapshot, error) {
+// chain is broken.
+func (r *Reader) loadDeltas(ctx context.Context, h Head, base *snapshot.Snapshot) (*snapshot.Snapshot, error) {
 	var chain []snapshot.Digest // of deltas, latest first
 	reached := false
 	_, err := r.walk(ctx, h, func(_ snapshot.Digest, c *Commit) bool {
 		chain = append(chain, c.Delta)
 		reached = c.ParentVersion == base.Version()
-		const readsPerStep = 2 // a delta and the next commit
-		return !reached && c.ParentVersion > base.Version() && c.Delta != (snapshot.Digest{}) && readsPerStep*len(chain) < shards
+		return !reached && c.ParentVersion > base.Version() && c.Delta != (snapshot.Digest{})
 	})
 	if err != nil || !reached {
 		return nil, err
--- a/publish/request.go
+++ b/publish/request.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"unicode"
 
@@ -134,21 +136,21 @@
 	}) < 0
 }
 
-// summary describes the changes in one line of bounded length.
-func summary(changes []Change) string {
+// summary describes what a request changed in one line of bounded length.
+func summary(staged map[object.Key]*object.Object) string {
 	var b strings.Builder
-	for i, c := range changes {
+	for i, k := range slices.SortedFunc(maps.Keys(staged), object.Key.Compare) {
 		if i == maxSummaryKeys {
-			fmt.Fprintf(&b, " and %d more", len(changes)-i)
+			fmt.Fprintf(&b, " and %d more", len(staged)-i)
 			break
 		}
 		if i > 0 {
 			b.WriteString(", ")
 		}
-		if c.Delete != nil {
+		if staged[k] == nil {
 			b.WriteString("delete ")
 		}
-		b.WriteString(c.Key().String())
+		b.WriteString(k.String())
 	}
 	return b.String()
 }
