bench: count the bytes of membership and status between regions

Links between regions are billed by volume, so their share matters more than the mean over all nodes. The count is taken where connections are opened.

--- a/bench/members/bench.go
+++ b/bench/members/bench.go
@@ -9,6 +9,7 @@
 
 	"siskingw/faults"
 	"siskingw/member"
+	"siskingw/peer"
 )
 
 const (
@@ -25,6 +26,7 @@
 	Nodes int
 	// The steady state.
 	OutMean, OutMax, InMax float64 // bytes/s
+	CrossRegion            float64 // bytes/s of the whole fleet between regions
 	CPUPercent             float64 // of one core
 	HeapBytes              float64
 	Goroutines             float64
@@ -109,6 +111,15 @@
 	return counts
 }
 
+// crossRegion returns the bytes between regions so far, in both directions.
+func (f *fleet) crossRegion() uint64 {
+	var sum uint64
+	for _, n := range f.nodes {
+		sum += n.links.Sent(peer.CrossRegion) + n.links.Received(peer.CrossRegion)
+	}
+	return sum
+}
+
 // Run measures a fleet of n nodes. window is the length of the steady state's
 // measurement; the two disturbances each take about as long.
 func Run(ctx context.Context, n int, window time.Duration, withStatus bool) (Result, error) {
@@ -136,9 +147,10 @@
 
 // steady measures a window without changes.
 func (f *fleet) steady(r *Result, window time.Duration) {
-	before, cpu := f.counts(), cpuTime()
+	before, cross, cpu := f.counts(), f.crossRegion(), cpuTime()
 	time.Sleep(window)
 	after, used := f.counts(), cpuTime()-cpu
+	r.CrossRegion = float64(f.crossRegion()-cross) / window.Seconds()
 	seconds := window.Seconds()
 	for n, b := range before {
 		out, in := float64(after[n][0]-b[0])/seconds, float64(after[n][1]-b[1])/seconds
--- a/bench/members/node.go
+++ b/bench/members/node.go
@@ -63,6 +63,7 @@
 	server  *grpc.Server
 	pool    *peer.Pool
 	traffic traffic
+	links   peer.Traffic
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
 }
@@ -80,7 +81,7 @@
 	self.PeerAddr = l.Addr().String()
 	self.Incarnation, self.Sequence = uint64(time.Now().UnixMilli()), 1
 	n := &node{dir: member.NewDirectory(self, member.DirectoryOptions{})}
-	n.pool = peer.NewPool(self.Place(), &peer.Traffic{}, peer.Options{Dial: n.dial})
+	n.pool = peer.NewPool(self.Place(), &n.links, peer.Options{Dial: n.dial})
 	n.service = member.NewService(n.dir, member.Options{Connect: n.pool.Conn, Seeds: seeds})
 	n.server = peer.NewServer()
 	n.service.Register(n.server)
