Keep only push targets in the table of links

Every heartbeat entered its sender into the table of links, so in a large failure domain the table overflowed and forgot the children. Only peers that the node pushes to are entered now; tests pass unchanged.

--- a/spread/forward.go
+++ b/spread/forward.go
@@ -257,6 +257,17 @@
 	return k
 }
 
+// confirm notes the version of a peer if this node pushes to it. Heartbeats come
+// from every member of the failure domain and must not fill the table.
+func (l *links) confirm(id string, version uint64) {
+	l.mu.Lock()
+	k := l.m[id]
+	l.mu.Unlock()
+	if k != nil {
+		k.confirm(version)
+	}
+}
+
 // deliver pushes the version in force to a peer without waiting for it.
 func (n *Node) deliver(to Peer, ev event, done func(uint64), miss func()) {
 	l := n.links.of(to.ID)
--- a/spread/pull.go
+++ b/spread/pull.go
@@ -59,7 +59,7 @@
 }
 
 func (n *Node) summary(p Peer, version uint64, digest []byte) {
-	n.links.of(p.ID).confirm(version)
+	n.links.confirm(p.ID, version)
 	s := n.cur.Load()
 	switch {
 	case version == 0:
--- a/spread/receive.go
+++ b/spread/receive.go
@@ -11,7 +11,7 @@
 func (n *Node) HandleOffer(r *peerpb.OfferRequest) *peerpb.OfferReply {
 	from, known := n.peerByID(r.Sender)
 	if known {
-		n.links.of(from.ID).confirm(r.Version)
+		n.links.confirm(from.ID, r.Version)
 		n.hear(from, 1)
 	}
 	ev := event{from: r.Sender, origin: r.OriginRegion, fresh: true, asRoot: r.AsRoot, asHead: r.AsHead}
