Split the store reader's watch into short functions

The loop that follows the head and the first read were one function of 45 lines, and each caller treated a missing head by itself.

--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -136,11 +136,16 @@
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
 	h, err := n.readHead(ctx)
-	if err != nil && !errorx.IsOfType(err, faults.NotFound) {
+	if err != nil {
 		return err
 	}
 	n.considerHead(h)
-	events := n.opts.Source.Watch(ctx, h.Revision)
+	return n.followHead(ctx, n.opts.Source.Watch(ctx, h.Revision))
+}
+
+// followHead considers every head that the watch sends, and reads the head now
+// and then in case the watch stalled.
+func (n *Node) followHead(ctx context.Context, events <-chan HeadEvent) error {
 	duty := time.NewTicker(dutyCheck)
 	defer duty.Stop()
 	poll := time.NewTimer(jittered(pollEvery))
@@ -163,7 +168,7 @@
 			}
 		case <-poll.C:
 			h, err := n.readHead(ctx)
-			if err != nil && !errorx.IsOfType(err, faults.NotFound) {
+			if err != nil {
 				return err
 			}
 			n.considerHead(h)
@@ -172,10 +177,15 @@
 	}
 }
 
+// readHead reads the head; before the first version it has version 0.
 func (n *Node) readHead(ctx context.Context) (Head, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return n.opts.Source.Head(ctx)
+	h, err := n.opts.Source.Head(ctx)
+	if errorx.IsOfType(err, faults.NotFound) {
+		return h, nil
+	}
+	return h, err
 }
 
 // considerHead loads a head that is newer than the version in force, in its
