Mark the functions that implement the steps of the system

The fault matrix relates every step of the system to every fault. It needs to know which function implements a step, so that a step cannot lose its row when code moves. 23 functions now carry a siskingw:step directive in their doc comment. Behavior is unchanged; the directives are comments.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -124,6 +124,8 @@
 // Enter admits a call of the given kind, waiting in the queue when no slot is
 // free. It returns a NotRun error when the call is refused or ctx ends first.
 // The caller must call Leave on the ticket.
+//
+//siskingw:step admit
 func (g *Gate) Enter(ctx context.Context, kind object.WorkKind) (*Ticket, error) {
 	now := g.opts.Now()
 	p := priority(kind)
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -91,6 +91,8 @@
 
 // Pick selects a target that announces set.Announce and is not in skip, which
 // holds node ids. It returns a NotRun error when none is left.
+//
+//siskingw:step choose
 func (b *Balancer) Pick(set *object.EndpointSetSpec, spec *object.EjectionSpec, skip []string) (*Picked, error) {
 	now := b.now()
 	s := b.service(set.Announce, now)
--- a/idem/settle.go
+++ b/idem/settle.go
@@ -3,6 +3,8 @@
 // Finish records that the target answered k in full. The answer is held for
 // repeats if it is at most MaxAnswerBytes and memory allows; the ledger
 // remembers in any case that the key ran.
+//
+//siskingw:step record
 func (l *Ledger) Finish(k Key, a *Answer) {
 	var held string
 	if a != nil && len(a.Body) <= MaxAnswerBytes {
--- a/member/join.go
+++ b/member/join.go
@@ -39,6 +39,8 @@
 // retries with full jitter and returns a Timeout error when ctx ends before a
 // node with a full set answered; Run then goes on trying. A node without seeds
 // is the first of its fleet.
+//
+//siskingw:step announce
 func (s *Service) Join(ctx context.Context) error {
 	for round := 0; ; round++ {
 		if s.joinRound(ctx, round) {
--- a/member/service.go
+++ b/member/service.go
@@ -164,10 +164,14 @@
 
 // Drain states that this node's target leaves and returns when the relays of
 // its failure domain have the statement or ctx ends.
+//
+//siskingw:step drain
 func (s *Service) Drain(ctx context.Context) { s.announce(ctx, Draining) }
 
 // Leave states that this process ends and returns when the relays of its
 // failure domain have the statement or ctx ends.
+//
+//siskingw:step leave
 func (s *Service) Leave(ctx context.Context) { s.announce(ctx, Left) }
 
 // announce changes the own state and sends it directly to every relay.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -77,6 +77,8 @@
 }
 
 // send writes the whole request, or starts the upload that does.
+//
+//siskingw:step send
 func (x *exchange) send(c *call) error {
 	if c.body.streamed {
 		if x.expect {
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -135,6 +135,8 @@
 }
 
 // start sends the call to the target.
+//
+//siskingw:step run
 func (in *Inbound) start(x *exchange, c *call, ctx context.Context) *refusal {
 	c.prepare()
 	x.expect = c.expects
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -105,6 +105,8 @@
 }
 
 // replay gives the stored answer to a repeat.
+//
+//siskingw:step answer-again
 func (c *call) replay(a *idem.Answer) {
 	c.w.Header()[HeaderReplay] = headerTrue
 	c.writeAnswer(a)
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -62,6 +62,8 @@
 // get returns a connection to addr that is idle and alive, or a new one. It
 // returns a NotRun error when the limit is reached and a PeerUnavailable error
 // when the dial fails.
+//
+//siskingw:step connect
 func (p *Pool) get(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
 	for {
 		c, err := p.takeIdle(addr)
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -10,6 +10,8 @@
 
 // relay passes the answer on and ends the exchange. It returns a refusal with
 // aborted set when the caller's connection must be cut.
+//
+//siskingw:step answer
 func (x *exchange) relay(c *call) *refusal {
 	done := false
 	defer func() { x.finish(done) }()
--- a/publish/attempt.go
+++ b/publish/attempt.go
@@ -187,6 +187,8 @@
 }
 
 // swap writes the parts of the next version and puts it into the head.
+//
+//siskingw:step swap-head
 func (t *attempt) swap(ctx context.Context, head Head, rev int64, w *working, accepted []*pending) error {
 	next, delta, err := w.next()
 	if err != nil {
--- a/publish/parts.go
+++ b/publish/parts.go
@@ -84,6 +84,8 @@
 // putParts writes every part. A part that exists is written again: the new mod
 // revision keeps a running collection from deleting it. On error no version
 // refers to the parts, so the failure is certain: StoreUnavailable.
+//
+//siskingw:step write-parts
 func putParts(ctx context.Context, st store.Store, parts []part) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(maxParallelParts)
--- a/publish/working.go
+++ b/publish/working.go
@@ -77,6 +77,8 @@
 // validate checks the whole set with the given changes. Faults that the base
 // already has do not count: a release with stricter rules must not block
 // unrelated changes.
+//
+//siskingw:step validate
 func (w *working) validate(changed map[object.Key]*object.Object) error {
 	err := object.Validate(w.objects(changed))
 	if err == nil {
--- a/snapshot/current.go
+++ b/snapshot/current.go
@@ -38,6 +38,8 @@
 // unless next has a higher version than the snapshot in force, and a Corrupt
 // error when next did not come from a constructor of this package. The caller
 // counts and logs the refusal.
+//
+//siskingw:step put-in-force
 func (c *Current) Advance(next *Snapshot) error {
 	if err := next.sealed(); err != nil {
 		return err
--- a/spread/forward.go
+++ b/spread/forward.go
@@ -60,6 +60,8 @@
 
 // pushChildren pushes to the children of position p. The children of a child
 // that does not answer are pushed to directly.
+//
+//siskingw:step spread-domain
 func (n *Node) pushChildren(t *topology, p int, ev event) {
 	for _, c := range children(p, len(t.ranked)) {
 		if c == t.position {
@@ -91,6 +93,8 @@
 // distribute does the part of the region's head: one transfer to each other
 // failure domain of the region and, for a version that entered in this region,
 // one to each other region.
+//
+//siskingw:step spread-region
 func (n *Node) distribute(t *topology, ev event) {
 	for _, g := range t.groups(ev) {
 		n.pending.add(g.name, n.cur.Version())
--- a/spread/receive.go
+++ b/spread/receive.go
@@ -8,6 +8,8 @@
 
 // HandleOffer answers a push or an announcement of a peer. A repeated or older
 // offer changes nothing and costs one comparison.
+//
+//siskingw:step check-version
 func (n *Node) HandleOffer(r *peerpb.OfferRequest) *peerpb.OfferReply {
 	from, known := n.peerByID(r.Sender)
 	if known {
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -132,6 +132,8 @@
 // watchStore reads the head and follows it. It returns nil when the duty ends
 // and otherwise the error that broke the watch. After a gap the head is read
 // again, so a change that the watch lost is found at the next start.
+//
+//siskingw:step watch-fires
 func (n *Node) watchStore() error {
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
@@ -210,6 +212,8 @@
 }
 
 // loadOnce loads a head from the store and spreads it.
+//
+//siskingw:step read-version
 func (n *Node) loadOnce(h Head) error {
 	base := n.cur.Load()
 	ctx, cancel := context.WithTimeout(n.ctx, 2*storeTimeout)
--- a/status/aggregate.go
+++ b/status/aggregate.go
@@ -110,6 +110,8 @@
 // total returns what this node knows about its subtree. Only valid reports of
 // present children count: a child that has restarted, moved to another parent
 // or fallen silent is named instead.
+//
+//siskingw:step aggregate
 func (a *aggregate) total(now time.Time) total {
 	self := a.view.Self()
 	var t total
--- a/status/exchange.go
+++ b/status/exchange.go
@@ -140,6 +140,8 @@
 // Summary returns the status of every failure domain. A node that is not rank
 // 0 asks its failure domain's relays in order; when none answers, no failure
 // domain can be asked. ctx bounds the wait.
+//
+//siskingw:step read-back
 func (t *Tracker) Summary(ctx context.Context) Fleet {
 	expiry := fleetExpiryIntervals * t.opts.Interval
 	if t.renew() {
--- a/status/tracker.go
+++ b/status/tracker.go
@@ -134,6 +134,8 @@
 }
 
 // reportOnce reports to the parent; rank 0 renews its summary instead.
+//
+//siskingw:step confirm
 func (t *Tracker) reportOnce(ctx context.Context) {
 	if t.renew() {
 		return
