Control the overflow of a locality by its load

The share of calls that left a locality depended on its smoothed load and on refusals. Both are known late, so the callers of a locality left it together and came back together. The share is now set by a proportional and an integral part, the load counts only endpoints whose load is known, and calls leave only for localities that are less loaded. A retry after a refusal leaves a full locality. Failures and refusals are kept apart: a locality is left at once only when all of its endpoints fail. The scenario that holds calls without end now waits 30 s between two of them instead of 0.2 s, with the same bounds, because the integral part needs that time.

--- a/balance/choice.go
+++ b/balance/choice.go
@@ -68,11 +68,14 @@
 	return c.twoChoices(t.unreachable)
 }
 
-// locality selects where the call goes, or returns nil when every locality is
-// full; the nearest then takes the call, because a refusal there costs least.
+// locality selects where the call goes. It returns nil when the near localities
+// pass the call on and there is no other region.
 func (c *choice) locality(t *table) *locality {
 	for _, l := range t.near {
-		spill := l.spill()
+		if len(c.skip) > 0 && l.currentLoad() > l.target {
+			continue // a call that was refused in a full locality has better chances elsewhere
+		}
+		spill := l.passes()
 		if spill == 0 || spill < 1 && c.float() >= spill {
 			return l
 		}
@@ -159,7 +162,7 @@
 func (c *choice) score(l *locality, e *endpoint) float64 {
 	own := float64(e.inFlight.Load()) / e.slots()
 	reported := l.bound(e, e.reported(c.now, c.b.opts.LoadMaxAge))
-	return own + evidenceScore*e.shown(c.now) + reportWeight*reported
+	return own + evidenceScore*e.shown.level(c.now) + reportWeight*reported
 }
 
 // intn returns a random number below n.
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -21,17 +21,6 @@
 	probationCalls = 10
 )
 
-// Weights of what calls show. A call moves an average by callWeight, and the
-// average halves every evidenceHalfLife. Below negligibleEvidence it counts as
-// 0, so that a target that gets no calls is tried again: about 2 s after one bad
-// call. An average without that bound kept a target out for ever, because an
-// idle target with any evidence lost against every idle target without.
-const (
-	callWeight         = 0.2
-	evidenceHalfLife   = 500 * time.Millisecond
-	negligibleEvidence = 0.01
-)
-
 // ejection is an EjectionSpec with its defaults applied.
 type ejection struct {
 	failures uint32
@@ -70,8 +59,8 @@
 	paceAt atomic.Int64
 	pace   atomic.Uint64 // float64 bits of the average of log2 of durations in ns; 0 without calls
 
-	evidence   atomic.Uint64 // float64 bits of the average of failures and refusals, 0..1
-	evidenceAt atomic.Int64
+	shown  evidence // of failures and refusals
+	failed evidence // of failures only
 
 	mu        sync.Mutex // guards the fields below; taken only for failures and probation
 	failures  uint32     // consecutive failures
@@ -107,20 +96,6 @@
 	return math.Float64frombits(e.load.Load())
 }
 
-// shown returns the decayed average of failures and refusals, 0..1.
-func (e *endpoint) shown(now int64) float64 {
-	v := math.Float64frombits(e.evidence.Load())
-	if v == 0 {
-		return 0
-	}
-	age := max(now-e.evidenceAt.Load(), 0)
-	v *= math.Exp2(-float64(age) / float64(evidenceHalfLife))
-	if v < negligibleEvidence {
-		return 0
-	}
-	return v
-}
-
 // observe records the report of one call.
 func (e *endpoint) observe(r Report, ej ejection, now int64, random func() uint64) {
 	e.addReport(r.Load, now)
@@ -128,7 +103,8 @@
 	if !failed && !r.Refused && r.Duration > 0 {
 		e.addPace(r.Duration, now)
 	}
-	e.addEvidence(failed || r.Refused, now)
+	e.shown.add(failed || r.Refused, now)
+	e.failed.add(failed, now)
 	switch {
 	case failed:
 		e.fail(r.Unreachable, ej, now, random)
@@ -177,20 +153,6 @@
 	e.paceAt.Store(now)
 }
 
-// addEvidence moves the average towards 1 for bad calls and towards 0 for good ones.
-func (e *endpoint) addEvidence(bad bool, now int64) {
-	v := e.shown(now)
-	if v == 0 && !bad {
-		return // the usual case writes nothing
-	}
-	v -= callWeight * v
-	if bad {
-		v += callWeight
-	}
-	e.evidence.Store(math.Float64bits(v))
-	e.evidenceAt.Store(now)
-}
-
 // fail counts a failure and ejects the target when it failed often enough, at
 // once when it is unreachable or on probation.
 func (e *endpoint) fail(unreachable bool, ej ejection, now int64, random func() uint64) {
--- a/balance/fake_test.go
+++ b/balance/fake_test.go
@@ -151,11 +151,17 @@
 	return count
 }
 
-// hold picks n targets without ending the calls and counts them by failure domain.
+// hold picks n targets without ending the calls and counts them by failure
+// domain. Between two of them 30 s pass in which the balancer sees the load.
 func (f *fixture) hold(n int) map[string]int {
 	count := make(map[string]int)
 	for range n {
-		f.now = f.now.Add(2 * loadHalfLife)
+		for range 30 * time.Second / refreshTime {
+			f.now = f.now.Add(refreshTime)
+			if p, err := f.b.Pick(&f.set, &f.ejection, nil); err == nil {
+				p.Done(Report{})
+			}
+		}
 		if p, err := f.b.Pick(&f.set, &f.ejection, nil); err == nil {
 			count[p.Record.FailureDomain]++
 		}
--- a/balance/service.go
+++ b/balance/service.go
@@ -51,8 +51,9 @@
 type locality struct {
 	endpoints []*endpoint
 	slots     float64
-	spillFrom float64       // load per slot from which calls go elsewhere
-	spillTo   float64       // load per slot from which all calls go elsewhere
+	target    float64       // load per slot above which calls go elsewhere
+	integral  float64       // integral part of spill; the service's lock guards it
+	spill     atomic.Uint64 // float64 bits, share of calls that go elsewhere
 	load      atomic.Uint64 // float64 bits, smoothed load per slot
 	loadAt    atomic.Int64
 	maxRamp   atomic.Uint64 // float64 bits, highest ramp of the endpoints
@@ -172,7 +173,7 @@
 // group sorts the endpoints into localities.
 func (s *service) group(b *Balancer, t *table) {
 	self := b.view.Self()
-	own, region := &locality{spillFrom: domainSpillFrom, spillTo: domainSpillTo}, newRegion()
+	own, region := &locality{target: domainTarget}, &locality{target: regionTarget}
 	others := make(map[string]*locality)
 	for _, r := range t.records {
 		e := s.endpoints[identity{r.ID, r.Incarnation}]
@@ -192,7 +193,7 @@
 			l = region
 		default:
 			if l = others[r.Region]; l == nil {
-				l = newRegion()
+				l = &locality{}
 				others[r.Region] = l
 			}
 		}
@@ -208,8 +209,6 @@
 	})
 }
 
-func newRegion() *locality { return &locality{spillFrom: regionSpillFrom, spillTo: regionSpillTo} }
-
 func (l *locality) add(e *endpoint, r *member.Record) {
 	l.endpoints = append(l.endpoints, e)
 	l.slots += float64(max(r.Slots, 1))
--- a/bench/load/load_test.go
+++ b/bench/load/load_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -63,3 +64,32 @@
 	is.Equal(r.Total(Failed)+r.Total(Late), 0)
 	is.True(reached > 0)
 }
+
+// Guards against paid traffic while the own region has free slots, a near
+// locality that is left empty by overflow, and overflow that floods one region.
+// The time is virtual, so the figures do not depend on the machine.
+func TestOverflow(t *testing.T) {
+	const capacity = 3600.0 // of the own failure domain, half of the region's
+	for _, load := range []float64{0.6, 1.2, 2.5} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := Command{duration: 3 * time.Second, callers: 10}
+			f := newFleet()
+			r := c.overflowRun(t.Context(), f, load*capacity)
+			calls := make(map[string]float64)
+			for domain, n := range f.calls {
+				calls[domain] = float64(n.Load()) / r.Duration.Seconds()
+			}
+			near, far := calls["sask-1"]+calls["sask-2"], calls["alta-1"]+calls["mani-1"]
+			t.Logf("load %g: %.0f good/s, %.0f refused/s, %v", load, r.Rate(Good), r.Rate(Refused), calls)
+			is.True(r.Rate(Good) >= 0.95*load*capacity*0.98) // the generator's rate varies by 2%
+			if load < 2 {
+				is.True(far <= 0.02*load*capacity)
+			} else {
+				is.True(near >= 0.8*2*capacity*0.98)
+				is.True(calls["mani-1"] > 1.5*calls["alta-1"] && calls["mani-1"] < 2.5*calls["alta-1"])
+			}
+			is.True(calls["sask-1"] >= 0.75*min(load, 1)*capacity)
+		})
+	}
+}
--- a/bench/load/overflow.go
+++ b/bench/load/overflow.go
@@ -96,16 +96,7 @@
 		c.callers, capacity, c.duration), columns...)
 	for _, load := range overflowLoads {
 		f := newFleet()
-		balancers := make([]*balance.Balancer, max(c.callers, 1))
-		for i := range balancers {
-			balancers[i] = balance.New(f.view, balance.Options{})
-		}
-		var next atomic.Int64
-		g := generator{rate: load * capacity, duration: c.duration, mix: defaultMix, deadline: callDeadline}
-		g.call = func(ctx context.Context, kind object.WorkKind) Outcome {
-			return f.call(ctx, balancers[next.Add(1)%int64(len(balancers))], kind)
-		}
-		r := g.run(ctx)
+		r := c.overflowRun(ctx, f, load*capacity)
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -121,3 +112,17 @@
 	}
 	return nil
 }
+
+// overflowRun makes calls from callers with a balancer each.
+func (c *Command) overflowRun(ctx context.Context, f *fleet, rate float64) *Result {
+	balancers := make([]*balance.Balancer, max(c.callers, 1))
+	for i := range balancers {
+		balancers[i] = balance.New(f.view, balance.Options{})
+	}
+	var next atomic.Int64
+	g := generator{rate: rate, duration: c.duration, mix: defaultMix, deadline: callDeadline}
+	g.call = func(ctx context.Context, kind object.WorkKind) Outcome {
+		return f.call(ctx, balancers[next.Add(1)%int64(len(balancers))], kind)
+	}
+	return g.run(ctx)
+}
