Accept keys of an incarnation that a process takes on later

A node whose clock stepped back before a restart finds its earlier record with a higher incarnation and raises its own above it. Its ledger knew only the first incarnation, so keys that name the raised one were unknown until the next restart. Ledger.Raise adds an incarnation of the process.

--- a/idem/ledger.go
+++ b/idem/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -86,6 +87,7 @@
 	bytes       int // counted memory of entries and answers
 	answerBytes int // part of bytes held by answers
 	next        func(Key) *member.Record
+	raised      []uint64 // further incarnations of this process
 }
 
 // state is the progress of one key.
@@ -113,7 +115,8 @@
 	expired      bool // no longer filed for expiry
 }
 
-// origin is the owner that a key names when it is another process.
+// origin is the owner that a key names when it is another process, or this one
+// with a raised incarnation.
 type origin struct {
 	owner       string
 	incarnation uint64
@@ -171,6 +174,17 @@
 	l.next = next
 }
 
+// Raise adds an incarnation that this process took on after its start, because a
+// record of an earlier process had a higher one. Without it, keys that name the
+// raised incarnation are unknown. No other process may use the incarnation.
+func (l *Ledger) Raise(incarnation uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if incarnation != l.incarnation && !slices.Contains(l.raised, incarnation) {
+		l.raised = append(l.raised, incarnation)
+	}
+}
+
 // Begin decides about a keyed request and waits while the key runs. The error
 // is a NotRun error with Refused, an OutcomeUnknown error with Unknown, and nil
 // otherwise. After Run the caller must call Finish, Lost or NotRun.
@@ -223,10 +237,19 @@
 // owns reports whether this process may run k: it is named in the key, or the
 // voucher hands the key over to it.
 func (l *Ledger) owns(k Key, v string) bool {
-	if k.Owner == l.owner && k.Incarnation == l.incarnation {
+	if k.Owner == l.owner && l.mine(k.Incarnation) {
 		return true
 	}
-	return validVoucher(l.opts.Secret, v, k, l.owner, l.incarnation)
+	if v == "" {
+		return false
+	}
+	valid := func(incarnation uint64) bool { return validVoucher(l.opts.Secret, v, k, l.owner, incarnation) }
+	return valid(l.incarnation) || slices.ContainsFunc(l.raised, valid)
+}
+
+// mine reports whether the incarnation is one of this process.
+func (l *Ledger) mine(incarnation uint64) bool {
+	return incarnation == l.incarnation || slices.Contains(l.raised, incarnation)
 }
 
 // move hands an unseen key over to another owner.
--- a/idem/property_test.go
+++ b/idem/property_test.go
@@ -18,7 +18,7 @@
 
 // op is one step of a generated history of two owners.
 type op struct {
-	What    string // mint, begin, settle, drain, restart, advance
+	What    string // mint, begin, settle, drain, restart, raise, advance
 	Owner   int    // 0 or 1
 	Index   int    // selects the key or the running call
 	Voucher int    // 0 none, 1 of this key, 2 of another key
@@ -28,7 +28,7 @@
 
 var ops = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) op {
 	return op{
-		What:  rapid.SampledFrom([]string{"mint", "begin", "begin", "begin", "begin", "settle", "settle", "drain", "restart", "advance"}).Draw(t, "what"),
+		What:  rapid.SampledFrom([]string{"mint", "begin", "begin", "begin", "begin", "settle", "settle", "drain", "restart", "raise", "advance"}).Draw(t, "what"),
 		Owner: rapid.IntRange(0, 1).Draw(t, "owner"), Index: rapid.IntRange(0, 30).Draw(t, "index"),
 		Voucher: rapid.IntRange(0, 2).Draw(t, "voucher"), How: rapid.IntRange(0, 3).Draw(t, "how"),
 		Seconds: rapid.SampledFrom([]int{-700, -10, 0, 1, 4, 6, 10, 60, 300, 590, 700}).Draw(t, "seconds"),
@@ -48,14 +48,14 @@
 	record *member.Record
 	ledger *Ledger
 	clock  time.Time
-	drains bool
+	starts int // processes so far
 }
 
 // run is a call that Begin allowed to run.
 type run struct {
-	owner       int
-	incarnation uint64
-	key         Key
+	owner int
+	start int // of the process that runs it
+	key   Key
 }
 
 // history holds the processes and the oracle: the keys that ran.
@@ -95,7 +95,7 @@
 			r.Incarnation++
 		}
 	}
-	p.record, p.drains = &r, false
+	p.record, p.starts = &r, p.starts+1
 	p.ledger = NewLedger(r.ID, r.Incarnation, Options{MaxBytes: testMaxBytes, Now: func() time.Time { return p.clock }})
 }
 
@@ -114,6 +114,11 @@
 	case "restart": // the new process's clock starts from a wall clock that stepped
 		p.clock = p.clock.Add(time.Duration(s.Seconds) * time.Second)
 		h.restart(s.Owner)
+	case "raise":
+		r := *p.record
+		r.Incarnation++
+		p.record = &r
+		p.ledger.Raise(r.Incarnation)
 	case "advance":
 		d := time.Duration(s.Seconds) * time.Second
 		if d < 0 && !h.f.clock {
@@ -146,7 +151,7 @@
 	if n := p.ledger.Stats().Bytes; n > testMaxBytes {
 		return fmt.Errorf("ledger counts %d bytes, at most %d allowed", n, testMaxBytes)
 	}
-	return h.judge(d, err, run{s.Owner, p.record.Incarnation, k})
+	return h.judge(d, err, run{s.Owner, p.starts, k})
 }
 
 func (h *history) judge(d Decision, err error, r run) error {
@@ -201,7 +206,7 @@
 	r := h.running[i]
 	h.running = append(h.running[:i], h.running[i+1:]...)
 	p := h.procs[r.owner]
-	if p.record.Incarnation != r.incarnation {
+	if p.starts != r.start {
 		h.ran[r.key]++
 		return nil
 	}
@@ -239,7 +244,7 @@
 func accept(h *history, owner int, k Key) {
 	l := h.procs[owner].ledger
 	if _, ok := l.entries[k.Nonce]; !ok {
-		l.owner, l.incarnation = k.Owner, k.Incarnation
+		l.owner, l.incarnation, l.raised = k.Owner, k.Incarnation, nil
 	}
 }
 
--- a/idem/waiters_test.go
+++ b/idem/waiters_test.go
@@ -155,6 +155,27 @@
 	is.Equal(d.Action, Refused)
 }
 
+// Guards against a process that takes on a higher incarnation after its start
+// and then answers unknown to every key that names it.
+func TestRaisedIncarnationIsAccepted(t *testing.T) {
+	is := is.New(t)
+	l := NewLedger("a", 1, Options{})
+	for _, incarnation := range []uint64{1, 7} {
+		k := Mint(&member.Record{ID: "a", Incarnation: incarnation}, time.Now())
+		l.Raise(incarnation)
+		d, err := l.Begin(t.Context(), k, "")
+		is.NoErr(err)
+		is.Equal(d.Action, Run)
+		l.Finish(k, &Answer{Status: 200})
+		d, err = l.Begin(t.Context(), k, "")
+		is.NoErr(err)
+		is.Equal(d.Action, Replay)
+	}
+	d, err := l.Begin(t.Context(), Mint(&member.Record{ID: "a", Incarnation: 5}, time.Now()), "")
+	is.True(err != nil)
+	is.Equal(d.Action, Unknown)
+}
+
 // Guards against a process clock that follows the wall clock: it must carry no
 // monotonic reading of its own and advance with the process only.
 func TestProcessClockAdvancesByMonotonicTime(t *testing.T) {
