Measure the handlers behind the server of net/http in the same run

Runs of two builds in turn compare badly on a machine with changing load. The same handlers behind the server of net/http are now a path of their own, so that what ConnServer saves is measured call by call.

--- a/bench/calls/calls.go
+++ b/bench/calls/calls.go
@@ -22,8 +22,9 @@
 	"siskingw/faults"
 )
 
-// Command is the subcommand "calls": it starts a target, the two nodes and the
-// baseline as processes of their own and measures all paths in one run.
+// Command is the subcommand "calls": it starts a target, the two nodes, the
+// same handlers behind the server of net/http and the baseline as processes of
+// their own and measures all paths in one run.
 type Command struct {
 	rate     float64
 	duration time.Duration
@@ -142,6 +143,7 @@
 	addr := make(map[string]string)
 	for _, r := range [][2]string{
 		{roleTarget, ""}, {roleInbound, roleTarget}, {roleOutbound, roleInbound},
+		{roleNetHTTPInbound, roleTarget}, {roleNetHTTPOutbound, roleNetHTTPInbound},
 		{roleBaselineInbound, roleTarget}, {roleBaselineOutbound, roleBaselineInbound},
 	} {
 		p, err := start(ctx, r[0], addr[r[1]], c.procs)
@@ -151,7 +153,12 @@
 		procs = append(procs, p)
 		addr[p.role] = p.addr
 	}
-	paths := []*path{newPath("direct", addr[roleTarget]), newPath("nodes", addr[roleOutbound]), newPath("baseline", addr[roleBaselineOutbound])}
+	paths := []*path{
+		newPath("direct", addr[roleTarget]),
+		newPath("nodes", addr[roleOutbound]),
+		newPath("nethttp", addr[roleNetHTTPOutbound]),
+		newPath("baseline", addr[roleBaselineOutbound]),
+	}
 	openLoop(paths, c.rate, c.warmup)
 	for _, p := range paths {
 		p.reset()
@@ -186,7 +193,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("open loop: %d calls on each path at %g/s for %v, processes: caller, target, 2 nodes, 2 baseline hops\n", n, c.rate, c.duration)
+	fmt.Printf("open loop: %d calls on each path at %g/s for %v, processes: caller, target, 2 nodes, 2 nodes behind net/http, 2 baseline hops\n", n, c.rate, c.duration)
 	fmt.Printf("%-10s %9s %9s %9s %9s %9s %9s %7s\n", "ms", "p50", "p99", "p99.9", "+p50", "+p99", "+p99.9", "errors")
 	for _, p := range paths {
 		fmt.Printf("%-10s", p.name)
--- a/bench/calls/role.go
+++ b/bench/calls/role.go
@@ -35,6 +35,8 @@
 	roleTarget           = "target"
 	roleInbound          = "inbound"
 	roleOutbound         = "outbound"
+	roleNetHTTPInbound   = "nethttp-inbound" // the same handlers behind the server of net/http
+	roleNetHTTPOutbound  = "nethttp-outbound"
 	roleBaselineInbound  = "baseline-inbound"
 	roleBaselineOutbound = "baseline-outbound"
 )
@@ -116,7 +118,7 @@
 		b := targetstub.DefaultBehavior()
 		b.Slots, b.WorkMs, b.BodyBytes = benchSlots, 0, answerBytes
 		return targetstub.New(b).Handler(), nil
-	case roleInbound:
+	case roleInbound, roleNetHTTPInbound:
 		return proxy.NewInbound(proxy.InboundOptions{
 			Target:  r.next,
 			Gate:    admit.New(admit.Options{Slots: benchSlots}),
@@ -124,7 +126,7 @@
 			Pool:    proxy.NewPool(proxy.PoolOptions{MaxPerAddress: benchSlots}),
 			Metrics: m,
 		}), nil
-	case roleOutbound:
+	case roleOutbound, roleNetHTTPOutbound:
 		return newOutbound(r.next, m)
 	case roleBaselineInbound, roleBaselineOutbound:
 		return newBaseline(r.next), nil
