Refuse a queued call at its deadline

The proxy passes contexts that know their deadline but have no timer, so a queued call with less time than the queue timeout was answered only after its deadline. The wait now ends at the earlier of the two.

--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -45,6 +46,30 @@
 	}
 }
 
+// untimed is a context that knows its deadline but does not end at it.
+type untimed struct {
+	context.Context
+	deadline time.Time
+}
+
+func (u untimed) Deadline() (time.Time, bool) { return u.deadline, true }
+
+// Guards against a queued call that is answered only after its deadline.
+func TestQueuedCallIsRefusedAtItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := New(Options{Slots: 1, QueueTimeout: time.Minute})
+		running, err := g.Enter(t.Context(), object.WorkBid)
+		is.NoErr(err)
+		start := time.Now()
+		_, err = g.Enter(untimed{t.Context(), start.Add(time.Second)}, object.WorkBid)
+		is.True(errorx.IsOfType(err, faults.NotRun))
+		is.Equal(time.Since(start), time.Second)
+		running.Leave()
+		is.Equal(g.Load(), 0.0)
+	})
+}
+
 // Guards against refusals that cost more than admitted calls.
 func TestRefusalAllocatesNothing(t *testing.T) {
 	is := is.New(t)
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -97,7 +97,11 @@
 
 // wait returns the answer for w: exactly one of a ticket and an error.
 func (g *Gate) wait(ctx context.Context, w *waiter) (*Ticket, error) {
-	timer := time.NewTimer(g.opts.QueueTimeout)
+	longest := g.opts.QueueTimeout
+	if !w.deadline.IsZero() {
+		longest = min(longest, w.deadline.Sub(w.since)) // ctx may have a deadline without a timer
+	}
+	timer := time.NewTimer(longest)
 	defer timer.Stop()
 	var reason error
 	select {
