Work out the load of localities only when it is due

Every change of any member's record made each selection sort the reported loads of the service again.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -389,3 +389,15 @@
 		}
 	})
 }
+
+// Measures a call while other services' members change all the time.
+func BenchmarkPickDoneWithChanges(b *testing.B) {
+	f := newFixture(250, Options{})
+	bal := New(f.view, Options{})
+	b.ReportAllocs()
+	for b.Loop() {
+		f.view.generation++
+		p, _ := bal.Pick(&f.set, nil, nil)
+		p.Done(Report{Load: 0.5})
+	}
+}
--- a/balance/service.go
+++ b/balance/service.go
@@ -120,8 +120,10 @@
 		t.inherit(old)
 	}
 	t.generation.Store(generation)
-	t.refresh(now, b.opts.LoadMaxAge, s.panicking.Load())
-	s.refreshAt.Store(now + int64(refreshTime))
+	if now >= s.refreshAt.Load() || s.table.Load() != t {
+		t.refresh(now, b.opts.LoadMaxAge, s.panicking.Load())
+		s.refreshAt.Store(now + int64(refreshTime))
+	}
 	s.table.Store(t)
 	return t
 }
