--- a/idem/ledger.go
+++ b/idem/ledger.go
@@ -36,24 +36,27 @@
 
 // The actions.
 const (
-	// Run: this request runs the key; Finish, Lost or NotRun must follow.
+	// Run: this request runs the key; Finish, Lost, NotRun or Withdraw must follow.
 	Run Action = iota + 1
 	// Replay: the key ran; Decision.Answer is its answer.
 	Replay
 	// Moved: the key was handed over to Decision.Owner with Decision.Voucher.
 	Moved
-	// Refused: the key certainly never ran.
+	// Refused: the key has not run here so far; an earlier attempt that is
+	// still on its way may run later.
 	Refused
 	// Unknown: the key may have run.
 	Unknown
 	// Ran: the key ran and was answered in full, but the answer is not held.
 	Ran
+	// Closed: the key certainly never ran and never will.
+	Closed
 )
 
 // String returns the action's name.
 func (a Action) String() string {
-	names := [...]string{Run: "run", Replay: "replay", Moved: "moved", Refused: "refused", Unknown: "unknown", Ran: "ran"}
-	if a < Run || a > Ran {
+	names := [...]string{Run: "run", Replay: "replay", Moved: "moved", Refused: "refused", Unknown: "unknown", Ran: "ran", Closed: "closed"}
+	if a < Run || a > Closed {
 		return "invalid"
 	}
 	return names[a]
@@ -78,7 +81,7 @@
 // the key is accepted; when its memory is full it refuses new keys instead.
 type Ledger struct {
 	owner       string
-	incarnation uint64
+	incarnation uint64 // at the start of the process
 	opts        Options
 
 	mu          sync.Mutex
@@ -98,6 +101,7 @@
 	finished       // ran, answer held or not
 	lost           // may have run
 	moved          // handed over, will never run here
+	closed         // refused for good, never ran and never will
 )
 
 // entry is what the ledger knows of one key. It is kept small, because the
@@ -186,8 +190,9 @@
 }
 
 // Begin decides about a keyed request and waits while the key runs. The error
-// is a NotRun error with Refused, an OutcomeUnknown error with Unknown, and nil
-// otherwise. After Run the caller must call Finish, Lost or NotRun.
+// is a NotRun error with Refused and Closed, an OutcomeUnknown error with
+// Unknown, and nil otherwise. After Run the caller must call Finish, Lost,
+// NotRun or Withdraw.
 func (l *Ledger) Begin(ctx context.Context, k Key, v string) (Decision, error) {
 	for {
 		l.mu.Lock()
@@ -279,6 +284,8 @@
 	case moved:
 		v := voucher(l.opts.Secret, l.key(e), e.to.ID, e.to.Incarnation)
 		return Decision{Action: Moved, Owner: e.to, Voucher: v}, nil, nil
+	case closed:
+		return Decision{Action: Closed}, nil, errClosed
 	}
 	return unknown(errLost)
 }
@@ -292,6 +299,7 @@
 	errLost    = faults.OutcomeUnknown.New("an earlier attempt may have run")
 	errFuture  = faults.NotRun.New("key was issued in the future")
 	errFull    = faults.NotRun.New("ledger is full")
+	errClosed  = faults.NotRun.New("key was refused for good")
 	errNoOwner = faults.NotRun.New("owner is draining and knows no other owner")
 )
 
--- a/spread/receive.go
+++ b/spread/receive.go
@@ -8,10 +8,12 @@
 
 // HandleOffer answers a push or an announcement of a peer. A repeated or older
 // offer changes nothing and costs one comparison.
+//
+//siskingw:step check-version
 func (n *Node) HandleOffer(r *peerpb.OfferRequest) *peerpb.OfferReply {
 	from, known := n.peerByID(r.Sender)
 	if known {
-		n.links.of(from.ID).confirm(r.Version)
+		n.links.confirm(from.ID, r.Version)
 		n.hear(from, 1)
 	}
 	ev := event{from: r.Sender, origin: r.OriginRegion, fresh: true, asRoot: r.AsRoot, asHead: r.AsHead}
