--- /dev/null
+++ b/bench/matrix/command.go
@@ -0,0 +1,78 @@
+package matrix
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/google/subcommands"
+
+	"siskingw/faults"
+)
+
+// Files of the matrix below the module's root.
+const (
+	CellsFile = "bench/matrix/cells.json"
+	PageFile  = "docs/fault-matrix.md"
+)
+
+// Command is the matrix subcommand of meshbench.
+type Command struct {
+	root  string
+	write bool
+}
+
+// Name returns the name of the subcommand.
+func (*Command) Name() string { return "matrix" }
+
+// Synopsis returns one line of help.
+func (*Command) Synopsis() string { return "print the fault matrix or write its page" }
+
+// Usage returns the help text.
+func (*Command) Usage() string { return "matrix [-root .] [-write]\n" }
+
+// SetFlags registers the flags.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.root, "root", ".", "root of the module's source tree")
+	f.BoolVar(&c.write, "write", false, "write "+PageFile+" instead of printing it")
+}
+
+// Execute renders the matrix.
+func (c *Command) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	if err := c.run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *Command) run() error {
+	page, err := Page(c.root)
+	if err != nil {
+		return err
+	}
+	if !c.write {
+		fmt.Print(page)
+		return nil
+	}
+	const mode = 0o644
+	if err := os.WriteFile(filepath.Join(c.root, PageFile), []byte(page), mode); err != nil {
+		return faults.Invalid.Wrap(err, "matrix page")
+	}
+	return nil
+}
+
+// Page renders the matrix of the source tree at root.
+func Page(root string) (string, error) {
+	t, err := Load(filepath.Join(root, CellsFile))
+	if err != nil {
+		return "", err
+	}
+	steps, err := Steps(root)
+	if err != nil {
+		return "", err
+	}
+	return t.Render(steps), nil
+}
--- a/cmd/meshbench/main.go
+++ b/cmd/meshbench/main.go
@@ -13,6 +13,7 @@
 	"siskingw/bench/calls"
 	"siskingw/bench/demo"
 	"siskingw/bench/load"
+	"siskingw/bench/matrix"
 	"siskingw/bench/members"
 	"siskingw/bench/spread"
 )
@@ -25,6 +26,7 @@
 	subcommands.Register(new(calls.Role), "internal")
 	subcommands.Register(new(load.Command), "")
 	subcommands.Register(new(demo.Command), "")
+	subcommands.Register(new(matrix.Command), "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	status := subcommands.Execute(ctx)
