--- a/idem/ledger.go
+++ b/idem/ledger.go
@@ -90,7 +90,7 @@
 	bytes       int // counted memory of entries and answers
 	answerBytes int // part of bytes held by answers
 	next        func(Key) *member.Record
-	adopted     []uint64 // further incarnations of this process, the latest last
+	raised      []uint64 // further incarnations of this process
 }
 
 // state is the progress of one key.
@@ -119,7 +119,8 @@
 	expired      bool // no longer filed for expiry
 }
 
-// origin is the owner that a key names when it is another process.
+// origin is the owner that a key names when it is another process, or this one
+// with a raised incarnation.
 type origin struct {
 	owner       string
 	incarnation uint64
@@ -169,24 +170,6 @@
 	return &Ledger{owner: ownerID, incarnation: incarnation, opts: opts, entries: make(map[[nonceBytes]byte]*entry)}
 }
 
-// Adopt adds an incarnation that this same process has taken on, as it does
-// when others know its id with a higher one.
-func (l *Ledger) Adopt(incarnation uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if incarnation != l.latest() {
-		l.adopted = append(l.adopted, incarnation)
-	}
-}
-
-// latest returns the incarnation that others know. The ledger is locked.
-func (l *Ledger) latest() uint64 {
-	if n := len(l.adopted); n > 0 {
-		return l.adopted[n-1]
-	}
-	return l.incarnation
-}
-
 // Drain makes the ledger hand over keys that it has not run. next selects the
 // new owner for a key and returns nil when there is none.
 func (l *Ledger) Drain(next func(Key) *member.Record) {
@@ -195,6 +178,17 @@
 	l.next = next
 }
 
+// Raise adds an incarnation that this process took on after its start, because a
+// record of an earlier process had a higher one. Without it, keys that name the
+// raised incarnation are unknown. No other process may use the incarnation.
+func (l *Ledger) Raise(incarnation uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if incarnation != l.incarnation && !slices.Contains(l.raised, incarnation) {
+		l.raised = append(l.raised, incarnation)
+	}
+}
+
 // Begin decides about a keyed request and waits while the key runs. The error
 // is a NotRun error with Refused and Closed, an OutcomeUnknown error with
 // Unknown, and nil otherwise. After Run the caller must call Finish, Lost,
@@ -248,10 +242,19 @@
 // owns reports whether this process may run k: it is named in the key, or the
 // voucher hands the key over to it.
 func (l *Ledger) owns(k Key, v string) bool {
-	if k.Owner == l.owner && (k.Incarnation == l.incarnation || slices.Contains(l.adopted, k.Incarnation)) {
+	if k.Owner == l.owner && l.mine(k.Incarnation) {
 		return true
 	}
-	return validVoucher(l.opts.Secret, v, k, l.owner, l.latest())
+	if v == "" {
+		return false
+	}
+	valid := func(incarnation uint64) bool { return validVoucher(l.opts.Secret, v, k, l.owner, incarnation) }
+	return valid(l.incarnation) || slices.ContainsFunc(l.raised, valid)
+}
+
+// mine reports whether the incarnation is one of this process.
+func (l *Ledger) mine(incarnation uint64) bool {
+	return incarnation == l.incarnation || slices.Contains(l.raised, incarnation)
 }
 
 // move hands an unseen key over to another owner.
