Read the age of a target from its incarnation as nodes encode it

Cause: a node encodes its incarnation as milliseconds shifted left by 20 bits with random bits below, but the balancer read it as plain milliseconds. The start of every process was millions of years ahead, its age at first sight 0, and a node that had just started took every target for cold. A target that was really cold got its full share at once. The tests of the balancer used plain milliseconds and did not show it.

Change: member.NewIncarnation and Record.Started keep both directions in one place, and the tests use them.

--- a/balance/fake_test.go
+++ b/balance/fake_test.go
@@ -116,7 +116,7 @@
 
 func (f *fixture) record(id, domain string) member.Record {
 	return member.Record{
-		ID: id, Incarnation: uint64(f.now.Add(-time.Hour).UnixMilli()), State: member.Alive,
+		ID: id, Incarnation: member.NewIncarnation(f.now.Add(-time.Hour)), State: member.Alive,
 		FailureDomain: domain, Region: domain[:4], Service: f.set.Announce, Slots: 4,
 	}
 }
--- a/balance/service.go
+++ b/balance/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -166,8 +165,7 @@
 // age returns how long ago the endpoint's process started. Clocks of other
 // instances may be wrong, which only changes the slow start.
 func (b *Balancer) age(r *member.Record) time.Duration {
-	started := time.UnixMilli(int64(min(r.Incarnation, math.MaxInt64)))
-	return max(b.opts.Now().Sub(started), 0)
+	return max(b.opts.Now().Sub(r.Started()), 0)
 }
 
 // group sorts the endpoints into localities.
--- a/member/record.go
+++ b/member/record.go
@@ -45,7 +45,7 @@
 // the incarnation and sequence that they saw.
 type Record struct {
 	ID            string
-	Incarnation   uint64 // start of the process in ms since 1970, raised above any seen for the ID
+	Incarnation   uint64 // of the process, see NewIncarnation; raised above any seen for the ID
 	Sequence      uint64 // number of changes by the owner within the incarnation
 	State         State
 	FailureDomain string
--- a/node/node.go
+++ b/node/node.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"os"
 	"time"
@@ -108,7 +107,7 @@
 // selfRecord returns the node's own record for this process.
 func selfRecord(s *settings.Settings) member.Record {
 	r := member.Record{
-		ID: s.ID, Incarnation: newIncarnation(time.Now()), State: member.Alive,
+		ID: s.ID, Incarnation: member.NewIncarnation(time.Now()), State: member.Alive,
 		Region: s.Region, FailureDomain: s.FailureDomain,
 		PeerAddr: s.Advertise.Peer, InboundAddr: s.Advertise.Inbound,
 	}
@@ -117,13 +116,3 @@
 	}
 	return r
 }
-
-// incarnationRandomBits keeps two processes with one id apart even when the
-// clock was set back in between: an idempotency key names its owner's
-// incarnation and must never fit another process.
-const incarnationRandomBits = 20
-
-// newIncarnation returns an incarnation that rises with the time of the start.
-func newIncarnation(now time.Time) uint64 {
-	return uint64(now.UnixMilli())<<incarnationRandomBits | rand.Uint64N(1<<incarnationRandomBits)
-}
