--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 space := $(empty) $(empty)
 SKIP := $(if $(KNOWN_RED),-skip '^($(subst $(space),|,$(strip $(KNOWN_RED))))$$')
 
-.PHONY: build test race soak lint fmt demo generate
+.PHONY: build test race soak lint fmt demo generate mutants
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -27,6 +27,10 @@
 	bin/meshbench demo
 
 # Longer runs of the stateful tests and of the process tests, bounded by SOAK_TIME.
+# Removes each mechanism in turn and checks that its tests fail; takes a few minutes.
+mutants: build
+	bin/meshbench mutants -write
+
 soak: build
 	SISKINGW_SOAK=1 $(GO) test -timeout $(SOAK_TIME) -rapid.checks=20000 ./object ./publish ./member ./spread ./status ./idem ./admit ./balance
 
--- a/cmd/meshbench/main.go
+++ b/cmd/meshbench/main.go
@@ -14,6 +14,7 @@
 	"siskingw/bench/demo"
 	"siskingw/bench/load"
 	"siskingw/bench/matrix"
+	"siskingw/bench/mutants"
 	"siskingw/bench/members"
 	"siskingw/bench/spread"
 )
@@ -27,6 +28,7 @@
 	subcommands.Register(new(load.Command), "")
 	subcommands.Register(new(demo.Command), "")
 	subcommands.Register(new(matrix.Command), "")
+	subcommands.Register(new(mutants.Command), "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	status := subcommands.Execute(ctx)
