--- a/publish/collector.go
+++ b/publish/collector.go
@@ -7,6 +7,7 @@
 	"github.com/go-logr/logr"
 	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
+	"golang.org/x/time/rate"
 
 	"siskingw/faults"
 	"siskingw/snapshot"
@@ -20,6 +21,13 @@
 	defaultInterval    = 5 * time.Minute
 )
 
+// The store sustains several hundred writes/s for everyone. A day without
+// collection leaves about 25,000 parts, which must not take all of them.
+const (
+	deletesPerSecond = 50
+	deleteBurst      = 100
+)
+
 // CollectorOptions configures a Collector.
 type CollectorOptions struct {
 	// Due tells whether this node runs the collection now. nil: always. Two
@@ -44,6 +52,7 @@
 	reader     *Reader
 	opts       CollectorOptions
 	candidates map[string]candidate // by part key
+	pace       *rate.Limiter        // of deletes
 }
 
 // candidate is a part that an earlier pass found unreferenced.
@@ -69,7 +78,7 @@
 	if opts.Interval == 0 {
 		opts.Interval = defaultInterval
 	}
-	return &Collector{st: st, reader: NewReader(st), opts: opts}
+	return &Collector{st: st, reader: NewReader(st), opts: opts, pace: rate.NewLimiter(deletesPerSecond, deleteBurst)}
 }
 
 // Run collects at each interval while the collection is due on this node.
@@ -108,7 +117,7 @@
 	if err != nil {
 		return 0, err
 	}
-	parts, _, err := c.st.Range(ctx, partPrefix, true)
+	parts, err := c.list(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -122,6 +131,20 @@
 	return c.remove(ctx, victims)
 }
 
+// list returns every part without its value. It reads the keys in 16 groups,
+// so that an answer stays small when the collection was not run for days.
+func (c *Collector) list(ctx context.Context) ([]store.KeyValue, error) {
+	var parts []store.KeyValue
+	for _, digit := range "0123456789abcdef" {
+		group, _, err := c.st.Range(ctx, partPrefix+string(digit), true)
+		if err != nil {
+			return nil, err
+		}
+		parts = append(parts, group...)
+	}
+	return parts, nil
+}
+
 // referenced returns the keys of every part that the retained commits name.
 func (c *Collector) referenced(ctx context.Context, head Head) (map[string]bool, error) {
 	keys := make(map[string]bool)
@@ -178,6 +201,9 @@
 func (c *Collector) remove(ctx context.Context, victims []store.KeyValue) (int, error) {
 	deleted := 0
 	for _, kv := range victims {
+		if err := c.pace.Wait(ctx); err != nil {
+			return deleted, faults.Timeout.Wrap(err, "collection ended before every part was deleted")
+		}
 		err := c.st.CompareAndDelete(ctx, kv.Key, kv.ModRevision)
 		if err != nil && !errorx.IsOfType(err, faults.Conflict) {
 			return deleted, err
