--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -21,17 +21,6 @@
 	probationCalls = 10
 )
 
-// Weights of what calls show. A call moves an average by callWeight, and the
-// average halves every evidenceHalfLife. Below negligibleEvidence it counts as
-// 0, so that a target that gets no calls is tried again: about 2 s after one bad
-// call. An average without that bound kept a target out for ever, because an
-// idle target with any evidence lost against every idle target without.
-const (
-	callWeight         = 0.2
-	evidenceHalfLife   = 500 * time.Millisecond
-	negligibleEvidence = 0.01
-)
-
 // ejection is an EjectionSpec with its defaults applied.
 type ejection struct {
 	failures uint32
@@ -67,10 +56,11 @@
 	load   atomic.Uint64 // float64 bits of the smoothed reported load
 	loadAt atomic.Int64
 
-	pace atomic.Uint64 // float64 bits of the average of log2 of durations in ns; 0 without calls
+	paceAt atomic.Int64
+	pace   atomic.Uint64 // float64 bits of the average of log2 of durations in ns; 0 without calls
 
-	evidence   atomic.Uint64 // float64 bits of the average of failures and refusals, 0..1
-	evidenceAt atomic.Int64
+	shown  evidence // of failures and refusals
+	failed evidence // of failures only
 
 	mu        sync.Mutex // guards the fields below; taken only for failures and probation
 	failures  uint32     // consecutive failures
@@ -106,28 +96,15 @@
 	return math.Float64frombits(e.load.Load())
 }
 
-// shown returns the decayed average of failures and refusals, 0..1.
-func (e *endpoint) shown(now int64) float64 {
-	v := math.Float64frombits(e.evidence.Load())
-	if v == 0 {
-		return 0
-	}
-	age := max(now-e.evidenceAt.Load(), 0)
-	v *= math.Exp2(-float64(age) / float64(evidenceHalfLife))
-	if v < negligibleEvidence {
-		return 0
-	}
-	return v
-}
-
 // observe records the report of one call.
 func (e *endpoint) observe(r Report, ej ejection, now int64, random func() uint64) {
 	e.addReport(r.Load, now)
 	failed := r.Failed || r.Unreachable
 	if !failed && !r.Refused && r.Duration > 0 {
-		e.addPace(r.Duration)
+		e.addPace(r.Duration, now)
 	}
-	e.addEvidence(failed || r.Refused, now)
+	e.shown.add(failed || r.Refused, now)
+	e.failed.add(failed, now)
 	switch {
 	case failed:
 		e.fail(r.Unreachable, ej, now, random)
@@ -154,31 +131,26 @@
 	e.loadAt.Store(now)
 }
 
-// paceWeight is the weight of one call in the pace. The average is taken of
-// logarithms, so that one upload among pages does not make a target look slow.
-const paceWeight = 0.05
+// A call moves the pace by at least paceWeight, and more after a time without
+// calls, so that a target that was slow is soon known to have recovered. The
+// average is taken of logarithms, so that one upload among pages does not make a
+// target look slow.
+const (
+	paceWeight    = 0.05
+	paceMaxWeight = 0.25
+	paceHalfLife  = 2 * time.Second
+)
 
 // addPace adds the duration of a successful call.
-func (e *endpoint) addPace(d time.Duration) {
+func (e *endpoint) addPace(d time.Duration, now int64) {
 	v := math.Log2(float64(d))
 	if old := math.Float64frombits(e.pace.Load()); old > 0 {
-		v = old + paceWeight*(v-old)
+		gap := float64(now - e.paceAt.Load())
+		weight := 1 - math.Exp2(-gap/float64(paceHalfLife))
+		v = old + min(max(weight, paceWeight), paceMaxWeight)*(v-old)
 	}
 	e.pace.Store(math.Float64bits(v))
-}
-
-// addEvidence moves the average towards 1 for bad calls and towards 0 for good ones.
-func (e *endpoint) addEvidence(bad bool, now int64) {
-	v := e.shown(now)
-	if v == 0 && !bad {
-		return // the usual case writes nothing
-	}
-	v -= callWeight * v
-	if bad {
-		v += callWeight
-	}
-	e.evidence.Store(math.Float64bits(v))
-	e.evidenceAt.Store(now)
+	e.paceAt.Store(now)
 }
 
 // fail counts a failure and ejects the target when it failed often enough, at
--- a/bench/members/bench.go
+++ b/bench/members/bench.go
@@ -9,6 +9,7 @@
 
 	"siskingw/faults"
 	"siskingw/member"
+	"siskingw/peer"
 )
 
 const (
@@ -25,6 +26,7 @@
 	Nodes int
 	// The steady state.
 	OutMean, OutMax, InMax float64 // bytes/s
+	CrossRegion            float64 // bytes/s of the whole fleet between regions
 	CPUPercent             float64 // of one core
 	HeapBytes              float64
 	Goroutines             float64
@@ -35,7 +37,7 @@
 	RestartSurvivor          float64 // a whole failure domain restarts: bytes beyond the steady state
 	RestartNode              float64 // and for each restarted node
 	RestartAfter             time.Duration
-	RestartBusiest           float64 // bytes/s of the busiest node during the restart
+	RestartBusiest           float64 // and for the surviving node with the most
 	RestartUntilEqualDigests time.Duration
 }
 
@@ -109,6 +111,15 @@
 	return counts
 }
 
+// crossRegion returns the bytes between regions so far, in both directions.
+func (f *fleet) crossRegion() uint64 {
+	var sum uint64
+	for _, n := range f.nodes {
+		sum += n.links.Sent(peer.CrossRegion) + n.links.Received(peer.CrossRegion)
+	}
+	return sum
+}
+
 // Run measures a fleet of n nodes. window is the length of the steady state's
 // measurement; the two disturbances each take about as long.
 func Run(ctx context.Context, n int, window time.Duration, withStatus bool) (Result, error) {
@@ -136,9 +147,10 @@
 
 // steady measures a window without changes.
 func (f *fleet) steady(r *Result, window time.Duration) {
-	before, cpu := f.counts(), cpuTime()
+	before, cross, cpu := f.counts(), f.crossRegion(), cpuTime()
 	time.Sleep(window)
 	after, used := f.counts(), cpuTime()-cpu
+	r.CrossRegion = float64(f.crossRegion()-cross) / window.Seconds()
 	seconds := window.Seconds()
 	for n, b := range before {
 		out, in := float64(after[n][0]-b[0])/seconds, float64(after[n][1]-b[1])/seconds
@@ -214,16 +226,14 @@
 		return err
 	}
 	r.RestartUntilEqualDigests += r.RestartAfter
-	busy := time.Since(began).Seconds()
-	for n, b := range before {
-		r.RestartBusiest = max(r.RestartBusiest, float64(n.traffic.out.Load()-b[0])/busy)
-	}
 	time.Sleep(max(0, window-time.Since(began)))
 	seconds := time.Since(began).Seconds()
 	after := f.counts()
 	for n, a := range after {
 		if b, ok := before[n]; ok {
-			r.RestartSurvivor += (float64(a[0]-b[0]) - r.OutMean*seconds) / float64(len(survivors))
+			extra := float64(a[0]-b[0]) - r.OutMean*seconds
+			r.RestartSurvivor += extra / float64(len(survivors))
+			r.RestartBusiest = max(r.RestartBusiest, extra)
 		} else {
 			r.RestartNode += (float64(a[0]) - r.OutMean*seconds) / float64(len(victims))
 		}
--- a/idem/property_test.go
+++ b/idem/property_test.go
@@ -18,7 +18,7 @@
 
 // op is one step of a generated history of two owners.
 type op struct {
-	What    string // mint, begin, settle, drain, restart, advance
+	What    string // mint, begin, settle, drain, restart, raise, advance
 	Owner   int    // 0 or 1
 	Index   int    // selects the key or the running call
 	Voucher int    // 0 none, 1 of this key, 2 of another key
@@ -28,9 +28,9 @@
 
 var ops = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) op {
 	return op{
-		What:  rapid.SampledFrom([]string{"mint", "begin", "begin", "begin", "begin", "settle", "settle", "drain", "restart", "advance"}).Draw(t, "what"),
+		What:  rapid.SampledFrom([]string{"mint", "begin", "begin", "begin", "begin", "settle", "settle", "drain", "restart", "raise", "advance"}).Draw(t, "what"),
 		Owner: rapid.IntRange(0, 1).Draw(t, "owner"), Index: rapid.IntRange(0, 30).Draw(t, "index"),
-		Voucher: rapid.IntRange(0, 2).Draw(t, "voucher"), How: rapid.IntRange(0, 3).Draw(t, "how"),
+		Voucher: rapid.IntRange(0, 2).Draw(t, "voucher"), How: rapid.IntRange(0, 4).Draw(t, "how"),
 		Seconds: rapid.SampledFrom([]int{-700, -10, 0, 1, 4, 6, 10, 60, 300, 590, 700}).Draw(t, "seconds"),
 	}
 }), 50, 200)
@@ -48,14 +48,14 @@
 	record *member.Record
 	ledger *Ledger
 	clock  time.Time
-	drains bool
+	starts int // processes so far
 }
 
 // run is a call that Begin allowed to run.
 type run struct {
-	owner       int
-	incarnation uint64
-	key         Key
+	owner int
+	start int // of the process that runs it
+	key   Key
 }
 
 // history holds the processes and the oracle: the keys that ran.
@@ -64,6 +64,7 @@
 	procs    [2]*process
 	keys     []Key
 	vouchers map[Key]string
+	closed   map[Key]bool // refused for good
 	running  []run
 	ran      map[Key]int
 	answers  map[Key]*Answer
@@ -72,7 +73,7 @@
 const testMaxBytes = 8 * entryBytes
 
 func runHistory(steps []op, f fault) error {
-	h := &history{f: f, vouchers: map[Key]string{}, ran: map[Key]int{}, answers: map[Key]*Answer{}}
+	h := &history{f: f, vouchers: map[Key]string{}, closed: map[Key]bool{}, ran: map[Key]int{}, answers: map[Key]*Answer{}}
 	for i := range h.procs {
 		h.procs[i] = &process{clock: time.UnixMilli(1_800_000_000_000)}
 		h.restart(i)
@@ -95,7 +96,7 @@
 			r.Incarnation++
 		}
 	}
-	p.record, p.drains = &r, false
+	p.record, p.starts = &r, p.starts+1
 	p.ledger = NewLedger(r.ID, r.Incarnation, Options{MaxBytes: testMaxBytes, Now: func() time.Time { return p.clock }})
 }
 
@@ -114,6 +115,11 @@
 	case "restart": // the new process's clock starts from a wall clock that stepped
 		p.clock = p.clock.Add(time.Duration(s.Seconds) * time.Second)
 		h.restart(s.Owner)
+	case "raise":
+		r := *p.record
+		r.Incarnation++
+		p.record = &r
+		p.ledger.Raise(r.Incarnation)
 	case "advance":
 		d := time.Duration(s.Seconds) * time.Second
 		if d < 0 && !h.f.clock {
@@ -146,7 +152,7 @@
 	if n := p.ledger.Stats().Bytes; n > testMaxBytes {
 		return fmt.Errorf("ledger counts %d bytes, at most %d allowed", n, testMaxBytes)
 	}
-	return h.judge(d, err, run{s.Owner, p.record.Incarnation, k})
+	return h.judge(d, err, run{s.Owner, p.starts, k})
 }
 
 func (h *history) judge(d Decision, err error, r run) error {
@@ -154,8 +160,8 @@
 	ran := h.ran[k] > 0 || h.isRunning(k)
 	switch d.Action {
 	case Run:
-		if ran {
-			return fmt.Errorf("key runs again")
+		if ran || h.closed[k] {
+			return fmt.Errorf("key runs again or after it was refused for good")
 		}
 		h.running = append(h.running, r)
 	case Refused:
@@ -170,6 +176,11 @@
 		if h.ran[k] == 0 {
 			return fmt.Errorf("key did not run")
 		}
+	case Closed:
+		if ran || !errorx.IsOfType(err, faults.NotRun) {
+			return fmt.Errorf("closed as not run, but it ran: %v, error %v", ran, err)
+		}
+		h.closed[k] = true
 	case Moved:
 		h.vouchers[k] = d.Voucher
 	case Unknown:
@@ -201,13 +212,16 @@
 	r := h.running[i]
 	h.running = append(h.running[:i], h.running[i+1:]...)
 	p := h.procs[r.owner]
-	if p.record.Incarnation != r.incarnation {
+	if p.starts != r.start {
 		h.ran[r.key]++
 		return nil
 	}
 	switch s.How {
 	case 0:
+		p.ledger.Withdraw(r.key)
+	case 2:
 		p.ledger.NotRun(r.key)
+		h.closed[r.key] = true
 	case 1:
 		h.ran[r.key]++
 		p.ledger.Lost(r.key)
@@ -238,8 +252,8 @@
 // accept records k as if the process might run it.
 func accept(h *history, owner int, k Key) {
 	l := h.procs[owner].ledger
-	if _, ok := l.entries[k]; !ok {
-		l.owner, l.incarnation = k.Owner, k.Incarnation
+	if _, ok := l.entries[k.Nonce]; !ok {
+		l.owner, l.incarnation, l.raised = k.Owner, k.Incarnation, nil
 	}
 }
 
@@ -249,24 +263,29 @@
 		"restart keeps the incarnation": {restart: true},
 		"clock follows wall clock":      {clock: true},
 		"key forgotten after the run": {settle: func(h *history, owner int, k Key) {
-			delete(h.procs[owner].ledger.entries, k)
+			delete(h.procs[owner].ledger.entries, k.Nonce)
 		}},
 		"hand-over forgotten": {begin: func(h *history, owner int, k Key) {
-			if e := h.procs[owner].ledger.entries[k]; e != nil && e.state == moved {
-				delete(h.procs[owner].ledger.entries, k)
+			if e := h.procs[owner].ledger.entries[k.Nonce]; e != nil && e.state == moved {
+				delete(h.procs[owner].ledger.entries, k.Nonce)
 				h.procs[owner].ledger.next = nil
 			}
 		}},
 		"key accepted without a voucher": {begin: accept},
 		"lost call counts as not run": {settle: func(h *history, owner int, k Key) {
-			if e := h.procs[owner].ledger.entries[k]; e != nil && e.state == lost {
+			if e := h.procs[owner].ledger.entries[k.Nonce]; e != nil && e.state == lost {
 				e.state = running
-				h.procs[owner].ledger.NotRun(k)
+				h.procs[owner].ledger.Withdraw(k)
+			}
+		}},
+		"refused key forgotten": {settle: func(h *history, owner int, k Key) {
+			if e := h.procs[owner].ledger.entries[k.Nonce]; e != nil && e.state == closed {
+				delete(h.procs[owner].ledger.entries, k.Nonce)
 			}
 		}},
 		"answers mixed up": {settle: func(h *history, owner int, k Key) {
 			for _, e := range h.procs[owner].ledger.entries {
-				if e.answer != nil {
+				if e.answer != "" {
 					e.answer = (&Answer{Status: 200}).encode()
 				}
 			}
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -48,6 +48,14 @@
 	storeSilence = 5 * time.Second
 	// dutyCheck is the period at which a node checks whether it is a reader.
 	dutyCheck = 500 * time.Millisecond
+	// dutySettle is how long a node must hold the duty before it calls the
+	// store. A starting node knows few members at first and would take itself
+	// for a relay; with a whole failure domain starting, that would be
+	// thousands of store calls at once.
+	dutySettle = 3 * time.Second
+	// aloneSpread is the full jitter added for a node that knows no other
+	// member: all nodes may be in that state at once.
+	aloneSpread = 10 * time.Second
 	// pollEvery is the period at which a reader reads the head although its
 	// watch reports nothing, in case the watch stalled.
 	pollEvery = 30 * time.Second
@@ -64,24 +72,43 @@
 // runStoreReader watches the head of the store while this node has the duty.
 func (n *Node) runStoreReader() {
 	retry := storeRetryBase
-	for n.ctx.Err() == nil {
-		if !n.isReader() {
-			sleep(n.ctx, dutyCheck)
-			continue
-		}
+	for n.awaitDuty() {
 		started := time.Now()
 		err := n.watchStore()
-		if err == nil || n.ctx.Err() != nil {
-			continue // no longer a reader, or stopped
+		for err != nil && n.ctx.Err() == nil && n.isReader() {
+			n.stats.storeErrors.Inc()
+			n.log.Info("store watch ended", "cause", cause(err), "error", err.Error())
+			if time.Since(started) > storeRetryMax {
+				retry = storeRetryBase
+			}
+			sleep(n.ctx, rand.N(retry))
+			retry = min(2*retry, storeRetryMax)
+			started = time.Now()
+			err = n.watchStore()
 		}
-		n.stats.storeErrors.Inc()
-		n.log.Info("store watch ended", "cause", cause(err), "error", err.Error())
-		if time.Since(started) > storeRetryMax {
-			retry = storeRetryBase
+	}
+}
+
+// awaitDuty waits until the node has held the duty for long enough. It reports
+// false when the node stops.
+func (n *Node) awaitDuty() bool {
+	var since time.Time
+	var settle time.Duration
+	for n.ctx.Err() == nil {
+		switch {
+		case !n.isReader():
+			since = time.Time{}
+		case since.IsZero():
+			since, settle = time.Now(), dutySettle
+			if n.topology().alone() {
+				settle += rand.N(aloneSpread)
+			}
+		case time.Since(since) >= settle:
+			return true
 		}
-		sleep(n.ctx, rand.N(retry))
-		retry = min(2*retry, storeRetryMax)
+		sleep(n.ctx, dutyCheck)
 	}
+	return false
 }
 
 // isReader reports whether this node watches the store: the relays of the
@@ -105,15 +132,22 @@
 // watchStore reads the head and follows it. It returns nil when the duty ends
 // and otherwise the error that broke the watch. After a gap the head is read
 // again, so a change that the watch lost is found at the next start.
+//
+//siskingw:step watch-fires
 func (n *Node) watchStore() error {
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
 	h, err := n.readHead(ctx)
-	if err != nil && !errorx.IsOfType(err, faults.NotFound) {
+	if err != nil {
 		return err
 	}
 	n.considerHead(h)
-	events := n.opts.Source.Watch(ctx, h.Revision)
+	return n.followHead(ctx, n.opts.Source.Watch(ctx, h.Revision))
+}
+
+// followHead considers every head that the watch sends, and reads the head now
+// and then in case the watch stalled.
+func (n *Node) followHead(ctx context.Context, events <-chan HeadEvent) error {
 	duty := time.NewTicker(dutyCheck)
 	defer duty.Stop()
 	poll := time.NewTimer(jittered(pollEvery))
@@ -136,7 +170,7 @@
 			}
 		case <-poll.C:
 			h, err := n.readHead(ctx)
-			if err != nil && !errorx.IsOfType(err, faults.NotFound) {
+			if err != nil {
 				return err
 			}
 			n.considerHead(h)
@@ -145,10 +179,15 @@
 	}
 }
 
+// readHead reads the head; before the first version it has version 0.
 func (n *Node) readHead(ctx context.Context) (Head, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return n.opts.Source.Head(ctx)
+	h, err := n.opts.Source.Head(ctx)
+	if errorx.IsOfType(err, faults.NotFound) {
+		return h, nil
+	}
+	return h, err
 }
 
 // considerHead loads a head that is newer than the version in force, in its
@@ -183,6 +222,8 @@
 }
 
 // loadOnce loads a head from the store and spreads it.
+//
+//siskingw:step read-version
 func (n *Node) loadOnce(h Head) error {
 	base := n.cur.Load()
 	ctx, cancel := context.WithTimeout(n.ctx, 2*storeTimeout)
