--- a/member/probe.go
+++ b/member/probe.go
@@ -48,14 +48,14 @@
 // helpers ping it too, while the direct ping has the same time again.
 func (s *Service) probe(ctx context.Context, target *Record, helpers []*Record) outcome {
 	o := outcome{target: target, started: s.clock.Now()}
-	ctx, cancel := context.WithTimeout(ctx, 2*s.opts.ProbeTimeout-s.opts.ProbeTimeout/10)
+	probeCtx, cancel := context.WithTimeout(ctx, 2*s.opts.ProbeTimeout-s.opts.ProbeTimeout/10)
 	defer cancel()
 	direct := make(chan error, 1)
 	go func() {
-		reply, err := s.ping(ctx, target)
+		reply, err := s.ping(probeCtx, target)
 		direct <- err
 		if err == nil {
-			s.takeReply(reply)
+			s.takeReply(ctx, reply)
 		}
 	}()
 	select {
@@ -69,7 +69,7 @@
 	o.asked = len(helpers)
 	answers := make(chan answer, len(helpers))
 	for _, h := range helpers {
-		go func() { answers <- s.pingThrough(ctx, h, target) }()
+		go func() { answers <- s.pingThrough(probeCtx, h, target) }()
 	}
 	for range helpers {
 		select {
@@ -144,8 +144,8 @@
 
 // takeReply merges the peer's record, corrects what the peer holds about this
 // node and compares the records when the digests differ.
-func (s *Service) takeReply(reply *peerpb.PingReply) {
-	ctx, cancel := context.WithTimeout(context.Background(), compareTimeout)
+func (s *Service) takeReply(ctx context.Context, reply *peerpb.PingReply) {
+	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
 	if reply.Record != nil {
 		s.apply([]Record{codec{s.clock.Now()}.fromProto(reply.Record)}, origin{local: true})
--- a/member/relay.go
+++ b/member/relay.go
@@ -116,15 +116,15 @@
 
 // anyAnswers pings members at the same time and reports whether one answers.
 func (s *Service) anyAnswers(ctx context.Context, members []*Record) bool {
-	ctx, cancel := context.WithTimeout(ctx, s.opts.ProbeTimeout)
+	probeCtx, cancel := context.WithTimeout(ctx, s.opts.ProbeTimeout)
 	defer cancel()
 	results := make(chan bool, len(members))
 	for _, m := range members {
 		go func() {
-			reply, err := s.ping(ctx, m)
+			reply, err := s.ping(probeCtx, m)
 			results <- err == nil
 			if err == nil {
-				s.takeReply(reply)
+				s.takeReply(ctx, reply)
 			}
 		}()
 	}
