bench: let the connections of the joins close before measuring

Every node joins over connections to seeds in other regions, which close after 30 s. Suspicions of live nodes are now counted, so that a busy machine shows in the table.

--- a/bench/members/bench.go
+++ b/bench/members/bench.go
@@ -13,10 +13,12 @@
 )
 
 const (
-	domains       = 6
-	regions       = 3
-	seedCount     = 6
-	settleTime    = 8 * time.Second
+	domains   = 6
+	regions   = 3
+	seedCount = 6
+	// settleTime is longer than unused connections are kept: those over which
+	// the nodes joined would otherwise close during the measurement.
+	settleTime    = 35 * time.Second
 	convergeLimit = 60 * time.Second
 	pollInterval  = 50 * time.Millisecond
 )
@@ -27,6 +29,7 @@
 	// The steady state.
 	OutMean, OutMax, InMax float64 // bytes/s
 	CrossRegion            float64 // bytes/s of the whole fleet between regions
+	Refuted                int     // suspicions of live nodes meanwhile
 	CPUPercent             float64 // of one core
 	HeapBytes              float64
 	Goroutines             float64
@@ -120,6 +123,15 @@
 	return sum
 }
 
+// refuted returns how often running nodes had to refute a statement about them.
+func (f *fleet) refuted() int {
+	sum := 0
+	for _, n := range f.nodes {
+		sum += int(n.dir.Self().Sequence) - 1
+	}
+	return sum
+}
+
 // Run measures a fleet of n nodes. window is the length of the steady state's
 // measurement; the two disturbances each take about as long.
 func Run(ctx context.Context, n int, window time.Duration, withStatus bool) (Result, error) {
@@ -147,9 +159,10 @@
 
 // steady measures a window without changes.
 func (f *fleet) steady(r *Result, window time.Duration) {
-	before, cross, cpu := f.counts(), f.crossRegion(), cpuTime()
+	before, cross, refuted, cpu := f.counts(), f.crossRegion(), f.refuted(), cpuTime()
 	time.Sleep(window)
 	after, used := f.counts(), cpuTime()-cpu
+	r.Refuted = f.refuted() - refuted
 	r.CrossRegion = float64(f.crossRegion()-cross) / window.Seconds()
 	seconds := window.Seconds()
 	for n, b := range before {
--- a/bench/members/command.go
+++ b/bench/members/command.go
@@ -40,8 +40,8 @@
 
 // Execute measures each fleet size and prints a table in Markdown.
 func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	fmt.Println("| nodes | out B/s mean | out B/s max | in B/s max | cross-region B/s, fleet | % of a core | memory MB | goroutines | replacement B | dead after s | joined after s | restart: survivor B | restarted B | busiest survivor B | complete s | equal s |")
-	fmt.Println("|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")
+	fmt.Println("| nodes | out B/s mean | out B/s max | in B/s max | cross-region B/s, fleet | refuted | % of a core | memory MB | goroutines | replacement B | dead after s | joined after s | restart: survivor B | restarted B | busiest survivor B | complete s | equal s |")
+	fmt.Println("|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|")
 	for size := range strings.SplitSeq(c.sizes, ",") {
 		n, err := strconv.Atoi(size)
 		if err != nil || n < domains || n > maxNodes {
@@ -53,8 +53,8 @@
 			fmt.Fprintln(os.Stderr, err)
 			return subcommands.ExitFailure
 		}
-		fmt.Printf("| %d | %.0f | %.0f | %.0f | %.0f | %.2f | %.1f | %.0f | %.0f | %.1f | %.1f | %.0f | %.0f | %.0f | %.1f | %.1f |\n",
-			r.Nodes, r.OutMean, r.OutMax, r.InMax, r.CrossRegion, r.CPUPercent, r.HeapBytes/(1<<20), r.Goroutines,
+		fmt.Printf("| %d | %.0f | %.0f | %.0f | %.0f | %d | %.2f | %.1f | %.0f | %.0f | %.1f | %.1f | %.0f | %.0f | %.0f | %.1f | %.1f |\n",
+			r.Nodes, r.OutMean, r.OutMax, r.InMax, r.CrossRegion, r.Refuted, r.CPUPercent, r.HeapBytes/(1<<20), r.Goroutines,
 			r.ReplaceBytes, r.DeadAfter.Seconds(), r.JoinedAfter.Seconds(),
 			r.RestartSurvivor, r.RestartNode, r.RestartBusiest, r.RestartAfter.Seconds(), r.RestartUntilEqualDigests.Seconds())
 	}
