Test the bypass of one silent node, early offers and single sources

Removing parts of the code on a scratch copy showed tests that still passed: the push to the children of a silent child, the request to stand in for a node that has the version, the limit to versions of the own region on paid links, the number of sources at start and the digest of a delta chain's base.

--- a/spread/fake_test.go
+++ b/spread/fake_test.go
@@ -374,6 +374,9 @@
 	for i := range r.Deltas {
 		kind = "push"
 		r.Deltas[i] = t.damage(r.Deltas[i])
+		t.fleet.mu.Lock()
+		t.fleet.sent["delta "+peer.Class(t.self.Place(), to.Place()).String()]++
+		t.fleet.mu.Unlock()
 	}
 	err = t.send(ctx, kind, to, func(n *Node) { reply = n.HandleOffer(r) })
 	return reply, err
--- a/spread/recovery_test.go
+++ b/spread/recovery_test.go
@@ -41,6 +41,8 @@
 		f.restart([]*member.Record{starting})
 		p := f.proc(starting)
 		is.True(!p.node.Ready())
+		// The lagging source offers its version before the others were asked.
+		is.Equal(p.node.HandleOffer(&peerpb.OfferRequest{Sender: lagging.ID, Version: 1}).Status, peerpb.OfferReply_WANT)
 		for !p.node.Ready() {
 			time.Sleep(time.Millisecond)
 		}
@@ -48,6 +50,30 @@
 	})
 }
 
+// Guards against a node that stops asking after one source of its own failure
+// domain, which may be behind.
+func TestStartAsksOutsideWhenFewSourcesAnswer(t *testing.T) {
+	f := newFleet(25, 1, 2, 2)
+	f.run(t, func() {
+		is := is.New(t)
+		starting, lagging := f.at("r0-d0", 0), f.at("r0-d0", 1)
+		f.setRules(func() {
+			f.cut = func(a, b Peer) bool {
+				return a.ID == lagging.ID && b.ID != starting.ID || b.ID == lagging.ID && a.ID != starting.ID
+			}
+		})
+		f.source.setDown(true)
+		f.kill(starting)
+		f.accept(f.at("r0-d1", 0))
+		time.Sleep(time.Second)
+		p := f.start(starting, nil)
+		for !p.node.Ready() {
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(p.cur.Version(), uint64(2))
+	})
+}
+
 // Guards against a restarting failure domain whose nodes all fetch over the
 // paid link, against more than the allowed transfers, and against a need for
 // the store.
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -20,7 +20,7 @@
 	f := newFleet(1, 3, 2, 12)
 	f.run(t, func() {
 		for i, r := range []*[2]int{{0, 0}, {1, 7}, {3, 11}} {
-			before := f.count("push cross-region") + f.count("announce cross-region")
+			before, deltas := f.count("push cross-region")+f.count("announce cross-region"), f.count("delta cross-region")
 			domain := []string{"r0-d0", "r0-d1", "r1-d0", "r1-d1"}[r[0]]
 			took := f.converge(t, f.accept(f.at(domain, r[1])), time.Second)
 			if took > 300*time.Millisecond {
@@ -30,6 +30,9 @@
 			if n := f.count("push cross-region") + f.count("announce cross-region") - before; n != 2 {
 				t.Errorf("change %d crossed regions %d times, want 2", i, n)
 			}
+			if n := f.count("delta cross-region") - deltas; n != 2 {
+				t.Errorf("%d deltas crossed regions for change %d, want 2", n, i)
+			}
 		}
 		if f.source.total(&f.source.loads) != 0 {
 			t.Errorf("%d loads from the store although every change was pushed", f.source.total(&f.source.loads))
@@ -153,6 +156,10 @@
 		is.Equal(p.cur.Load().Digest(), v2.Digest())
 		is.Equal(offer(3, d3), peerpb.OfferReply_APPLIED)
 		is.Equal(offer(2, d2), peerpb.OfferReply_HAVE) // a paused relay resumes
+		digest := v2.Digest()
+		is.Equal(len(p.node.HandleFetchDeltas(&peerpb.FetchDeltasRequest{Version: 2, Digest: digest[:]}).Deltas), 1)
+		digest[0] ^= 1 // a caller whose base has other content
+		is.True(p.node.HandleFetchDeltas(&peerpb.FetchDeltasRequest{Version: 2, Digest: digest[:]}).NeedSnapshot)
 		is.Equal(p.cur.Load().Digest(), v3.Digest())
 		for c, want := range map[string]uint64{"dangling": 1, "base_mismatch": 1, "corrupt": 2, "stale": 1} {
 			got := p.node.stats.set.GetOrCreateCounter(`siskingw_spread_refused_total{cause="` + c + `"}`).Get()
@@ -194,6 +201,29 @@
 	}
 }
 
+// Guards against a silent head or inner node that costs more than one stagger:
+// nodes below it are reached by its parent, and the next relay stands in for it
+// in the tree and between regions, even if it has the version already.
+func TestOneSilentNodeCostsOneStagger(t *testing.T) {
+	for rank := range 3 {
+		t.Run(fmt.Sprint("rank ", rank), func(t *testing.T) {
+			f := newFleet(12, 2, 2, 12)
+			f.run(t, func() {
+				silent := f.at("r0-d0", rank)
+				f.setRules(func() { f.cut = func(a, b Peer) bool { return a.ID == silent.ID || b.ID == silent.ID } })
+				f.kill(silent)
+				for _, origin := range []*member.Record{f.at("r0-d0", 11), f.at("r0-d1", 5), f.at("r1-d1", 0)} {
+					took := f.converge(t, f.accept(origin), 10*time.Second)
+					if limit := takeoverAfter + 100*time.Millisecond; took > limit {
+						t.Errorf("change accepted at %s took %s, limit %s", origin.ID, took, limit)
+					}
+					time.Sleep(5 * time.Second)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a region's head that takes a version and dies before it
 // passes it on.
 func TestNextRelayTakesOverDistribution(t *testing.T) {
@@ -278,8 +308,10 @@
 		f.converge(t, next.Version(), storeRetryMax+2*time.Second)
 
 		f.source.setGap(true) // a watch that stalls without an error
-		next, _ = f.change()
-		f.converge(t, next.Version(), pollEvery*12/10)
+		for range 2 {
+			next, _ = f.change()
+			f.converge(t, next.Version(), pollEvery*12/10)
+		}
 	})
 }
 
