--- a/admit/gate.go
+++ b/admit/gate.go
@@ -28,7 +28,7 @@
 
 // The disciplines. CoDel is the default: at 2 and 5 times the capacity all three
 // have the same goodput, but the 99th percentile of admitted calls is about 37
-// ms with CoDel, 70 to 160 ms with FIFO and 90 to 170 ms with LIFO, and LIFO
+// ms with CoDel, 70 to 160 ms with FIFO and 70 to 170 ms with LIFO, and LIFO
 // tells refused calls only after the queue timeout (docs/measurements-load.md).
 const (
 	// CoDel admits the oldest call, but refuses calls that waited longer than
