Refuse calls behind more important work without waiting for the timeout

Under overload the gate looked for calls that waited too long only in the queue that it served, so pages behind bids were told after the queue timeout of 250 ms. Every end of a call now refuses them in all queues.

--- a/admit/gate_test.go
+++ b/admit/gate_test.go
@@ -101,3 +101,33 @@
 		}
 	})
 }
+
+// Guards against pages that are told only after the queue timeout that more
+// important work keeps them out.
+func TestOverloadRefusesPagesEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := New(Options{Slots: 1, QueueLength: 10, QueueTimeout: time.Second})
+		running, err := g.Enter(t.Context(), object.WorkBid)
+		is.NoErr(err)
+		start := time.Now()
+		refused := make(chan time.Duration, 1)
+		go func() {
+			_, err := g.Enter(context.Background(), object.WorkPage)
+			is.True(errorx.IsOfType(err, faults.NotRun))
+			refused <- time.Since(start)
+		}()
+		for range 10 { // there is always a bid ahead of the page
+			next := make(chan *Ticket)
+			go func() {
+				t, _ := g.Enter(context.Background(), object.WorkBid)
+				next <- t
+			}()
+			time.Sleep(50 * time.Millisecond)
+			running.Leave()
+			running = <-next
+		}
+		is.Equal(<-refused, 150*time.Millisecond) // the first end of a call after the overload interval
+		running.Leave()
+	})
+}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -139,6 +139,7 @@
 
 // dispatch fills free slots from the queues in order of priority. The gate is locked.
 func (g *Gate) dispatch(now time.Time) {
+	g.expire(now)
 	for g.inFlight < g.opts.Slots && g.queued > 0 {
 		w := g.next(now)
 		if w == nil {
@@ -149,20 +150,29 @@
 	}
 }
 
-// next takes the waiter to admit out of its queue, refusing those that waited
-// too long or cannot be answered in time any more. It returns nil when the queues are empty.
+// expire refuses the calls that waited longer than allowed. Without it, calls
+// behind more important work are told only after the queue timeout. The gate is
+// locked.
+func (g *Gate) expire(now time.Time) {
+	allowed := g.allowedWait(now)
+	for i := range g.queues {
+		q := &g.queues[i]
+		for q.len() > 0 && now.Sub(q.waiters[0].since) > allowed {
+			g.refuse(q.popOldest(), errTimeout)
+		}
+	}
+}
+
+// next takes the waiter to admit out of its queue, refusing those that cannot
+// be answered in time any more. It returns nil when the queues are empty.
 func (g *Gate) next(now time.Time) *waiter {
 	for i := range g.queues {
 		for g.queues[i].len() > 0 {
 			w := g.take(&g.queues[i], now)
-			switch {
-			case now.Sub(w.since) > g.allowedWait(now):
-				g.refuse(w, errTimeout)
-			case !w.deadline.IsZero() && g.tooLate(w.priority, now, w.deadline):
-				g.refuse(w, errDeadline)
-			default:
+			if w.deadline.IsZero() || !g.tooLate(w.priority, now, w.deadline) {
 				return w
 			}
+			g.refuse(w, errDeadline)
 		}
 	}
 	return nil
