Take the shards when a delta in the store is damaged; test the acceptor against more faults

Cause: a reader with a base reads deltas first. A delta part that was damaged in the store made it refuse the version for good (Corrupt), although the shards of that version were whole; only a missing delta fell back to shards. An acceptor with a local copy is such a reader, so one damaged value stopped all changes at it.

Change: a damaged delta, or a damaged commit between base and head, is treated like a collected one: the shards are read, and their digests are checked.

Found by TestDamagedValuesAreNotTaken, which flips one bit in each byte of each part of a version: before, every flip in the delta failed the load from a base; after, every load gives the published digest or a Corrupt error. Further new tests pass without changes: an acceptor paused between validation and swap, an outage during its pause, a swap that arrives twice, late, or after another operator's swap, and a store that hangs at each write of a version.

--- /dev/null
+++ b/publish/faults_test.go
@@ -0,0 +1,277 @@
+package publish
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+	"siskingw/object"
+	"siskingw/store"
+	"siskingw/store/memstore"
+)
+
+// Guards against a change that is published on the strength of a validation
+// from before a pause, although another operator has since deleted what the
+// change refers to.
+func TestPausedAcceptorValidatesAgain(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	_, err := start(t, mem, Options{}).Apply(t.Context(), request("first", endpoints("a", "one"), endpoints("b", "two")))
+	is.NoErr(err)
+	paused, resume := make(chan struct{}), make(chan struct{})
+	var once sync.Once
+	h := &hookStore{Store: mem, before: func(string) error {
+		once.Do(func() { close(paused); <-resume })
+		return nil
+	}}
+	result := make(chan error, 1)
+	a := start(t, h, Options{})
+	go func() {
+		_, err := a.Apply(t.Context(), request("second", service("s", "a")))
+		result <- err
+	}()
+	<-paused
+	k := endpoints("a", "").Key()
+	_, err = start(t, mem, Options{}).Apply(t.Context(), Request{OperationID: "other", Author: "bob", Changes: []Change{{Delete: &k}}})
+	is.NoErr(err)
+	close(resume)
+	is.Equal(object.FaultsOf(<-result)[0].Object, "Service/s")
+	is.Equal(load(t, mem).Version(), uint64(2))
+	is.True(load(t, mem).Get(service("s", "").Key()) == nil)
+}
+
+// Guards against a resumed acceptor that reports success or "unknown" for a
+// swap that the store certainly refused while it was down.
+func TestPausedAcceptorResumesDuringOutage(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	h := &hookStore{Store: mem, before: func(key string) error {
+		if key == HeadKey { // paused here, and the store goes down meanwhile
+			mem.SetFaults(memstore.Faults{Down: true})
+		}
+		return nil
+	}}
+	a := start(t, h, Options{})
+	_, err := a.Apply(t.Context(), request("op", endpoints("a", "one")))
+	is.True(errorx.IsOfType(err, faults.StoreUnavailable))
+	mem.SetFaults(memstore.Faults{})
+	_, _, err = NewReader(mem).Head(t.Context())
+	is.True(errorx.IsOfType(err, faults.NotFound))
+	h.before = nil
+	res, err := a.Apply(t.Context(), request("op", endpoints("a", "one")))
+	is.NoErr(err)
+	is.Equal(res.Version, uint64(1))
+}
+
+// swapStore gives the first swap of the head to late, with a function that
+// carries it out, and every later swap to then.
+type swapStore struct {
+	store.Store
+	late func(swap func() error) error
+	then func(swap func() error) error
+}
+
+func (s *swapStore) CompareAndSwap(ctx context.Context, key string, mod int64, v []byte, id store.LeaseID) (rev int64, err error) {
+	swap := func() error { rev, err = s.Store.CompareAndSwap(ctx, key, mod, v, id); return err }
+	switch {
+	case key != HeadKey:
+	case s.late != nil:
+		late := s.late
+		s.late = nil
+		return rev, late(swap)
+	case s.then != nil:
+		return rev, s.then(swap)
+	}
+	return rev, swap()
+}
+
+// Guards against an operation that is applied twice, lost or misreported when
+// its swap arrives twice, or late: before or after the swap of the next
+// attempt, or after that of another operator.
+func TestSwapArrivesTwiceOrLate(t *testing.T) {
+	lost := faults.StoreUnknown.New("answer lost")
+	var first func() error // the swap that is on its way
+	hold := func(swap func() error) error {
+		first = func() error { return swap() }
+		return lost
+	}
+	cases := map[string]struct {
+		late, then func(mem store.Store) func(func() error) error
+		version    uint64
+	}{
+		"twice": {version: 2, late: func(store.Store) func(func() error) error {
+			return func(swap func() error) error { _ = swap(); return swap() }
+		}},
+		"before the next swap": {version: 2, then: func(store.Store) func(func() error) error {
+			return func(swap func() error) error { _ = first(); return swap() }
+		}},
+		"after the next swap": {version: 2, then: func(store.Store) func(func() error) error {
+			return func(swap func() error) error { err := swap(); _ = first(); return err }
+		}},
+		"after another operator's swap": {version: 3, late: func(mem store.Store) func(func() error) error {
+			return func(swap func() error) error {
+				_, err := start(t, mem, Options{}).Apply(t.Context(), request("other", endpoints("b", "two")))
+				if err != nil {
+					t.Error(err)
+				}
+				_ = swap()
+				return lost
+			}
+		}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			mem := memstore.New(memstore.Options{})
+			_, err := start(t, mem, Options{}).Apply(t.Context(), request("first", endpoints("a", "one")))
+			is.NoErr(err)
+			s := &swapStore{Store: mem, late: hold}
+			if c.late != nil {
+				s.late = c.late(mem)
+			}
+			if c.then != nil {
+				s.then = c.then(mem)
+			}
+			a := start(t, s, Options{})
+			res, err := a.Apply(t.Context(), request("second", endpoints("a", "two")))
+			is.NoErr(err)
+			is.Equal(res, Result{Version: c.version, Changed: true})
+			is.Equal(load(t, mem).Version(), c.version)
+			is.Equal(load(t, mem).Get(endpoints("a", "").Key()).EndpointSet.Announce, "two")
+			entries, err := a.History(t.Context(), 10)
+			is.NoErr(err)
+			seen := 0
+			for _, e := range entries {
+				if slices.ContainsFunc(e.Operations, func(o Operation) bool { return o.ID == "second" }) {
+					seen++
+				}
+			}
+			is.Equal(seen, 1)
+		})
+	}
+}
+
+// hangStore lets one write, counted from 0, hang until its context ends, with
+// or without effect.
+type hangStore struct {
+	store.Store
+	mu     sync.Mutex
+	writes int
+	at     int
+	effect bool
+}
+
+func (s *hangStore) hang(ctx context.Context, write func() (int64, error)) (int64, error) {
+	s.mu.Lock()
+	n := s.writes
+	s.writes++
+	s.mu.Unlock()
+	if n != s.at {
+		return write()
+	}
+	if s.effect {
+		_, _ = write()
+	}
+	<-ctx.Done()
+	return 0, faults.StoreUnknown.Wrap(ctx.Err(), "no answer")
+}
+
+func (s *hangStore) Put(ctx context.Context, key string, v []byte, id store.LeaseID) (int64, error) {
+	return s.hang(ctx, func() (int64, error) { return s.Store.Put(ctx, key, v, id) })
+}
+
+func (s *hangStore) CompareAndSwap(ctx context.Context, key string, mod int64, v []byte, id store.LeaseID) (int64, error) {
+	return s.hang(ctx, func() (int64, error) { return s.Store.CompareAndSwap(ctx, key, mod, v, id) })
+}
+
+// Guards against a request that waits without end, or is reported as without
+// effect although it took effect, when the store hangs at any write.
+func TestStoreHangsAtEachWrite(t *testing.T) {
+	const writes = 4 // shard, delta, commit and head of one change
+	for step := range writes {
+		for _, effect := range []bool{false, true} {
+			t.Run(fmt.Sprintf("write %d, effect %t", step, effect), func(t *testing.T) {
+				is := is.New(t)
+				mem := memstore.New(memstore.Options{})
+				_, err := start(t, mem, Options{}).Apply(t.Context(), request("first", endpoints("a", "one")))
+				is.NoErr(err)
+				h := &hangStore{Store: mem, at: step, effect: effect}
+				a := start(t, h, Options{BatchTimeout: 50 * time.Millisecond})
+				began := time.Now()
+				_, err = a.Apply(t.Context(), request("second", endpoints("a", "two")))
+				is.True(time.Since(began) < 2*time.Second)
+				want := faults.StoreUnavailable
+				if step == writes-1 {
+					want = faults.StoreUnknown
+				}
+				is.True(errorx.IsOfType(err, want))
+				landed := effect && step == writes-1
+				is.Equal(load(t, mem).Version(), map[bool]uint64{false: 1, true: 2}[landed])
+				res, err := a.Apply(t.Context(), request("second", endpoints("a", "two")))
+				is.NoErr(err)
+				is.Equal(res.Version, uint64(2))
+				is.Equal(load(t, mem).Version(), uint64(2))
+			})
+		}
+	}
+}
+
+// Guards against a damaged part or head that a reader takes, and against a
+// damaged delta that keeps readers from a version whose shards are intact.
+func TestDamagedValuesAreNotTaken(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	a := start(t, mem, Options{})
+	_, err := a.Apply(t.Context(), request("first", endpoints("a", "one")))
+	is.NoErr(err)
+	base := load(t, mem)
+	before, _, err := mem.Range(t.Context(), partPrefix, true)
+	is.NoErr(err)
+	_, err = a.Apply(t.Context(), request("second", endpoints("a", "two")))
+	is.NoErr(err)
+	want := load(t, mem)
+	h, _, err := NewReader(mem).Head(t.Context())
+	is.NoErr(err)
+	c, err := NewReader(mem).Commit(t.Context(), h.Commit)
+	is.NoErr(err)
+	parts, _, err := mem.Range(t.Context(), partPrefix, false)
+	is.NoErr(err)
+	damaged := 0
+	for _, kv := range parts {
+		if slices.ContainsFunc(before, func(o store.KeyValue) bool { return o.Key == kv.Key }) {
+			continue
+		}
+		damaged++
+		for i := range kv.Value {
+			bad := slices.Clone(kv.Value)
+			bad[i] ^= 1
+			_, err = mem.Put(t.Context(), kv.Key, bad, 0)
+			is.NoErr(err)
+			full, fullErr := NewReader(mem).Load(t.Context(), h, nil)
+			next, err := NewReader(mem).Load(t.Context(), h, base)
+			is.True((fullErr == nil && full.Digest() == want.Digest()) || errorx.IsOfType(fullErr, faults.Corrupt))
+			if strings.HasSuffix(kv.Key, c.Delta.String()) {
+				is.NoErr(err) // the shards are intact
+			}
+			is.True((err == nil && next.Digest() == want.Digest()) || errorx.IsOfType(err, faults.Corrupt))
+		}
+		_, err = mem.Put(t.Context(), kv.Key, kv.Value, 0)
+		is.NoErr(err)
+	}
+	is.Equal(damaged, 3) // shard, delta and commit
+	_, err = mem.Put(t.Context(), HeadKey, []byte(`{"version":`), 0)
+	is.NoErr(err)
+	_, err = a.Apply(t.Context(), request("third", endpoints("a", "three")))
+	is.True(errorx.IsOfType(err, faults.Corrupt))
+	kv, err := mem.Get(t.Context(), HeadKey)
+	is.NoErr(err)
+	is.Equal(string(kv.Value), `{"version":`) // a damaged head is not replaced
+}
--- a/publish/reader.go
+++ b/publish/reader.go
@@ -158,7 +158,7 @@
 		return !reached && c.ParentVersion > base.Version() && c.Delta != (snapshot.Digest{})
 	})
 	if err != nil || !reached {
-		return nil, err
+		return nil, unlessUnusable(err)
 	}
 	next := base
 	for i := len(chain) - 1; i >= 0; i-- {
@@ -166,12 +166,8 @@
 		if chain[i] == (snapshot.Digest{}) {
 			return nil, nil
 		}
-		err := getJSONPart(ctx, r.st, chain[i], d)
-		if errorx.IsOfType(err, faults.NotFound) {
-			return nil, nil
-		}
-		if err != nil {
-			return nil, err
+		if err := getJSONPart(ctx, r.st, chain[i], d); err != nil {
+			return nil, unlessUnusable(err)
 		}
 		if next, err = next.Apply(d); err != nil {
 			return nil, nil // base is not an ancestor of the head
@@ -183,6 +179,15 @@
 	return next, nil
 }
 
+// unlessUnusable returns nil for a part that was collected or is damaged: the
+// shards, which are whole or refused themselves, can take its place.
+func unlessUnusable(err error) error {
+	if errorx.IsOfType(err, faults.NotFound) || errorx.IsOfType(err, faults.Corrupt) {
+		return nil
+	}
+	return err
+}
+
 // loadShards reads the changed shards and takes the others from base.
 func (r *Reader) loadShards(ctx context.Context, c *Commit, base *snapshot.Snapshot, changed []int) (*snapshot.Snapshot, error) {
 	contents := make([][]byte, len(changed))
