Measure the silence of the store's region by monotonic time

Cause: the time at which a node last heard of the store's region was a wall clock time. After a step back of the clock that time lay in the future, the silence was 0 for as long as the step, and the relays of other regions did not watch the store although its region was gone.

Change: the time is counted from the start of the process, with its monotonic clock, plus an offset that keeps it positive.

The commit also adds tests that pass without a change: a store reader that dies before or after its read, a store that goes down between event and read, alone and with the reader, and links cut in one direction with and without the store. The fake transport now loses the answers of a link cut in one direction.

--- a/spread/compare.go
+++ b/spread/compare.go
@@ -96,12 +96,12 @@
 // hear notes that a peer answered, and how long ago that peer heard of the
 // store's region (ageMs is that time plus 1, or 0 for never).
 func (n *Node) hear(p Peer, ageMs uint32) {
-	now := time.Now().UnixMilli()
+	now := n.nowMs()
 	switch {
 	case p.Region == n.opts.StoreRegion:
 		raise(&n.heard, now)
 	case ageMs > 1:
-		raise(&n.heard, now-int64(ageMs-1))
+		raise(&n.heard, now-int64(min(ageMs-1, maxAgeMs)))
 	}
 }
 
@@ -115,7 +115,7 @@
 	if at == 0 {
 		return 0
 	}
-	return uint32(min(max(time.Now().UnixMilli()-at, 0), 1<<30)) + 1
+	return uint32(min(max(n.nowMs()-at, 0), maxAgeMs)) + 1
 }
 
 // jittered returns d changed at random by up to a tenth.
--- a/spread/fake_test.go
+++ b/spread/fake_test.go
@@ -326,6 +326,7 @@
 	f.sent[kind+" "+class.String()]++
 	lost := f.rng.Float64() < f.lose || f.cut != nil && f.cut(t.self, to) || f.lostFirst != nil && f.lostFirst(kind, t.self, to)
 	lostAnswer, twice := f.rng.Float64() < f.lose, f.rng.Float64() < f.double
+	lostAnswer = lostAnswer || f.cut != nil && f.cut(to, t.self)
 	if f.rng.Float64() < f.delay {
 		latency += time.Duration(f.rng.IntN(1500)) * time.Millisecond
 	}
--- a/spread/fakestore_test.go
+++ b/spread/fakestore_test.go
@@ -133,3 +133,12 @@
 	})
 	return c
 }
+
+// repeat delivers the event of a version to every watch again.
+func (s *fakeSource) repeat(v *snapshot.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.feeds {
+		c <- HeadEvent{Head: headOf(v)}
+	}
+}
--- /dev/null
+++ b/spread/faults_test.go
@@ -0,0 +1,110 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskingw/snapshot"
+)
+
+// targetTime is the time in which a change must be in force everywhere.
+const targetTime = 10 * time.Second
+
+// Guards against a time since the store's region was heard of that follows the
+// wall clock: after a step back, nobody would watch the store for as long.
+func TestSilenceIsMeasuredByMonotonicTime(t *testing.T) {
+	f := newFleet(40, 2, 1, 1)
+	// The clock of a synctest bubble has no monotonic reading.
+	outside := New(Options{View: fakeView{f, f.records[0]}, Current: new(snapshot.Current)})
+	defer outside.cancel()
+	is.New(t).True(outside.started != outside.started.Round(0))
+	f.run(t, func() {
+		is := is.New(t)
+		n := f.proc(f.at("r1-d0", 0)).node
+		n.hear(PeerOf(f.at("r0-d0", 0)), 0)
+		f.kill(f.at("r0-d0", 0))
+		is.Equal(n.storeAge(), uint32(1))
+		time.Sleep(time.Minute)
+		is.Equal(n.storeAge(), uint32(60_001))
+	})
+}
+
+// Guards against a store reader that dies between the event and its read, or
+// between its read and its first push, and takes the version with it.
+func TestReaderDiesAroundItsRead(t *testing.T) {
+	for name, afterRead := range map[string]bool{"before the read": false, "after the read": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(41, 2, 2, 6)
+			f.run(t, func() {
+				is := is.New(t)
+				time.Sleep(2 * dutySettle)
+				reader := f.at("r0-d0", 0)
+				f.setRules(func() {
+					f.lostFirst = func(kind string, from, _ Peer) bool {
+						return from.ID == reader.ID && (kind == "push" || kind == "announce")
+					}
+				})
+				next, _ := f.change()
+				for afterRead && f.proc(reader).cur.Version() < next.Version() {
+					time.Sleep(time.Millisecond)
+				}
+				is.Equal(f.source.total(&f.source.loads), map[bool]int{false: 0, true: 1}[afterRead])
+				f.kill(reader)
+				took := f.converge(t, next.Version(), targetTime)
+				is.True(took < time.Second) // one stagger and the way through the tree
+			})
+		})
+	}
+}
+
+// Guards against a version that is lost when the store goes down after its
+// event and before the read, while the first reader dies as well.
+func TestStoreGoesDownBetweenEventAndRead(t *testing.T) {
+	for name, dies := range map[string]bool{"alone": false, "with the reader": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(43, 2, 2, 6)
+			f.run(t, func() {
+				is := is.New(t)
+				time.Sleep(2 * dutySettle)
+				next, _ := f.change()
+				time.Sleep(time.Millisecond) // the event has arrived
+				f.source.setDown(true)
+				if dies {
+					f.kill(f.at("r0-d0", 0))
+				}
+				time.Sleep(20 * time.Second)
+				is.Equal(f.source.total(&f.source.loads), 0)
+				f.source.setDown(false)
+				f.converge(t, next.Version(), storeRetryMax+2*time.Second)
+			})
+		})
+	}
+}
+
+// Guards against nodes that a change does not reach while messages and answers
+// are lost in one direction only: another region, or other nodes of the
+// failure domain, must pass it on, also with the store down.
+func TestLinksCutInOneDirection(t *testing.T) {
+	for name, cut := range map[string]func(f *fleet, a, b Peer) bool{
+		"from the accepting region": func(_ *fleet, a, b Peer) bool { return a.Region == "r0" && b.Region == "r1" },
+		"to the accepting region":   func(_ *fleet, a, b Peer) bool { return a.Region == "r1" && b.Region == "r0" },
+		"from the root":             func(f *fleet, a, b Peer) bool { return a.ID == f.at("r1-d0", 0).ID && b.ID == f.at("r1-d0", 1).ID },
+		"to the root":               func(f *fleet, a, b Peer) bool { return b.ID == f.at("r1-d0", 0).ID && a.ID == f.at("r1-d0", 1).ID },
+	} {
+		for _, down := range []bool{false, true} {
+			t.Run(name+map[bool]string{true: " with the store down"}[down], func(t *testing.T) {
+				f := newFleet(45, 3, 2, 6)
+				f.run(t, func() {
+					time.Sleep(2 * dutySettle)
+					f.setRules(func() { f.cut = func(a, b Peer) bool { return cut(f, a, b) } })
+					f.source.setDown(down)
+					for range 3 {
+						t.Log(f.converge(t, f.accept(f.at("r0-d0", 3)), targetTime))
+					}
+				})
+			})
+		}
+	}
+}
--- a/spread/node.go
+++ b/spread/node.go
@@ -81,7 +81,8 @@
 	served    recipients
 	recovery  recovery
 	compared  regionTimes
-	heard     atomic.Int64 // when the store's region was last heard of, in unix ms; 0 for never
+	started   time.Time
+	heard     atomic.Int64 // when the store's region was last heard of, as of nowMs; 0 for never
 	topo      atomic.Pointer[cachedTopology]
 }
 
@@ -105,6 +106,7 @@
 		opts: opts, view: opts.View, cur: opts.Current, log: opts.Log, stats: newStats(opts.Metrics),
 		wants:     ring.New[want](maxWants, ring.DropOldest),
 		transfers: make(chan struct{}, maxTransfers),
+		started:   time.Now(),
 	}
 	opts.Metrics.GetOrCreateGauge("siskingw_spread_version", func() float64 { return float64(n.cur.Version()) })
 	n.recovery.wake = make(chan struct{}, 1)
@@ -130,6 +132,14 @@
 	return nil
 }
 
+// maxAgeMs bounds the ages that nodes tell each other, about 12 days.
+const maxAgeMs = 1 << 30
+
+// nowMs returns a positive time in ms that only advances. A step back of the
+// wall clock would let the store's region seem to have just been heard of, for
+// as long as the step, and nobody would watch the store meanwhile.
+func (n *Node) nowMs() int64 { return 2*maxAgeMs + time.Since(n.started).Milliseconds() }
+
 // Ready reports whether a version is in force.
 func (n *Node) Ready() bool { return n.cur.Version() > 0 }
 
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -123,7 +123,7 @@
 	}
 	age := n.storeAge()
 	if age == 0 { // never heard of; count from the start of the process
-		raise(&n.heard, time.Now().UnixMilli())
+		raise(&n.heard, n.nowMs())
 		return false
 	}
 	return time.Duration(age)*time.Millisecond > storeSilence
