Load a version from the store once when its event comes again

Cause: each event, and each poll, of a head that was not yet in force started a load of its own. An event that came four times within the reader's grace time caused four loads at once.

Change: a head that is being loaded is not loaded again.

Measured with TestWatchEventsRepeatedLateAndOutOfOrder under -race: before 4 loads for the first version, after 1 for each of three versions; old events cause none.

--- a/spread/faults_test.go
+++ b/spread/faults_test.go
@@ -59,6 +59,31 @@
 	}
 }
 
+// Guards against events that are delivered again, late or out of order and
+// cause further reads or move a node back.
+func TestWatchEventsRepeatedLateAndOutOfOrder(t *testing.T) {
+	f := newFleet(42, 2, 1, 6)
+	f.run(t, func() {
+		is := is.New(t)
+		time.Sleep(2 * dutySettle)
+		old := f.source.latest()
+		var next *snapshot.Snapshot
+		for i := range 3 {
+			next, _ = f.change()
+			for range 3 {
+				f.source.repeat(next)
+				f.source.repeat(old)
+			}
+			f.converge(t, next.Version(), targetTime)
+			is.Equal(f.source.total(&f.source.loads), i+1)
+			old = next
+		}
+		time.Sleep(time.Minute)
+		is.Equal(len(f.behind(next.Version())), 0)
+		is.Equal(f.source.total(&f.source.loads), 3)
+	})
+}
+
 // Guards against a version that is lost when the store goes down after its
 // event and before the read, while the first reader dies as well.
 func TestStoreGoesDownBetweenEventAndRead(t *testing.T) {
--- a/spread/node.go
+++ b/spread/node.go
@@ -82,7 +82,8 @@
 	recovery  recovery
 	compared  regionTimes
 	started   time.Time
-	heard     atomic.Int64 // when the store's region was last heard of, as of nowMs; 0 for never
+	loading   atomic.Uint64 // highest version that is being loaded from the store; 0 for none
+	heard     atomic.Int64  // when the store's region was last heard of, as of nowMs; 0 for never
 	topo      atomic.Pointer[cachedTopology]
 }
 
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -191,11 +191,18 @@
 }
 
 // considerHead loads a head that is newer than the version in force, in its
-// own goroutine, when no peer delivers it first.
+// own goroutine, when no peer delivers it first. A head that is being loaded is
+// not loaded again: an event may come twice, and the poll finds what the watch
+// found. Only the store reader's goroutine calls it.
 func (n *Node) considerHead(h Head) {
-	if h.Version > n.cur.Version() {
-		n.tasks.spawn(func() { n.loadHead(h) })
+	if h.Version <= max(n.cur.Version(), n.loading.Load()) {
+		return
 	}
+	n.loading.Store(h.Version)
+	n.tasks.spawn(func() {
+		defer n.loading.CompareAndSwap(h.Version, 0)
+		n.loadHead(h)
+	})
 }
 
 // loadHead waits for this reader's turn and loads the head. It tries again
