Check that the root of a failure domain passed a version on

Cause: a region's head counted a failure domain as served when its root had taken the version. A root that died right after held the version back until the relays compared with each other, every 2 s, and heartbeats spread it.

Change: one stagger after the delivery the head asks the next relay of the failure domain for its version and delivers to it in the root's place if it is behind. This costs one small exchange per failure domain and change within a region, and nothing between regions.

The same fault at the head of another region is not fixed: that check would cross a paid link for each change.

--- a/spread/faults_test.go
+++ b/spread/faults_test.go
@@ -108,6 +108,41 @@
 	}
 }
 
+// relayDies lets a relay take a version that is accepted in another failure
+// domain, and die before any of its messages about it arrives. One stagger and
+// one heartbeat later all others must have the version (design 10).
+func relayDies(t *testing.T, regions int, domain string) {
+	for seed := uint64(44); seed < 50; seed++ {
+		f := newFleet(seed, regions, 2, 9)
+		f.run(t, func() {
+			relay := f.at(domain, 0)
+			f.setRules(func() {
+				f.lostFirst = func(kind string, from, _ Peer) bool {
+					return from.ID == relay.ID && (kind == "push" || kind == "announce")
+				}
+			})
+			version := f.accept(f.at("r0-d0", 0))
+			for f.proc(relay).cur.Version() < version {
+				time.Sleep(time.Millisecond)
+			}
+			f.kill(relay)
+			took := f.converge(t, version, targetTime)
+			t.Logf("seed %d took %s", seed, took)
+			if took > 1300*time.Millisecond {
+				t.Errorf("seed %d took %s", seed, took)
+			}
+		})
+	}
+}
+
+// Guards against the root of a failure domain that takes a version and dies
+// before it passes it on.
+func TestRootDiesBeforePassingOn(t *testing.T) { relayDies(t, 2, "r1-d1") }
+
+// Guards against the head of another region that takes a version and dies
+// before it passes it on.
+func TestRegionHeadDiesBeforePassingOn(t *testing.T) { relayDies(t, 2, "r1-d0") }
+
 // Guards against nodes that a change does not reach while messages and answers
 // are lost in one direction only: another region, or other nodes of the
 // failure domain, must pass it on, also with the store down.
--- a/spread/forward.go
+++ b/spread/forward.go
@@ -97,8 +97,34 @@
 //siskingw:step spread-region
 func (n *Node) distribute(t *topology, ev event) {
 	for _, g := range t.groups(ev) {
-		n.pending.add(g.name, n.cur.Version())
+		version := n.cur.Version()
+		n.pending.add(g.name, version)
 		n.deliverGroup(g, 0, ev, nil)
+		if !g.region && len(g.order) > 1 {
+			n.tasks.spawn(func() { n.checkGroup(g, ev, version) })
+		}
+	}
+}
+
+// checkGroup asks the second relay of a failure domain, one stagger after the
+// delivery to the first one, whether the version has reached it. A root that
+// takes a version and dies before it passes it on would otherwise hold it back
+// until the relays compare, up to 4 s. Between regions this would cost a
+// message over a paid link for each change.
+func (n *Node) checkGroup(g group, ev event, version uint64) {
+	if !sleep(n.ctx, takeoverAfter) || n.cur.Version() > version {
+		return
+	}
+	for i, p := range g.order[1:] {
+		reply, err := n.compare(p, takeoverAfter)
+		if err != nil {
+			continue
+		}
+		if reply.Version < version {
+			n.stats.takeovers.Inc()
+			n.deliverGroup(g, i+1, ev, nil)
+		}
+		return
 	}
 }
 
