--- /dev/null
+++ b/proxy/faults_test.go
@@ -0,0 +1,167 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskingw/member"
+	"siskingw/object"
+)
+
+// States of a link.
+const (
+	linkUp         int32 = iota
+	linkLoseAnswer       // requests arrive; the connection ends with the first byte of an answer
+	linkCut              // connections are reset at once
+	linkSilent           // connections open and nothing passes
+)
+
+// link relays connections to one address and fails as its state says.
+type link struct {
+	addr   string
+	state  atomic.Int32
+	closed chan struct{}
+}
+
+func newLink(t *testing.T, target string) *link {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &link{addr: lis.Addr().String(), closed: make(chan struct{})}
+	t.Cleanup(func() { lis.Close(); close(l.closed) })
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go l.relay(c.(*net.TCPConn), target)
+		}
+	}()
+	return l
+}
+
+func (l *link) relay(c *net.TCPConn, target string) {
+	defer c.Close()
+	switch l.state.Load() {
+	case linkCut:
+		_ = c.SetLinger(0)
+		return
+	case linkSilent:
+		<-l.closed
+		return
+	}
+	s, err := net.Dial("tcp", target)
+	if err != nil {
+		return
+	}
+	defer s.Close()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { _, _ = io.Copy(s, c) })
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := s.Read(buf)
+		if err != nil || l.state.Load() != linkUp {
+			_ = c.SetLinger(0)
+			_ = c.Close()
+			return
+		}
+		if _, err := c.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// through makes the caller's node reach the first target's node by a link.
+func (r *rig) through(t *testing.T) *link {
+	rec := *r.records[0]
+	l := newLink(t, rec.InboundAddr)
+	rec.InboundAddr = l.addr
+	rec.Sequence++
+	r.view.Merge([]member.Record{rec})
+	return l
+}
+
+// Guards against a second run, a wrong "not run" or a lost answer when the
+// answer to keyed work is lost on the link, and the link is then cut while the
+// caller repeats. Once it is healed, the repeat gets the answer of the one run.
+func TestAnswerLostThenLinkCut(t *testing.T) {
+	is := is.New(t)
+	rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool { io.WriteString(nc, okAnswer); return true })
+	r := newRig(t, nil, rt.addr)
+	l := r.through(t)
+	key, _ := r.mint(t)
+	for _, state := range []int32{linkLoseAnswer, linkLoseAnswer, linkCut, linkSilent} {
+		l.state.Store(state)
+		resp, _ := r.do(t, "POST", "/bids", "bid", HeaderKey, key, HeaderDeadline, "200")
+		is.Equal(resp.Header.Get(HeaderOutcome), OutcomeUnknown)
+		is.Equal(rt.runs.Load(), int32(1))
+	}
+	l.state.Store(linkUp)
+	for range 2 {
+		resp, body := r.do(t, "POST", "/bids", "bid", HeaderKey, key)
+		is.Equal(resp.StatusCode, 200)
+		is.Equal(body, "ok")
+		is.Equal(resp.Header.Get(HeaderReplay), "true")
+	}
+	is.Equal(rt.runs.Load(), int32(1))
+}
+
+// Guards against an unkeyed bid that is sent again after its answer was lost.
+func TestUnkeyedAnswerLostIsUnknown(t *testing.T) {
+	is := is.New(t)
+	rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool { io.WriteString(nc, okAnswer); return true })
+	r := newRig(t, &object.PolicySpec{Retries: 3}, rt.addr, rt.addr)
+	l := r.through(t)
+	l.state.Store(linkLoseAnswer)
+	lost := 0
+	for n := range int32(40) {
+		resp, _ := r.do(t, "POST", "/bids", "bid")
+		if resp.StatusCode != 200 {
+			is.Equal(resp.Header.Get(HeaderOutcome), OutcomeUnknown)
+			lost++
+		}
+		is.Equal(rt.runs.Load(), n+1)
+	}
+	is.True(lost > 0)
+}
+
+// Guards against a target that stalls within its answer and keeps the caller
+// or a slot beyond the deadline, or whose half answer looks complete.
+func TestStalledAnswerEndsByTheDeadline(t *testing.T) {
+	is := is.New(t)
+	stalled := make(chan struct{})
+	defer close(stalled)
+	rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool {
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+		<-stalled
+		return false
+	})
+	r := newRig(t, nil, rt.addr)
+	req, err := http.NewRequest("POST", "http://"+r.addr+"/bids", nil)
+	is.NoErr(err)
+	req.Header.Set(HeaderDeadline, "200")
+	began := time.Now()
+	resp, err := r.client.Do(req)
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+	}
+	is.True(err != nil || resp.Header.Get(HeaderOutcome) == OutcomeUnknown)
+	is.True(time.Since(began) < 2*time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	is.NoErr(r.gates[0].Wait(ctx))
+	is.Equal(rt.runs.Load(), int32(1))
+}
