Test store readers against a slow store, damaged values and collected parts

The fault matrix showed no test for a store that is slow or hangs, for damaged values, or for parts that are collected while they are read. The fake store has a delay for each call.

--- a/spread/fakestore_test.go
+++ b/spread/fakestore_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"siskingw/faults"
 	"siskingw/snapshot"
@@ -15,7 +16,8 @@
 	mu    sync.Mutex
 	head  *snapshot.Snapshot
 	down  bool
-	gap   bool // watches miss changes without an error
+	slow  time.Duration // of each call, or until its context ends
+	gap   bool          // watches miss changes without an error
 	calls int
 	loads int
 	feeds []chan HeadEvent
@@ -89,7 +91,28 @@
 	return Head{Version: s.Version(), Revision: int64(s.Version())}
 }
 
+// wait delays a call while the store is slow.
+func (s *fakeSource) wait(ctx context.Context) error {
+	s.mu.Lock()
+	d := s.slow
+	s.mu.Unlock()
+	if d > 0 && !sleep(ctx, d) {
+		return faults.StoreUnavailable.Wrap(ctx.Err(), "store is slow")
+	}
+	return nil
+}
+
+// setSlow delays every call to come.
+func (s *fakeSource) setSlow(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = d
+}
+
 func (s *fakeSource) Head(ctx context.Context) (Head, error) {
+	if err := s.wait(ctx); err != nil {
+		return Head{}, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -100,6 +123,9 @@
 }
 
 func (s *fakeSource) Load(ctx context.Context, h Head, base *snapshot.Snapshot) (*snapshot.Snapshot, error) {
+	if err := s.wait(ctx); err != nil {
+		return nil, err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
--- a/spread/faults_test.go
+++ b/spread/faults_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"siskingw/member"
 	"siskingw/snapshot"
 )
 
@@ -168,3 +169,29 @@
 		}
 	}
 }
+
+// Guards against a version that a slow store keeps from the fleet although
+// each call is answered in time, and against one that is lost, or calls that
+// pile up, when calls hang until they are given up and the store recovers.
+func TestReadersOfSlowStore(t *testing.T) {
+	for name, slow := range map[string]time.Duration{"answers late": storeTimeout - time.Second, "hangs": time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(46, 2, 2, 6)
+			f.run(t, func() {
+				is := is.New(t)
+				time.Sleep(2 * dutySettle)
+				f.source.setSlow(slow)
+				next, _ := f.change()
+				if slow < storeTimeout {
+					f.converge(t, next.Version(), targetTime)
+					return
+				}
+				time.Sleep(time.Minute)
+				is.Equal(f.source.total(&f.source.loads), 0)
+				f.source.setSlow(0)
+				f.converge(t, next.Version(), storeRetryMax+2*storeTimeout+2*time.Second)
+				is.True(f.source.total(&f.source.loads) <= 3*member.RelayCount) // at most one by each relay
+			})
+		})
+	}
+}
--- a/spread/published_test.go
+++ b/spread/published_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -11,6 +12,7 @@
 	"siskingw/object"
 	"siskingw/publish"
 	"siskingw/snapshot"
+	"siskingw/store"
 	"siskingw/store/memstore"
 )
 
@@ -48,3 +50,95 @@
 		synctest.Wait()
 	})
 }
+
+// slowParts calls before, once, before it reads the first part.
+type slowParts struct {
+	store.Store
+	once   sync.Once
+	before func()
+}
+
+func (s *slowParts) Get(ctx context.Context, key string) (store.KeyValue, error) {
+	if key != publish.HeadKey {
+		s.once.Do(s.before)
+	}
+	return s.Store.Get(ctx, key)
+}
+
+// Guards against a reader that never gets past a head whose parts are
+// collected while it reads them, because operators went on meanwhile.
+func TestPartsCollectedWhileRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		st := memstore.New(memstore.Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		acceptor := publish.NewAcceptor(st, new(snapshot.Current), publish.Options{})
+		go func() { _ = acceptor.Run(ctx) }()
+		apply := func(id string) uint64 {
+			result, err := acceptor.Apply(ctx, publish.Request{OperationID: id, Author: "ann", Changes: []publish.Change{
+				{Object: &object.Object{Kind: object.KindEndpointSet, Name: "floor", EndpointSet: &object.EndpointSetSpec{Announce: id}}}}})
+			is.NoErr(err)
+			return result.Version
+		}
+		apply("op-1")
+		var last uint64
+		read := &slowParts{Store: st, before: func() {
+			last = apply("op-2")
+			last = apply("op-3")
+			c := publish.NewCollector(st, publish.CollectorOptions{KeepCommits: 1, MinAge: time.Second})
+			_, err := c.Collect(ctx)
+			is.NoErr(err)
+			time.Sleep(time.Second)
+			n, err := c.Collect(ctx)
+			is.NoErr(err)
+			is.True(n > 0) // the parts of the first head are gone
+		}}
+		f := newFleet(32, 1, 1, 1)
+		cur := new(snapshot.Current)
+		n := New(Options{View: fakeView{f, f.records[0]}, Current: cur, Transport: fakeTransport{f, PeerOf(f.records[0])},
+			Source: NewSource(read, publish.NewReader(read)), StoreRegion: "r0"})
+		go func() { _ = n.Run(ctx) }()
+		time.Sleep(dutySettle + aloneSpread + targetTime)
+		is.True(last > 0)
+		is.Equal(cur.Version(), last)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against a damaged head or part that a reader puts in force, and
+// against a reader that does not recover once the value is whole again.
+func TestDamagedStoreValuesAreNotPutInForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		st := memstore.New(memstore.Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		acceptor := publish.NewAcceptor(st, new(snapshot.Current), publish.Options{})
+		go func() { _ = acceptor.Run(ctx) }()
+		f := newFleet(33, 1, 1, 1)
+		cur := new(snapshot.Current)
+		n := New(Options{View: fakeView{f, f.records[0]}, Current: cur, Transport: fakeTransport{f, PeerOf(f.records[0])},
+			Source: NewSource(st, publish.NewReader(st)), StoreRegion: "r0"})
+		go func() { _ = n.Run(ctx) }()
+		time.Sleep(dutySettle + aloneSpread + time.Second)
+		_, err := acceptor.Apply(ctx, publish.Request{OperationID: "op", Author: "ann", Changes: []publish.Change{
+			{Object: &object.Object{Kind: object.KindEndpointSet, Name: "floor", EndpointSet: &object.EndpointSetSpec{Announce: "floor"}}}}})
+		is.NoErr(err)
+		kvs, _, err := st.Range(ctx, "siskingw/", false)
+		is.NoErr(err)
+		for _, kv := range kvs { // every value at once, before the reader's turn
+			_, err = st.Put(ctx, kv.Key, append([]byte{'x'}, kv.Value...), 0)
+			is.NoErr(err)
+		}
+		time.Sleep(30 * time.Second)
+		is.Equal(cur.Version(), uint64(0))
+		for _, kv := range kvs {
+			_, err = st.Put(ctx, kv.Key, kv.Value, 0)
+			is.NoErr(err)
+		}
+		time.Sleep(storeRetryMax + 2*time.Second)
+		is.Equal(cur.Version(), uint64(1))
+		cancel()
+		synctest.Wait()
+	})
+}
