meshbench capacity: measure one node at a fleet size

The subcommand starts one real node process and a stand-in that serves Membership, Status and Spread for the synthetic members of its failure domain and the relays of the others. It reports processor time from /proc, memory from smaps_rollup and bytes by link class while idle, during configuration changes and during churn, for each rank-dependent role and for an acceptor with the store stand-in.

--- /dev/null
+++ b/bench/capacity/command.go
@@ -0,0 +1,113 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+)
+
+// Command is meshbench's subcommand for the use of one node at the target size.
+type Command struct {
+	opts Options
+	role string
+	env  string
+	json string
+}
+
+// Name returns the subcommand's name.
+func (*Command) Name() string { return "capacity" }
+
+// Synopsis describes the subcommand in a line.
+func (*Command) Synopsis() string { return "measure what one node uses for control at a fleet size" }
+
+// Usage describes the subcommand.
+func (*Command) Usage() string {
+	return "capacity [-services 2100] [-endpoints 20000] [-role leaf|parent|relay|rank0|head] [-accept] [-idle 30s] [-busy 20s]\n"
+}
+
+// SetFlags registers the flags.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.opts.BinDir, "bin", "bin", "`directory` of the binaries")
+	f.IntVar(&c.opts.Services, "services", 2100, "services with an endpoint set and a route each")
+	f.IntVar(&c.opts.Endpoints, "endpoints", 20000, "members of the fleet, at least 45")
+	f.StringVar(&c.role, "role", string(Leaf), "leaf, parent, relay, rank0 or head")
+	f.BoolVar(&c.opts.Accept, "accept", false, "apply changes through the node's admin API, with a store stand-in")
+	f.DurationVar(&c.opts.Idle, "idle", 30*time.Second, "length of the idle phase")
+	f.DurationVar(&c.opts.Busy, "busy", 20*time.Second, "length of each other phase")
+	f.StringVar(&c.env, "env", "", "variables for the node's environment, separated by commas")
+	f.StringVar(&c.opts.KeepLog, "log", "", "`file` to which the node's log is copied")
+	f.StringVar(&c.json, "json", "", "`file` to which the result is written as JSON")
+}
+
+// Execute runs one measurement and prints a table in Markdown.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.opts.Role = Role(c.role)
+	if c.env != "" {
+		c.opts.Env = strings.Split(c.env, ",")
+	}
+	r, err := Run(ctx, c.opts)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	r.print()
+	if c.json != "" {
+		b, err := json.MarshalIndent(r, "", " ")
+		if err == nil {
+			err = os.WriteFile(c.json, b, 0o600)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return subcommands.ExitFailure
+		}
+	}
+	return subcommands.ExitSuccess
+}
+
+// print writes the phases as a table.
+func (r *Result) print() {
+	fmt.Printf("role %s at position %d, %d services, %d endpoints, accept %t: ready %.2f s, complete %.2f s, CPU until then %.2f s, snapshot %d B",
+		r.Role, r.Position, r.Services, r.Endpoints, r.Accept, r.Ready.Seconds(), r.Complete.Seconds(), r.LoadCPU.Seconds(), r.SnapshotBytes)
+	if r.Accept {
+		fmt.Printf(", whole configuration accepted in %.2f s", r.Apply.Seconds())
+	}
+	fmt.Println()
+	fmt.Println("| phase | s | events | CPU % of a core | CPU ms/s | sent B/s domain/region/cross | received B/s | RSS MB | peak | anon | heap | heap sys | in force ms p50/max | calls by the node/s |")
+	fmt.Println("|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|---|")
+	for _, p := range r.Phases {
+		cpu := 100 * p.CPU.Seconds() / p.Seconds
+		fmt.Printf("| %s | %.0f | %d | %.2f | %.1f | %s | %s | %.1f | %.1f | %.1f | %.1f | %.1f | %s | %s |\n",
+			p.Name, p.Seconds, p.Events, cpu, 10*cpu, rates(p.Sent, p.Seconds), rates(p.Got, p.Seconds),
+			p.Memory.RSS, p.Memory.Peak, p.Memory.Anonymous, p.Memory.Heap, p.Memory.HeapSys, latencies(p.Took), callRates(p))
+	}
+}
+
+func rates(bytes map[string]float64, seconds float64) string {
+	return fmt.Sprintf("%.0f/%.0f/%.0f", bytes["same-domain"]/seconds, bytes["same-region"]/seconds, bytes["cross-region"]/seconds)
+}
+
+func latencies(took []time.Duration) string {
+	sorted := slices.Sorted(slices.Values(took))
+	if len(sorted) == 0 || sorted[len(sorted)-1] == 0 {
+		return ""
+	}
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	return fmt.Sprintf("%.1f/%.1f", ms(sorted[len(sorted)/2]), ms(sorted[len(sorted)-1]))
+}
+
+func callRates(p phase) string {
+	var out []string
+	for k := range callKinds {
+		if n := p.Calls[k.String()]; n > 0 {
+			out = append(out, fmt.Sprintf("%s %.2f", k, float64(n)/p.Seconds))
+		}
+	}
+	return strings.Join(out, ", ")
+}
--- /dev/null
+++ b/bench/capacity/run.go
@@ -0,0 +1,360 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"siskingw/admin"
+	"siskingw/faults"
+	"siskingw/member"
+	"siskingw/peer"
+	"siskingw/publish"
+	"siskingw/settings"
+	"siskingw/snapshot"
+)
+
+const (
+	startTimeout = 60 * time.Second
+	// settleTime passes after the start before the first phase.
+	settleTime = 5 * time.Second
+	// minEndpoints stands for no endpoints: five members in each failure domain.
+	minEndpoints = 5 * domainCount
+)
+
+// Options configures a run.
+type Options struct {
+	BinDir    string
+	Services  int
+	Endpoints int
+	Role      Role
+	Accept    bool          // changes enter through the node's admin API, with a store
+	Idle      time.Duration // length of the idle phase
+	Busy      time.Duration // length of each other phase
+	Env       []string      // added to the node's environment
+	KeepLog   string        // file to which the node's log is copied, if set
+}
+
+// phase is what the node used in one phase.
+type phase struct {
+	Name    string
+	Seconds float64
+	Events  int                // configuration changes or membership records
+	CPU     time.Duration      // processor time
+	Sent    map[string]float64 // bytes that left the node by link class
+	Got     map[string]float64 // bytes that reached it
+	Calls   map[string]int64   // calls that the node made
+	Memory  memory             // at the end of the phase
+	Took    []time.Duration    // until each change was in force on the node
+}
+
+// Result is the outcome of a run.
+type Result struct {
+	Options
+	Ready, Complete time.Duration // since the start of the process: configuration, all records
+	LoadCPU         time.Duration // processor time until then
+	Phases          []phase
+	Apply           time.Duration // with Accept: acceptance of the whole configuration
+	SnapshotBytes   int           // encoded
+	Position        int           // of the node in its failure domain
+}
+
+// bench is one run in progress.
+type bench struct {
+	opts     Options
+	dir      string
+	base     int
+	id       string
+	settings *settings.Settings
+	records  []member.Record
+	st       *standIn
+	driver   *driver
+	store    *process
+	node     *process
+	client   *admin.Client
+	version  uint64
+	result   Result
+}
+
+// Run measures one node.
+func Run(ctx context.Context, opts Options) (*Result, error) {
+	dir, err := os.MkdirTemp("", "siskingw-capacity-")
+	if err != nil {
+		return nil, faults.Internal.Wrap(err, "working directory")
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	b := &bench{opts: opts, dir: dir, base: 2 + os.Getpid()%250, result: Result{Options: opts}}
+	ctx, cancel := context.WithCancel(ctx)
+	defer b.close(cancel)
+	for _, step := range []func(context.Context) error{b.prepare, b.start, b.load, b.phases} {
+		if err := step(ctx); err != nil {
+			b.keepLog("capacity-failed.log")
+			return nil, err
+		}
+	}
+	if opts.KeepLog != "" {
+		b.keepLog(opts.KeepLog)
+	}
+	return &b.result, b.driver.failed
+}
+
+func (b *bench) close(cancel context.CancelFunc) {
+	cancel()
+	for _, p := range []*process{b.node, b.store} {
+		if p != nil {
+			p.stop()
+		}
+	}
+	if b.st != nil && b.st.server != nil {
+		b.st.server.Stop()
+	}
+}
+
+func (b *bench) keepLog(path string) {
+	if log, err := os.ReadFile(filepath.Join(b.dir, "node.log")); err == nil {
+		_ = os.WriteFile(path, log, 0o600)
+	}
+}
+
+// prepare builds the fleet and starts the stand-in and, if needed, the store.
+func (b *bench) prepare(context.Context) error {
+	b.records = makeRecords(max(b.opts.Endpoints, minEndpoints), b.opts.Services, b.base, uint64(time.Now().UnixMilli()))
+	var first *snapshot.Snapshot
+	if !b.opts.Accept {
+		var err error
+		if first, err = snapshot.New(1, makeObjects(b.opts.Services)); err != nil {
+			return err
+		}
+		b.result.SnapshotBytes = len(first.Encode())
+	}
+	var err error
+	if b.st, err = newStandIn(b.records, first); err != nil {
+		return err
+	}
+	region, domain := place(roleDomain(b.opts.Role))
+	if err := b.st.serve(domain); err != nil {
+		return err
+	}
+	if b.id, err = findID(b.opts.Role, b.st.dir.Ranked(domain)); err != nil {
+		return err
+	}
+	b.settings = b.nodeSettings(region, domain)
+	b.driver = newDriver(b.st, b.id, b.settings.Listen.Peer, b.opts.Role)
+	if !b.opts.Accept {
+		return nil
+	}
+	b.store, err = startProcess(filepath.Join(b.dir, "store.log"), nil, filepath.Join(b.opts.BinDir, "storestub"),
+		"-addr", b.settings.Store.Endpoint, "-control", fmt.Sprintf("127.%d.254.1:15011", b.base))
+	return err
+}
+
+func (b *bench) nodeSettings(region, domain string) *settings.Settings {
+	addr := func(port int) string { return fmt.Sprintf("127.%d.253.1:%d", b.base, port) }
+	s := &settings.Settings{
+		ID: b.id, Region: region, FailureDomain: domain,
+		Listen: settings.Listen{Outbound: addr(15001), Inbound: addr(inboundPort), Peer: addr(peerPort), Admin: addr(15004)},
+		Target: &settings.Target{Service: serviceName(0), Address: addr(15005), Slots: slots},
+	}
+	for _, r := range b.st.dir.Ranked(domain)[:4] {
+		s.Seeds = append(s.Seeds, settings.Seed{Address: r.PeerAddr, Region: region, FailureDomain: domain})
+	}
+	if b.opts.Accept {
+		s.Store = settings.Store{Endpoint: fmt.Sprintf("127.%d.254.1:15010", b.base), Region: region}
+	}
+	return s
+}
+
+// start starts the node and waits until it holds every record and, unless it
+// is to accept it, the configuration.
+func (b *bench) start(ctx context.Context) error {
+	raw, err := json.Marshal(b.settings)
+	if err != nil {
+		return faults.Internal.Wrap(err, "settings")
+	}
+	path := filepath.Join(b.dir, "node.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return faults.Internal.Wrap(err, "settings")
+	}
+	begin := time.Now()
+	if b.node, err = startProcess(filepath.Join(b.dir, "node.log"), b.opts.Env, filepath.Join(b.opts.BinDir, "siskingw"), "node", "-config", path); err != nil {
+		return err
+	}
+	b.client = admin.NewClient(b.settings.Listen.Admin)
+	for time.Since(begin) < startTimeout && ctx.Err() == nil {
+		if b.result.Ready == 0 && (b.opts.Accept || ready(ctx, b.settings.Listen.Admin)) {
+			b.result.Ready = time.Since(begin)
+		}
+		if b.result.Complete == 0 && b.st.root.Load() == b.st.dir.Root() {
+			b.result.Complete = time.Since(begin)
+		}
+		if b.result.Ready > 0 && b.result.Complete > 0 {
+			b.result.Position = member.Position(b.st.dir, b.id)
+			b.result.LoadCPU, err = b.node.cpu()
+			go b.driver.run(ctx)
+			return err
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return faults.Timeout.New("the node is not complete within %s", startTimeout)
+}
+
+// load applies the configuration through the node's admin API.
+func (b *bench) load(ctx context.Context) error {
+	if !b.opts.Accept {
+		return wait(ctx, settleTime)
+	}
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	req := publish.Request{OperationID: "load", Author: "operator"}
+	for _, o := range makeObjects(b.opts.Services) {
+		req.Changes = append(req.Changes, publish.Change{Object: o})
+	}
+	begin := time.Now()
+	res, err := b.client.Apply(ctx, req)
+	if err != nil {
+		return err
+	}
+	b.result.Apply, b.version = time.Since(begin), res.Version
+	objects := makeObjects(b.opts.Services)
+	first, err := snapshot.New(res.Version, objects)
+	if err != nil {
+		return err
+	}
+	b.result.SnapshotBytes = len(first.Encode())
+	return wait(ctx, settleTime)
+}
+
+// apply changes one route through the admin API and returns how long that took.
+func (b *bench) apply(ctx context.Context) (time.Duration, error) {
+	b.version++
+	begin := time.Now()
+	_, err := b.client.Apply(ctx, publish.Request{OperationID: fmt.Sprintf("change-%d", b.version), Author: "operator", Since: b.version - 1,
+		Changes: []publish.Change{{Object: routeObject(int(b.version)%b.opts.Services, b.version)}}})
+	return time.Since(begin), err
+}
+
+// phases runs every phase.
+func (b *bench) phases(ctx context.Context) error {
+	change := func(ctx context.Context) (time.Duration, error) { return b.driver.offer(ctx, b.opts.Services) }
+	if b.opts.Accept {
+		change = b.apply
+	}
+	churn := func(ctx context.Context) (time.Duration, error) { return 0, b.driver.churn(ctx, b.records) }
+	if err := b.phase(ctx, "idle", b.opts.Idle, 0, nil); err != nil {
+		return err
+	}
+	if b.opts.Services > 0 {
+		if err := b.phase(ctx, "changes 1/s", b.opts.Busy, time.Second, change); err != nil {
+			return err
+		}
+	}
+	if err := b.phase(ctx, "churn 1/s", b.opts.Busy, time.Second, churn); err != nil {
+		return err
+	}
+	return b.phase(ctx, "churn 10/s", b.opts.Busy, time.Second/10, churn)
+}
+
+// phase measures for d while event runs once every period. The metrics page is
+// read outside of the measured time.
+func (b *bench) phase(ctx context.Context, name string, d, period time.Duration, event func(context.Context) (time.Duration, error)) error {
+	p := phase{Name: name}
+	before, err := b.traffic(ctx)
+	if err != nil {
+		return err
+	}
+	calls := b.calls()
+	cpu, err := b.node.cpu()
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	for next := begin; event != nil && time.Since(begin) < d; {
+		took, err := event(ctx)
+		if err != nil {
+			return err
+		}
+		p.Events++
+		p.Took = append(p.Took, took)
+		next = next.Add(period)
+		if err := wait(ctx, time.Until(next)); err != nil {
+			return err
+		}
+	}
+	if err := wait(ctx, time.Until(begin.Add(d))); err != nil {
+		return err
+	}
+	after, err := b.node.cpu()
+	if err != nil {
+		return err
+	}
+	p.Seconds, p.CPU = time.Since(begin).Seconds(), after-cpu
+	if err := b.finish(ctx, &p, before, calls); err != nil {
+		return err
+	}
+	b.result.Phases = append(b.result.Phases, p)
+	return nil
+}
+
+// finish fills in the differences to the beginning of the phase.
+func (b *bench) finish(ctx context.Context, p *phase, before traffic, calls [callKinds]int64) error {
+	now, err := b.traffic(ctx)
+	if err != nil {
+		return err
+	}
+	p.Sent, p.Got = difference(now.sent, before.sent), difference(now.got, before.got)
+	p.Calls = make(map[string]int64)
+	for k, n := range b.calls() {
+		if n > calls[k] {
+			p.Calls[callKind(k).String()] = n - calls[k]
+		}
+	}
+	p.Memory, err = b.node.readMemory(now.metrics)
+	return err
+}
+
+func (b *bench) calls() (out [callKinds]int64) {
+	for k := range out {
+		out[k] = b.st.calls[k].Load()
+	}
+	return out
+}
+
+// traffic is the bytes that left and reached the node by link class. The
+// node's metrics count the connections that the node opened; the driver counts
+// those that others opened to it.
+type traffic struct {
+	sent, got, metrics map[string]float64
+}
+
+func (b *bench) traffic(ctx context.Context) (traffic, error) {
+	m, err := scrape(ctx, b.settings.Listen.Admin)
+	if err != nil {
+		return traffic{}, err
+	}
+	t := traffic{sent: make(map[string]float64), got: make(map[string]float64), metrics: m}
+	for _, c := range []peer.LinkClass{peer.SameDomain, peer.SameRegion, peer.CrossRegion} {
+		t.sent[c.String()] = m[fmt.Sprintf("siskingw_control_sent_bytes{link=%q}", c)] + float64(b.driver.traffic.Received(c))
+		t.got[c.String()] = m[fmt.Sprintf("siskingw_control_received_bytes{link=%q}", c)] + float64(b.driver.traffic.Sent(c))
+	}
+	return t, nil
+}
+
+func difference(after, before map[string]float64) map[string]float64 {
+	out := make(map[string]float64)
+	for k, v := range after {
+		out[k] = v - before[k]
+	}
+	return out
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return faults.Stopped.Wrap(ctx.Err(), "measurement")
+	}
+}
--- a/cmd/meshbench/main.go
+++ b/cmd/meshbench/main.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 
 	"siskingw/bench/calls"
+	"siskingw/bench/capacity"
 	"siskingw/bench/demo"
 	"siskingw/bench/load"
 	"siskingw/bench/members"
@@ -24,6 +25,7 @@
 	subcommands.Register(new(calls.Command), "")
 	subcommands.Register(new(calls.Role), "internal")
 	subcommands.Register(new(load.Command), "")
+	subcommands.Register(new(capacity.Command), "")
 	subcommands.Register(new(demo.Command), "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
