--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -10,6 +10,8 @@
 
 // relay passes the answer on and ends the exchange. It returns a refusal with
 // aborted set when the caller's connection must be cut.
+//
+//siskingw:step answer
 func (x *exchange) relay(c *call) *refusal {
 	done := false
 	defer func() { x.finish(done) }()
@@ -35,6 +37,9 @@
 		h[k] = v
 	}
 	done = true
+	if f, ok := c.w.(interface{ FlushError() error }); ok && x.resp.ContentLength >= 0 {
+		_ = f.FlushError() // now, before the bookkeeping; a failure ends the connection
+	}
 	return nil
 }
 
