--- a/bench/capacity/command.go
+++ b/bench/capacity/command.go
@@ -29,7 +29,7 @@
 
 // Usage describes the subcommand.
 func (*Command) Usage() string {
-	return "capacity [-services 2100] [-endpoints 20000] [-role leaf|parent|relay|rank0|head] [-accept] [-idle 30s] [-busy 20s]\n"
+	return "capacity [-services 2100] [-endpoints 20000] [-role leaf|parent|relay|rank0|head] [-accept|-read] [-idle 30s] [-busy 20s]\n"
 }
 
 // SetFlags registers the flags.
@@ -39,6 +39,7 @@
 	f.IntVar(&c.opts.Endpoints, "endpoints", 20000, "members of the fleet, at least 45")
 	f.StringVar(&c.role, "role", string(Leaf), "leaf, parent, relay, rank0 or head")
 	f.BoolVar(&c.opts.Accept, "accept", false, "apply changes through the node's admin API, with a store stand-in")
+	f.BoolVar(&c.opts.Read, "read", false, "publish changes to a store stand-in from which the node, a relay, reads them")
 	f.DurationVar(&c.opts.Idle, "idle", 30*time.Second, "length of the idle phase")
 	f.DurationVar(&c.opts.Busy, "busy", 20*time.Second, "length of each other phase")
 	f.StringVar(&c.env, "env", "", "variables for the node's environment, separated by commas")
@@ -52,6 +53,10 @@
 	if c.env != "" {
 		c.opts.Env = strings.Split(c.env, ",")
 	}
+	if c.opts.Accept && c.opts.Read || c.opts.Read && c.opts.Role != HeadOne {
+		fmt.Fprintln(os.Stderr, "-read needs the role head and excludes -accept")
+		return subcommands.ExitUsageError
+	}
 	r, err := Run(ctx, c.opts)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -109,5 +114,8 @@
 			out = append(out, fmt.Sprintf("%s %.2f", k, float64(n)/p.Seconds))
 		}
 	}
+	if s := p.Store; s.Watching > 0 || s.Writes > 0 {
+		out = append(out, fmt.Sprintf("store reads %.2f, writes %.2f, watches %d", float64(s.Reads)/p.Seconds, float64(s.Writes)/p.Seconds, s.Watching))
+	}
 	return strings.Join(out, ", ")
 }
--- a/bench/capacity/driver.go
+++ b/bench/capacity/driver.go
@@ -29,6 +29,7 @@
 	traffic peer.Traffic // of the connections that others open to the node
 	steady  map[peer.Place]*peer.Pool
 	number  uint64 // of the last report
+	pushed  int    // records in the last push
 	mu      sync.Mutex
 	failed  error // first failed call
 }
@@ -296,11 +297,20 @@
 
 // churn restarts one random member and pushes its record to the node.
 func (d *driver) churn(ctx context.Context, records []member.Record) error {
+	return d.push(ctx, []*member.Record{&records[rand.IntN(len(records))]})
+}
+
+// push restarts members and pushes their records to the node in one batch.
+func (d *driver) push(ctx context.Context, members []*member.Record) error {
 	self, err := d.node()
 	if err != nil {
 		return err
 	}
-	changed := d.st.restart(&records[rand.IntN(len(records))])
+	changed := make([]*member.Record, len(members))
+	for i, r := range members {
+		changed[i] = d.st.restart(r)
+	}
+	d.pushed = len(changed)
 	parent := d.parentOf(self)
 	cc, err := d.pool(parent.Place()).Conn(d.addr, self.Place())
 	if err != nil {
@@ -314,8 +324,7 @@
 		direction = peerpb.PushDirection_PUSH_IN_REGION
 	}
 	_, err = peerpb.NewMembershipClient(cc).PushMembers(ctx, &peerpb.PushMembersRequest{
-		Direction: direction, FromDomain: parent.FailureDomain,
-		Records: &peerpb.RecordBatch{Data: marshal(changed)},
+		Direction: direction, FromDomain: parent.FailureDomain, Records: batchOf(changed),
 	})
 	return err
 }
--- a/bench/capacity/run.go
+++ b/bench/capacity/run.go
@@ -21,6 +21,9 @@
 	startTimeout = 60 * time.Second
 	// settleTime passes after the start before the first phase.
 	settleTime = 5 * time.Second
+	// restartBatches is the number of pushes in which the restart of a whole
+	// failure domain arrives. Senders may send up to 512 KiB at once.
+	restartBatches = 10
 	// minEndpoints stands for no endpoints: five members in each failure domain.
 	minEndpoints = 5 * domainCount
 )
@@ -32,6 +35,7 @@
 	Endpoints int
 	Role      Role
 	Accept    bool          // changes enter through the node's admin API, with a store
+	Read      bool          // changes enter at another node, and the measured one reads them from the store
 	Idle      time.Duration // length of the idle phase
 	Busy      time.Duration // length of each other phase
 	Env       []string      // added to the node's environment
@@ -49,6 +53,7 @@
 	Calls   map[string]int64   // calls that the node made
 	Memory  memory             // at the end of the phase
 	Took    []time.Duration    // until each change was in force on the node
+	Store   storeCounts        // calls that the store served, with Accept or Read
 }
 
 // Result is the outcome of a run.
@@ -73,6 +78,7 @@
 	st       *standIn
 	driver   *driver
 	store    *process
+	source   *source // with Read: publishes the changes
 	node     *process
 	client   *admin.Client
 	version  uint64
@@ -108,6 +114,9 @@
 			p.stop()
 		}
 	}
+	if b.source != nil {
+		b.source.close()
+	}
 	if b.st != nil && b.st.server != nil {
 		b.st.server.Stop()
 	}
@@ -120,7 +129,7 @@
 }
 
 // prepare builds the fleet and starts the stand-in and, if needed, the store.
-func (b *bench) prepare(context.Context) error {
+func (b *bench) prepare(ctx context.Context) error {
 	b.records = makeRecords(max(b.opts.Endpoints, minEndpoints), b.opts.Services, b.base, uint64(time.Now().UnixMilli()))
 	var first *snapshot.Snapshot
 	if !b.opts.Accept {
@@ -143,14 +152,19 @@
 	}
 	b.settings = b.nodeSettings(region, domain)
 	b.driver = newDriver(b.st, b.id, b.settings.Listen.Peer, b.opts.Role)
-	if !b.opts.Accept {
+	if !b.opts.Accept && !b.opts.Read {
 		return nil
 	}
 	b.store, err = startProcess(filepath.Join(b.dir, "store.log"), nil, filepath.Join(b.opts.BinDir, "storestub"),
-		"-addr", b.settings.Store.Endpoint, "-control", fmt.Sprintf("127.%d.254.1:15011", b.base))
+		"-addr", b.settings.Store.Endpoint, "-control", b.storeControl())
+	if err == nil && b.opts.Read {
+		b.source, err = newSource(ctx, b.settings.Store.Endpoint, first, b.st)
+	}
 	return err
 }
 
+func (b *bench) storeControl() string { return fmt.Sprintf("127.%d.254.1:15011", b.base) }
+
 func (b *bench) nodeSettings(region, domain string) *settings.Settings {
 	addr := func(port int) string { return fmt.Sprintf("127.%d.253.1:%d", b.base, port) }
 	s := &settings.Settings{
@@ -161,7 +175,7 @@
 	for _, r := range b.st.dir.Ranked(domain)[:4] {
 		s.Seeds = append(s.Seeds, settings.Seed{Address: r.PeerAddr, Region: region, FailureDomain: domain})
 	}
-	if b.opts.Accept {
+	if b.opts.Accept || b.opts.Read {
 		s.Store = settings.Store{Endpoint: fmt.Sprintf("127.%d.254.1:15010", b.base), Region: region}
 	}
 	return s
@@ -239,8 +253,11 @@
 // phases runs every phase.
 func (b *bench) phases(ctx context.Context) error {
 	change := func(ctx context.Context) (time.Duration, error) { return b.driver.offer(ctx, b.opts.Services) }
-	if b.opts.Accept {
+	switch {
+	case b.opts.Accept:
 		change = b.apply
+	case b.opts.Read:
+		change = func(ctx context.Context) (time.Duration, error) { return b.source.publish(ctx, b.opts.Services) }
 	}
 	churn := func(ctx context.Context) (time.Duration, error) { return 0, b.driver.churn(ctx, b.records) }
 	if err := b.phase(ctx, "idle", b.opts.Idle, 0, nil); err != nil {
@@ -254,7 +271,17 @@
 	if err := b.phase(ctx, "churn 1/s", b.opts.Busy, time.Second, churn); err != nil {
 		return err
 	}
-	return b.phase(ctx, "churn 10/s", b.opts.Busy, time.Second/10, churn)
+	if err := b.phase(ctx, "churn 10/s", b.opts.Busy, time.Second/10, churn); err != nil {
+		return err
+	}
+	_, domain := place(domainCount - 1)
+	members := b.st.dir.Ranked(domain)
+	return b.phase(ctx, "domain restart", b.opts.Busy, b.opts.Busy/restartBatches, func(ctx context.Context) (time.Duration, error) {
+		n := (len(members) + restartBatches - 1) / restartBatches
+		batch := members[:min(n, len(members))]
+		members = members[len(batch):]
+		return 0, b.driver.push(ctx, batch)
+	})
 }
 
 // phase measures for d while event runs once every period. The metrics page is
@@ -266,6 +293,10 @@
 		return err
 	}
 	calls := b.calls()
+	store, err := b.storeCounts(ctx)
+	if err != nil {
+		return err
+	}
 	cpu, err := b.node.cpu()
 	if err != nil {
 		return err
@@ -276,7 +307,7 @@
 		if err != nil {
 			return err
 		}
-		p.Events++
+		p.Events += max(1, b.driver.pushed)
 		p.Took = append(p.Took, took)
 		next = next.Add(period)
 		if err := wait(ctx, time.Until(next)); err != nil {
@@ -294,6 +325,11 @@
 	if err := b.finish(ctx, &p, before, calls); err != nil {
 		return err
 	}
+	served, err := b.storeCounts(ctx)
+	if err != nil {
+		return err
+	}
+	p.Store = storeCounts{served.Reads - store.Reads, served.Writes - store.Writes, served.Watching}
 	b.result.Phases = append(b.result.Phases, p)
 	return nil
 }
--- a/bench/capacity/standin.go
+++ b/bench/capacity/standin.go
@@ -26,10 +26,11 @@
 	peerpb.UnimplementedStatusServer
 
 	dir    *member.Directory
-	cur    snapshot.Current
+	cur    *snapshot.Current
 	byAddr map[string]string // node id by peer address
 	server *grpc.Server
 	calls  [callKinds]atomic.Int64
+	offers atomic.Uint64 // highest version that the node offered
 	root   atomic.Uint64 // the node's membership digest as its last ping stated it
 }
 
@@ -56,7 +57,7 @@
 
 // newStandIn returns a stand-in that holds the records and has s in force.
 func newStandIn(records []member.Record, s *snapshot.Snapshot) (*standIn, error) {
-	st := &standIn{dir: member.NewDirectory(records[0], member.DirectoryOptions{}), byAddr: make(map[string]string)}
+	st := &standIn{cur: new(snapshot.Current), dir: member.NewDirectory(records[0], member.DirectoryOptions{}), byAddr: make(map[string]string)}
 	service := member.NewService(st.dir, member.Options{Connect: refuse})
 	if err := service.Join(context.Background()); err != nil { // marks the directory as complete
 		return nil, err
@@ -203,6 +204,7 @@
 
 func (s spreadServer) take(r *peerpb.OfferRequest) *peerpb.OfferReply {
 	s.st.calls[callOffer].Add(1)
+	s.st.offers.Store(max(s.st.offers.Load(), r.Version))
 	return &peerpb.OfferReply{Status: peerpb.OfferReply_APPLIED, Version: r.Version}
 }
 
@@ -270,8 +272,7 @@
 	return snapshot.EncodeDelta(snapshot.Diff(base, next))
 }
 
-// restart gives a random member of the failure domains a new incarnation and
-// returns its record.
+// restart gives a member a new incarnation and returns its record.
 func (st *standIn) restart(r *member.Record) *member.Record {
 	next := *r
 	next.Incarnation = max(next.Incarnation+1, uint64(time.Now().UnixMilli())<<20)
@@ -279,11 +280,21 @@
 	return st.dir.Lookup(next.ID)
 }
 
-// marshal returns one record in the uncompressed encoding of a batch.
-func marshal(r *member.Record) []byte {
-	b, err := proto.Marshal(&peerpb.MemberRecords{Records: []*peerpb.MemberRecord{recordOf(r)}})
+// compressBytes is the size from which nodes compress a batch.
+const compressBytes = 200
+
+// batchOf encodes records as nodes do.
+func batchOf(records []*member.Record) *peerpb.RecordBatch {
+	msg := new(peerpb.MemberRecords)
+	for _, r := range records {
+		msg.Records = append(msg.Records, recordOf(r))
+	}
+	data, err := proto.Marshal(msg)
 	if err != nil {
-		return nil // the receiver refuses an empty batch as no record
+		return nil // the receiver takes that as no record
+	}
+	if len(data) < compressBytes {
+		return &peerpb.RecordBatch{Data: data}
 	}
-	return b
+	return &peerpb.RecordBatch{Data: snapshot.Compress(data), Compressed: true}
 }
