--- a/bench/capacity/command.go
+++ b/bench/capacity/command.go
@@ -78,8 +78,8 @@
 
 // print writes the phases as a table.
 func (r *Result) print() {
-	fmt.Printf("role %s at position %d, %d services, %d endpoints, accept %t: ready %.2f s, complete %.2f s, CPU until then %.2f s, snapshot %d B",
-		r.Role, r.Position, r.Services, r.Endpoints, r.Accept, r.Ready.Seconds(), r.Complete.Seconds(), r.LoadCPU.Seconds(), r.SnapshotBytes)
+	fmt.Printf("role %s at position %d, %d services, %d endpoints, accept %t: ready %.2f s, complete %.2f s, CPU until then %.2f s, received %.0f B, snapshot %d B",
+		r.Role, r.Position, r.Services, r.Endpoints, r.Accept, r.Ready.Seconds(), r.Complete.Seconds(), r.LoadCPU.Seconds(), r.LoadGot, r.SnapshotBytes)
 	if r.Accept {
 		fmt.Printf(", whole configuration accepted in %.2f s", r.Apply.Seconds())
 	}
--- a/bench/capacity/run.go
+++ b/bench/capacity/run.go
@@ -21,9 +21,6 @@
 	startTimeout = 60 * time.Second
 	// settleTime passes after the start before the first phase.
 	settleTime = 5 * time.Second
-	// restartBatches is the number of pushes in which the restart of a whole
-	// failure domain arrives. Senders may send up to 512 KiB at once.
-	restartBatches = 10
 	// minEndpoints stands for no endpoints: five members in each failure domain.
 	minEndpoints = 5 * domainCount
 )
@@ -61,6 +58,7 @@
 	Options
 	Ready, Complete time.Duration // since the start of the process: configuration, all records
 	LoadCPU         time.Duration // processor time until then
+	LoadGot         float64       // bytes received until then
 	Phases          []phase
 	Apply           time.Duration // with Accept: acceptance of the whole configuration
 	SnapshotBytes   int           // encoded
@@ -206,7 +204,13 @@
 		}
 		if b.result.Ready > 0 && b.result.Complete > 0 {
 			b.result.Position = member.Position(b.st.dir, b.id)
-			b.result.LoadCPU, err = b.node.cpu()
+			if b.result.LoadCPU, err = b.node.cpu(); err != nil {
+				return err
+			}
+			t, err := b.traffic(ctx)
+			for _, n := range t.got {
+				b.result.LoadGot += n
+			}
 			go b.driver.run(ctx)
 			return err
 		}
@@ -250,43 +254,9 @@
 	return time.Since(begin), err
 }
 
-// phases runs every phase.
-func (b *bench) phases(ctx context.Context) error {
-	change := func(ctx context.Context) (time.Duration, error) { return b.driver.offer(ctx, b.opts.Services) }
-	switch {
-	case b.opts.Accept:
-		change = b.apply
-	case b.opts.Read:
-		change = func(ctx context.Context) (time.Duration, error) { return b.source.publish(ctx, b.opts.Services) }
-	}
-	churn := func(ctx context.Context) (time.Duration, error) { return 0, b.driver.churn(ctx, b.records) }
-	if err := b.phase(ctx, "idle", b.opts.Idle, 0, nil); err != nil {
-		return err
-	}
-	if b.opts.Services > 0 {
-		if err := b.phase(ctx, "changes 1/s", b.opts.Busy, time.Second, change); err != nil {
-			return err
-		}
-	}
-	if err := b.phase(ctx, "churn 1/s", b.opts.Busy, time.Second, churn); err != nil {
-		return err
-	}
-	if err := b.phase(ctx, "churn 10/s", b.opts.Busy, time.Second/10, churn); err != nil {
-		return err
-	}
-	_, domain := place(domainCount - 1)
-	members := b.st.dir.Ranked(domain)
-	return b.phase(ctx, "domain restart", b.opts.Busy, b.opts.Busy/restartBatches, func(ctx context.Context) (time.Duration, error) {
-		n := (len(members) + restartBatches - 1) / restartBatches
-		batch := members[:min(n, len(members))]
-		members = members[len(batch):]
-		return 0, b.driver.push(ctx, batch)
-	})
-}
-
 // phase measures for d while event runs once every period. The metrics page is
 // read outside of the measured time.
-func (b *bench) phase(ctx context.Context, name string, d, period time.Duration, event func(context.Context) (time.Duration, error)) error {
+func (b *bench) phase(ctx context.Context, name string, d, period time.Duration, event event) error {
 	p := phase{Name: name}
 	before, err := b.traffic(ctx)
 	if err != nil {
@@ -303,6 +273,7 @@
 	}
 	begin := time.Now()
 	for next := begin; event != nil && time.Since(begin) < d; {
+		b.driver.pushed = 0
 		took, err := event(ctx)
 		if err != nil {
 			return err
