meshbench capacity: count store calls of a starting node

Every node with a store reads the seed hints once while it starts, which counts when a whole failure domain restarts.

--- a/bench/capacity/command.go
+++ b/bench/capacity/command.go
@@ -81,7 +81,7 @@
 	fmt.Printf("role %s at position %d, %d services, %d endpoints, accept %t: ready %.2f s, complete %.2f s, CPU until then %.2f s, received %.0f B, snapshot %d B",
 		r.Role, r.Position, r.Services, r.Endpoints, r.Accept, r.Ready.Seconds(), r.Complete.Seconds(), r.LoadCPU.Seconds(), r.LoadGot, r.SnapshotBytes)
 	if r.Accept {
-		fmt.Printf(", whole configuration accepted in %.2f s", r.Apply.Seconds())
+		fmt.Printf(", %d store reads until then, whole configuration accepted in %.2f s", r.LoadStore.Reads, r.Apply.Seconds())
 	}
 	fmt.Println()
 	fmt.Println("| phase | s | events | CPU % of a core | CPU ms/s | sent B/s domain/region/cross | received B/s | RSS MB | peak | anon | heap | heap sys | in force ms p50/max | calls by the node/s |")
--- a/bench/capacity/run.go
+++ b/bench/capacity/run.go
@@ -59,6 +59,7 @@
 	Ready, Complete time.Duration // since the start of the process: configuration, all records
 	LoadCPU         time.Duration // processor time until then
 	LoadGot         float64       // bytes received until then
+	LoadStore       storeCounts   // calls to the store until then, with Accept
 	Phases          []phase
 	Apply           time.Duration // with Accept: acceptance of the whole configuration
 	SnapshotBytes   int           // encoded
@@ -207,6 +208,9 @@
 			if b.result.LoadCPU, err = b.node.cpu(); err != nil {
 				return err
 			}
+			if b.result.LoadStore, err = b.storeCounts(ctx); err != nil {
+				return err
+			}
 			t, err := b.traffic(ctx)
 			for _, n := range t.got {
 				b.result.LoadGot += n
