--- a/cmd/meshbench/main.go
+++ b/cmd/meshbench/main.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 
 	"siskingw/bench/calls"
+	"siskingw/bench/capacity"
 	"siskingw/bench/demo"
 	"siskingw/bench/load"
 	"siskingw/bench/matrix"
@@ -26,6 +27,7 @@
 	subcommands.Register(new(calls.Command), "")
 	subcommands.Register(new(calls.Role), "internal")
 	subcommands.Register(new(load.Command), "")
+	subcommands.Register(new(capacity.Command), "")
 	subcommands.Register(new(demo.Command), "")
 	subcommands.Register(new(matrix.Command), "")
 	subcommands.Register(new(mutants.Command), "")
