--- a/balance/service.go
+++ b/balance/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -120,8 +119,10 @@
 		t.inherit(old)
 	}
 	t.generation.Store(generation)
-	t.refresh(now, b.opts.LoadMaxAge, s.panicking.Load())
-	s.refreshAt.Store(now + int64(refreshTime))
+	if now >= s.refreshAt.Load() || s.table.Load() != t {
+		t.refresh(now, b.opts.LoadMaxAge, s.panicking.Load())
+		s.refreshAt.Store(now + int64(refreshTime))
+	}
 	s.table.Store(t)
 	return t
 }
@@ -166,8 +167,7 @@
 // age returns how long ago the endpoint's process started. Clocks of other
 // instances may be wrong, which only changes the slow start.
 func (b *Balancer) age(r *member.Record) time.Duration {
-	started := time.UnixMilli(int64(min(r.Incarnation, math.MaxInt64)))
-	return max(b.opts.Now().Sub(started), 0)
+	return max(b.opts.Now().Sub(r.Started()), 0)
 }
 
 // group sorts the endpoints into localities.
--- a/cmd/meshbench/main.go
+++ b/cmd/meshbench/main.go
@@ -11,8 +11,11 @@
 	"github.com/google/subcommands"
 
 	"siskingw/bench/calls"
+	"siskingw/bench/capacity"
 	"siskingw/bench/demo"
 	"siskingw/bench/load"
+	"siskingw/bench/matrix"
+	"siskingw/bench/mutants"
 	"siskingw/bench/members"
 	"siskingw/bench/spread"
 )
@@ -24,7 +27,10 @@
 	subcommands.Register(new(calls.Command), "")
 	subcommands.Register(new(calls.Role), "internal")
 	subcommands.Register(new(load.Command), "")
+	subcommands.Register(new(capacity.Command), "")
 	subcommands.Register(new(demo.Command), "")
+	subcommands.Register(new(matrix.Command), "")
+	subcommands.Register(new(mutants.Command), "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	status := subcommands.Execute(ctx)
