--- a/node/admin.go
+++ b/node/admin.go
@@ -8,6 +8,7 @@
 	"siskingw/admin"
 	"siskingw/faults"
 	"siskingw/kernel"
+	"siskingw/proxy"
 	"siskingw/publish"
 	"siskingw/snapshot"
 	"siskingw/status"
@@ -89,10 +90,10 @@
 	mux := http.NewServeMux()
 	telemetry.Mount(mux, s.node.ready)
 	admin.NewServer(p.publisher(), s.node.current, st, s.node.log).Register(mux)
-	return s.listen(nameAdmin, s.node.settings.Listen.Admin, mux)
+	return s.listen(nameAdmin, s.node.settings.Listen.Admin, proxy.NewServer(mux, proxy.ServerOptions{}))
 }
 
-func (s *adminService) Stop(ctx context.Context) error { return s.server.Shutdown(ctx) }
+func (s *adminService) Stop(ctx context.Context) error { return s.shutdown(ctx) }
 
 // ready returns nil when a configuration is in force.
 func (n *Node) ready() error {
--- a/node/calls.go
+++ b/node/calls.go
@@ -22,19 +22,26 @@
 // after the drain has been announced; leaving is known everywhere within 2 s.
 const drainLinger = 2 * time.Second
 
-// callServer is an HTTP listener of the proxy.
+// httpServer is what http.Server and proxy.ConnServer have in common.
+type httpServer interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+	Close() error
+}
+
+// callServer is an HTTP listener.
 type callServer struct {
-	server *http.Server
+	server httpServer
 	lis    net.Listener
 }
 
 // listen opens the listener.
-func (s *callServer) listen(what, addr string, h http.Handler) error {
+func (s *callServer) listen(what, addr string, server httpServer) error {
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		return faults.Invalid.Wrap(err, "%s listener", what)
 	}
-	s.lis, s.server = lis, proxy.NewServer(h, proxy.ServerOptions{})
+	s.lis, s.server = lis, server
 	return nil
 }
 
@@ -49,6 +56,15 @@
 	return nil
 }
 
+// shutdown stops the listener, if Start got as far as opening it, and waits for
+// its calls.
+func (s *callServer) shutdown(ctx context.Context) error {
+	if s.server == nil {
+		return nil
+	}
+	return s.server.Shutdown(ctx)
+}
+
 // outboundService serves the calls of this instance's callers.
 type outboundService struct {
 	node *Node
@@ -77,7 +93,7 @@
 		Metrics:    s.node.proxyMetrics(),
 		Tracer:     s.node.tracer(),
 	})
-	return s.listen(nameOutbound, s.node.settings.Listen.Outbound, out)
+	return s.listen(nameOutbound, s.node.settings.Listen.Outbound, proxy.NewServer(out, proxy.ServerOptions{}))
 }
 
 // onDraining merges what a target's node states about itself in an answer,
@@ -91,7 +107,7 @@
 	s.node.dir.Merge([]member.Record{draining})
 }
 
-func (s *outboundService) Stop(ctx context.Context) error { return s.server.Shutdown(ctx) }
+func (s *outboundService) Stop(ctx context.Context) error { return s.shutdown(ctx) }
 
 // inboundService passes calls of other nodes to the target.
 type inboundService struct {
@@ -133,11 +149,15 @@
 	if s.member, err = kernel.Lookup[*memberService](k, nameMember); err != nil {
 		return err
 	}
-	return s.listen(nameInbound, s.node.settings.Listen.Inbound, s.handler())
+	// Only other nodes connect here, so the cheaper server of our own serves them.
+	return s.listen(nameInbound, s.node.settings.Listen.Inbound, proxy.NewConnServer(s.handler(), proxy.ServerOptions{}))
 }
 
 // Stop refuses new work, announces the drain and waits for work in flight.
 func (s *inboundService) Stop(ctx context.Context) error {
+	if s.server == nil {
+		return nil // Start failed
+	}
 	s.inbound.Drain()
 	s.ledger.Drain(s.nextOwner)
 	s.member.service.Drain(ctx)
--- a/node/services.go
+++ b/node/services.go
@@ -66,6 +66,9 @@
 }
 
 func (s *peerService) Stop(context.Context) error {
+	if s.server == nil {
+		return nil // Start failed
+	}
 	s.pool.Close()
 	s.server.Stop()
 	return nil
@@ -206,6 +209,9 @@
 
 // Stop tells the failure domain that this process ends.
 func (s *memberService) Stop(ctx context.Context) error {
+	if s.service == nil {
+		return nil // Start failed
+	}
 	s.service.Leave(ctx)
 	return nil
 }
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -82,6 +82,7 @@
 	defer copyBuffers.Put(buf)
 	rc := http.NewResponseController(c.w)
 	armed := c.start
+	left := x.resp.ContentLength - int64(len(x.prefix)) // negative for a chunked body
 	for {
 		if now := time.Now(); now.Sub(armed) > rearmInterval {
 			armed = now
@@ -94,6 +95,7 @@
 				x.callerGone = true
 				return werr
 			}
+			left -= int64(n)
 		}
 		if err == io.EOF {
 			return nil
@@ -101,7 +103,9 @@
 		if err != nil {
 			return err
 		}
-		if x.resp.ContentLength < 0 && x.conn.br.Buffered() == 0 {
+		// Nothing more is here yet, so the caller gets what has arrived. After the
+		// last byte of a body of known length the flush would be a second one.
+		if left != 0 && x.conn.br.Buffered() == 0 {
 			if err := rc.Flush(); err != nil {
 				x.callerGone = true
 				return err
--- a/snapshot/snapshot_test.go
+++ b/snapshot/snapshot_test.go
@@ -73,3 +73,22 @@
 	is.True(errorx.IsOfType(c.Advance(&Snapshot{version: 9}), faults.Corrupt))
 	is.True(c.Load() == nil)
 }
+
+// Guards against a snapshot whose content is not the one that was published,
+// although every shard is well formed.
+func TestFromShardsChecksDigest(t *testing.T) {
+	is := is.New(t)
+	s, err := New(3, sampleSet())
+	is.NoErr(err)
+	var contents [ShardCount][]byte
+	for i := range contents {
+		contents[i] = s.ShardContent(i)
+	}
+	got, err := FromShards(3, s.Digest(), contents)
+	is.NoErr(err)
+	is.Equal(got.Digest(), s.Digest())
+	route := ShardOf(object.Key{Kind: object.KindRoute, Name: "bids"})
+	contents[route] = nil // a complete set of objects, but another one
+	_, err = FromShards(3, s.Digest(), contents)
+	is.True(errorx.IsOfType(err, faults.Corrupt))
+}
