--- a/bench/spread/run.go
+++ b/bench/spread/run.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"time"
 
@@ -113,6 +115,7 @@
 		switch {
 		case err != nil:
 			r.Failed++
+			f.describe(err)
 			f.repair()
 		case i == 0:
 			r.First = took
@@ -125,6 +128,16 @@
 	}
 }
 
+// describe prints which live nodes lack the latest version.
+func (f *fleet) describe(err error) {
+	fmt.Fprintln(os.Stderr, err)
+	for _, n := range f.nodes {
+		if _, ok := n.inForceSince(f.versions.latest.Version()); !ok {
+			fmt.Fprintf(os.Stderr, "  %s in %s is at version %d\n", n.rec.ID, n.rec.FailureDomain, n.cur.Version())
+		}
+	}
+}
+
 // change accepts one version at a random live node of the region with index i,
 // kills the victims at that moment and returns the time until the last live
 // node has it in force.
--- a/spread/fake_test.go
+++ b/spread/fake_test.go
@@ -92,13 +92,15 @@
 			f.start(r, f.published[1])
 		}
 		go f.heartbeats(ctx)
+		defer func() {
+			cancel()
+			for _, r := range f.records {
+				f.kill(r)
+			}
+			synctest.Wait()
+		}()
 		synctest.Wait()
 		body()
-		cancel()
-		for _, r := range f.records {
-			f.kill(r)
-		}
-		synctest.Wait()
 	})
 	for _, s := range f.faults {
 		t.Error(s)
--- a/spread/forward.go
+++ b/spread/forward.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"siskingw/member"
 	"siskingw/peer/peerpb"
 	"siskingw/snapshot"
 )
@@ -73,9 +72,9 @@
 // to the region's head, or does their part when none of those before it answers.
 func (n *Node) lift(t *topology, ev event) {
 	if t.position != 0 {
-		g := group{order: t.ranked[:min(member.RelayCount, len(t.ranked))]}
+		g := group{order: t.ranked[:min(candidates, len(t.ranked))]}
 		if t.position > 0 {
-			g.order = t.ranked[:min(member.RelayCount, t.position)]
+			g.order = t.ranked[:min(candidates, t.position)]
 		}
 		n.deliverGroup(g, 0, ev, func() { n.pushChildren(t, 0, ev) })
 	}
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -224,6 +224,24 @@
 	}
 }
 
+// Guards against a failure domain that gets no change while its membership has
+// not yet replaced relays that all died at once.
+func TestDomainWithoutRelaysIsReached(t *testing.T) {
+	f := newFleet(13, 2, 2, 10)
+	f.run(t, func() {
+		for rank := range member.RelayCount {
+			f.kill(f.at("r0-d0", rank))
+			f.kill(f.at("r1-d1", rank))
+		}
+		for _, origin := range []*member.Record{f.at("r0-d1", 9), f.at("r1-d0", 0), f.at("r1-d1", 7)} {
+			if took := f.converge(t, f.accept(origin), 10*time.Second); took > takeoverAfter {
+				t.Errorf("change accepted at %s took %s", origin.ID, took)
+			}
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
+
 // Guards against a region's head that takes a version and dies before it
 // passes it on.
 func TestNextRelayTakesOverDistribution(t *testing.T) {
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -34,6 +34,17 @@
 	return out
 }
 
+// candidates is the number of ranks of a failure domain that a push tries. It
+// is more than the relays, because all of them may die at once and the
+// membership takes about 5 s to replace them.
+const candidates = 8
+
+// firstOf returns the ranks of a failure domain to try, the relays first.
+func firstOf(v member.View, domain string) []Peer {
+	ranked := v.Ranked(domain)
+	return peersOf(ranked[:min(candidates, len(ranked))])
+}
+
 // group is a set of nodes of which one, the first that answers, must get a version.
 type group struct {
 	name   string
@@ -60,13 +71,20 @@
 	t.head = peersOf(member.RegionRelays(v, t.self.Region))
 	t.rank = indexOfPeer(t.head, t.self.ID)
 	for _, d := range v.FailureDomains() {
-		order := peersOf(member.Relays(v, d.Name))
+		order := firstOf(v, d.Name)
 		if d.Region == t.self.Region && d.Name != t.self.FailureDomain && len(order) > 0 {
 			t.domains = append(t.domains, group{name: d.Name, order: order})
 		}
 	}
 	for _, r := range member.Regions(v) {
 		order := peersOf(member.RegionRelays(v, r))
+		if len(order) > 0 {
+			for _, p := range firstOf(v, order[0].FailureDomain) {
+				if indexOfPeer(order, p.ID) < 0 {
+					order = append(order, p)
+				}
+			}
+		}
 		if r != t.self.Region && len(order) > 0 {
 			t.regions = append(t.regions, group{name: r, region: true, order: order})
 		}
--- a/spread/transport.go
+++ b/spread/transport.go
@@ -30,6 +30,9 @@
 	chunkBytes = 32 << 10
 	// maxSnapshotBytes bounds an encoded snapshot that a node accepts.
 	maxSnapshotBytes = 64 << 20
+	// maxTransferTime bounds a transfer at the sender. A receiver that falls
+	// silent would hold one of the few transfers until TCP gives up.
+	maxTransferTime = 30 * time.Second
 	// stallTimeout ends a snapshot transfer that makes no progress.
 	stallTimeout = 2 * time.Second
 )
@@ -166,11 +169,26 @@
 	if busy != nil {
 		return stream.Send(&peerpb.SnapshotChunk{Busy: busy})
 	}
-	done := false
-	defer func() { release(done) }()
 	if len(data) == 0 {
+		release(false)
 		return status.Error(codes.Unavailable, "no version is in force yet")
 	}
+	sent := make(chan error, 1)
+	go func() { sent <- sendChunks(stream, data) }()
+	late := time.NewTimer(maxTransferTime)
+	defer late.Stop()
+	select {
+	case err := <-sent:
+		release(err == nil)
+		return err
+	case <-late.C: // returning ends the stream and with it sendChunks
+		release(false)
+		return status.Error(codes.DeadlineExceeded, "snapshot transfer is too slow")
+	}
+}
+
+// sendChunks sends an encoded snapshot.
+func sendChunks(stream grpc.ServerStreamingServer[peerpb.SnapshotChunk], data []byte) error {
 	size := uint64(len(data))
 	for len(data) > 0 {
 		n := min(chunkBytes, len(data))
@@ -179,6 +197,5 @@
 		}
 		data, size = data[n:], 0
 	}
-	done = true
 	return nil
 }
