Fail spread tests on the test of their bubble

A failed check in a test with a fake clock ended in a panic of the outer test instead of a message. The bodies now get the inner test; shown by a run with a fault put in.

--- a/spread/fake_test.go
+++ b/spread/fake_test.go
@@ -84,7 +84,7 @@
 }
 
 // run runs body with every node started at version 1, and stops all after it.
-func (f *fleet) run(t *testing.T, body func()) {
+func (f *fleet) run(t *testing.T, body func(t *testing.T)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -100,7 +100,7 @@
 			synctest.Wait()
 		}()
 		synctest.Wait()
-		body()
+		body(t)
 	})
 	for _, s := range f.faults {
 		t.Error(s)
--- a/spread/recovery_test.go
+++ b/spread/recovery_test.go
@@ -26,7 +26,7 @@
 // so serves an older version than its process served before.
 func TestStartTakesHighestOfSeveralSources(t *testing.T) {
 	f := newFleet(20, 1, 1, 6)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		lagging, starting := f.at("r0-d0", 0), f.at("r0-d0", 5)
 		f.setRules(func() {
@@ -54,7 +54,7 @@
 // domain, which may be behind.
 func TestStartAsksOutsideWhenFewSourcesAnswer(t *testing.T) {
 	f := newFleet(25, 1, 2, 2)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		starting, lagging := f.at("r0-d0", 0), f.at("r0-d0", 1)
 		f.setRules(func() {
@@ -79,7 +79,7 @@
 // the store.
 func TestRestartedDomainFetchesAcrossOnce(t *testing.T) {
 	f := newFleet(21, 2, 2, 40)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		f.source.setDown(true)
 		version := f.accept(f.records[0])
@@ -97,7 +97,7 @@
 // the store is down, and against a herd on the store after the outage.
 func TestWholeFleetRestartsDuringStoreOutage(t *testing.T) {
 	f := newFleet(22, 3, 2, 20)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		version := f.accept(f.records[0])
 		f.converge(t, version, time.Second)
 		f.source.setDown(true)
@@ -129,7 +129,7 @@
 	for _, i := range []int{0, 1, 2, 40, 41} {
 		f.seeds = append(f.seeds, PeerOf(f.records[i]))
 	}
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		version := f.accept(f.records[0])
 		f.converge(t, version, time.Second)
@@ -151,7 +151,7 @@
 // Guards against a source that serves any number of transfers at once.
 func TestBusySourceNamesOthers(t *testing.T) {
 	f := newFleet(23, 1, 1, 1)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		n := f.proc(f.records[0]).node
 		var releases []func(bool)
@@ -192,7 +192,7 @@
 		f := newFleet(rapid.Uint64().Draw(rt, "seed"), regions, domains, nodes)
 		plan := steps.Draw(rt, "steps")
 		failure := ""
-		f.run(t, func() {
+		f.run(t, func(t *testing.T) {
 			for _, s := range plan {
 				f.do(s)
 				time.Sleep(time.Duration(s.wait) * time.Millisecond)
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -18,7 +18,7 @@
 // crosses a pair of regions more than once.
 func TestChangeReachesAllAndCrossesEachRegionOnce(t *testing.T) {
 	f := newFleet(1, 3, 2, 12)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		for i, r := range []*[2]int{{0, 0}, {1, 7}, {3, 11}} {
 			before, deltas := f.count("push cross-region")+f.count("announce cross-region"), f.count("delta cross-region")
 			domain := []string{"r0-d0", "r0-d1", "r1-d0", "r1-d1"}[r[0]]
@@ -44,7 +44,7 @@
 // nodes replace by whole snapshots.
 func TestLargeDeltaIsAnnouncedAndFetched(t *testing.T) {
 	f := newFleet(11, 2, 2, 6)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		base := f.source.latest()
 		var routes []*object.Object
@@ -78,7 +78,7 @@
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(2, 2, 2, 6)
 			set(f)
-			f.run(t, func() {
+			f.run(t, func(t *testing.T) {
 				var last uint64
 				for i := range 10 {
 					last = f.accept(f.records[i*2])
@@ -94,7 +94,7 @@
 // node that fetches a whole snapshot where a chain of deltas suffices.
 func TestLaggingNodeFetchesChainThenSnapshot(t *testing.T) {
 	f := newFleet(3, 1, 1, 5)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		victim := f.at("r0-d0", 4)
 		f.setRules(func() { f.cut = func(a, b Peer) bool { return a.ID == victim.ID || b.ID == victim.ID } })
@@ -131,7 +131,7 @@
 // against refusals that leave no trace in the counters.
 func TestRefusedOffersAreCountedByCause(t *testing.T) {
 	f := newFleet(4, 1, 1, 1)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		p := f.proc(f.records[0])
 		v2, d2 := f.change()
@@ -176,7 +176,7 @@
 	for name, silent := range map[string]bool{"dead": false, "silent": true} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(5, 3, 2, 9)
-			f.run(t, func() {
+			f.run(t, func(t *testing.T) {
 				gone := make(map[string]bool)
 				for _, d := range []string{"r0-d0", "r1-d0", "r2-d1"} {
 					for _, rank := range []int{0, 4} {
@@ -208,7 +208,7 @@
 	for rank := range 3 {
 		t.Run(fmt.Sprint("rank ", rank), func(t *testing.T) {
 			f := newFleet(12, 2, 2, 12)
-			f.run(t, func() {
+			f.run(t, func(t *testing.T) {
 				silent := f.at("r0-d0", rank)
 				f.setRules(func() { f.cut = func(a, b Peer) bool { return a.ID == silent.ID || b.ID == silent.ID } })
 				f.kill(silent)
@@ -228,7 +228,7 @@
 // not yet replaced relays that all died at once.
 func TestDomainWithoutRelaysIsReached(t *testing.T) {
 	f := newFleet(13, 2, 2, 10)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		for rank := range member.RelayCount {
 			f.kill(f.at("r0-d0", rank))
 			f.kill(f.at("r1-d1", rank))
@@ -246,7 +246,7 @@
 // passes it on.
 func TestNextRelayTakesOverDistribution(t *testing.T) {
 	f := newFleet(6, 3, 2, 5)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		head := f.at("r0-d0", 0)
 		f.setRules(func() {
 			f.lostFirst = func(kind string, from, to Peer) bool {
@@ -266,7 +266,7 @@
 // snapshots where deltas suffice.
 func TestPartitionHealsThroughDeltas(t *testing.T) {
 	f := newFleet(7, 3, 2, 5)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		f.setRules(func() { f.cut = func(a, b Peer) bool { return (a.Region == "r2") != (b.Region == "r2") } })
 		f.source.setDown(true)
@@ -288,7 +288,7 @@
 // readers must find it, one after the other when the first is dead.
 func TestStoreReadersFindVersionThatNobodyPushed(t *testing.T) {
 	f := newFleet(8, 2, 2, 6)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		time.Sleep(2 * dutySettle)
 		next, _ := f.change()
@@ -304,7 +304,7 @@
 // the readers cannot reach the store, and against calls that rise in an outage.
 func TestStoreOutageAndWatchGap(t *testing.T) {
 	f := newFleet(9, 2, 2, 6)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		f.source.setDown(true)
 		next, _ := f.change()
@@ -336,7 +336,7 @@
 // Guards against regions that learn nothing when the store's region is gone.
 func TestOtherRegionsWatchWhenStoreRegionIsSilent(t *testing.T) {
 	f := newFleet(10, 2, 2, 5)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		time.Sleep(5 * time.Second)
 		if n := f.source.watches(); n != 6 {
 			t.Errorf("%d watches, want those of the 6 relays of the store's region", n)
