--- a/admit/gate.go
+++ b/admit/gate.go
@@ -28,7 +28,7 @@
 
 // The disciplines. CoDel is the default: at 2 and 5 times the capacity all three
 // have the same goodput, but the 99th percentile of admitted calls is about 37
-// ms with CoDel, 70 to 160 ms with FIFO and 90 to 170 ms with LIFO, and LIFO
+// ms with CoDel, 70 to 160 ms with FIFO and 70 to 170 ms with LIFO, and LIFO
 // tells refused calls only after the queue timeout (docs/measurements-load.md).
 const (
 	// CoDel admits the oldest call, but refuses calls that waited longer than
@@ -124,6 +124,8 @@
 // Enter admits a call of the given kind, waiting in the queue when no slot is
 // free. It returns a NotRun error when the call is refused or ctx ends first.
 // The caller must call Leave on the ticket.
+//
+//siskingw:step admit
 func (g *Gate) Enter(ctx context.Context, kind object.WorkKind) (*Ticket, error) {
 	now := g.opts.Now()
 	p := priority(kind)
--- a/idem/ledger.go
+++ b/idem/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -35,24 +36,27 @@
 
 // The actions.
 const (
-	// Run: this request runs the key; Finish, Lost or NotRun must follow.
+	// Run: this request runs the key; Finish, Lost, NotRun or Withdraw must follow.
 	Run Action = iota + 1
 	// Replay: the key ran; Decision.Answer is its answer.
 	Replay
 	// Moved: the key was handed over to Decision.Owner with Decision.Voucher.
 	Moved
-	// Refused: the key certainly never ran.
+	// Refused: the key has not run here so far; an earlier attempt that is
+	// still on its way may run later.
 	Refused
 	// Unknown: the key may have run.
 	Unknown
 	// Ran: the key ran and was answered in full, but the answer is not held.
 	Ran
+	// Closed: the key certainly never ran and never will.
+	Closed
 )
 
 // String returns the action's name.
 func (a Action) String() string {
-	names := [...]string{Run: "run", Replay: "replay", Moved: "moved", Refused: "refused", Unknown: "unknown", Ran: "ran"}
-	if a < Run || a > Ran {
+	names := [...]string{Run: "run", Replay: "replay", Moved: "moved", Refused: "refused", Unknown: "unknown", Ran: "ran", Closed: "closed"}
+	if a < Run || a > Closed {
 		return "invalid"
 	}
 	return names[a]
@@ -77,7 +81,7 @@
 // the key is accepted; when its memory is full it refuses new keys instead.
 type Ledger struct {
 	owner       string
-	incarnation uint64
+	incarnation uint64 // at the start of the process
 	opts        Options
 
 	mu          sync.Mutex
@@ -86,6 +90,7 @@
 	bytes       int // counted memory of entries and answers
 	answerBytes int // part of bytes held by answers
 	next        func(Key) *member.Record
+	raised      []uint64 // further incarnations of this process
 }
 
 // state is the progress of one key.
@@ -96,6 +101,7 @@
 	finished       // ran, answer held or not
 	lost           // may have run
 	moved          // handed over, will never run here
+	closed         // refused for good, never ran and never will
 )
 
 // entry is what the ledger knows of one key. It is kept small, because the
@@ -113,7 +119,8 @@
 	expired      bool // no longer filed for expiry
 }
 
-// origin is the owner that a key names when it is another process.
+// origin is the owner that a key names when it is another process, or this one
+// with a raised incarnation.
 type origin struct {
 	owner       string
 	incarnation uint64
@@ -171,9 +178,21 @@
 	l.next = next
 }
 
+// Raise adds an incarnation that this process took on after its start, because a
+// record of an earlier process had a higher one. Without it, keys that name the
+// raised incarnation are unknown. No other process may use the incarnation.
+func (l *Ledger) Raise(incarnation uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if incarnation != l.incarnation && !slices.Contains(l.raised, incarnation) {
+		l.raised = append(l.raised, incarnation)
+	}
+}
+
 // Begin decides about a keyed request and waits while the key runs. The error
-// is a NotRun error with Refused, an OutcomeUnknown error with Unknown, and nil
-// otherwise. After Run the caller must call Finish, Lost or NotRun.
+// is a NotRun error with Refused and Closed, an OutcomeUnknown error with
+// Unknown, and nil otherwise. After Run the caller must call Finish, Lost,
+// NotRun or Withdraw.
 func (l *Ledger) Begin(ctx context.Context, k Key, v string) (Decision, error) {
 	for {
 		l.mu.Lock()
@@ -223,10 +242,19 @@
 // owns reports whether this process may run k: it is named in the key, or the
 // voucher hands the key over to it.
 func (l *Ledger) owns(k Key, v string) bool {
-	if k.Owner == l.owner && k.Incarnation == l.incarnation {
+	if k.Owner == l.owner && l.mine(k.Incarnation) {
 		return true
 	}
-	return validVoucher(l.opts.Secret, v, k, l.owner, l.incarnation)
+	if v == "" {
+		return false
+	}
+	valid := func(incarnation uint64) bool { return validVoucher(l.opts.Secret, v, k, l.owner, incarnation) }
+	return valid(l.incarnation) || slices.ContainsFunc(l.raised, valid)
+}
+
+// mine reports whether the incarnation is one of this process.
+func (l *Ledger) mine(incarnation uint64) bool {
+	return incarnation == l.incarnation || slices.Contains(l.raised, incarnation)
 }
 
 // move hands an unseen key over to another owner.
@@ -256,6 +284,8 @@
 	case moved:
 		v := voucher(l.opts.Secret, l.key(e), e.to.ID, e.to.Incarnation)
 		return Decision{Action: Moved, Owner: e.to, Voucher: v}, nil, nil
+	case closed:
+		return Decision{Action: Closed}, nil, errClosed
 	}
 	return unknown(errLost)
 }
@@ -269,6 +299,7 @@
 	errLost    = faults.OutcomeUnknown.New("an earlier attempt may have run")
 	errFuture  = faults.NotRun.New("key was issued in the future")
 	errFull    = faults.NotRun.New("ledger is full")
+	errClosed  = faults.NotRun.New("key was refused for good")
 	errNoOwner = faults.NotRun.New("owner is draining and knows no other owner")
 )
 
--- a/publish/reader.go
+++ b/publish/reader.go
@@ -126,8 +126,9 @@
 		return nil, faults.Corrupt.New("head names version %d, its commit version %d", h.Version, c.Version)
 	}
 	changed := changedShards(c, base)
-	if base != nil && base.Version() < h.Version {
-		next, err := r.loadDeltas(ctx, h, base, len(changed))
+	const readsPerDelta = 2 // the delta and its commit, except the commit read above
+	if base != nil && base.Version() < h.Version && readsPerDelta*(h.Version-base.Version())-1 <= uint64(len(changed)) {
+		next, err := r.loadDeltas(ctx, h, base)
 		if next != nil || err != nil {
 			return next, err
 		}
@@ -147,18 +148,17 @@
 }
 
 // loadDeltas applies the deltas from base to the head. It returns nil when the
-// chain is broken or takes more reads than the shards do.
-func (r *Reader) loadDeltas(ctx context.Context, h Head, base *snapshot.Snapshot, shards int) (*snapshot.Snapshot, error) {
+// chain is broken.
+func (r *Reader) loadDeltas(ctx context.Context, h Head, base *snapshot.Snapshot) (*snapshot.Snapshot, error) {
 	var chain []snapshot.Digest // of deltas, latest first
 	reached := false
 	_, err := r.walk(ctx, h, func(_ snapshot.Digest, c *Commit) bool {
 		chain = append(chain, c.Delta)
 		reached = c.ParentVersion == base.Version()
-		const readsPerStep = 2 // a delta and the next commit
-		return !reached && c.ParentVersion > base.Version() && c.Delta != (snapshot.Digest{}) && readsPerStep*len(chain) < shards
+		return !reached && c.ParentVersion > base.Version() && c.Delta != (snapshot.Digest{})
 	})
 	if err != nil || !reached {
-		return nil, err
+		return nil, unlessUnusable(err)
 	}
 	next := base
 	for i := len(chain) - 1; i >= 0; i-- {
@@ -166,12 +166,8 @@
 		if chain[i] == (snapshot.Digest{}) {
 			return nil, nil
 		}
-		err := getJSONPart(ctx, r.st, chain[i], d)
-		if errorx.IsOfType(err, faults.NotFound) {
-			return nil, nil
-		}
-		if err != nil {
-			return nil, err
+		if err := getJSONPart(ctx, r.st, chain[i], d); err != nil {
+			return nil, unlessUnusable(err)
 		}
 		if next, err = next.Apply(d); err != nil {
 			return nil, nil // base is not an ancestor of the head
@@ -183,6 +179,15 @@
 	return next, nil
 }
 
+// unlessUnusable returns nil for a part that was collected or is damaged: the
+// shards, which are whole or refused themselves, can take its place.
+func unlessUnusable(err error) error {
+	if errorx.IsOfType(err, faults.NotFound) || errorx.IsOfType(err, faults.Corrupt) {
+		return nil
+	}
+	return err
+}
+
 // loadShards reads the changed shards and takes the others from base.
 func (r *Reader) loadShards(ctx context.Context, c *Commit, base *snapshot.Snapshot, changed []int) (*snapshot.Snapshot, error) {
 	contents := make([][]byte, len(changed))
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -123,7 +123,7 @@
 	}
 	age := n.storeAge()
 	if age == 0 { // never heard of; count from the start of the process
-		raise(&n.heard, time.Now().UnixMilli())
+		raise(&n.heard, n.nowMs())
 		return false
 	}
 	return time.Duration(age)*time.Millisecond > storeSilence
@@ -132,6 +132,8 @@
 // watchStore reads the head and follows it. It returns nil when the duty ends
 // and otherwise the error that broke the watch. After a gap the head is read
 // again, so a change that the watch lost is found at the next start.
+//
+//siskingw:step watch-fires
 func (n *Node) watchStore() error {
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
@@ -189,11 +191,18 @@
 }
 
 // considerHead loads a head that is newer than the version in force, in its
-// own goroutine, when no peer delivers it first.
+// own goroutine, when no peer delivers it first. A head that is being loaded is
+// not loaded again: an event may come twice, and the poll finds what the watch
+// found. Only the store reader's goroutine calls it.
 func (n *Node) considerHead(h Head) {
-	if h.Version > n.cur.Version() {
-		n.tasks.spawn(func() { n.loadHead(h) })
+	if h.Version <= max(n.cur.Version(), n.loading.Load()) {
+		return
 	}
+	n.loading.Store(h.Version)
+	n.tasks.spawn(func() {
+		defer n.loading.CompareAndSwap(h.Version, 0)
+		n.loadHead(h)
+	})
 }
 
 // loadHead waits for this reader's turn and loads the head. It tries again
@@ -220,6 +229,8 @@
 }
 
 // loadOnce loads a head from the store and spreads it.
+//
+//siskingw:step read-version
 func (n *Node) loadOnce(h Head) error {
 	base := n.cur.Load()
 	ctx, cancel := context.WithTimeout(n.ctx, 2*storeTimeout)
