--- a/spread/faults_test.go
+++ b/spread/faults_test.go
@@ -21,7 +21,7 @@
 	outside := New(Options{View: fakeView{f, f.records[0]}, Current: new(snapshot.Current)})
 	defer outside.cancel()
 	is.New(t).True(outside.started != outside.started.Round(0))
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		n := f.proc(f.at("r1-d0", 0)).node
 		n.hear(PeerOf(f.at("r0-d0", 0)), 0)
@@ -38,7 +38,7 @@
 	for name, afterRead := range map[string]bool{"before the read": false, "after the read": true} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(41, 2, 2, 6)
-			f.run(t, func() {
+			f.run(t, func(t *testing.T) {
 				is := is.New(t)
 				time.Sleep(2 * dutySettle)
 				reader := f.at("r0-d0", 0)
@@ -64,7 +64,7 @@
 // cause further reads or move a node back.
 func TestWatchEventsRepeatedLateAndOutOfOrder(t *testing.T) {
 	f := newFleet(42, 2, 1, 6)
-	f.run(t, func() {
+	f.run(t, func(t *testing.T) {
 		is := is.New(t)
 		time.Sleep(2 * dutySettle)
 		old := f.source.latest()
@@ -91,7 +91,7 @@
 	for name, dies := range map[string]bool{"alone": false, "with the reader": true} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(43, 2, 2, 6)
-			f.run(t, func() {
+			f.run(t, func(t *testing.T) {
 				is := is.New(t)
 				time.Sleep(2 * dutySettle)
 				next, _ := f.change()
@@ -115,7 +115,7 @@
 func relayDies(t *testing.T, regions int, domain string) {
 	for seed := uint64(44); seed < 50; seed++ {
 		f := newFleet(seed, regions, 2, 9)
-		f.run(t, func() {
+		f.run(t, func(t *testing.T) {
 			relay := f.at(domain, 0)
 			f.setRules(func() {
 				f.lostFirst = func(kind string, from, _ Peer) bool {
@@ -157,7 +157,7 @@
 		for _, down := range []bool{false, true} {
 			t.Run(name+map[bool]string{true: " with the store down"}[down], func(t *testing.T) {
 				f := newFleet(45, 3, 2, 6)
-				f.run(t, func() {
+				f.run(t, func(t *testing.T) {
 					time.Sleep(2 * dutySettle)
 					f.setRules(func() { f.cut = func(a, b Peer) bool { return cut(f, a, b) } })
 					f.source.setDown(down)
@@ -177,7 +177,7 @@
 	for name, slow := range map[string]time.Duration{"answers late": storeTimeout - time.Second, "hangs": time.Hour} {
 		t.Run(name, func(t *testing.T) {
 			f := newFleet(46, 2, 2, 6)
-			f.run(t, func() {
+			f.run(t, func(t *testing.T) {
 				is := is.New(t)
 				time.Sleep(2 * dutySettle)
 				f.source.setSlow(slow)
