--- a/spread/fake_test.go
+++ b/spread/fake_test.go
@@ -84,7 +84,7 @@
 }
 
 // run runs body with every node started at version 1, and stops all after it.
-func (f *fleet) run(t *testing.T, body func()) {
+func (f *fleet) run(t *testing.T, body func(t *testing.T)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -92,13 +92,15 @@
 			f.start(r, f.published[1])
 		}
 		go f.heartbeats(ctx)
+		defer func() {
+			cancel()
+			for _, r := range f.records {
+				f.kill(r)
+			}
+			synctest.Wait()
+		}()
 		synctest.Wait()
-		body()
-		cancel()
-		for _, r := range f.records {
-			f.kill(r)
-		}
-		synctest.Wait()
+		body(t)
 	})
 	for _, s := range f.faults {
 		t.Error(s)
