--- a/spread/published_test.go
+++ b/spread/published_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,10 +82,10 @@
 			return result.Version
 		}
 		apply("op-1")
-		var last uint64
+		var last atomic.Uint64
 		read := &slowParts{Store: st, before: func() {
-			last = apply("op-2")
-			last = apply("op-3")
+			apply("op-2")
+			last.Store(apply("op-3"))
 			c := publish.NewCollector(st, publish.CollectorOptions{KeepCommits: 1, MinAge: time.Second})
 			_, err := c.Collect(ctx)
 			is.NoErr(err)
@@ -99,8 +100,8 @@
 			Source: NewSource(read, publish.NewReader(read)), StoreRegion: "r0"})
 		go func() { _ = n.Run(ctx) }()
 		time.Sleep(dutySettle + aloneSpread + targetTime)
-		is.True(last > 0)
-		is.Equal(cur.Version(), last)
+		is.True(last.Load() > 0)
+		is.Equal(cur.Version(), last.Load())
 		cancel()
 		synctest.Wait()
 	})
