--- a/member/faults_test.go
+++ b/member/faults_test.go
@@ -56,11 +56,11 @@
 	}
 }
 
-// Guards against a node that dies, or is paused, while it drains: it must not
-// stay as draining, and after a pause it is draining and not alive again.
-func TestDrainingNodeDiesOrPauses(t *testing.T) {
-	for _, pause := range []bool{false, true} {
-		t.Run(fmt.Sprintf("pause %t", pause), func(t *testing.T) {
+// Guards against a node that dies, or falls silent, while it drains: it must not
+// stay as draining, and when it is heard of again it is draining and not alive.
+func TestDrainingNodeDiesOrFallsSilent(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("silent %t", silent), func(t *testing.T) {
 			t.Parallel()
 			c := newCluster(t)
 			for i := range 6 {
@@ -70,13 +70,13 @@
 			c.within(4*time.Second, "join", holdsLive(7))
 			announceIn(n.service.Drain)
 			c.within(2*time.Second, "drain", holdsState("drains", Draining))
-			if !pause {
+			if !silent {
 				n.stop()
 				delete(c.nodes, "drains")
 				c.within(6*time.Second, "death", holdsState("drains", Dead))
 				return
 			}
-			for _, cut := range [][2]string{{"alone", "rest"}, {"rest", "alone"}} { // to others a pause is silence
+			for _, cut := range [][2]string{{"alone", "rest"}, {"rest", "alone"}} {
 				c.links.set(cut[0], cut[1], true)
 			}
 			others := func(n *testNode) string {
