--- a/member/faults_test.go
+++ b/member/faults_test.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
 )
 
 // announceIn lets a node announce a state within a bounded time.
@@ -109,3 +112,35 @@
 		})
 	}
 }
+
+// Guards against a departed member that returns, or a tombstone that makes
+// others drop or keep theirs, when the wall clock of a node steps.
+func TestTombstonesAcrossClockSteps(t *testing.T) {
+	is := is.New(t)
+	for _, step := range []time.Duration{-24 * time.Hour, 24 * time.Hour} {
+		clock, steady := clockwork.NewFakeClock(), clockwork.NewFakeClock()
+		stepped := NewDirectory(Record{ID: "a", Incarnation: 1, FailureDomain: "fd"}, DirectoryOptions{Clock: clock})
+		other := NewDirectory(Record{ID: "b", Incarnation: 1, FailureDomain: "fd"}, DirectoryOptions{Clock: steady})
+		left := Record{ID: "m", Incarnation: 1, Sequence: 3, State: Left, FailureDomain: "fd"}
+		send := func(from, to *Directory, at, now time.Time) {
+			batch, err := codec{at}.encode(from.All())
+			is.NoErr(err)
+			records, err := codec{now}.decode(batch)
+			is.NoErr(err)
+			to.Merge(records)
+		}
+		stepped.Merge([]Record{left})
+		send(stepped, other, clock.Now(), steady.Now())
+		clock.Advance(step)
+		for range 2 {
+			send(other, stepped, steady.Now(), clock.Now())
+			send(stepped, other, clock.Now(), steady.Now())
+		}
+		for _, d := range []*Directory{stepped, other} {
+			old := left
+			old.Sequence, old.State = 2, Alive
+			d.Merge([]Record{old}) // a late copy from before the departure
+			is.Equal(d.Lookup("m").State, Left)
+		}
+	}
+}
--- a/publish/faults_test.go
+++ b/publish/faults_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/joomcode/errorx"
 	"github.com/matryer/is"
 
@@ -275,3 +276,59 @@
 	is.NoErr(err)
 	is.Equal(string(kv.Value), `{"version":`) // a damaged head is not replaced
 }
+
+// lateParts answers the first write of each part as lost and carries it out
+// only when late is called.
+type lateParts struct {
+	store.Store
+	mu   sync.Mutex
+	seen map[string]bool
+	late []func() error
+}
+
+func (s *lateParts) Put(ctx context.Context, key string, v []byte, id store.LeaseID) (int64, error) {
+	s.mu.Lock()
+	first := !s.seen[key]
+	s.seen[key] = true
+	if first {
+		s.late = append(s.late, func() error { _, err := s.Store.Put(context.Background(), key, v, id); return err })
+	}
+	s.mu.Unlock()
+	if first {
+		return 0, faults.StoreUnknown.New("answer lost")
+	}
+	return s.Store.Put(ctx, key, v, id)
+}
+
+// Guards against parts that arrive long after they were written again, when
+// later versions are published and the parts were collected: they must change
+// no version and be collected once more.
+func TestPartsArriveLate(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	s := &lateParts{Store: mem, seen: make(map[string]bool)}
+	a := start(t, s, Options{})
+	for i := range 3 {
+		res, err := a.Apply(t.Context(), request(fmt.Sprint("op", i), endpoints("a", fmt.Sprint("v", i))))
+		is.NoErr(err)
+		is.Equal(res.Version, uint64(i+1))
+	}
+	clock := clockwork.NewFakeClock()
+	c := NewCollector(mem, CollectorOptions{Clock: clock, KeepCommits: 1})
+	collect := func() int {
+		_, err := c.Collect(t.Context())
+		is.NoErr(err)
+		clock.Advance(defaultMinAge)
+		n, err := c.Collect(t.Context())
+		is.NoErr(err)
+		return n
+	}
+	is.Equal(collect(), 2*3) // shard, delta and commit of two versions
+	for _, put := range s.late {
+		is.NoErr(put())
+	}
+	is.Equal(load(t, mem).Version(), uint64(3))
+	is.Equal(load(t, mem).Get(endpoints("a", "").Key()).EndpointSet.Announce, "v2")
+	is.Equal(collect(), 2*3)
+	is.Equal(load(t, mem).Version(), uint64(3))
+}
