--- a/bench/capacity/phases.go
+++ b/bench/capacity/phases.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"siskingw/peer"
 	"siskingw/peer/peerpb"
 )
@@ -51,6 +53,7 @@
 		{"heartbeats 10/s", b.opts.Busy, time.Second / 10, untimed(b.driver.heartbeats(b.driver.ownMember)), false},
 		{"joins 1/s", b.opts.Busy, time.Second, untimed(b.driver.join), false},
 		{"snapshots 1/s", b.opts.Busy, time.Second, untimed(b.driver.fetch), b.opts.Services == 0},
+		{"storm", b.opts.Busy, time.Second / 4, untimed(b.driver.storm), b.opts.Services == 0},
 	} {
 		if p.skip {
 			continue
@@ -75,6 +78,17 @@
 	})
 }
 
+// storm starts as many joins and snapshot transfers at a time as a node serves.
+func (d *driver) storm(ctx context.Context) error {
+	const served = 4
+	var g errgroup.Group
+	for range served {
+		g.Go(func() error { return d.join(ctx) })
+		g.Go(func() error { return d.fetch(ctx) })
+	}
+	return g.Wait()
+}
+
 // join asks the node for every record, as a starting member of its failure
 // domain does.
 func (d *driver) join(ctx context.Context) error {
--- a/bench/capacity/run.go
+++ b/bench/capacity/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -91,7 +92,12 @@
 		return nil, faults.Internal.Wrap(err, "working directory")
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	b := &bench{opts: opts, dir: dir, base: 2 + os.Getpid()%250, result: Result{Options: opts}}
+	b := &bench{opts: opts, dir: dir, result: Result{Options: opts}}
+	claim, err := b.claim()
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = claim.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer b.close(cancel)
 	for _, step := range []func(context.Context) error{b.prepare, b.start, b.load, b.phases} {
@@ -106,6 +112,18 @@
 	return &b.result, b.driver.failed
 }
 
+// claim chooses the second octet of every address, so that several runs at the
+// same time do not meet. The listener holds it.
+func (b *bench) claim() (net.Listener, error) {
+	const first, last = 2, 251
+	for b.base = first; b.base <= last; b.base++ {
+		if l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1:15000", b.base)); err == nil {
+			return l, nil
+		}
+	}
+	return nil, faults.Internal.New("no free range of loopback addresses")
+}
+
 func (b *bench) close(cancel context.CancelFunc) {
 	cancel()
 	for _, p := range []*process{b.node, b.store} {
