meshbench capacity: calls through the measured node

The call path's cost was only known from nodes with small directories. Two phases send 190 calls/s out through the node to 20 services and in to its target.

--- /dev/null
+++ b/bench/capacity/calls.go
@@ -0,0 +1,84 @@
+package capacity
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"siskingw/faults"
+)
+
+const (
+	// callsPerSecond is each node's share of the calls at the target size.
+	callsPerSecond = 190
+	// calledFrom and calledServices are the services that the node calls. The
+	// configuration changes of a run touch only services before them.
+	calledFrom     = 1000
+	calledServices = 20
+)
+
+// canCall reports whether the run has the services that the node calls.
+func (b *bench) canCall() bool {
+	return b.opts.Services >= calledFrom+calledServices && !b.opts.Accept && b.opts.Endpoints >= b.opts.Services
+}
+
+// serveTargets answers calls as the node's own target and as the inbound
+// listeners of the members that announce a called service.
+func (b *bench) serveTargets() error {
+	if !b.canCall() {
+		return nil
+	}
+	addrs := []string{b.settings.Target.Address}
+	for i := range calledServices {
+		for _, r := range b.st.dir.Endpoints(serviceName(calledFrom + i)) {
+			addrs = append(addrs, r.InboundAddr)
+		}
+	}
+	b.targets = &http.Server{ReadHeaderTimeout: callTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok\n")
+	})}
+	for _, a := range addrs {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return faults.Internal.Wrap(err, "target listener")
+		}
+		go func() { _ = b.targets.Serve(l) }()
+	}
+	return nil
+}
+
+// callOut calls a random service through the node's outbound listener.
+func (b *bench) callOut(ctx context.Context) error {
+	return get(ctx, b.settings.Listen.Outbound, serviceName(calledFrom+rand.IntN(calledServices))+".mesh")
+}
+
+// callIn calls the node's target as the node of a caller does.
+func (b *bench) callIn(ctx context.Context) error { return get(ctx, b.settings.Listen.Inbound, "") }
+
+// get makes one call and reads the answer. Errors are those of the transport
+// and answers other than 200.
+func get(ctx context.Context, addr, host string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/item", nil)
+	if err != nil {
+		return faults.Internal.Wrap(err, "call")
+	}
+	req.Host = host
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return faults.PeerUnavailable.Wrap(err, "call to %s", addr)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	_, _ = io.Copy(io.Discard, resp.Body)
+	if resp.StatusCode != http.StatusOK {
+		return faults.Internal.New("call of %q through %s is answered with %s", host, addr, resp.Status)
+	}
+	return nil
+}
+
+// callPeriod is the time between two calls.
+const callPeriod = time.Second / callsPerSecond
--- a/bench/capacity/phases.go
+++ b/bench/capacity/phases.go
@@ -53,6 +53,8 @@
 		{"heartbeats 10/s", b.opts.Busy, time.Second / 10, untimed(b.driver.heartbeats(b.driver.ownMember)), false},
 		{"joins 1/s", b.opts.Busy, time.Second, untimed(b.driver.join), false},
 		{"snapshots 1/s", b.opts.Busy, time.Second, untimed(b.driver.fetch), b.opts.Services == 0},
+		{"calls out 190/s", b.opts.Busy, callPeriod, untimed(b.callOut), !b.canCall()},
+		{"calls in 190/s", b.opts.Busy, callPeriod, untimed(b.callIn), !b.canCall()},
 		{"storm", b.opts.Busy, time.Second / 4, untimed(b.driver.storm), b.opts.Services == 0},
 	} {
 		if p.skip {
--- a/bench/capacity/run.go
+++ b/bench/capacity/run.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"time"
@@ -79,6 +80,7 @@
 	driver   *driver
 	store    *process
 	source   *source // with Read: publishes the changes
+	targets  *http.Server
 	node     *process
 	client   *admin.Client
 	version  uint64
@@ -131,6 +133,9 @@
 			p.stop()
 		}
 	}
+	if b.targets != nil {
+		_ = b.targets.Close()
+	}
 	if b.source != nil {
 		b.source.close()
 	}
@@ -168,6 +173,9 @@
 		return err
 	}
 	b.settings = b.nodeSettings(region, domain)
+	if err := b.serveTargets(); err != nil {
+		return err
+	}
 	b.driver = newDriver(b.st, b.id, b.settings.Listen.Peer, b.opts.Role)
 	if !b.opts.Accept && !b.opts.Read {
 		return nil
