--- a/bench/capacity/driver.go
+++ b/bench/capacity/driver.go
@@ -191,6 +191,9 @@
 		return err
 	}
 	var senders []*member.Record
+	if h := member.RegionHead(d.st.dir, self.Region); d.role == Rank0 && h != nil {
+		senders = append(senders, h)
+	}
 	for _, region := range member.Regions(d.st.dir) {
 		if h := member.RegionHead(d.st.dir, region); h != nil && h.ID != d.id && d.role == HeadOne {
 			senders = append(senders, h)
