Read seed hints only when no seed answers

Cause: every node read the hints from the store when it started, before it asked any seed: 2,222 reads at once when a failure domain restarts, more than the store's 2,000 a second, and up to 2 s of delay for each start while the store is silent. The node now reads them in a round of joining in which no seed answered.

--- a/member/cluster_test.go
+++ b/member/cluster_test.go
@@ -5,9 +5,11 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
 	"google.golang.org/grpc"
 
 	"siskingw/faults"
@@ -79,6 +81,7 @@
 	nodes map[string]*testNode
 	seeds []Seed
 	skew  time.Duration // subtracted from the clock that makes incarnations
+	more  func(context.Context) []Seed
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -115,7 +118,7 @@
 	n.pool = peer.NewPool(self.Place(), &peer.Traffic{}, peer.Options{Dial: c.links.dialer(link)})
 	n.service = NewService(n.dir, Options{
 		Connect: n.pool.Conn, Seeds: c.seeds, Heartbeat: 200 * time.Millisecond, SuspectTimeout: time.Second,
-		BatchDelay: 20 * time.Millisecond,
+		BatchDelay: 20 * time.Millisecond, MoreSeeds: c.more,
 	})
 	n.server = peer.NewServer()
 	n.service.Register(n.server)
@@ -306,3 +309,25 @@
 		return ""
 	})
 }
+
+// Guards against a node that cannot join because every seed of its settings was
+// replaced, and against one that asks for more seeds although a seed answers.
+func TestMoreSeedsWhenNoneAnswers(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	var asked atomic.Int32
+	c.start("n0", "fd", "region", "any")
+	living := c.seeds
+	c.more = func(context.Context) []Seed {
+		asked.Add(1)
+		return living
+	}
+	c.start("n1", "fd", "region", "any")
+	is.Equal(asked.Load(), int32(0))
+	gone := c.listen("any")
+	is.NoErr(gone.Close())
+	c.seeds = []Seed{{Addr: gone.Addr().String(), Place: living[0].Place}}
+	c.start("n2", "fd", "region", "any")
+	is.True(asked.Load() > 0)
+	c.within(2*time.Second, "join through a hint", holdsLive(3))
+}
--- a/member/join.go
+++ b/member/join.go
@@ -65,11 +65,27 @@
 // When every node that answers is itself still joining, the union of their
 // records is all that there is.
 func (s *Service) joinRound(ctx context.Context, round int) bool {
-	candidates := s.joinCandidates()
+	candidates := s.joinCandidates(s.opts.Seeds)
+	complete, answered := s.joinAny(ctx, candidates, round)
+	if complete {
+		return true
+	}
+	if answered == 0 && s.opts.MoreSeeds != nil {
+		more := s.joinCandidates(s.opts.MoreSeeds(ctx))
+		candidates = append(candidates, more...)
+		if complete, answered = s.joinAny(ctx, more, round); complete {
+			return true
+		}
+	}
 	if len(candidates) == 0 {
 		return true // the first node of its fleet
 	}
-	answered := 0
+	return answered > 0 && round >= patientRounds
+}
+
+// joinAny asks nodes in turn until one returns a full set. It also returns how
+// many answered.
+func (s *Service) joinAny(ctx context.Context, candidates []Seed, round int) (complete bool, answered int) {
 	for _, seed := range candidates {
 		complete, err := s.joinThrough(ctx, seed, s.domainOnly(seed, round))
 		if err != nil {
@@ -78,10 +94,10 @@
 		}
 		answered++
 		if complete {
-			return true
+			return true, answered
 		}
 	}
-	return answered > 0 && round >= patientRounds
+	return false, answered
 }
 
 // domainOnly decides whether to ask a node only for the members close by: the
@@ -99,9 +115,9 @@
 
 // joinCandidates returns known members of the own failure domain and the seeds,
 // nearest first and shuffled among equally near ones.
-func (s *Service) joinCandidates() []Seed {
+func (s *Service) joinCandidates(seeds []Seed) []Seed {
 	self := s.dir.Self()
-	seeds := slices.Clone(s.opts.Seeds)
+	seeds = slices.Clone(seeds)
 	ranked := s.dir.Ranked(self.FailureDomain)
 	for _, i := range rand.Perm(len(ranked))[:min(joinTries, len(ranked))] {
 		seeds = append(seeds, Seed{ranked[i].PeerAddr, ranked[i].Place()})
--- a/member/service.go
+++ b/member/service.go
@@ -60,7 +60,10 @@
 	// probed or was probed by. It must return quickly.
 	OnSummary func(from *Record, s Summary)
 
-	Seeds          []Seed
+	Seeds []Seed
+	// MoreSeeds is called in a round of joining in which no seed answered. It
+	// may be nil.
+	MoreSeeds      func(ctx context.Context) []Seed
 	Clock          clockwork.Clock // default: the real clock
 	Log            logr.Logger
 	Heartbeat      time.Duration // between probes, default 1 s
--- a/node/services.go
+++ b/node/services.go
@@ -127,7 +127,7 @@
 func (s *memberService) Name() string    { return nameMember }
 func (s *memberService) Needs() []string { return []string{namePeer, nameStore} }
 
-func (s *memberService) Start(ctx context.Context, k *kernel.Kernel) error {
+func (s *memberService) Start(_ context.Context, k *kernel.Kernel) error {
 	peers, err := kernel.Lookup[*peerService](k, namePeer)
 	if err != nil {
 		return err
@@ -146,17 +146,25 @@
 		Connect:      peers.pool.Conn,
 		LocalSummary: s.node.localSummary,
 		OnSummary:    s.onSummary,
-		Seeds:        s.seeds(ctx),
+		Seeds:        s.memberSeeds(settingsSeeds(s.node.settings)),
+		MoreSeeds:    s.hintedSeeds,
 		Log:          s.node.log,
 	})
 	s.service.Register(peers.server)
 	return nil
 }
 
-// seeds returns the seeds of the settings and the hints of the store.
-func (s *memberService) seeds(ctx context.Context) []member.Seed {
+// hintedSeeds returns the seeds that the store names. They are read only when
+// no other seed answers: one read at each start would exceed the store's rate
+// when a failure domain restarts.
+func (s *memberService) hintedSeeds(ctx context.Context) []member.Seed {
+	return s.memberSeeds(s.readHints(ctx))
+}
+
+// memberSeeds returns peers as seeds of the membership, without this node.
+func (s *memberService) memberSeeds(peers []spread.Peer) []member.Seed {
 	var seeds []member.Seed
-	for _, p := range append(settingsSeeds(s.node.settings), s.readHints(ctx)...) {
+	for _, p := range peers {
 		if p.Addr != s.node.settings.Advertise.Peer {
 			seeds = append(seeds, member.Seed{Addr: p.Addr, Place: p.Place()})
 		}
