Answer an offer of another region when a second node has the version

Cause: the head of another region that took a version and died before it passed it on had answered already, so the sender counted the region as served and the region had the version only after the comparisons, 2.1 to 5.1 s later.

No further message crosses a paid link. An offer that is refused counts as missed.

--- a/spread/fake_test.go
+++ b/spread/fake_test.go
@@ -350,6 +350,12 @@
 	if twice {
 		handle(p.node)
 	}
+	f.mu.Lock()
+	died := f.procs[to.Addr] != p
+	f.mu.Unlock()
+	if died {
+		return faults.PeerUnavailable.New("connection reset")
+	}
 	if lostAnswer {
 		<-ctx.Done()
 	}
--- a/spread/forward.go
+++ b/spread/forward.go
@@ -349,8 +349,15 @@
 		miss()
 		return
 	}
+	if reply.Status == peerpb.OfferReply_REFUSED {
+		miss()
+		return
+	}
 	l.setFailing(false)
 	l.confirm(reply.Version)
+	if to.Region == n.view.Self().Region {
+		n.copies.raise(reply.Version)
+	}
 	n.hear(to, 1)
 	if reply.Version > s.Version() {
 		n.want(want{from: to, version: reply.Version, event: event{fresh: true}, jitter: true})
--- a/spread/node.go
+++ b/spread/node.go
@@ -81,6 +81,7 @@
 	served    recipients
 	recovery  recovery
 	compared  regionTimes
+	copies    copies
 	started   time.Time
 	loading   atomic.Uint64 // highest version that is being loaded from the store; 0 for none
 	heard     atomic.Int64  // when the store's region was last heard of, as of nowMs; 0 for never
--- a/spread/receive.go
+++ b/spread/receive.go
@@ -43,6 +43,9 @@
 	switch {
 	case err == nil && n.cur.Version() >= r.Version:
 		n.stats.applied.Inc()
+		if n.needsCopy(w.from) && !n.copies.await(n.ctx, r.Version) {
+			return n.reply(peerpb.OfferReply_REFUSED) // this node stops; the sender turns to the next relay
+		}
 		return n.reply(peerpb.OfferReply_APPLIED)
 	case err == nil:
 		err = faults.Corrupt.New("deltas lead to version %d, not to %d", n.cur.Version(), r.Version)
@@ -60,6 +63,13 @@
 	return n.reply(peerpb.OfferReply_REFUSED)
 }
 
+// needsCopy reports whether an offer came from another region and the own one
+// has other nodes that can hold a copy.
+func (n *Node) needsCopy(from Peer) bool {
+	t := n.topology()
+	return from.Region != "" && from.Region != t.self.Region && len(t.ranked)+len(t.domains) > 1
+}
+
 func (n *Node) reply(s peerpb.OfferReply_Status) *peerpb.OfferReply {
 	return &peerpb.OfferReply{Status: s, Version: n.cur.Version()}
 }
