Name virtual time in the spread tests, generate from every proto file

Sleeps of virtual time in synctest bubbles looked like real waits. make generate left out the proto files of membership, spreading and status.

--- a/Makefile
+++ b/Makefile
@@ -44,4 +44,4 @@
 
 # Only needed after a change to a .proto file; the generated code is committed.
 generate:
-	protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/peerpb/peer.proto store/etcd/etcdpb/etcd.proto
+	protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative peer/peerpb/*.proto store/etcd/etcdpb/etcd.proto
--- a/spread/faults_test.go
+++ b/spread/faults_test.go
@@ -27,7 +27,7 @@
 		n.hear(PeerOf(f.at("r0-d0", 0)), 0)
 		f.kill(f.at("r0-d0", 0))
 		is.Equal(n.storeAge(), uint32(1))
-		time.Sleep(time.Minute)
+		elapse(time.Minute)
 		is.Equal(n.storeAge(), uint32(60_001))
 	})
 }
@@ -79,7 +79,7 @@
 			is.Equal(f.source.total(&f.source.loads), i+1)
 			old = next
 		}
-		time.Sleep(time.Minute)
+		elapse(time.Minute)
 		is.Equal(len(f.behind(next.Version())), 0)
 		is.Equal(f.source.total(&f.source.loads), 3)
 	})
@@ -100,7 +100,7 @@
 				if dies {
 					f.kill(f.at("r0-d0", 0))
 				}
-				time.Sleep(20 * time.Second)
+				elapse(20 * time.Second)
 				is.Equal(f.source.total(&f.source.loads), 0)
 				f.source.setDown(false)
 				f.converge(t, next.Version(), storeRetryMax+2*time.Second)
@@ -186,7 +186,7 @@
 					f.converge(t, next.Version(), targetTime)
 					return
 				}
-				time.Sleep(time.Minute)
+				elapse(time.Minute)
 				is.Equal(f.source.total(&f.source.loads), 0)
 				f.source.setSlow(0)
 				f.converge(t, next.Version(), storeRetryMax+2*storeTimeout+2*time.Second)
--- a/spread/hints_test.go
+++ b/spread/hints_test.go
@@ -34,7 +34,7 @@
 		time.Sleep(2 * time.Minute)
 		is.Equal(len(hints.Read(ctx)), 0)
 		st.SetFaults(memstore.Faults{})
-		time.Sleep(time.Minute)
+		elapse(time.Minute)
 		is.Equal(len(hints.Read(ctx)), 3)
 		cancel()
 		time.Sleep(2 * hintTTL)
--- a/spread/published_test.go
+++ b/spread/published_test.go
@@ -44,7 +44,7 @@
 		is.Equal(cur.Version(), first)
 		st.BreakWatches()
 		second := apply("op-2", "gate")
-		time.Sleep(5 * time.Second)
+		elapse(5 * time.Second)
 		is.Equal(cur.Version(), second)
 		is.Equal(cur.Load().Len(), 2)
 		cancel()
@@ -131,7 +131,7 @@
 			_, err = st.Put(ctx, kv.Key, append([]byte{'x'}, kv.Value...), 0)
 			is.NoErr(err)
 		}
-		time.Sleep(30 * time.Second)
+		elapse(30 * time.Second)
 		is.Equal(cur.Version(), uint64(0))
 		for _, kv := range kvs {
 			_, err = st.Put(ctx, kv.Key, kv.Value, 0)
--- a/spread/recovery_test.go
+++ b/spread/recovery_test.go
@@ -102,7 +102,7 @@
 		f.converge(t, version, time.Second)
 		f.source.setDown(true)
 		f.restart(f.records)
-		time.Sleep(30 * time.Second)
+		elapse(30 * time.Second)
 		if n := len(f.behind(0)); n != 0 {
 			t.Errorf("%d nodes are ready without any source", n)
 		}
@@ -133,13 +133,13 @@
 		is := is.New(t)
 		version := f.accept(f.records[0])
 		f.converge(t, version, time.Second)
-		time.Sleep(7 * time.Second)
+		elapse(7 * time.Second)
 		before := f.source.total(&f.source.calls)
 		f.joinAfter = 2 * time.Second
 		f.restart(f.records[:40])
 		took := f.converge(t, version, 20*time.Second)
 		t.Logf("took %s", took)
-		time.Sleep(7 * time.Second)
+		elapse(7 * time.Second)
 		is.Equal(f.count("snapshot same-region"), 1)
 		// Each of the 3 relays of the failure domain reads the head and watches.
 		if n := f.source.total(&f.source.calls) - before; n > 3*2 {
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -194,7 +194,7 @@
 					if limit := 1300 * time.Millisecond; took > limit {
 						t.Errorf("change accepted at %s took %s, limit %s", f.records[origin].ID, took, limit)
 					}
-					time.Sleep(5 * time.Second)
+					elapse(5 * time.Second)
 				}
 			})
 		})
@@ -217,7 +217,7 @@
 					if limit := takeoverAfter + 100*time.Millisecond; took > limit {
 						t.Errorf("change accepted at %s took %s, limit %s", origin.ID, took, limit)
 					}
-					time.Sleep(5 * time.Second)
+					elapse(5 * time.Second)
 				}
 			})
 		})
@@ -309,7 +309,7 @@
 		f.source.setDown(true)
 		next, _ := f.change()
 		before := f.source.total(&f.source.calls)
-		time.Sleep(60 * time.Second)
+		elapse(60 * time.Second)
 		is.Equal(len(f.behind(next.Version())), len(f.records))
 		if n := f.source.total(&f.source.calls) - before; n > 60*3 {
 			t.Errorf("%d store calls in an outage of 60 s", n)
@@ -317,7 +317,7 @@
 		f.source.setDown(false)
 		f.converge(t, next.Version(), storeRetryMax+2*time.Second)
 
-		time.Sleep(20 * time.Second)
+		elapse(20 * time.Second)
 		f.source.setGap(true)
 		next, _ = f.change()
 		time.Sleep(time.Second)
@@ -337,14 +337,14 @@
 func TestOtherRegionsWatchWhenStoreRegionIsSilent(t *testing.T) {
 	f := newFleet(10, 2, 2, 5)
 	f.run(t, func(t *testing.T) {
-		time.Sleep(5 * time.Second)
+		elapse(5 * time.Second)
 		if n := f.source.watches(); n != 6 {
 			t.Errorf("%d watches, want those of the 6 relays of the store's region", n)
 		}
 		for _, r := range f.records[:10] {
 			f.kill(r)
 		}
-		time.Sleep(15 * time.Second)
+		elapse(15 * time.Second)
 		next, _ := f.change()
 		f.converge(t, next.Version(), 2*time.Second)
 	})
