--- a/member/relay.go
+++ b/member/relay.go
@@ -24,7 +24,8 @@
 
 // notes is what a node that is no relay heard about other failure domains.
 type notes struct {
-	at time.Time // of the last note, or of the last time as a relay
+	at     time.Time // of the last note, or of the last time as a relay
+	listed time.Time // when this node as rank 0 last stated or cleared one
 }
 
 // relayLoop runs the duties of relays: heartbeats to other failure domains,
@@ -160,7 +161,9 @@
 }
 
 // sendNotes tells the tree which failure domains rank 0 cannot reach: at once
-// when that changed, and repeatedly while there are any.
+// when that changed, repeatedly while there are any, and for a while after the
+// last one: a node that missed the end of an outage would otherwise hold it
+// until the note expires.
 func (s *Service) sendNotes(ctx context.Context, changed, repeat bool) {
 	if !changed && !repeat {
 		return
@@ -172,7 +175,13 @@
 			list = append(list, &peerpb.DomainNote{FailureDomain: d.Name, SilentS: uint32(max(0, now-d.SinceMs) / 1000)})
 		}
 	}
+	s.mu.Lock()
 	if len(list) > 0 || changed {
+		s.notes.listed = s.clock.Now()
+	}
+	recent := s.clock.Now().Sub(s.notes.listed) <= noteTTLTicks*s.opts.Heartbeat
+	s.mu.Unlock()
+	if recent {
 		s.passNotes(ctx, list)
 	}
 }
