--- a/balance/service.go
+++ b/balance/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -51,11 +50,14 @@
 type locality struct {
 	endpoints []*endpoint
 	slots     float64
-	spillFrom float64       // load per slot from which calls go elsewhere
-	spillTo   float64       // load per slot from which all calls go elsewhere
+	target    float64       // load per slot above which calls go elsewhere
+	integral  float64       // integral part of spill; the service's lock guards it
+	spill     atomic.Uint64 // float64 bits, share of calls that go elsewhere
 	load      atomic.Uint64 // float64 bits, smoothed load per slot
 	loadAt    atomic.Int64
 	maxRamp   atomic.Uint64 // float64 bits, highest ramp of the endpoints
+	report    atomic.Uint64 // float64 bits, median of the fresh reported loads
+	pace      atomic.Uint64 // float64 bits, median of the endpoints' pace
 }
 
 func newService(announce string, slowStart time.Duration) *service {
@@ -117,8 +119,10 @@
 		t.inherit(old)
 	}
 	t.generation.Store(generation)
-	t.refresh(now, b.opts.LoadMaxAge, s.panicking.Load())
-	s.refreshAt.Store(now + int64(refreshTime))
+	if now >= s.refreshAt.Load() || s.table.Load() != t {
+		t.refresh(now, b.opts.LoadMaxAge, s.panicking.Load())
+		s.refreshAt.Store(now + int64(refreshTime))
+	}
 	s.table.Store(t)
 	return t
 }
@@ -163,14 +167,13 @@
 // age returns how long ago the endpoint's process started. Clocks of other
 // instances may be wrong, which only changes the slow start.
 func (b *Balancer) age(r *member.Record) time.Duration {
-	started := time.UnixMilli(int64(min(r.Incarnation, math.MaxInt64)))
-	return max(b.opts.Now().Sub(started), 0)
+	return max(b.opts.Now().Sub(r.Started()), 0)
 }
 
 // group sorts the endpoints into localities.
 func (s *service) group(b *Balancer, t *table) {
 	self := b.view.Self()
-	own, region := &locality{spillFrom: domainSpillFrom, spillTo: domainSpillTo}, newRegion()
+	own, region := &locality{target: domainTarget}, &locality{target: regionTarget}
 	others := make(map[string]*locality)
 	for _, r := range t.records {
 		e := s.endpoints[identity{r.ID, r.Incarnation}]
@@ -190,7 +193,7 @@
 			l = region
 		default:
 			if l = others[r.Region]; l == nil {
-				l = newRegion()
+				l = &locality{}
 				others[r.Region] = l
 			}
 		}
@@ -206,8 +209,6 @@
 	})
 }
 
-func newRegion() *locality { return &locality{spillFrom: regionSpillFrom, spillTo: regionSpillTo} }
-
 func (l *locality) add(e *endpoint, r *member.Record) {
 	l.endpoints = append(l.endpoints, e)
 	l.slots += float64(max(r.Slots, 1))
--- a/bench/spread/run.go
+++ b/bench/spread/run.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"time"
 
@@ -20,6 +22,7 @@
 	Every           time.Duration // time between changes
 	Idle            time.Duration // time without changes, measured first
 	Kill            float64       // share of the nodes killed at the first measured change
+	Silent          bool          // killed nodes fall silent instead of closing their connections
 }
 
 const (
@@ -112,6 +115,7 @@
 		switch {
 		case err != nil:
 			r.Failed++
+			f.describe(err)
 			f.repair()
 		case i == 0:
 			r.First = took
@@ -124,6 +128,16 @@
 	}
 }
 
+// describe prints which live nodes lack the latest version.
+func (f *fleet) describe(err error) {
+	fmt.Fprintln(os.Stderr, err)
+	for _, n := range f.nodes {
+		if _, ok := n.inForceSince(f.versions.latest.Version()); !ok {
+			fmt.Fprintf(os.Stderr, "  %s in %s is at version %d\n", n.rec.ID, n.rec.FailureDomain, n.cur.Version())
+		}
+	}
+}
+
 // change accepts one version at a random live node of the region with index i,
 // kills the victims at that moment and returns the time until the last live
 // node has it in force.
@@ -145,7 +159,11 @@
 	r.DeltaBytes += len(f.versions.delta)
 	start := time.Now()
 	for _, v := range victims {
-		go v.kill()
+		if p.Silent {
+			v.freeze()
+		} else {
+			go v.kill()
+		}
 	}
 	if f.strategy.offer {
 		// The answer to the swap takes the way back from the store.
--- a/member/service.go
+++ b/member/service.go
@@ -60,7 +60,10 @@
 	// probed or was probed by. It must return quickly.
 	OnSummary func(from *Record, s Summary)
 
-	Seeds          []Seed
+	Seeds []Seed
+	// MoreSeeds is called in a round of joining in which no seed answered. It
+	// may be nil.
+	MoreSeeds      func(ctx context.Context) []Seed
 	Clock          clockwork.Clock // default: the real clock
 	Log            logr.Logger
 	Heartbeat      time.Duration // between probes, default 1 s
@@ -164,10 +167,14 @@
 
 // Drain states that this node's target leaves and returns when the relays of
 // its failure domain have the statement or ctx ends.
+//
+//siskingw:step drain
 func (s *Service) Drain(ctx context.Context) { s.announce(ctx, Draining) }
 
 // Leave states that this process ends and returns when the relays of its
 // failure domain have the statement or ctx ends.
+//
+//siskingw:step leave
 func (s *Service) Leave(ctx context.Context) { s.announce(ctx, Left) }
 
 // announce changes the own state and sends it directly to every relay.
--- a/node/admin.go
+++ b/node/admin.go
@@ -8,6 +8,7 @@
 	"siskingw/admin"
 	"siskingw/faults"
 	"siskingw/kernel"
+	"siskingw/proxy"
 	"siskingw/publish"
 	"siskingw/snapshot"
 	"siskingw/status"
@@ -47,14 +48,18 @@
 	fleet := s.tracker.Summary(ctx)
 	out := admin.Status{Node: s.node.settings.ID, Version: s.node.current.Version()}
 	for _, d := range fleet.Domains {
-		out.Domains = append(out.Domains, adminDomain(d))
+		out.Domains = append(out.Domains, adminDomain(d, fleet.Newest))
 	}
 	return out
 }
 
-// adminDomain converts the status of one failure domain.
-func adminDomain(d status.Domain) admin.Domain {
+// adminDomain converts the status of one failure domain. A failure domain that
+// has not heard of the newest version has no member that confirmed it.
+func adminDomain(d status.Domain, newest uint64) admin.Domain {
 	out := admin.Domain{Name: d.Name, Region: d.Region, InForce: d.Version, Members: d.Live, Confirmed: d.Confirmed}
+	if d.Newest < newest {
+		out.Confirmed = 0
+	}
 	for _, l := range d.Laggards {
 		out.Laggards = append(out.Laggards, l.ID)
 	}
@@ -85,10 +90,10 @@
 	mux := http.NewServeMux()
 	telemetry.Mount(mux, s.node.ready)
 	admin.NewServer(p.publisher(), s.node.current, st, s.node.log).Register(mux)
-	return s.listen(nameAdmin, s.node.settings.Listen.Admin, mux)
+	return s.listen(nameAdmin, s.node.settings.Listen.Admin, proxy.NewServer(mux, proxy.ServerOptions{}))
 }
 
-func (s *adminService) Stop(ctx context.Context) error { return s.server.Shutdown(ctx) }
+func (s *adminService) Stop(ctx context.Context) error { return s.shutdown(ctx) }
 
 // ready returns nil when a configuration is in force.
 func (n *Node) ready() error {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -58,16 +58,16 @@
 func newCall(w http.ResponseWriter, r *http.Request) *call {
 	c := callPool.Get().(*call)
 	c.w, c.r, c.start, c.ctx = w, r, time.Now(), r.Context()
-	c.expects = len(r.Header["Expect"]) > 0
+	c.expects = r.Header.Get("Expect") != ""
 	return c
 }
 
 // free returns the call to the pool. It must not run while an upload is active.
 func (c *call) free() {
-	header, buf := c.header, c.body.buf
+	header, buf, reader, closer := c.header, c.body.buf, c.body.reader, c.body.closer
 	clear(header)
 	*c = call{header: header}
-	c.body.buf = buf
+	c.body.buf, c.body.reader, c.body.closer = buf, reader, closer
 	callPool.Put(c)
 }
 
@@ -150,6 +150,9 @@
 	if c.expects {
 		c.header[HeaderExpect] = headerTrue
 	}
+	if c.first {
+		c.header[HeaderFirst] = headerTrue
+	}
 }
 
 // refusal is the end of a call without an answer of the target.
--- a/publish/publish_test.go
+++ b/publish/publish_test.go
@@ -27,6 +27,14 @@
 type hookStore struct {
 	store.Store
 	before, after func(key string) error
+	deleting      func() // called before each delete
+}
+
+func (h *hookStore) CompareAndDelete(ctx context.Context, key string, mod int64) error {
+	if h.deleting != nil {
+		h.deleting()
+	}
+	return h.Store.CompareAndDelete(ctx, key, mod)
 }
 
 func (h *hookStore) around(key string, write func() error) error {
@@ -308,6 +316,24 @@
 	is.Equal(entries[0].Operations[0].Summary, "EndpointSet/a")
 }
 
+// Guards against a search for the operation id that reads every version since
+// the last collection again for each request.
+func TestRequestOfUnknownAgeCostsOneRead(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	a := start(t, mem, Options{BatchWindow: time.Microsecond})
+	const versions, counted = maxCachedCommits + 20, 10
+	var before memstore.Counts
+	for i := range versions {
+		if i == versions-counted {
+			before = mem.Counts()
+		}
+		_, err := a.Apply(t.Context(), request(fmt.Sprint("op", i), endpoints("a", fmt.Sprint("v", i))))
+		is.NoErr(err)
+	}
+	is.Equal(mem.Counts().Reads-before.Reads, uint64(counted)) // of the head
+}
+
 // Guards against a collection that deletes a part which an acceptor, paused
 // between its parts and its swap, is about to publish.
 func TestPausedAcceptorAcrossCollection(t *testing.T) {
@@ -346,6 +372,41 @@
 	is.Equal(h2.GCEpoch, uint64(1))
 }
 
+// Guards against a collection that deletes a part which a later version writes
+// again: deleting an object brings its shard back to content that was collected.
+func TestCollectionSparesPartWrittenAgain(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	a := start(t, mem, Options{})
+	same := 0 // number of a name in the shard of "a"
+	for snapshot.ShardOf(endpoints(fmt.Sprint("b", same), "").Key()) != snapshot.ShardOf(endpoints("a", "").Key()) {
+		same++
+	}
+	b := endpoints(fmt.Sprint("b", same), "two")
+	for i, o := range []*object.Object{endpoints("a", "one"), b} {
+		_, err := a.Apply(t.Context(), request(fmt.Sprint(i), o))
+		is.NoErr(err)
+	}
+	clock := clockwork.NewFakeClock()
+	h := &hookStore{Store: mem}
+	c := NewCollector(h, CollectorOptions{Clock: clock, KeepCommits: 1})
+	_, err := c.Collect(t.Context())
+	is.NoErr(err)
+	clock.Advance(defaultMinAge)
+	var once sync.Once
+	h.deleting = func() {
+		once.Do(func() {
+			k := b.Key()
+			_, err := a.Apply(t.Context(), Request{OperationID: "3", Author: "ann", Changes: []Change{{Delete: &k}}})
+			is.NoErr(err)
+		})
+	}
+	n, err := c.Collect(t.Context())
+	is.NoErr(err)
+	is.Equal(n, 2) // delta and commit of the first version; its shard is back
+	is.Equal(load(t, mem).Len(), 1)
+}
+
 // Guards against a shard that no value of the store can hold: it is refused,
 // nothing is published, and a delta that is too large is only left out.
 func TestPartTooLarge(t *testing.T) {
@@ -364,3 +425,62 @@
 	is.Equal(len(parts), 1)
 	is.Equal(u.commit.Delta, snapshot.Digest{})
 }
+
+// Guards against versions that nodes refuse as old after the store was restored
+// from a copy: the next version is above the one in force on this node.
+func TestVersionRisesAfterStoreWasRestored(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	_, err := start(t, mem, Options{}).Apply(t.Context(), request("first", endpoints("a", "one")))
+	is.NoErr(err)
+	lost, err := snapshot.New(50, []*object.Object{endpoints("a", "lost")})
+	is.NoErr(err)
+	cur := new(snapshot.Current)
+	is.NoErr(cur.Advance(lost))
+	a := NewAcceptor(mem, cur, Options{BatchWindow: time.Millisecond})
+	run(t, a)
+	res, err := a.Apply(t.Context(), request("second", endpoints("b", "two")))
+	is.NoErr(err)
+	is.Equal(res.Version, uint64(51))
+	r := NewReader(mem)
+	h, _, err := r.Head(t.Context())
+	is.NoErr(err)
+	s, err := r.Load(t.Context(), h, lost)
+	is.NoErr(err)
+	is.Equal(s.Get(endpoints("a", "").Key()).EndpointSet.Announce, "one")
+	is.Equal(s.Digest(), load(t, mem).Digest())
+}
+
+// Guards against a collector that works where it is not due, or that forgets
+// to work where it is.
+func TestCollectorRunsWhereDue(t *testing.T) {
+	is := is.New(t)
+	mem := memstore.New(memstore.Options{})
+	_, err := start(t, mem, Options{}).Apply(t.Context(), request("first", endpoints("a", "one")))
+	is.NoErr(err)
+	_, err = mem.Put(t.Context(), partPrefix+"0orphan", []byte("x"), 0)
+	is.NoErr(err)
+	clock := clockwork.NewFakeClock()
+	var due atomic.Bool
+	asked := make(chan struct{})
+	c := NewCollector(mem, CollectorOptions{Clock: clock, Due: func() bool { asked <- struct{}{}; return due.Load() }})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = c.Run(ctx) }()
+	is.NoErr(clock.BlockUntilContext(t.Context(), 1))
+	tick := func() { clock.Advance(defaultInterval); <-asked }
+	tick()
+	tick()
+	tick()
+	_, err = mem.Get(t.Context(), partPrefix+"0orphan")
+	is.NoErr(err) // not due so far
+	due.Store(true)
+	for range 5 { // first pass, two intervals until MinAge, and one to finish
+		tick()
+	}
+	cancel()
+	<-done
+	_, err = mem.Get(t.Context(), partPrefix+"0orphan")
+	is.True(errorx.IsOfType(err, faults.NotFound))
+	is.Equal(load(t, mem).Version(), uint64(1))
+}
--- a/publish/reader.go
+++ b/publish/reader.go
@@ -12,9 +12,15 @@
 	"siskingw/store"
 )
 
-// maxCachedCommits bounds the commits that a Reader remembers; one takes about
-// 3 KB of memory.
-const maxCachedCommits = 128
+const (
+	// maxCachedCommits bounds the commits that a Reader remembers; one takes
+	// about 3 KB of memory.
+	maxCachedCommits = 256
+	// maxSettleCommits bounds the commits in which an operation of unknown age
+	// is looked for. It is less than the cache holds, so that only the first
+	// search reads them all.
+	maxSettleCommits = 128
+)
 
 // Reader reads versions from the store. It is safe for concurrent use.
 type Reader struct {
@@ -22,7 +28,6 @@
 
 	mu      sync.Mutex
 	commits map[snapshot.Digest]*Commit
-	order   []snapshot.Digest // of commits, oldest first
 }
 
 // NewReader returns a Reader of the store.
@@ -65,12 +70,24 @@
 	if _, ok := r.commits[d]; ok {
 		return
 	}
-	if len(r.order) == maxCachedCommits {
-		delete(r.commits, r.order[0])
-		r.order = r.order[1:]
+	if len(r.commits) == maxCachedCommits {
+		delete(r.commits, r.oldest())
 	}
 	r.commits[d] = c
-	r.order = append(r.order, d)
+}
+
+// oldest returns the cached commit with the lowest version. A walk starts at
+// the latest commit; evicting in order of arrival would evict what the next
+// walk reads first.
+func (r *Reader) oldest() snapshot.Digest {
+	var digest snapshot.Digest
+	var found *Commit
+	for d, c := range r.commits {
+		if found == nil || c.Version < found.Version {
+			digest, found = d, c
+		}
+	}
+	return digest
 }
 
 // walk calls visit for the head's commit and its ancestors, latest first,
@@ -109,8 +126,9 @@
 		return nil, faults.Corrupt.New("head names version %d, its commit version %d", h.Version, c.Version)
 	}
 	changed := changedShards(c, base)
-	if base != nil && base.Version() < h.Version {
-		next, err := r.loadDeltas(ctx, h, base, len(changed))
+	const readsPerDelta = 2 // the delta and its commit, except the commit read above
+	if base != nil && base.Version() < h.Version && readsPerDelta*(h.Version-base.Version())-1 <= uint64(len(changed)) {
+		next, err := r.loadDeltas(ctx, h, base)
 		if next != nil || err != nil {
 			return next, err
 		}
@@ -130,18 +148,17 @@
 }
 
 // loadDeltas applies the deltas from base to the head. It returns nil when the
-// chain is broken or takes more reads than the shards do.
-func (r *Reader) loadDeltas(ctx context.Context, h Head, base *snapshot.Snapshot, shards int) (*snapshot.Snapshot, error) {
+// chain is broken.
+func (r *Reader) loadDeltas(ctx context.Context, h Head, base *snapshot.Snapshot) (*snapshot.Snapshot, error) {
 	var chain []snapshot.Digest // of deltas, latest first
 	reached := false
 	_, err := r.walk(ctx, h, func(_ snapshot.Digest, c *Commit) bool {
 		chain = append(chain, c.Delta)
 		reached = c.ParentVersion == base.Version()
-		const readsPerStep = 2 // a delta and the next commit
-		return !reached && c.ParentVersion > base.Version() && c.Delta != (snapshot.Digest{}) && readsPerStep*len(chain) < shards
+		return !reached && c.ParentVersion > base.Version() && c.Delta != (snapshot.Digest{})
 	})
 	if err != nil || !reached {
-		return nil, err
+		return nil, unlessUnusable(err)
 	}
 	next := base
 	for i := len(chain) - 1; i >= 0; i-- {
@@ -149,12 +166,8 @@
 		if chain[i] == (snapshot.Digest{}) {
 			return nil, nil
 		}
-		err := getJSONPart(ctx, r.st, chain[i], d)
-		if errorx.IsOfType(err, faults.NotFound) {
-			return nil, nil
-		}
-		if err != nil {
-			return nil, err
+		if err := getJSONPart(ctx, r.st, chain[i], d); err != nil {
+			return nil, unlessUnusable(err)
 		}
 		if next, err = next.Apply(d); err != nil {
 			return nil, nil // base is not an ancestor of the head
@@ -166,6 +179,15 @@
 	return next, nil
 }
 
+// unlessUnusable returns nil for a part that was collected or is damaged: the
+// shards, which are whole or refused themselves, can take its place.
+func unlessUnusable(err error) error {
+	if errorx.IsOfType(err, faults.NotFound) || errorx.IsOfType(err, faults.Corrupt) {
+		return nil
+	}
+	return err
+}
+
 // loadShards reads the changed shards and takes the others from base.
 func (r *Reader) loadShards(ctx context.Context, c *Commit, base *snapshot.Snapshot, changed []int) (*snapshot.Snapshot, error) {
 	contents := make([][]byte, len(changed))
--- a/publish/working.go
+++ b/publish/working.go
@@ -77,6 +77,8 @@
 // validate checks the whole set with the given changes. Faults that the base
 // already has do not count: a release with stricter rules must not block
 // unrelated changes.
+//
+//siskingw:step validate
 func (w *working) validate(changed map[object.Key]*object.Object) error {
 	err := object.Validate(w.objects(changed))
 	if err == nil {
@@ -90,8 +92,8 @@
 
 // objects returns the base with the given changes.
 func (w *working) objects(changed map[object.Key]*object.Object) []*object.Object {
-	var set []*object.Object
-	for _, o := range w.base.Objects() {
+	set := make([]*object.Object, 0, w.base.Len()+len(changed))
+	for o := range w.base.All() {
 		if _, ok := changed[o.Key()]; !ok {
 			set = append(set, o)
 		}
--- a/spread/forward.go
+++ b/spread/forward.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"siskingw/member"
 	"siskingw/peer/peerpb"
 	"siskingw/snapshot"
 )
@@ -60,6 +59,8 @@
 
 // pushChildren pushes to the children of position p. The children of a child
 // that does not answer are pushed to directly.
+//
+//siskingw:step spread-domain
 func (n *Node) pushChildren(t *topology, p int, ev event) {
 	for _, c := range children(p, len(t.ranked)) {
 		if c == t.position {
@@ -73,9 +74,9 @@
 // to the region's head, or does their part when none of those before it answers.
 func (n *Node) lift(t *topology, ev event) {
 	if t.position != 0 {
-		g := group{order: t.ranked[:min(member.RelayCount, len(t.ranked))]}
+		g := group{order: t.ranked[:min(candidates, len(t.ranked))]}
 		if t.position > 0 {
-			g.order = t.ranked[:min(member.RelayCount, t.position)]
+			g.order = t.ranked[:min(candidates, t.position)]
 		}
 		n.deliverGroup(g, 0, ev, func() { n.pushChildren(t, 0, ev) })
 	}
@@ -91,10 +92,38 @@
 // distribute does the part of the region's head: one transfer to each other
 // failure domain of the region and, for a version that entered in this region,
 // one to each other region.
+//
+//siskingw:step spread-region
 func (n *Node) distribute(t *topology, ev event) {
 	for _, g := range t.groups(ev) {
-		n.pending.add(g.name, n.cur.Version())
+		version := n.cur.Version()
+		n.pending.add(g.name, version)
 		n.deliverGroup(g, 0, ev, nil)
+		if !g.region && len(g.order) > 1 {
+			n.tasks.spawn(func() { n.checkGroup(g, ev, version) })
+		}
+	}
+}
+
+// checkGroup asks the second relay of a failure domain, one stagger after the
+// delivery to the first one, whether the version has reached it. A root that
+// takes a version and dies before it passes it on would otherwise hold it back
+// until the relays compare, up to 4 s. Between regions this would cost a
+// message over a paid link for each change.
+func (n *Node) checkGroup(g group, ev event, version uint64) {
+	if !sleep(n.ctx, takeoverAfter) || n.cur.Version() > version {
+		return
+	}
+	for i, p := range g.order[1:] {
+		reply, err := n.compare(p, takeoverAfter)
+		if err != nil {
+			continue
+		}
+		if reply.Version < version {
+			n.stats.takeovers.Inc()
+			n.deliverGroup(g, i+1, ev, nil)
+		}
+		return
 	}
 }
 
@@ -257,6 +286,17 @@
 	return k
 }
 
+// confirm notes the version of a peer if this node pushes to it. Heartbeats come
+// from every member of the failure domain and must not fill the table.
+func (l *links) confirm(id string, version uint64) {
+	l.mu.Lock()
+	k := l.m[id]
+	l.mu.Unlock()
+	if k != nil {
+		k.confirm(version)
+	}
+}
+
 // deliver pushes the version in force to a peer without waiting for it.
 func (n *Node) deliver(to Peer, ev event, done func(uint64), miss func()) {
 	l := n.links.of(to.ID)
@@ -309,8 +349,15 @@
 		miss()
 		return
 	}
+	if reply.Status == peerpb.OfferReply_REFUSED {
+		miss()
+		return
+	}
 	l.setFailing(false)
 	l.confirm(reply.Version)
+	if to.Region == n.view.Self().Region {
+		n.copies.raise(reply.Version)
+	}
 	n.hear(to, 1)
 	if reply.Version > s.Version() {
 		n.want(want{from: to, version: reply.Version, event: event{fresh: true}, jitter: true})
--- a/spread/receive.go
+++ b/spread/receive.go
@@ -8,10 +8,12 @@
 
 // HandleOffer answers a push or an announcement of a peer. A repeated or older
 // offer changes nothing and costs one comparison.
+//
+//siskingw:step check-version
 func (n *Node) HandleOffer(r *peerpb.OfferRequest) *peerpb.OfferReply {
 	from, known := n.peerByID(r.Sender)
 	if known {
-		n.links.of(from.ID).confirm(r.Version)
+		n.links.confirm(from.ID, r.Version)
 		n.hear(from, 1)
 	}
 	ev := event{from: r.Sender, origin: r.OriginRegion, fresh: true, asRoot: r.AsRoot, asHead: r.AsHead}
@@ -41,6 +43,9 @@
 	switch {
 	case err == nil && n.cur.Version() >= r.Version:
 		n.stats.applied.Inc()
+		if n.needsCopy(w.from) && !n.copies.await(n.ctx, r.Version) {
+			return n.reply(peerpb.OfferReply_REFUSED) // this node stops; the sender turns to the next relay
+		}
 		return n.reply(peerpb.OfferReply_APPLIED)
 	case err == nil:
 		err = faults.Corrupt.New("deltas lead to version %d, not to %d", n.cur.Version(), r.Version)
@@ -58,6 +63,13 @@
 	return n.reply(peerpb.OfferReply_REFUSED)
 }
 
+// needsCopy reports whether an offer came from another region and the own one
+// has other nodes that can hold a copy.
+func (n *Node) needsCopy(from Peer) bool {
+	t := n.topology()
+	return from.Region != "" && from.Region != t.self.Region && len(t.ranked)+len(t.domains) > 1
+}
+
 func (n *Node) reply(s peerpb.OfferReply_Status) *peerpb.OfferReply {
 	return &peerpb.OfferReply{Status: s, Version: n.cur.Version()}
 }
