--- a/spread/forward.go
+++ b/spread/forward.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"siskingw/member"
 	"siskingw/peer/peerpb"
 	"siskingw/snapshot"
 )
@@ -75,9 +74,9 @@
 // to the region's head, or does their part when none of those before it answers.
 func (n *Node) lift(t *topology, ev event) {
 	if t.position != 0 {
-		g := group{order: t.ranked[:min(member.RelayCount, len(t.ranked))]}
+		g := group{order: t.ranked[:min(candidates, len(t.ranked))]}
 		if t.position > 0 {
-			g.order = t.ranked[:min(member.RelayCount, t.position)]
+			g.order = t.ranked[:min(candidates, t.position)]
 		}
 		n.deliverGroup(g, 0, ev, func() { n.pushChildren(t, 0, ev) })
 	}
@@ -350,8 +349,15 @@
 		miss()
 		return
 	}
+	if reply.Status == peerpb.OfferReply_REFUSED {
+		miss()
+		return
+	}
 	l.setFailing(false)
 	l.confirm(reply.Version)
+	if to.Region == n.view.Self().Region {
+		n.copies.raise(reply.Version)
+	}
 	n.hear(to, 1)
 	if reply.Version > s.Version() {
 		n.want(want{from: to, version: reply.Version, event: event{fresh: true}, jitter: true})
