Test the graceful and the immediate stop with processes

The drain had tests within the proxy only. With processes: a call that takes 3.5 s finishes while its node stops, a call that comes later is refused as not run and is not in the target's ledger, and a second signal ends the process within a second without a false not-run.

--- /dev/null
+++ b/e2e/stop_test.go
@@ -0,0 +1,91 @@
+package e2e
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskingw/bench/fleet"
+	"siskingw/targetstub"
+)
+
+// setBehavior changes the behavior of a target.
+func setBehavior(t *testing.T, in *fleet.Instance, behavior string) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPatch, in.TargetURL()+targetstub.PathBehavior, strings.NewReader(behavior))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+}
+
+// slowCall starts a call through another node that its target works on for
+// longer than the drain's announcement takes, and returns after it has begun.
+func slowCall(t *testing.T, c *cluster, target *fleet.Instance, id string) <-chan answer {
+	t.Helper()
+	for _, in := range c.f.Instances {
+		if in != target {
+			setBehavior(t, in, `{"draining":true}`)
+			in.Target.Kill() // so that every call goes to the one target
+		}
+	}
+	setBehavior(t, target, `{"workMs":3500}`)
+	caller := c.f.Instances[0]
+	if caller == target {
+		caller = c.f.Instances[1]
+	}
+	got := make(chan answer, 1)
+	go func() { got <- call(caller, "POST", "/scans/1", id, "", []byte("scan")) }()
+	for deadline := time.Now().Add(convergeTimeout); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		sum := make(map[string]targetstub.Entry)
+		if ledger(target, sum) == nil && sum[id].Started > 0 {
+			return got
+		}
+	}
+	t.Fatal("the call did not reach the target")
+	return nil
+}
+
+// Guards against a graceful stop that cuts off an upload in flight (I8), takes
+// new work meanwhile (I7), or does not end.
+func TestGracefulStopFinishesCallsInFlight(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 1, false)
+	target := c.f.Instances[2]
+	got := slowCall(t, c, target, "in-flight")
+	target.Node.Terminate()
+	time.Sleep(200 * time.Millisecond)
+	late := call(c.f.Instances[0], "POST", "/scans/1", "late", "", []byte("scan"))
+	is.Equal(late.status, http.StatusServiceUnavailable)
+	is.Equal(late.outcome, "not-run")
+	is.Equal((<-got).status, http.StatusOK)
+	is.True(target.Node.WaitOrKill(convergeTimeout)) // ends by itself with code 0
+	sum := make(map[string]targetstub.Entry)
+	is.NoErr(ledger(target, sum))
+	is.Equal(sum["late"].Started, 0)
+	is.Equal(sum["in-flight"].Finished, 1)
+}
+
+// Guards against a stop that cannot be cut short, and against a call that is
+// reported as not run although it was cut off.
+func TestSecondSignalEndsAtOnce(t *testing.T) {
+	is := is.New(t)
+	c := start(t, 1, false)
+	target := c.f.Instances[2]
+	got := slowCall(t, c, target, "cut-off")
+	target.Node.Terminate()
+	time.Sleep(100 * time.Millisecond)
+	started := time.Now()
+	target.Node.Terminate()
+	target.Node.WaitOrKill(convergeTimeout)
+	is.True(time.Since(started) < time.Second)
+	a := <-got
+	is.True(a.status != http.StatusOK && a.outcome != "not-run") // it has run, or may have
+}
