--- a/peer/peer.go
+++ b/peer/peer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
@@ -75,6 +76,8 @@
 const (
 	defaultMaxIdle = 30 * time.Second
 	dialTimeout    = time.Second
+	// maxConnectDelay is the longest wait before the next connection attempt.
+	maxConnectDelay = time.Second
 	// The initial windows keep gRPC's buffers small: a node holds few bytes in
 	// flight for control, and memory for each connection counts at 128 MB.
 	windowBytes = 64 << 10
@@ -149,6 +152,7 @@
 	cc, err := grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(dial),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: connectBackoff(), MinConnectTimeout: dialTimeout}),
 		grpc.WithInitialWindowSize(windowBytes),
 		grpc.WithInitialConnWindowSize(windowBytes),
 		grpc.WithReadBufferSize(bufferBytes),
@@ -162,6 +166,14 @@
 	return cc, nil
 }
 
+// connectBackoff bounds the delay between connection attempts. gRPC's default
+// grows to 2 min, in which a healed link would stay unused.
+func connectBackoff() backoff.Config {
+	c := backoff.DefaultConfig
+	c.BaseDelay, c.MaxDelay = 100*time.Millisecond, maxConnectDelay
+	return c
+}
+
 // closeIdle closes connections that were not used for MaxIdle.
 func (p *Pool) closeIdle() {
 	deadline := time.Now().Add(-p.opts.MaxIdle)
