--- a/cmd/meshbench/main.go
+++ b/cmd/meshbench/main.go
@@ -15,8 +15,8 @@
 	"siskingw/bench/demo"
 	"siskingw/bench/load"
 	"siskingw/bench/matrix"
-	"siskingw/bench/mutants"
 	"siskingw/bench/members"
+	"siskingw/bench/mutants"
 	"siskingw/bench/spread"
 )
 
