--- a/proxy/connserver_test.go
+++ b/proxy/connserver_test.go
@@ -111,6 +111,21 @@
 	is.True(err != nil)
 }
 
+// waitBusy waits until n connections have begun a request. A shutdown before
+// that finds the connection idle and closes it without an answer.
+func waitBusy(srv *ConnServer, n int) {
+	for busy := 0; busy < n; time.Sleep(time.Millisecond) {
+		busy = 0
+		srv.mu.Lock()
+		for c := range srv.conns {
+			if c.busy {
+				busy++
+			}
+		}
+		srv.mu.Unlock()
+	}
+}
+
 // Guards against a shutdown that cuts a call in flight, leaves idle connections
 // open or never ends, and against slow headers that hold a connection.
 func TestConnServerShutdown(t *testing.T) {
@@ -130,6 +145,7 @@
 	answer := make(chan string, 1)
 	go func() { answer <- rawCall(t, addr, "GET / HTTP/1.1\r\nHost: x\r\n\r\n") }()
 	<-started
+	waitBusy(srv, 2) // the call, and the connection with half a header
 	done := make(chan error, 1)
 	go func() { done <- srv.Shutdown(t.Context()) }()
 	idle.SetDeadline(time.Now().Add(3 * time.Second))
