meshbench capacity: no races between the driver and the phases

The number of a status report and the first failed call were used by two goroutines without a lock, and a failed run left a log in the working directory.

--- a/bench/capacity/command.go
+++ b/bench/capacity/command.go
@@ -53,7 +53,7 @@
 	if c.env != "" {
 		c.opts.Env = strings.Split(c.env, ",")
 	}
-	if c.opts.Accept && c.opts.Read || c.opts.Read && c.opts.Role != HeadOne {
+	if c.opts.Accept && c.opts.Read || c.opts.Read && c.opts.Role != RegionHead {
 		fmt.Fprintln(os.Stderr, "-read needs the role head and excludes -accept")
 		return subcommands.ExitUsageError
 	}
--- a/bench/capacity/driver.go
+++ b/bench/capacity/driver.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"siskingw/faults"
@@ -28,8 +29,8 @@
 	role    Role
 	traffic peer.Traffic // of the connections that others open to the node
 	steady  map[peer.Place]*peer.Pool
-	number  uint64 // of the last report
-	pushed  int    // records in the last push
+	number  atomic.Uint64 // of the last report
+	pushed  int           // records in the last push
 	mu      sync.Mutex
 	failed  error // first failed call
 }
@@ -58,10 +59,10 @@
 	if d.role != Leaf {
 		wg.Go(func() { d.every(ctx, reportEvery, d.reports) })
 	}
-	if d.role == HeadOne || d.role == Rank0 {
+	if d.role == RegionHead || d.role == Rank0 {
 		wg.Go(func() { d.every(ctx, reportEvery, d.exchanges) })
 	}
-	if d.role == HeadOne {
+	if d.role == RegionHead {
 		wg.Go(func() { d.every(ctx, reportEvery, d.comparisons) })
 	}
 	wg.Wait()
@@ -70,7 +71,7 @@
 	}
 }
 
-func (d *driver) isRelay() bool { return d.role == Relay || d.role == Rank0 || d.role == HeadOne }
+func (d *driver) isRelay() bool { return d.role == Relay || d.role == Rank0 || d.role == RegionHead }
 
 // every calls f periodically and keeps the first error.
 func (d *driver) every(ctx context.Context, period time.Duration, f func(context.Context) error) {
@@ -93,6 +94,13 @@
 	}
 }
 
+// err returns the first failed call.
+func (d *driver) err() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.failed
+}
+
 // node returns the record of the measured node as the stand-in holds it.
 func (d *driver) node() (*member.Record, error) {
 	if r := d.st.dir.Lookup(d.id); r != nil {
@@ -157,9 +165,8 @@
 		return err
 	}
 	for _, c := range member.Children(d.st.dir, d.id) {
-		d.number++
 		version := d.st.cur.Version()
-		msg := &peerpb.StatusReport{FromId: c.ID, FromIncarnation: c.Incarnation, Number: d.number,
+		msg := &peerpb.StatusReport{FromId: c.ID, FromIncarnation: c.Incarnation, Number: d.number.Add(1),
 			MinVersion: version, MaxVersion: version}
 		addSubtree(msg, ranked, member.Position(d.st.dir, c.ID))
 		msg.AtMax = msg.Count
@@ -195,12 +202,12 @@
 		senders = append(senders, h)
 	}
 	for _, region := range member.Regions(d.st.dir) {
-		if h := member.RegionHead(d.st.dir, region); h != nil && h.ID != d.id && d.role == HeadOne {
+		if h := member.RegionHead(d.st.dir, region); h != nil && h.ID != d.id && d.role == RegionHead {
 			senders = append(senders, h)
 		}
 	}
 	for _, o := range d.st.dir.FailureDomains() {
-		if o.Region == self.Region && o.Name != self.FailureDomain && d.role == HeadOne {
+		if o.Region == self.Region && o.Name != self.FailureDomain && d.role == RegionHead {
 			senders = append(senders, d.st.dir.Ranked(o.Name)[0])
 		}
 	}
--- a/bench/capacity/fleet.go
+++ b/bench/capacity/fleet.go
@@ -90,11 +90,11 @@
 
 // The roles that depend on rank. A leaf has no tree children.
 const (
-	Leaf    Role = "leaf"
-	Parent  Role = "parent"
-	Relay   Role = "relay"
-	Rank0   Role = "rank0"
-	HeadOne Role = "head"
+	Leaf       Role = "leaf"
+	Parent     Role = "parent"
+	Relay      Role = "relay"
+	Rank0      Role = "rank0"
+	RegionHead Role = "head"
 )
 
 // roleDomain returns the index of the failure domain in which the role occurs:
@@ -115,7 +115,7 @@
 		return position >= member.RelayCount && member.Fanout*(position+1) < n && position > n/20
 	case Relay:
 		return position == 1
-	case Rank0, HeadOne:
+	case Rank0, RegionHead:
 		return position == 0
 	}
 	return false
--- a/bench/capacity/run.go
+++ b/bench/capacity/run.go
@@ -104,14 +104,12 @@
 	defer b.close(cancel)
 	for _, step := range []func(context.Context) error{b.prepare, b.start, b.load, b.phases} {
 		if err := step(ctx); err != nil {
-			b.keepLog("capacity-failed.log")
+			b.keepLog(opts.KeepLog)
 			return nil, err
 		}
 	}
-	if opts.KeepLog != "" {
-		b.keepLog(opts.KeepLog)
-	}
-	return &b.result, b.driver.failed
+	b.keepLog(opts.KeepLog)
+	return &b.result, b.driver.err()
 }
 
 // claim chooses the second octet of every address, so that several runs at the
@@ -144,7 +142,11 @@
 	}
 }
 
+// keepLog copies the node's log to path, if that is set.
 func (b *bench) keepLog(path string) {
+	if path == "" {
+		return
+	}
 	if log, err := os.ReadFile(filepath.Join(b.dir, "node.log")); err == nil {
 		_ = os.WriteFile(path, log, 0o600)
 	}
