--- a/bench/mutants/mutants.go
+++ b/bench/mutants/mutants.go
@@ -15,8 +15,12 @@
 	"siskingw/faults"
 )
 
-// runTimeout bounds the tests of one mutant; a mutant that hangs them is killed too.
-const runTimeout = 3 * time.Minute
+// testTimeout ends the tests of a mutant that hangs them, which kills it too;
+// runTimeout also bounds the build.
+const (
+	testTimeout = "60s"
+	runTimeout  = 3 * time.Minute
+)
 
 // Mutant removes one mechanism.
 type Mutant struct {
@@ -74,7 +78,7 @@
 	if out, err := command(ctx, root, "vet", "-overlay", overlay, m.Package); err != nil {
 		return Result{}, faults.Invalid.Wrap(err, "mutant %q does not compile: %s", m.Name, out)
 	}
-	out, err := command(ctx, root, "test", "-count=1", "-overlay", overlay, "-run", m.Run, m.Package)
+	out, err := command(ctx, root, "test", "-count=1", "-timeout", testTimeout, "-overlay", overlay, "-run", m.Run, m.Package)
 	return Result{Mutant: m, Killed: err != nil, Output: out}, nil
 }
 
--- a/node/calls.go
+++ b/node/calls.go
@@ -93,7 +93,7 @@
 		Metrics:    s.node.proxyMetrics(),
 		Tracer:     s.node.tracer(),
 	})
-	return s.listen(nameOutbound, s.node.settings.Listen.Outbound, proxy.NewServer(out, proxy.ServerOptions{}))
+	return s.listen(nameOutbound, s.node.settings.Listen.Outbound, proxy.NewConnServer(out, proxy.ServerOptions{}))
 }
 
 // onDraining merges what a target's node states about itself in an answer,
@@ -149,7 +149,6 @@
 	if s.member, err = kernel.Lookup[*memberService](k, nameMember); err != nil {
 		return err
 	}
-	// Only other nodes connect here, so the cheaper server of our own serves them.
 	return s.listen(nameInbound, s.node.settings.Listen.Inbound, proxy.NewConnServer(s.handler(), proxy.ServerOptions{}))
 }
 
