Give the tracker's two loops and the driver's connections one body each

The report and the exchange loop of package status were the same but for the channel and the action; two phases of the capacity tool opened connections in the same way. Measured: tests of both packages pass.

--- a/bench/capacity/phases.go
+++ b/bench/capacity/phases.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 
+	"siskingw/member"
 	"siskingw/peer"
 	"siskingw/peer/peerpb"
 )
@@ -91,20 +93,30 @@
 	return g.Wait()
 }
 
-// join asks the node for every record, as a starting member of its failure
-// domain does.
-func (d *driver) join(ctx context.Context) error {
+// dialAsMember opens a connection to the node as a member of its failure
+// domain that has just started. release closes it.
+func (d *driver) dialAsMember() (m *member.Record, cc grpc.ClientConnInterface, release func(), err error) {
 	self, err := d.node()
 	if err != nil {
-		return err
+		return nil, nil, nil, err
 	}
-	m := d.ownMember(self)
+	m = d.ownMember(self)
 	p := peer.NewPool(m.Place(), &d.traffic, peer.Options{})
-	defer p.Close()
-	cc, err := p.Conn(d.addr, self.Place())
+	if cc, err = p.Conn(d.addr, self.Place()); err != nil {
+		p.Close()
+		return nil, nil, nil, err
+	}
+	return m, cc, p.Close, nil
+}
+
+// join asks the node for every record, as a starting member of its failure
+// domain does.
+func (d *driver) join(ctx context.Context) error {
+	m, cc, release, err := d.dialAsMember()
 	if err != nil {
 		return err
 	}
+	defer release()
 	stream, err := peerpb.NewMembershipClient(cc).Join(ctx, &peerpb.JoinRequest{Record: recordOf(m)})
 	if err != nil {
 		return err
@@ -114,17 +126,11 @@
 
 // fetch asks the node for its snapshot, as a starting node does.
 func (d *driver) fetch(ctx context.Context) error {
-	self, err := d.node()
-	if err != nil {
-		return err
-	}
-	m := d.ownMember(self)
-	p := peer.NewPool(m.Place(), &d.traffic, peer.Options{})
-	defer p.Close()
-	cc, err := p.Conn(d.addr, self.Place())
+	m, cc, release, err := d.dialAsMember()
 	if err != nil {
 		return err
 	}
+	defer release()
 	caller := &peerpb.Source{Id: m.ID, Addr: m.PeerAddr, Region: m.Region, FailureDomain: m.FailureDomain}
 	stream, err := peerpb.NewSpreadClient(cc).FetchSnapshot(ctx, &peerpb.FetchSnapshotRequest{Caller: caller})
 	if err != nil {
--- a/status/exchange.go
+++ b/status/exchange.go
@@ -12,22 +12,11 @@
 // exchangeLoop passes summaries between ranks 0: each failure domain's to the
 // region's head, between the heads, and from a head to its region.
 func (t *Tracker) exchangeLoop(ctx context.Context) {
-	ticker := t.clock.NewTicker(t.opts.Interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.share:
-			if !t.sleep(ctx, t.opts.Coalesce) {
-				return
-			}
-		case <-ticker.Chan():
-		}
+	t.repeat(ctx, t.share, func(ctx context.Context) {
 		if t.renew() {
 			t.exchange(ctx)
 		}
-	}
+	})
 }
 
 // exchange calls every partner at the same time.
--- a/status/tracker.go
+++ b/status/tracker.go
@@ -116,20 +116,24 @@
 }
 
 // reportLoop sends a report after each change and every interval.
-func (t *Tracker) reportLoop(ctx context.Context) {
+func (t *Tracker) reportLoop(ctx context.Context) { t.repeat(ctx, t.kick, t.reportOnce) }
+
+// repeat calls f after each signal, once the changes of Coalesce are in, and
+// every interval, until ctx ends.
+func (t *Tracker) repeat(ctx context.Context, signal <-chan struct{}, f func(context.Context)) {
 	ticker := t.clock.NewTicker(t.opts.Interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.kick:
+		case <-signal:
 			if !t.sleep(ctx, t.opts.Coalesce) {
 				return
 			}
 		case <-ticker.Chan():
 		}
-		t.reportOnce(ctx)
+		f(ctx)
 	}
 }
 
