Run the process tests' binaries under the race detector, fix a race in the fleet

make race found that the fleet filled in the places of addresses while relays already read them; they are now fixed before the first relay. The processes themselves were built without the race detector, so that make race said nothing about them; they are built with it now, and a report in a node's log fails the test.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -159,11 +159,13 @@
 // startLinks starts a relay for each address that other processes connect to.
 func (f *Fleet) startLinks() error {
 	f.Links = newLinks()
+	for d, domain := range f.opts.Domains {
+		f.Links.places[fmt.Sprintf("%s.%d", f.base, d+1)] = domain.Name
+	}
 	if err := f.Links.forward(f.relayAddr(0, 0, portStore), f.StoreAddr(), storePlace); err != nil {
 		return err
 	}
 	for d, domain := range f.opts.Domains {
-		f.Links.places[fmt.Sprintf("%s.%d", f.base, d+1)] = domain.Name
 		for i := range domain.Instances {
 			for _, port := range []int{portPeer, portInbound} {
 				target := fmt.Sprintf("%s.%d.%d:%d", f.base, d+1, i+1, port)
--- a/e2e/main_test.go
+++ b/e2e/main_test.go
@@ -30,7 +30,8 @@
 		panic(err)
 	}
 	binDir = dir
-	build := exec.Command("go", "build", "-o", dir, "siskingw/cmd/siskingw", "siskingw/cmd/storestub", "siskingw/cmd/targetstub")
+	args := append([]string{"build", "-o", dir}, buildFlags...)
+	build := exec.Command("go", append(args, "siskingw/cmd/siskingw", "siskingw/cmd/storestub", "siskingw/cmd/targetstub")...)
 	if out, err := build.CombinedOutput(); err != nil {
 		panic(fmt.Sprintf("build: %v\n%s", err, out))
 	}
@@ -80,6 +81,7 @@
 	c.f = f
 	t.Cleanup(func() {
 		f.Stop()
+		c.checkRaces()
 		if t.Failed() {
 			c.printLogs()
 		}
@@ -98,6 +100,16 @@
 	return c
 }
 
+// checkRaces fails the test when the race detector reported anything in a node.
+func (c *cluster) checkRaces() {
+	for _, in := range c.f.Instances {
+		b, _ := os.ReadFile(filepath.Join(c.dir, in.Name+".log"))
+		if i := bytes.Index(b, []byte("WARNING: DATA RACE")); i >= 0 {
+			c.t.Errorf("data race in node %s:\n%s", in.Name, b[i:min(i+2000, len(b))])
+		}
+	}
+}
+
 // printLogs prints the end of each node's log.
 func (c *cluster) printLogs() {
 	const tailBytes = 2000
--- /dev/null
+++ b/e2e/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package e2e
+
+var buildFlags []string
