Share the tree's child positions and the passing of watch batches

The formula of the distribution tree stood in member and again in spread; both must agree, or status and spreading would use different trees. The function that passes a watch batch to its reader stood in both store implementations. Each is now one function. Behaviour is unchanged.

--- a/member/tree.go
+++ b/member/tree.go
@@ -65,11 +65,17 @@
 
 // childrenIn returns the children of position p.
 func childrenIn(ranked []*Record, p int) []*Record {
-	first := Fanout*p + 1
-	if p < 0 || first >= len(ranked) {
+	if p < 0 {
 		return nil
 	}
-	return ranked[first:min(first+Fanout, len(ranked))]
+	first, end := ChildPositions(p, len(ranked))
+	return ranked[first:end]
+}
+
+// ChildPositions returns the positions below p in a tree of n nodes: from
+// first up to end, which is not included. They are equal when there are none.
+func ChildPositions(p, n int) (first, end int) {
+	return min(Fanout*p+1, n), min(Fanout*(p+1)+1, n)
 }
 
 // Relays returns the members of the first ranks of a failure domain.
--- a/spread/forward.go
+++ b/spread/forward.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"siskingw/member"
 	"siskingw/peer/peerpb"
 	"siskingw/snapshot"
 )
@@ -62,7 +63,8 @@
 //
 //siskingw:step spread-domain
 func (n *Node) pushChildren(t *topology, p int, ev event) {
-	for _, c := range children(p, len(t.ranked)) {
+	first, end := member.ChildPositions(p, len(t.ranked))
+	for c := first; c < end; c++ {
 		if c == t.position {
 			continue
 		}
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -25,15 +25,6 @@
 	return Peer{ID: r.ID, Addr: r.PeerAddr, Region: r.Region, FailureDomain: r.FailureDomain}
 }
 
-// children returns the positions below p in a tree of n nodes.
-func children(p, n int) []int {
-	var out []int
-	for c := member.Fanout*p + 1; c <= member.Fanout*(p+1) && c < n; c++ {
-		out = append(out, c)
-	}
-	return out
-}
-
 // candidates is the number of ranks of a failure domain that a push tries. It
 // is more than the relays, because all of them may die at once and the
 // membership takes about 5 s to replace them.
--- a/store/etcd/watch.go
+++ b/store/etcd/watch.go
@@ -15,7 +15,7 @@
 	go func() {
 		defer close(out)
 		if err := c.runWatch(ctx, prefix, fromRevision, out); err != nil && ctx.Err() == nil {
-			send(ctx, out, store.WatchBatch{Err: err})
+			store.SendBatch(ctx, out, store.WatchBatch{Err: err})
 		}
 	}()
 	return out
@@ -39,7 +39,7 @@
 		if err := watchEnded(resp, prefix); err != nil {
 			return err
 		}
-		if batch := fromEvents(resp); len(batch.Events) > 0 && !send(ctx, out, batch) {
+		if batch := fromEvents(resp); len(batch.Events) > 0 && !store.SendBatch(ctx, out, batch) {
 			return nil
 		}
 	}
@@ -63,13 +63,3 @@
 	}
 	return batch
 }
-
-// send reports whether the batch was taken before ctx ended.
-func send(ctx context.Context, out chan<- store.WatchBatch, b store.WatchBatch) bool {
-	select {
-	case out <- b:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/store/memstore/watch.go
+++ b/store/memstore/watch.go
@@ -15,7 +15,7 @@
 	go func() {
 		defer close(out)
 		if err := s.faults.read(ctx); err != nil {
-			send(ctx, out, store.WatchBatch{Err: err})
+			store.SendBatch(ctx, out, store.WatchBatch{Err: err})
 			return
 		}
 		s.faults.watching.Add(1)
@@ -30,17 +30,17 @@
 	for {
 		batch, changed, broken := s.eventsAfter(prefix, from)
 		if batch.Err != nil {
-			send(ctx, out, batch)
+			store.SendBatch(ctx, out, batch)
 			return
 		}
-		if len(batch.Events) > 0 && !send(ctx, out, batch) {
+		if len(batch.Events) > 0 && !store.SendBatch(ctx, out, batch) {
 			return
 		}
 		from = batch.Revision
 		select {
 		case <-changed:
 		case <-broken:
-			send(ctx, out, store.WatchBatch{Err: faults.StoreUnavailable.New("watch of %q is broken", prefix)})
+			store.SendBatch(ctx, out, store.WatchBatch{Err: faults.StoreUnavailable.New("watch of %q is broken", prefix)})
 			return
 		case <-ctx.Done():
 			return
@@ -71,13 +71,3 @@
 	}
 	return batch, s.changed, s.broken
 }
-
-// send reports whether the batch was taken before ctx ended.
-func send(ctx context.Context, out chan<- store.WatchBatch, b store.WatchBatch) bool {
-	select {
-	case out <- b:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/store/store.go
+++ b/store/store.go
@@ -67,3 +67,14 @@
 	// Close releases the connection.
 	Close() error
 }
+
+// SendBatch passes a batch to the reader of a watch. It reports whether the
+// batch was taken before ctx ended.
+func SendBatch(ctx context.Context, out chan<- WatchBatch, b WatchBatch) bool {
+	select {
+	case out <- b:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
