--- a/bench/spread/store.go
+++ b/bench/spread/store.go
@@ -72,7 +72,7 @@
 }
 
 func headOf(kv store.KeyValue) spread.Head {
-	return spread.Head{Version: binary.BigEndian.Uint64(kv.Value), Revision: kv.ModRevision, Value: kv.Value}
+	return spread.Head{Version: binary.BigEndian.Uint64(kv.Value), Revision: kv.ModRevision, Content: kv.Value}
 }
 
 func (s source) get(ctx context.Context, key string) (store.KeyValue, error) {
--- a/node/calls.go
+++ b/node/calls.go
@@ -15,6 +15,7 @@
 	"siskingw/idem"
 	"siskingw/kernel"
 	"siskingw/member"
+	"siskingw/platform"
 	"siskingw/proxy"
 )
 
@@ -22,6 +23,10 @@
 // after the drain has been announced; leaving is known everywhere within 2 s.
 const drainLinger = 2 * time.Second
 
+// platformLinger is the same on the platform, where the grace before SIGKILL is
+// short and other nodes hear of the drain in the answers as well.
+const platformLinger = time.Second
+
 // httpServer is what http.Server and proxy.ConnServer have in common.
 type httpServer interface {
 	Serve(net.Listener) error
@@ -76,14 +81,14 @@
 
 func (s *outboundService) Start(_ context.Context, k *kernel.Kernel) error {
 	var local *proxy.Inbound
-	if s.node.settings.Target != nil {
+	if s.node.settings.Target != nil || s.node.settings.Platform != nil {
 		in, err := kernel.Lookup[*inboundService](k, nameInbound)
 		if err != nil {
 			return err
 		}
 		local = in.handler()
 	}
-	out := proxy.NewOutbound(proxy.OutboundOptions{
+	opts := proxy.OutboundOptions{
 		Current:    s.node.current,
 		Balancer:   balance.New(s.node.dir, balance.Options{}),
 		View:       s.node.dir,
@@ -92,10 +97,29 @@
 		OnDraining: s.onDraining,
 		Metrics:    s.node.proxyMetrics(),
 		Tracer:     s.node.tracer(),
-	})
-	return s.listen(nameOutbound, s.node.settings.Listen.Outbound, proxy.NewConnServer(out, proxy.ServerOptions{}))
+	}
+	server := proxy.ServerOptions{Log: s.node.log}
+	if s.node.settings.Platform != nil {
+		opts.Edge = platform.Edge{}
+		opts.Caller = func() string { return s.node.live.Load().Platform.Service }
+		opts.Answers, opts.Bodies = platformAnswers, platformBodies
+		opts.Retries = proxy.RetryOptions{BudgetPercent: 15, Reserve: 4, FreeTries: 3}
+		server.Pipeline, server.Bodies, server.Limits = maxPipelined, platformBodies, s.node.callerLimits
+	}
+	return s.listen(nameOutbound, s.node.settings.Listen.Outbound, proxy.NewConnServer(proxy.NewOutbound(opts), server))
 }
 
+// On the platform, answers and bodies of the usual sizes are held whole, so that
+// a call whose transfer breaks off can be sent again.
+var (
+	platformAnswers = proxy.AnswerOptions{HoldBytes: 256 << 10}
+	platformBodies  = proxy.BodyOptions{MaxBuffered: 4 << 20, Chunked: true}
+)
+
+// maxPipelined is the number of requests of one caller's connection that are
+// served at the same time.
+const maxPipelined = 16
+
 // onDraining merges what a target's node states about itself in an answer,
 // ahead of its membership record.
 func (s *outboundService) onDraining(r *member.Record) {
@@ -127,6 +151,10 @@
 	if s.inbound != nil {
 		return s.inbound
 	}
+	if s.node.settings.Platform != nil {
+		s.inbound = s.platformHandler()
+		return s.inbound
+	}
 	t := s.node.settings.Target
 	self := s.node.dir.Self()
 	s.ledger = idem.NewLedger(self.ID, self.Incarnation, idem.Options{})
@@ -144,6 +172,18 @@
 	return s.inbound
 }
 
+// platformHandler builds the handler for a target that announces itself.
+func (s *inboundService) platformHandler() *proxy.Inbound {
+	return proxy.NewInbound(proxy.InboundOptions{
+		Backend: s.node.target.current,
+		Metrics: s.node.proxyMetrics(),
+		Tracer:  s.node.tracer(),
+		Edge:    platform.Edge{},
+		Answers: platformAnswers, Bodies: platformBodies, OpenEnded: true,
+		OnOther: s.node.target.other,
+	})
+}
+
 func (s *inboundService) Start(_ context.Context, k *kernel.Kernel) error {
 	var err error
 	if s.member, err = kernel.Lookup[*memberService](k, nameMember); err != nil {
@@ -158,11 +198,17 @@
 		return nil // Start failed
 	}
 	s.inbound.Drain()
-	s.ledger.Drain(s.nextOwner)
+	if s.ledger != nil {
+		s.ledger.Drain(s.nextOwner)
+	}
 	s.member.service.Drain(ctx)
 	drainCtx, cancel := context.WithTimeout(ctx, s.node.settings.Stop.DrainTimeout())
 	defer cancel()
-	return s.inbound.Stop(drainCtx, s.server, drainLinger)
+	linger := drainLinger
+	if s.node.settings.Platform != nil {
+		linger = platformLinger
+	}
+	return s.inbound.Stop(drainCtx, s.server, linger)
 }
 
 // nextOwner selects another live target of the service for a key that this
--- a/node/command.go
+++ b/node/command.go
@@ -29,6 +29,7 @@
 	return `node -config FILE
 Run the node of this instance until SIGTERM or SIGINT. The first signal drains
 the target and waits for calls in flight; a second one ends the process at once.
+SIGHUP reloads the settings file.
 `
 }
 
@@ -59,5 +60,11 @@
 	if err != nil {
 		return err
 	}
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go NewReloader(n, c.config).Run(ctx, hup)
 	return n.Run(ctx, stop)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,7 +25,8 @@
 
 // Node is one siskingw process.
 type Node struct {
-	settings *settings.Settings
+	settings *settings.Settings                // as the process started
+	live     atomic.Pointer[settings.Settings] // as last reloaded
 	log      logr.Logger
 	metrics  *metrics.Set
 	current  *snapshot.Current
@@ -32,6 +34,7 @@
 	kernel   *kernel.Kernel
 
 	callMetrics *proxy.Metrics
+	target      *targetService // on the platform only
 }
 
 // New returns a node that is not yet started.
@@ -44,6 +47,7 @@
 		dir:      member.NewDirectory(selfRecord(s), member.DirectoryOptions{}),
 		kernel:   kernel.New(log),
 	}
+	n.live.Store(s)
 	metrics.RegisterSet(n.metrics)
 	for _, svc := range n.services() {
 		if err := n.kernel.Register(svc); err != nil {
@@ -69,6 +73,10 @@
 	if n.settings.Target != nil {
 		list = append(list, &inboundService{node: n})
 	}
+	if n.settings.Platform != nil {
+		n.target = newTargetService(n)
+		list = append(list, n.target, &inboundService{node: n}, &readyService{node: n})
+	}
 	return list
 }
 
@@ -83,7 +91,7 @@
 		return err
 	}
 	n.log.Info("starting", "failureDomain", n.settings.FailureDomain, "incarnation", n.dir.Self().Incarnation)
-	err = n.kernel.Run(ctx, stop, n.settings.Stop.DrainTimeout()+stopMargin)
+	err = n.kernel.Run(ctx, stop, n.stopTimeout())
 	flush, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = endTraces(flush)
@@ -91,6 +99,14 @@
 	return err
 }
 
+// stopTimeout bounds the graceful stop.
+func (n *Node) stopTimeout() time.Duration {
+	if p := n.settings.Platform; p != nil {
+		return p.Grace() - stopReserve
+	}
+	return n.settings.Stop.DrainTimeout() + stopMargin
+}
+
 // place returns where the node runs.
 func (n *Node) place() peer.Place {
 	return peer.Place{Region: n.settings.Region, FailureDomain: n.settings.FailureDomain}
--- /dev/null
+++ b/node/platform.go
@@ -0,0 +1,182 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"siskingw/admit"
+	"siskingw/faults"
+	"siskingw/kernel"
+	"siskingw/member"
+	"siskingw/platform"
+	"siskingw/proxy"
+	"siskingw/targets"
+)
+
+const (
+	// silentBeats is the number of announcements after whose time a silent
+	// target counts as gone; announcements may come some seconds late.
+	silentBeats = 4
+	// stopReserve is the part of the grace before SIGKILL that is left for
+	// closing.
+	stopReserve = 500 * time.Millisecond
+)
+
+// targetService knows the target of this instance from its announcements.
+type targetService struct {
+	node *Node
+	callServer
+	registry *targets.Registry
+	backend  atomic.Pointer[localBackend]
+}
+
+// localBackend is the backend made for one start of the target.
+type localBackend struct {
+	proxy.Backend
+	target targets.Target
+}
+
+func newTargetService(n *Node) *targetService {
+	s := &targetService{node: n, registry: targets.NewRegistry(silentBeats * n.settings.Platform.Heartbeat())}
+	s.registry.OnChange(s.onChange)
+	return s
+}
+
+func (s *targetService) Name() string    { return nameTarget }
+func (s *targetService) Needs() []string { return nil }
+
+func (s *targetService) Start(context.Context, *kernel.Kernel) error {
+	return s.listen(nameTarget, s.node.settings.Platform.Control, proxy.NewServer(platform.NewControl(s), proxy.ServerOptions{}))
+}
+
+// Run serves announcements and drops targets that fall silent.
+func (s *targetService) Run(ctx context.Context) error {
+	go func() {
+		tick := time.NewTicker(s.node.settings.Platform.Heartbeat() / 2)
+		defer tick.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case now := <-tick.C:
+				s.registry.Expire(now)
+			}
+		}
+	}()
+	return s.callServer.Run(ctx)
+}
+
+func (s *targetService) Stop(ctx context.Context) error { return s.shutdown(ctx) }
+
+// Announce implements platform.TargetSink. A delayed announcement is
+// acknowledged: it says nothing new.
+func (s *targetService) Announce(a targets.Announcement) error {
+	err := s.registry.Announce(a, time.Now())
+	if errorx.IsOfType(err, faults.Stale) {
+		return nil
+	}
+	return err
+}
+
+// Leave implements platform.TargetSink.
+func (s *targetService) Leave(id string, started time.Time) error {
+	s.registry.Leave(id, started, time.Now())
+	return nil
+}
+
+// onChange takes the target that may get work, or nil.
+func (s *targetService) onChange(t *targets.Target) {
+	old := s.backend.Load()
+	if t == nil {
+		s.backend.Store(nil)
+		s.node.log.Info("target lost")
+	} else if old == nil || old.target.ID != t.ID || !old.target.Started.Equal(t.Started) || old.target.Slots != t.Slots {
+		s.backend.Store(&localBackend{
+			Backend: proxy.Backend{Addr: t.Address, Instance: t.ID, Gate: admit.New(admit.Options{Slots: t.Slots})},
+			target:  *t,
+		})
+		s.node.log.Info("target in use", "target", t.ID, "service", t.Service, "address", t.Address, "slots", t.Slots)
+	} else {
+		return
+	}
+	if old != nil {
+		old.Gate.Drain()
+	}
+	s.node.dir.UpdateSelf(func(r *member.Record) {
+		r.Service, r.Slots = "", 0
+		if t != nil {
+			r.Service, r.Slots = t.Service, uint32(t.Slots)
+		}
+	})
+}
+
+// current returns the backend that may get work, or nil.
+func (s *targetService) current() *proxy.Backend {
+	if b := s.backend.Load(); b != nil {
+		return &b.Backend
+	}
+	return nil
+}
+
+// other notes that another target answers at the address of a backend.
+func (s *targetService) other(b *proxy.Backend) {
+	if now := s.backend.Load(); now != nil && &now.Backend == b {
+		s.registry.Gone(&now.target, time.Now())
+	}
+}
+
+// readyService answers the platform's readiness checks. It stops first: callers
+// leave once it says that the node is not ready.
+type readyService struct {
+	node *Node
+	callServer
+	stopping atomic.Bool
+}
+
+func (s *readyService) Name() string    { return nameReady }
+func (s *readyService) Needs() []string { return []string{nameInbound} }
+
+func (s *readyService) Start(context.Context, *kernel.Kernel) error {
+	ready := func() bool { return !s.stopping.Load() && s.node.ready() == nil }
+	return s.listen(nameReady, s.node.settings.Platform.Ready, proxy.NewServer(platform.NewReady(ready), proxy.ServerOptions{}))
+}
+
+// serveOn is how long a stopping node serves as before: callers leave it after
+// two readiness checks a second apart.
+const serveOn = 1200 * time.Millisecond
+
+func (s *readyService) Stop(ctx context.Context) error {
+	s.stopping.Store(true)
+	t := time.NewTimer(serveOn)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+// callerLimits returns the limits on callers that the configuration in force
+// states.
+func (n *Node) callerLimits() proxy.ServerLimits {
+	snap := n.current.Load()
+	if snap == nil {
+		return proxy.ServerLimits{}
+	}
+	l := platform.CallersListener(snap)
+	if l == nil {
+		return proxy.ServerLimits{}
+	}
+	return proxy.ServerLimits{
+		HeaderTimeout:  time.Duration(l.HeaderTimeoutMs) * time.Millisecond,
+		IdleTimeout:    time.Duration(l.IdleTimeoutMs) * time.Millisecond * idleMargin / 100,
+		MaxHeaderBytes: l.MaxHeaderBytes,
+	}
+}
+
+// idleMargin, in hundredths, keeps connections open for longer than callers may
+// leave them idle, so that no request meets a connection that is being closed.
+const idleMargin = 125
--- a/node/publish.go
+++ b/node/publish.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	if st.store == nil {
+	if st.store == nil || s.node.settings.Platform != nil { // operators publish in the platform's store
 		return nil
 	}
 	s.acceptor = publish.NewAcceptor(st.store, s.node.current, publish.Options{OnAccept: sp.spread.Offer, Log: s.node.log})
--- a/node/services.go
+++ b/node/services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
@@ -11,6 +12,7 @@
 	"siskingw/kernel"
 	"siskingw/member"
 	"siskingw/peer"
+	"siskingw/platform"
 	"siskingw/publish"
 	"siskingw/settings"
 	"siskingw/snapshot"
@@ -30,6 +32,8 @@
 	nameAdmin    = "admin"
 	nameOutbound = "outbound"
 	nameInbound  = "inbound"
+	nameTarget   = "target" // on the platform only
+	nameReady    = "ready"  // on the platform only
 )
 
 // peerService owns the gRPC listener and the connections to other nodes.
@@ -88,6 +92,13 @@
 	if s.node.settings.Store.Endpoint == "" {
 		return nil
 	}
+	if s.node.settings.Platform != nil {
+		s.store = platform.NewStore(platform.StoreOptions{
+			Endpoint: s.node.settings.Store.Endpoint, LocalAddr: s.node.localAddr(),
+			WatchWait: watchWait, WatchPause: watchPause,
+		})
+		return nil
+	}
 	client, err := etcd.New(etcd.Options{Endpoint: s.node.settings.Store.Endpoint, LocalAddr: s.node.localAddr()})
 	if err != nil {
 		return err
@@ -110,12 +121,44 @@
 
 // source returns the store as spread reads it, or nil.
 func (s *storeService) source() spread.Source {
-	if s.store == nil {
+	switch {
+	case s.store == nil:
 		return nil
+	case s.node.settings.Platform != nil:
+		return platform.NewSource(s.store, func(err error) {
+			s.node.log.Error(err, "configuration refused")
+		})
 	}
 	return spread.NewSource(s.store, s.reader)
 }
 
+const (
+	// watchWait is how long the platform's store holds a watch. Each answer
+	// shows that this node still reaches the store.
+	watchWait = 2 * time.Second
+	// watchPause collects configurations that come in quick succession.
+	watchPause = 250 * time.Millisecond
+	// platformReaders is the number of nodes that watch the platform's store.
+	platformReaders = 2
+	// contactSilence is the age of the contact to the platform's store from
+	// which further nodes watch it.
+	contactSilence = 4 * time.Second
+	// readerSettle and readerSpread bound the start of the duty: the fleet
+	// learns of itself within a second.
+	readerSettle = 500 * time.Millisecond
+	readerSpread = 2 * time.Second
+)
+
+// readers returns the options of the store reader's duty.
+func (n *Node) readers() spread.ReaderOptions {
+	if n.settings.Platform == nil {
+		return spread.ReaderOptions{}
+	}
+	return spread.ReaderOptions{
+		Count: platformReaders, Silence: contactSilence, Grace: -1, Settle: readerSettle, AloneSpread: readerSpread,
+	}
+}
+
 // memberService keeps the membership.
 type memberService struct {
 	node    *Node
@@ -248,7 +291,7 @@
 	}
 	s.spread = spread.New(spread.Options{
 		View: s.node.dir, Current: s.node.current, Transport: spread.NewTransport(peers.pool, s.node.place()),
-		Source: st.source(), StoreRegion: s.node.settings.Store.Region,
+		Source: st.source(), StoreRegion: s.node.settings.Store.Region, Readers: s.node.readers(),
 		Seeds: settingsSeeds(s.node.settings), SeedHints: m.readHints,
 		Log: s.node.log, Metrics: s.node.metrics,
 	})
--- a/object/codec.go
+++ b/object/codec.go
@@ -38,6 +38,8 @@
 		return o.EndpointSet
 	case o.Kind == KindPolicy && o.Policy != nil:
 		return o.Policy
+	case o.Kind == KindListener && o.Listener != nil:
+		return o.Listener
 	}
 	return nil
 }
@@ -53,6 +55,8 @@
 		o.EndpointSet = new(EndpointSetSpec)
 	case KindPolicy:
 		o.Policy = new(PolicySpec)
+	case KindListener:
+		o.Listener = new(ListenerSpec)
 	}
 	return o.Spec()
 }
@@ -88,6 +92,8 @@
 		next.EndpointSet, err = decodeAs[EndpointSetSpec](b, &next)
 	case KindPolicy:
 		next.Policy, err = decodeAs[PolicySpec](b, &next)
+	case KindListener:
+		next.Listener, err = decodeAs[ListenerSpec](b, &next)
 	default:
 		return faults.Invalid.New("object has no known kind")
 	}
--- a/object/decode.go
+++ b/object/decode.go
@@ -80,7 +80,7 @@
 	spec := o.newSpec()
 	switch {
 	case spec == nil:
-		d.report(label, "kind", "%q is not a kind; want Service, Route, EndpointSet or Policy", o.Kind)
+		d.report(label, "kind", "%q is not a kind; want Service, Route, EndpointSet, Policy or Listener", o.Kind)
 	case len(head.Spec) == 0 || string(head.Spec) == "null":
 		d.report(label, "spec", "missing")
 	default:
--- a/object/object.go
+++ b/object/object.go
@@ -15,10 +15,11 @@
 	KindRoute       Kind = "Route"
 	KindEndpointSet Kind = "EndpointSet"
 	KindPolicy      Kind = "Policy"
+	KindListener    Kind = "Listener"
 )
 
 // Kinds lists every kind in alphabetical order.
-var Kinds = []Kind{KindEndpointSet, KindPolicy, KindRoute, KindService}
+var Kinds = []Kind{KindEndpointSet, KindListener, KindPolicy, KindRoute, KindService}
 
 // Key identifies an object within a set.
 type Key struct {
@@ -50,6 +51,7 @@
 	Route       *RouteSpec
 	EndpointSet *EndpointSetSpec
 	Policy      *PolicySpec
+	Listener    *ListenerSpec
 }
 
 // Key returns the identity of the object.
@@ -57,9 +59,11 @@
 
 // ServiceSpec names the endpoints and the policy of a service.
 type ServiceSpec struct {
-	EndpointSet string `json:"endpointSet"`
-	Policy      string `json:"policy,omitempty"`
-	Protocol    string `json:"protocol,omitempty"` // only "http"
+	EndpointSet    string `json:"endpointSet"`
+	Policy         string `json:"policy,omitempty"`
+	Protocol       string `json:"protocol,omitempty"`       // only "http"
+	HealthPath     string `json:"healthPath,omitempty"`     // path of the targets' health check
+	MaxConnections int    `json:"maxConnections,omitempty"` // connections that one target accepts
 }
 
 // WorkKind classifies calls; gates keep the kinds apart.
@@ -72,14 +76,21 @@
 	WorkPage   WorkKind = "page"
 )
 
-// RouteSpec maps requests to a service.
+// RouteSpec maps requests to one service, or to several by weight.
 type RouteSpec struct {
-	Host       string   `json:"host,omitempty"` // exact; empty matches every host
-	PathPrefix string   `json:"pathPrefix"`
-	Service    string   `json:"service"`
-	Policy     string   `json:"policy,omitempty"`
-	Kind       WorkKind `json:"kind,omitempty"`     // default page
-	Fallback   string   `json:"fallback,omitempty"` // route used when the service has no reachable endpoint
+	Host       string     `json:"host,omitempty"` // exact; empty matches every host
+	PathPrefix string     `json:"pathPrefix"`
+	Service    string     `json:"service,omitempty"` // empty with Split
+	Split      []Weighted `json:"split,omitempty"`
+	Policy     string     `json:"policy,omitempty"`
+	Kind       WorkKind   `json:"kind,omitempty"`     // default page
+	Fallback   string     `json:"fallback,omitempty"` // route used when the service has no reachable endpoint
+}
+
+// Weighted is a service that gets a share of a route's calls.
+type Weighted struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"` // share of the sum of the route's weights
 }
 
 // EndpointSetSpec selects announced targets.
@@ -98,6 +109,30 @@
 	QueueTimeoutMs     int           `json:"queueTimeoutMs,omitempty"`
 	MaxBodyBytes       int64         `json:"maxBodyBytes,omitempty"`
 	Ejection           *EjectionSpec `json:"ejection,omitempty"`
+
+	Repeat          Repeat `json:"repeat,omitempty"`
+	Priority        *int   `json:"priority,omitempty"`        // 0 is the most important; default by kind of work
+	TargetLatencyMs int    `json:"targetLatencyMs,omitempty"` // time within which an answer has its full value
+	MaxAttempts     int    `json:"maxAttempts,omitempty"`     // endpoints that one call may reach; 0 for no limit besides retries
+}
+
+// Repeat states whether a call may run more than once.
+type Repeat string
+
+// The values of Repeat.
+const (
+	RepeatByMethod Repeat = ""       // by IdempotentMethods
+	RepeatAlways   Repeat = "always" // idempotent whatever the method
+	RepeatNever    Repeat = "never"  // at most once whatever the method
+)
+
+// ListenerSpec bounds what callers may send and how long they may take. Zero
+// values mean the defaults of the proxy.
+type ListenerSpec struct {
+	MaxHeaderBytes  int   `json:"maxHeaderBytes,omitempty"`
+	MaxBodyBytes    int64 `json:"maxBodyBytes,omitempty"`
+	HeaderTimeoutMs int   `json:"headerTimeoutMs,omitempty"` // for the header of one request
+	IdleTimeoutMs   int   `json:"idleTimeoutMs,omitempty"`   // between requests on a connection
 }
 
 // EjectionSpec sets when a failing target is left out and for how long.
--- a/object/validate.go
+++ b/object/validate.go
@@ -22,6 +22,11 @@
 	maxFailures           = 1_000
 	maxTimeout            = time.Hour
 	maxBodyBytes    int64 = 1 << 40
+	maxHeaderBytes        = 1 << 20
+	maxWeight             = 1_000_000
+	maxPriority           = 100
+	maxAttempts           = 100
+	maxConnections        = 1_000_000
 )
 
 // Methods that HTTP does not define as idempotent; repeating them could run a
@@ -69,7 +74,7 @@
 func (v *validation) object(o *Object) {
 	v.dnsLabel(o, "name", o.Name)
 	set := 0
-	for _, isSet := range []bool{o.Service != nil, o.Route != nil, o.EndpointSet != nil, o.Policy != nil} {
+	for _, isSet := range []bool{o.Service != nil, o.Route != nil, o.EndpointSet != nil, o.Policy != nil, o.Listener != nil} {
 		if isSet {
 			set++
 		}
@@ -88,6 +93,8 @@
 		v.within(o, "spec.minReady", int64(o.EndpointSet.MinReady), maxMinReady)
 	case KindPolicy:
 		v.policy(o, o.Policy)
+	case KindListener:
+		v.listener(o, o.Listener)
 	}
 }
 
@@ -97,10 +104,15 @@
 	if s.Protocol != "" && s.Protocol != "http" {
 		v.report(o, "spec.protocol", "%q is not supported; want http", s.Protocol)
 	}
+	if s.HealthPath != "" && (len(s.HealthPath) > maxPrefixLength || !isPathPrefix(s.HealthPath)) {
+		v.report(o, "spec.healthPath", "%q is not a path", s.HealthPath)
+	}
+	v.within(o, "spec.maxConnections", int64(s.MaxConnections), maxConnections)
 }
 
 func (v *validation) route(o *Object, r *RouteSpec) {
-	v.reference(o, "spec.service", KindService, r.Service, true)
+	v.reference(o, "spec.service", KindService, r.Service, len(r.Split) == 0)
+	v.split(o, r)
 	v.reference(o, "spec.policy", KindPolicy, r.Policy, false)
 	v.reference(o, "spec.fallback", KindRoute, r.Fallback, false)
 	if r.Host != "" && (len(r.Host) > maxHostLength || !isHostName(r.Host)) {
@@ -114,7 +126,39 @@
 	}
 }
 
+// split checks the weighted services of a route.
+func (v *validation) split(o *Object, r *RouteSpec) {
+	if r.Service != "" && len(r.Split) > 0 {
+		v.report(o, "spec.split", "given besides spec.service; want one of them")
+	}
+	sum := 0
+	for i, w := range r.Split {
+		field := fmt.Sprintf("spec.split[%d]", i)
+		v.reference(o, field+".service", KindService, w.Service, true)
+		v.within(o, field+".weight", int64(w.Weight), maxWeight)
+		sum += w.Weight
+	}
+	if len(r.Split) > 0 && sum == 0 {
+		v.report(o, "spec.split", "all weights are 0")
+	}
+}
+
+func (v *validation) listener(o *Object, l *ListenerSpec) {
+	v.within(o, "spec.maxHeaderBytes", int64(l.MaxHeaderBytes), maxHeaderBytes)
+	v.within(o, "spec.maxBodyBytes", l.MaxBodyBytes, maxBodyBytes)
+	v.within(o, "spec.headerTimeoutMs", int64(l.HeaderTimeoutMs), maxTimeout.Milliseconds())
+	v.within(o, "spec.idleTimeoutMs", int64(l.IdleTimeoutMs), maxTimeout.Milliseconds())
+}
+
 func (v *validation) policy(o *Object, p *PolicySpec) {
+	if !slices.Contains([]Repeat{RepeatByMethod, RepeatAlways, RepeatNever}, p.Repeat) {
+		v.report(o, "spec.repeat", "%q is not known; want always or never", p.Repeat)
+	}
+	if p.Priority != nil {
+		v.within(o, "spec.priority", int64(*p.Priority), maxPriority)
+	}
+	v.within(o, "spec.targetLatencyMs", int64(p.TargetLatencyMs), maxTimeout.Milliseconds())
+	v.within(o, "spec.maxAttempts", int64(p.MaxAttempts), maxAttempts)
 	v.within(o, "spec.timeoutMs", int64(p.TimeoutMs), maxTimeout.Milliseconds())
 	v.within(o, "spec.retries", int64(p.Retries), maxRetries)
 	v.within(o, "spec.retryBudgetPercent", int64(p.RetryBudgetPercent), maxPercent)
--- a/proxy/answerwriter.go
+++ b/proxy/answerwriter.go
@@ -15,7 +15,7 @@
 // serverBody is the body of a request. It remembers its end and asks a peer
 // that waits for 100 Continue to proceed.
 type serverBody struct {
-	conn   *serverConn
+	w      *answerWriter // of the same request
 	body   io.ReadCloser
 	eof    bool
 	expect bool
@@ -25,7 +25,7 @@
 func (b *serverBody) Read(p []byte) (int, error) {
 	if b.expect {
 		b.expect = false
-		if err := b.conn.w.proceed(); err != nil {
+		if err := b.w.proceed(); err != nil {
 			return 0, err
 		}
 	}
@@ -56,13 +56,22 @@
 	trailers []string
 	close    bool // the connection ends after this answer
 	failed   bool
+	complete bool            // the answer was sent in full
+	turn     <-chan struct{} // closed when the answer before was sent; nil without one
+}
+
+// wait blocks until the answers before this one were sent.
+func (w *answerWriter) wait() {
+	if w.turn != nil {
+		<-w.turn
+	}
 }
 
 // begin prepares the writer for the answer to r.
 func (w *answerWriter) begin(r *http.Request) {
 	clear(w.header)
 	w.head, w.old = r.Method == http.MethodHead, r.ProtoMinor == 0
-	w.status, w.length, w.written, w.close, w.failed = 0, 0, 0, false, false
+	w.status, w.length, w.written, w.close, w.failed, w.complete = 0, 0, 0, false, false, false
 	w.trailers = w.trailers[:0]
 }
 
@@ -71,6 +80,7 @@
 
 // WriteHeader sends the header of an interim answer, or buffers the final one.
 func (w *answerWriter) WriteHeader(status int) {
+	w.wait()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.status != 0 {
@@ -196,6 +206,7 @@
 
 // proceed sends 100 Continue unless the answer has begun.
 func (w *answerWriter) proceed() error {
+	w.wait()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.status != 0 {
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// maxBufferedBody is the size up to which a body of known length is read
-	// before the call is sent, so that the call can be sent again.
-	maxBufferedBody = 64 << 10
+	// defaultBufferedBody is the size up to which a body is read before the call
+	// is sent, so that the call can be sent again.
+	defaultBufferedBody = 64 << 10
 	// stallTimeout ends a transfer of which no byte moves.
 	stallTimeout = 30 * time.Second
 	// rearmInterval limits how often a moving transfer extends its deadline.
@@ -28,20 +28,62 @@
 	touched  atomic.Bool // a byte of a streamed body was read, or may have been
 }
 
+// BodyOptions says which bodies of requests are read before the call is sent.
+type BodyOptions struct {
+	MaxBuffered int64 // bytes; default 64 KB
+	Chunked     bool  // bodies without a stated length too
+}
+
 // load classifies the body and reads a small one into memory.
-func (b *body) load(w http.ResponseWriter, r *http.Request, maxBytes int64) *refusal {
+func (b *body) load(w http.ResponseWriter, r *http.Request, maxBytes int64, opts BodyOptions) *refusal {
+	if opts.MaxBuffered == 0 {
+		opts.MaxBuffered = defaultBufferedBody
+	}
+	if read, ok := r.Body.(*bufferedBody); ok {
+		b.buf, b.buffered = read.content, true
+	}
 	switch {
 	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
 		return nil
 	case maxBytes > 0 && r.ContentLength > maxBytes:
 		return &refusal{status: http.StatusRequestEntityTooLarge, outcome: OutcomeNotRun, reason: "the body is too large"}
-	case r.ContentLength < 0 || r.ContentLength > maxBufferedBody:
+	case b.buffered:
+		return nil
+	case r.ContentLength > opts.MaxBuffered || r.ContentLength < 0 && !opts.Chunked:
 		b.streamed = true
 		return nil
+	case r.ContentLength < 0:
+		return b.bufferChunked(w, r, opts.MaxBuffered)
 	}
 	return b.buffer(w, r)
 }
 
+// bufferChunked reads a body without a stated length into memory. One that is
+// larger than the limit is streamed from there on.
+func (b *body) bufferChunked(w http.ResponseWriter, r *http.Request, limit int64) *refusal {
+	rc := http.NewResponseController(w)
+	_ = rc.SetReadDeadline(time.Now().Add(stallTimeout)) // a test's recorder has no deadlines
+	got, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return &refusal{status: http.StatusRequestTimeout, outcome: OutcomeNotRun, reason: withCause("the body did not arrive", err)}
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	if int64(len(got)) > limit {
+		r.Body = prefixed{io.MultiReader(bytes.NewReader(got), r.Body), r.Body}
+		b.streamed = true
+		b.touched.Store(true)
+		return nil
+	}
+	b.buf, b.buffered = got, true
+	return nil
+}
+
+// prefixed is a body of which a part was read already.
+type prefixed struct {
+	io.Reader
+	io.Closer
+}
+
 // buffer reads a body of known length into memory.
 func (b *body) buffer(w http.ResponseWriter, r *http.Request) *refusal {
 	n := int(r.ContentLength)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -21,7 +21,9 @@
 	kind     object.WorkKind
 	key      string // Idempotency-Key, or empty
 	voucher  string
-	first    bool // the caller states that the keyed request is no repeat
+	first    bool   // the caller states that the keyed request is no repeat
+	id       string // of this attempt, as the caller stated it; may be empty
+	work     work
 
 	body    body
 	maxBody int64        // bytes, 0 without a limit
@@ -33,6 +35,7 @@
 	outside  bool              // the caller is no node
 	expects  bool              // the caller waits for 100 Continue
 	extra    func(http.Header) // adds this node's headers to the answer; may be nil
+	edge     Edge              // towards the caller when outside is set, and towards the target
 	answered bool              // the answer's header was passed to the caller's connection
 	refused  *refusal          // how the call ended, nil for an answer
 	status   int               // status of the last attempt's answer
@@ -65,6 +68,12 @@
 // free returns the call to the pool. It must not run while an upload is active.
 func (c *call) free() {
 	header, buf, reader, closer := c.header, c.body.buf, c.body.reader, c.body.closer
+	if cap(buf) > defaultBufferedBody {
+		buf = nil
+		if reader != nil {
+			reader.Reset(nil)
+		}
+	}
 	clear(header)
 	*c = call{header: header}
 	c.body.buf, c.body.reader, c.body.closer = buf, reader, closer
@@ -74,15 +83,21 @@
 // left returns the time that remains until the deadline.
 func (c *call) left() time.Duration { return time.Until(c.deadline) }
 
-// setDeadline takes the earlier of the given limit and the request's header.
-// It returns a refusal for a header that is no number or a time that is over.
-func (c *call) setDeadline(limit time.Duration) *refusal {
-	if v := c.r.Header[HeaderDeadline]; len(v) > 0 {
-		d, err := ParseDeadline(v[0])
-		if err != nil {
-			return badRequest(err.Error())
-		}
-		limit = min(limit, d)
+// readCaller reads what the caller states, in the terms of the edge.
+func (c *call) readCaller(edge Edge) (CallerStatement, *refusal) {
+	s, err := edge.Call(c.r.Header)
+	if err != nil {
+		return s, badRequest(err.Error())
+	}
+	c.id = s.ID
+	return s, nil
+}
+
+// setDeadline takes the earlier of the given limit and what the sender states.
+// It returns a refusal for a time that is over.
+func (c *call) setDeadline(limit time.Duration, s CallerStatement) *refusal {
+	if s.HasDeadline {
+		limit = min(limit, s.Deadline)
 	}
 	c.deadline = c.start.Add(limit)
 	if limit < time.Millisecond {
@@ -127,7 +142,6 @@
 	if _, ok := c.header["User-Agent"]; !ok {
 		c.header["User-Agent"] = noUserAgent
 	}
-	c.header[HeaderDeadline] = []string{strconv.FormatInt(max(c.left().Milliseconds(), 0), 10)}
 	c.tracer.inject(c)
 	c.out = http.Request{
 		Method:     c.r.Method,
@@ -143,7 +157,9 @@
 
 // nodeHeader adds what the target's node needs to know.
 func (c *call) nodeHeader() {
+	c.header[HeaderDeadline] = []string{formatMs(c.left())}
 	c.header[HeaderKind] = kindValues[c.kind]
+	c.header[HeaderWork] = []string{c.work.format()}
 	if c.voucher != "" {
 		c.header[HeaderVoucher] = []string{c.voucher}
 	}
@@ -170,8 +186,10 @@
 	// callerFault marks a failure that the caller caused, such as a body that
 	// did not arrive.
 	callerFault bool
-	hangUp      bool // what follows on the caller's connection is not trusted
-	unreachable bool // no connection to the next hop could be made
+	hangUp      bool          // what follows on the caller's connection is not trusted
+	unreachable bool          // no connection to the next hop could be made
+	reached     bool          // the target itself saw the call
+	after       time.Duration // when the caller should come back; 0 for no advice
 }
 
 // notRun refuses a call that certainly did not reach the target's handler.
@@ -221,6 +239,11 @@
 	if f.load != nil {
 		h[HeaderLoad] = f.load
 	}
+	if c.outside {
+		c.edge.Refuse(h, RefusalStatement{NotRun: f.outcome == OutcomeNotRun, RetryAfter: f.after})
+	} else {
+		c.refuseNode(h, f)
+	}
 	if f.draining {
 		h[HeaderDraining] = headerTrue
 		h["Connection"] = connectionClose
@@ -238,6 +261,16 @@
 	}
 }
 
+// refuseNode tells the caller's node what only nodes use.
+func (c *call) refuseNode(h http.Header, f *refusal) {
+	if f.reached {
+		h[HeaderReached] = headerTrue
+	}
+	if f.after > 0 {
+		h[HeaderAfter] = []string{formatMs(f.after)}
+	}
+}
+
 // cut ends the handler and resets the caller's connection, so that an answer
 // that has begun never looks complete. A plain close would look like the end
 // of an answer to an HTTP/1.0 caller.
--- a/proxy/connserver.go
+++ b/proxy/connserver.go
@@ -43,6 +43,14 @@
 	}
 }
 
+// limits returns the limits on callers that hold now.
+func (s *ConnServer) limits() ServerLimits {
+	if s.opts.Limits != nil {
+		return s.opts.Limits().or(s.opts)
+	}
+	return ServerLimits{}.or(s.opts)
+}
+
 // Serve accepts connections until Shutdown or Close, and then returns
 // http.ErrServerClosed.
 func (s *ConnServer) Serve(l net.Listener) error {
@@ -217,6 +225,12 @@
 	defer c.Close()
 	ctx, cancel := context.WithCancel(context.WithValue(context.Background(), connKey{}, c.Conn))
 	defer cancel()
+	c.br = bufio.NewReaderSize(c, connBufferBytes)
+	c.w = answerWriter{conn: c, bw: bufio.NewWriterSize(c.Conn, connBufferBytes), header: make(http.Header)}
+	if c.server.opts.Pipeline > 1 {
+		c.servePipeline(ctx, cancel)
+		return
+	}
 	if sc, ok := c.Conn.(syscall.Conn); ok {
 		remove, err := c.server.hangups.add(sc, cancel)
 		if err != nil {
@@ -225,8 +239,6 @@
 		}
 		defer remove()
 	}
-	c.br = bufio.NewReaderSize(c, connBufferBytes)
-	c.w = answerWriter{conn: c, bw: bufio.NewWriterSize(c.Conn, connBufferBytes), header: make(http.Header)}
 	for c.serveOne(ctx) {
 	}
 }
@@ -234,8 +246,9 @@
 // serveOne reads and serves one request. It reports whether the connection can
 // be used for another.
 func (c *serverConn) serveOne(ctx context.Context) bool {
-	c.left = c.server.opts.MaxHeaderBytes
-	if c.SetReadDeadline(time.Now().Add(c.server.opts.IdleTimeout)) != nil {
+	limits := c.server.limits()
+	c.left = limits.MaxHeaderBytes
+	if c.SetReadDeadline(time.Now().Add(limits.IdleTimeout)) != nil {
 		return false
 	}
 	if _, err := c.br.Peek(1); err != nil {
@@ -247,7 +260,7 @@
 		return false
 	}
 	if buffered, _ := c.br.Peek(c.br.Buffered()); !bytes.Contains(buffered, headerEnd) {
-		if c.SetReadDeadline(time.Now().Add(c.server.opts.HeaderTimeout)) != nil {
+		if c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) != nil {
 			return false
 		}
 	}
@@ -298,6 +311,12 @@
 
 // handle runs the handler. It reports whether the exchange was complete.
 func (c *serverConn) handle(r *http.Request) (reuse bool) {
+	return c.run(&c.w, &c.body, r)
+}
+
+// run runs the handler with a writer and a body for this request. It reports
+// whether the exchange was complete and the connection can be used again.
+func (c *serverConn) run(w *answerWriter, body *serverBody, r *http.Request) (reuse bool) {
 	defer func() {
 		if p := recover(); p != nil {
 			reuse = false
@@ -306,18 +325,23 @@
 			}
 		}
 	}()
-	c.body = serverBody{conn: c, body: r.Body, eof: r.ContentLength == 0, expect: r.Header.Get("Expect") != "" && r.ProtoMinor > 0}
-	r.Body = &c.body
-	c.w.begin(r)
-	c.server.handler.ServeHTTP(&c.w, r)
-	if !c.w.finish() {
+	*body = serverBody{w: w, body: r.Body, eof: r.ContentLength == 0, expect: r.Header.Get("Expect") != "" && r.ProtoMinor > 0}
+	if _, ok := r.Body.(*bufferedBody); ok {
+		body.eof = true
+	} else {
+		r.Body = body
+	}
+	w.begin(r)
+	c.server.handler.ServeHTTP(w, r)
+	if !w.finish() {
 		return false
 	}
-	if !c.body.eof {
+	w.complete = true
+	if !body.eof {
 		c.linger()
 		return false
 	}
-	return !c.w.close && !r.Close
+	return !w.close && !r.Close
 }
 
 // linger lets the peer read an answer that came before the end of its request:
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -13,6 +15,11 @@
 	"siskingw/faults"
 )
 
+// backgroundBody is the size from which a body in memory is sent by a goroutine
+// of its own: a target may answer, and read on later, before it has taken a
+// body that does not fit into the buffers of the connection.
+const backgroundBody = 16 << 10
+
 // maxInterimAnswers bounds the 1xx answers to one request.
 const maxInterimAnswers = 8
 
@@ -22,12 +29,24 @@
 	expect     bool // a streamed body waits for 100 Continue
 	conn       *conn
 	resp       *http.Response
-	upload     *upload     // nil unless the body is streamed
-	stop       func() bool // ends the watch for cancellation; false when it was too late
-	callerGone bool        // the caller's connection failed
-	prefix     []byte      // part of the answer's body that was read already
+	upload     *upload                      // nil unless the body is streamed
+	stop       func() bool                  // ends the watch for cancellation; false when it was too late
+	callerGone bool                         // the caller's connection failed
+	prefix     []byte                       // part of the answer's body that was read already
+	whole      bool                         // prefix is the whole body
+	judge      func(*http.Response) verdict // reads what a target's answer states; nil between nodes
+	openEnded  bool                         // an answer may end with its connection
 }
 
+// verdict is what becomes of an answer.
+type verdict int
+
+const (
+	verdictTake verdict = iota // it answers the call
+	verdictSkip                // it answers another call; the right one follows
+	verdictLost                // it is no answer, and none can follow
+)
+
 // start sends the request and reads the header of the answer. A refusal ends
 // the exchange; otherwise the caller must end it with finish.
 func (x *exchange) start(ctx context.Context, c *call, addr string) *refusal {
@@ -91,6 +110,10 @@
 //
 //siskingw:step send
 func (x *exchange) send(c *call) error {
+	if len(c.body.buf) > backgroundBody && c.body.buffered {
+		x.upload = startUpload(c, x.conn, false)
+		return nil
+	}
 	if c.body.streamed {
 		if x.expect {
 			c.header["Expect"] = expectContinue
@@ -121,10 +144,65 @@
 		case code < http.StatusOK:
 			c.interim(resp)
 		default:
-			return resp, checkFraming(c.r.Method, resp)
+			if !x.openEnded {
+				if err := checkFraming(c.r.Method, resp); err != nil {
+					return nil, err
+				}
+			}
+			if x.judge == nil {
+				return resp, nil
+			}
+			switch x.judge(resp) {
+			case verdictTake:
+				return resp, nil
+			case verdictLost:
+				return nil, faults.OutcomeUnknown.New("status %d is no answer of the target", code)
+			}
+			if err := skipBody(resp); err != nil {
+				return nil, err
+			}
 		}
 	}
-	return nil, faults.OutcomeUnknown.New("more than %d interim answers", maxInterimAnswers)
+	return nil, faults.OutcomeUnknown.New("more than %d answers without the one to this call", maxInterimAnswers)
+}
+
+// maxSkippedBody bounds the body of an answer to another call.
+const maxSkippedBody = 256 << 10
+
+// skipBody reads the body of an answer that belongs to another call.
+func skipBody(resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBody+1))
+	if err == nil && (n > maxSkippedBody || resp.Close) {
+		err = faults.OutcomeUnknown.New("an answer to another call ends the connection")
+	}
+	return err
+}
+
+// AnswerOptions says which answers are held until they are complete.
+type AnswerOptions struct {
+	// HoldBytes is the size up to which an answer's body is read before the
+	// caller gets its first byte. One that breaks off within it does not reach
+	// the caller, and the call may be sent again. Default 0 holds none.
+	HoldBytes int
+}
+
+// hold reads the answer's body up to the limit. A refusal ends the exchange.
+func (x *exchange) hold(c *call, limit int) *refusal {
+	if limit == 0 || c.r.Method == http.MethodHead || x.resp.Body == http.NoBody {
+		return nil
+	}
+	size := int64(bytes.MinRead)
+	if n := x.resp.ContentLength; n > 0 {
+		size += min(n, int64(limit))
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, size))
+	_, err := buf.ReadFrom(io.LimitReader(x.resp.Body, int64(limit)+1))
+	if err != nil {
+		return x.fail("the answer broke off", err)
+	}
+	x.prefix = buf.Bytes()
+	x.whole = len(x.prefix) <= limit
+	return nil
 }
 
 // proceed lets a streamed body move that waits for 100 Continue.
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -35,6 +35,12 @@
 	HeaderDraining = "Siskingw-Draining"
 	// HeaderKind is the kind of work, set by the caller's node from the route.
 	HeaderKind = "Siskingw-Kind"
+	// HeaderWork tells the target's node what the route asks for, see work.
+	HeaderWork = "Siskingw-Work"
+	// HeaderReached is "true" on a refusal of a call that the target saw.
+	HeaderReached = "Siskingw-Reached"
+	// HeaderAfter is when a refused call has a better chance, in ms.
+	HeaderAfter = "Siskingw-After-Ms"
 	// HeaderVoucher carries the voucher of a key that moved.
 	HeaderVoucher = "Siskingw-Voucher"
 	// HeaderMovedTo names the new owner of a key in a refusal.
@@ -113,6 +119,11 @@
 	return time.Duration(ms) * time.Millisecond, nil
 }
 
+// formatMs writes a time as whole milliseconds, at least 0.
+func formatMs(d time.Duration) string {
+	return strconv.FormatInt(max(d.Milliseconds(), 0), 10)
+}
+
 // ParseOutcome reads a HeaderOutcome value. It returns an Invalid error for
 // any value that a node never sends.
 func ParseOutcome(v string) (string, error) {
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -12,12 +12,27 @@
 
 // InboundOptions configures the handler at the target's node.
 type InboundOptions struct {
-	Target  string // host:port of the target
+	Target  string // host:port of the target, unless Backend is set
 	Gate    *admit.Gate
-	Ledger  *idem.Ledger // nil refuses keyed work
-	Pool    *Pool        // connections to the target; default: a new pool
-	Metrics *Metrics     // nil counts nothing
-	Tracer  *Tracer      // nil traces nothing
+	Backend func() *Backend // returns the target that may get work now, or nil
+	Ledger  *idem.Ledger    // nil refuses keyed work
+	Pool    *Pool           // connections to the target; default: a new pool
+	Metrics *Metrics        // nil counts nothing
+	Tracer  *Tracer         // nil traces nothing
+	Edge    Edge            // towards the target; nil for the nodes' own headers
+	Answers AnswerOptions
+	Bodies  BodyOptions
+	// OpenEnded accepts answers of the target that end with their connection.
+	OpenEnded bool
+	// OnOther is told that another target answers at the address of a backend.
+	OnOther func(*Backend)
+}
+
+// Backend is a target that may get work.
+type Backend struct {
+	Addr     string // host:port
+	Instance string // identity that the target is asked to confirm; empty for none
+	Gate     *admit.Gate
 }
 
 // Inbound passes calls of other nodes to the target of this instance.
@@ -37,17 +52,38 @@
 	if opts.Pool == nil {
 		opts.Pool = NewPool(PoolOptions{})
 	}
+	if opts.Edge == nil {
+		opts.Edge = nativeEdge{}
+	}
 	in := &Inbound{opts: opts}
 	in.extra = in.nodeHeader
 	return in
 }
 
+// backend returns the target that may get work now, or nil.
+func (in *Inbound) backend() *Backend {
+	if in.opts.Backend != nil {
+		return in.opts.Backend()
+	}
+	return &Backend{Addr: in.opts.Target, Gate: in.opts.Gate}
+}
+
 // Drain refuses new work from now on, with not-run and Siskingw-Draining, and
 // lets the work in flight finish. The listener must stay open until callers
 // have learned of it; see Stop.
 func (in *Inbound) Drain() {
 	in.draining.Store(true)
-	in.opts.Gate.Drain()
+	if b := in.backend(); b != nil {
+		b.Gate.Drain()
+	}
+}
+
+// load returns the load of the target; one without a target is full.
+func (in *Inbound) load() float64 {
+	if b := in.backend(); b != nil {
+		return b.Gate.Load()
+	}
+	return 1
 }
 
 // Stop drains and shuts the server down. It keeps answering new calls with
@@ -61,8 +97,10 @@
 	case <-t.C:
 	case <-ctx.Done():
 	}
-	if err := in.opts.Gate.Wait(ctx); err != nil {
-		return err
+	if b := in.backend(); b != nil {
+		if err := b.Gate.Wait(ctx); err != nil {
+			return err
+		}
 	}
 	err := srv.Shutdown(ctx)
 	in.opts.Pool.Close()
@@ -78,7 +116,7 @@
 	c.refused = f
 	in.opts.Metrics.observe(sideInbound, c, f)
 	if f != nil {
-		f.load = loadValue(in.opts.Gate.Load())
+		f.load = loadValue(in.load())
 		f.draining = in.draining.Load()
 		c.refuse(f)
 	}
@@ -90,6 +128,7 @@
 	c.voucher = c.r.Header.Get(HeaderVoucher)
 	c.kind = ParseKind(c.r.Header.Get(HeaderKind))
 	c.expects = len(c.r.Header[HeaderExpect]) > 0
+	c.work = parseWork(c.r.Header.Get(HeaderWork), c.start, c.kind)
 	return c.keyedRefusal(in.check(c))
 }
 
@@ -97,10 +136,17 @@
 	if status, reason := checkRequest(c.r); status != 0 {
 		return &refusal{status: status, outcome: OutcomeNotRun, reason: reason, hangUp: true}
 	}
-	if f := c.setDeadline(maxDeadline); f != nil {
+	stated, f := c.readCaller(nativeEdge{})
+	if f != nil {
+		return f
+	}
+	if f := c.setDeadline(maxDeadline, stated); f != nil {
 		return f
 	}
-	if f := c.body.load(c.w, c.r, 0); f != nil {
+	if s, err := in.opts.Edge.Call(c.r.Header); err == nil {
+		c.id = s.ID
+	}
+	if f := c.body.load(c.w, c.r, 0, in.opts.Bodies); f != nil {
 		return f
 	}
 	return in.pass(c)
@@ -123,33 +169,68 @@
 
 // passPlain passes a call without a key.
 func (in *Inbound) passPlain(c *call) *refusal {
+	b := in.backend()
+	if b == nil {
+		return notRun("the instance has no target", nil)
+	}
 	c.gateCtx = deadlineContext{Context: c.ctx, deadline: c.deadline}
-	ticket, err := in.opts.Gate.Enter(&c.gateCtx, c.kind)
+	ticket, err := b.Gate.Enter(&c.gateCtx, c.kind)
 	if err != nil {
 		return notRun("the target's node refuses the call", err)
 	}
 	defer ticket.Leave()
 	x := exchange{pool: in.opts.Pool}
-	if f := in.start(&x, c, c.ctx); f != nil {
+	if f := in.start(&x, c, c.ctx, b); f != nil {
 		return f
 	}
+	if f := x.hold(c, in.opts.Answers.HoldBytes); f != nil {
+		return f
+	}
+	if x.whole {
+		ticket.Leave() // the target is done; the caller may be slow
+	}
 	in.answerHeader(c)
 	return x.relay(c)
 }
 
-// start sends the call to the target.
+// start sends the call to the target. A refusal of the target ends the exchange
+// like one of this node.
 //
 //siskingw:step run
-func (in *Inbound) start(x *exchange, c *call, ctx context.Context) *refusal {
+func (in *Inbound) start(x *exchange, c *call, ctx context.Context, b *Backend) *refusal {
 	c.prepare()
-	x.expect = c.expects
-	return x.start(ctx, c, in.opts.Target)
+	in.opts.Edge.Send(c.header, TargetStatement{ID: c.id, Deadline: c.left(), Instance: b.Instance, Caller: c.work.caller})
+	x.expect, x.openEnded = c.expects, in.opts.OpenEnded
+	var stated AnswerStatement
+	x.judge = func(resp *http.Response) verdict {
+		stated = in.opts.Edge.Answer(resp)
+		switch {
+		case stated.ID != "" && stated.ID != c.id:
+			return verdictSkip
+		case !stated.Genuine:
+			return verdictLost
+		}
+		return verdictTake
+	}
+	if f := x.start(ctx, c, b.Addr); f != nil {
+		return f
+	}
+	if !stated.NotRun {
+		return nil
+	}
+	if stated.Other && in.opts.OnOther != nil {
+		in.opts.OnOther(b)
+	}
+	x.finish(false)
+	f := notRun("the target did not run the call", nil)
+	f.reached = !stated.Other
+	return f
 }
 
 // answerHeader adds what this node tells the caller's node.
 func (in *Inbound) answerHeader(c *call) {
 	if c.outside {
-		c.load = in.opts.Gate.Load() // the caller is on this instance
+		c.load = in.load() // the caller is on this instance
 		return
 	}
 	c.extra = in.extra
@@ -157,7 +238,7 @@
 
 // nodeHeader sets the headers for the caller's node on an answer.
 func (in *Inbound) nodeHeader(h http.Header) {
-	h[HeaderLoad] = loadValue(in.opts.Gate.Load())
+	h[HeaderLoad] = loadValue(in.load())
 	if in.draining.Load() {
 		h[HeaderDraining] = headerTrue
 		h["Connection"] = connectionClose
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -58,18 +58,23 @@
 func (in *Inbound) runKeyed(ctx context.Context, c *call, key idem.Key) *refusal {
 	settle := in.opts.Ledger.Lost
 	defer func() { settle(key) }()
-	ticket, err := in.opts.Gate.Enter(ctx, c.kind)
+	b := in.backend()
 	notRunYet := in.opts.Ledger.NotRun
 	if c.first {
 		notRunYet = in.opts.Ledger.Withdraw
 	}
+	if b == nil {
+		settle = notRunYet
+		return notRun("the instance has no target", nil)
+	}
+	ticket, err := b.Gate.Enter(ctx, c.kind)
 	if err != nil {
 		settle = notRunYet
 		return notRun("the target's node refuses the call", err)
 	}
 	defer ticket.Leave()
 	x := exchange{pool: in.opts.Pool}
-	if f := in.start(&x, c, context.WithoutCancel(ctx)); f != nil {
+	if f := in.start(&x, c, context.WithoutCancel(ctx), b); f != nil {
 		if f.outcome == OutcomeNotRun {
 			settle = notRunYet
 		}
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -22,12 +22,19 @@
 	OnDraining func(*member.Record) // told when a target's node states that it drains; may be nil
 	Metrics    *Metrics             // nil counts nothing
 	Tracer     *Tracer              // nil traces nothing
+	Edge       Edge                 // towards callers; nil for the nodes' own headers
+	Caller     func() string        // service on this instance, as targets are told; nil for none
+	Answers    AnswerOptions
+	Bodies     BodyOptions
+	Retries    RetryOptions
 }
 
 // Outbound routes the calls of this instance's callers.
 type Outbound struct {
 	opts    OutboundOptions
 	budgets sync.Map // service name to *budget
+
+	splitters sync.Map // route name to *splitter
 }
 
 // reservedPrefix is the part of the path space that belongs to the node.
@@ -38,6 +45,13 @@
 	if opts.Pool == nil {
 		opts.Pool = NewPool(PoolOptions{})
 	}
+	if opts.Edge == nil {
+		opts.Edge = nativeEdge{}
+	}
+	if opts.Caller == nil {
+		opts.Caller = func() string { return "" }
+	}
+	opts.Retries = opts.Retries.withDefaults()
 	return &Outbound{opts: opts}
 }
 
@@ -48,7 +62,7 @@
 		return
 	}
 	c := newCall(w, r)
-	c.outside = true
+	c.outside, c.edge = true, o.opts.Edge
 	defer c.free()
 	defer o.opts.Tracer.begin(c, "outbound")()
 	c.readKey()
@@ -78,12 +92,19 @@
 	if res == nil {
 		return &refusal{status: http.StatusNotFound, outcome: OutcomeNotRun, reason: "no route matches"}
 	}
+	res = o.share(res)
 	c.kind = ParseKind(string(res.Route.Kind))
-	if f := c.setDeadline(timeoutOf(res.Policy, c.kind)); f != nil {
+	stated, f := c.readCaller(o.opts.Edge)
+	if f != nil {
+		return f
+	}
+	if f := c.setDeadline(timeoutOf(res.Policy, c.kind), stated); f != nil {
 		return f
 	}
+	c.work = c.workOf(res.Name, res.Policy)
+	c.work.caller = o.opts.Caller()
 	c.maxBody = maxBody(res.Policy)
-	if f := c.body.load(c.w, c.r, c.maxBody); f != nil {
+	if f := c.body.load(c.w, c.r, c.maxBody, o.opts.Bodies); f != nil {
 		return f
 	}
 	if c.key != "" {
@@ -92,40 +113,37 @@
 	return o.route(c, res)
 }
 
+// share returns the route bound to the service that gets its next call.
+func (o *Outbound) share(res *snapshot.Resolved) *snapshot.Resolved {
+	if len(res.Split) == 0 {
+		return res
+	}
+	return o.splitter(res.Name).next(res.Split).Route
+}
+
 // route sends the call to endpoints until one answers or no retry is allowed.
 func (o *Outbound) route(c *call, res *snapshot.Resolved) *refusal {
 	b := o.budgetOf(res.ServiceName)
-	b.deposit(budgetPercent(res.Policy))
-	var last *refusal
-	var skip []string
-	for retry := 0; ; {
-		picked, err := o.opts.Balancer.Pick(res.EndpointSet, ejectionOf(res.Policy), skip)
+	b.deposit(o.opts.Retries.percent(res.Policy))
+	t := tries{policy: res.Policy, budget: b, free: o.opts.Retries.FreeTries}
+	for {
+		picked, err := o.opts.Balancer.Pick(res.EndpointSet, ejectionOf(res.Policy), t.skip)
 		if err != nil {
 			if res.Fallback != nil {
 				res = res.Fallback
 				continue
 			}
-			if last == nil {
-				last = notRun("no endpoint is left", err)
-			}
-			last.retried = last.retried || retry > 1
-			return last
+			return t.end(notRun("no endpoint is left", err))
 		}
-		rec := picked.Record
-		f := o.send(c, rec)
+		f := o.send(c, picked.Record)
 		picked.Done(c.report(f))
 		if f == nil || f.aborted {
 			return f
 		}
-		again := retry < retriesOf(res.Policy) && mayRetry(c, res.Policy, f) && b.withdraw()
-		last = c.merge(last, f)
-		if !again {
-			last.retried = last.retried || retry > 0
-			return last
+		if !t.again(c, f, picked.Record.ID) {
+			return t.end(nil)
 		}
-		retry++
 		o.opts.Metrics.retry()
-		skip = append(skip, rec.ID)
 	}
 }
 
@@ -153,6 +171,9 @@
 	if v := x.resp.Header[HeaderOutcome]; len(v) > 0 {
 		return x.refusal(c, v[0])
 	}
+	if f := x.hold(c, o.opts.Answers.HoldBytes); f != nil {
+		return f
+	}
 	return x.relay(c)
 }
 
@@ -186,7 +207,7 @@
 
 // merge joins the refusals of two attempts. Once an attempt may have run, the
 // call is never reported as not run.
-func (c *call) merge(earlier, f *refusal) *refusal {
+func merge(earlier, f *refusal) *refusal {
 	if earlier != nil && earlier.outcome == OutcomeUnknown && f.outcome == OutcomeNotRun {
 		f.outcome, f.status = OutcomeUnknown, http.StatusBadGateway
 	}
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -29,7 +29,7 @@
 		return badRequest("the key belongs to another service")
 	}
 	b := o.budgetOf(res.ServiceName)
-	b.deposit(budgetPercent(res.Policy))
+	b.deposit(o.opts.Retries.percent(res.Policy))
 	f := o.sendOwner(c, owner, res.Policy, b)
 	if f == nil || f.movedTo == "" {
 		return f
@@ -57,7 +57,7 @@
 			return f
 		}
 		again := retry < retriesOf(p) && !f.stated && mayRetry(c, p, f) && b.withdraw()
-		last = c.merge(last, f)
+		last = merge(last, f)
 		if !again {
 			last.retried = last.retried || retry > 0
 			return last
--- /dev/null
+++ b/proxy/pipeline.go
@@ -0,0 +1,203 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// pipeline serves the requests of one connection at the same time and answers
+// them in their order. The goroutine of the connection reads ahead, so it also
+// notices when the caller goes away while calls are in flight.
+type pipeline struct {
+	conn   *serverConn
+	ctx    context.Context
+	cancel context.CancelFunc // ends the calls in flight
+	slots  chan struct{}      // one element for each request in flight
+
+	mu       sync.Mutex
+	inFlight int
+	ending   bool // an answer closes the connection
+}
+
+// servePipeline serves requests until the connection ends.
+func (c *serverConn) servePipeline(ctx context.Context, cancel context.CancelFunc) {
+	p := &pipeline{conn: c, ctx: ctx, cancel: cancel, slots: make(chan struct{}, c.server.opts.Pipeline)}
+	turn := make(chan struct{})
+	close(turn)
+	for {
+		next, more := p.readOne(turn)
+		if !more {
+			break
+		}
+		turn = next
+	}
+	p.cancel()
+	for range cap(p.slots) {
+		p.slots <- struct{}{} // wait for the handlers
+	}
+}
+
+// readOne reads the next request and starts to serve it once the answer before,
+// whose end turn marks, is written. It returns the mark of its own answer's end,
+// and false when the connection ends.
+func (p *pipeline) readOne(turn chan struct{}) (next chan struct{}, more bool) {
+	c := p.conn
+	limits := c.server.limits()
+	c.left = limits.MaxHeaderBytes
+	p.armIdle(limits.IdleTimeout)
+	if _, err := c.br.Peek(1); err != nil {
+		return nil, false
+	}
+	p.slots <- struct{}{}
+	if !p.begin() {
+		<-p.slots
+		<-turn
+		if !p.closed() {
+			c.w.refuse(http.StatusServiceUnavailable)
+			c.linger()
+		}
+		return nil, false
+	}
+	if buffered, _ := c.br.Peek(c.br.Buffered()); !bytes.Contains(buffered, headerEnd) {
+		_ = c.SetReadDeadline(time.Now().Add(limits.HeaderTimeout)) // fails only on a closed connection
+	}
+	r, err := http.ReadRequest(c.br)
+	if status := c.check(r, err); status != 0 {
+		<-turn
+		c.w.refuse(status)
+		c.linger()
+		p.end(limits.IdleTimeout)
+		return nil, false
+	}
+	c.left = -1
+	w := &answerWriter{conn: c, bw: c.w.bw, header: make(http.Header), turn: turn}
+	if !p.readBody(w, r) {
+		p.end(limits.IdleTimeout)
+		return nil, false
+	}
+	r = r.WithContext(p.ctx)
+	done := make(chan struct{})
+	if r.Body != http.NoBody {
+		if _, ok := r.Body.(*bufferedBody); !ok { // what follows can be read only after the body
+			<-turn
+			p.serve(w, r, done)
+			return done, !p.closed()
+		}
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	go p.serve(w, r, done)
+	return done, true
+}
+
+// bufferedBody is a body that the server has read already.
+type bufferedBody struct {
+	bytes.Reader
+	content []byte
+}
+
+// Close does nothing.
+func (*bufferedBody) Close() error { return nil }
+
+// readBody reads a body that the options let the server hold in memory. It
+// reports false when the body did not arrive.
+func (p *pipeline) readBody(w *answerWriter, r *http.Request) bool {
+	limit := p.conn.server.opts.Bodies.MaxBuffered
+	switch {
+	case r.Body == http.NoBody || r.ContentLength == 0:
+		r.Body = http.NoBody
+		return true
+	case r.ContentLength > limit || r.ContentLength < 0 && !p.conn.server.opts.Bodies.Chunked:
+		return true
+	case r.Header.Get("Expect") != "":
+		return true // asks for an interim answer in its turn
+	}
+	_ = p.conn.SetReadDeadline(time.Now().Add(stallTimeout)) // fails only on a closed connection
+	size := max(r.ContentLength, 0)
+	buf := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
+	if _, err := buf.ReadFrom(io.LimitReader(r.Body, limit+1)); err != nil {
+		return false
+	}
+	if int64(buf.Len()) > limit {
+		r.Body = prefixed{io.MultiReader(buf, r.Body), r.Body}
+		return true
+	}
+	b := &bufferedBody{content: buf.Bytes()}
+	b.Reset(b.content)
+	r.Body, r.ContentLength, r.TransferEncoding = b, int64(len(b.content)), nil
+	return true
+}
+
+// serve runs the handler and ends the connection when the answer asks for it.
+func (p *pipeline) serve(w *answerWriter, r *http.Request, done chan struct{}) {
+	c := p.conn
+	_ = c.SetWriteDeadline(time.Now().Add(stallTimeout)) // fails only on a closed connection
+	reuse := c.run(w, new(serverBody), r)
+	if !reuse {
+		p.mu.Lock()
+		p.ending = true
+		p.mu.Unlock()
+		p.cancel()
+		w.wait() // answers before this one must not be cut
+		c.hangUp(w)
+	}
+	p.end(c.server.limits().IdleTimeout)
+	close(done)
+}
+
+// armIdle bounds the wait for a request while none is in flight.
+func (p *pipeline) armIdle(idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	deadline := time.Time{}
+	if p.inFlight == 0 {
+		deadline = time.Now().Add(idle)
+	}
+	_ = p.conn.SetReadDeadline(deadline) // fails only on a closed connection
+}
+
+// begin counts a request; it reports false when the server or the connection
+// is closing.
+func (p *pipeline) begin() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.inFlight++
+	if p.inFlight == 1 && !p.conn.setBusy(true) || p.ending {
+		p.inFlight--
+		return false
+	}
+	return true
+}
+
+// end takes a request off the count.
+func (p *pipeline) end(idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	<-p.slots
+	p.inFlight--
+	if p.inFlight > 0 {
+		return
+	}
+	if !p.conn.setBusy(false) {
+		_ = p.conn.SetReadDeadline(time.Now()) // the server stops: wake the reader
+		return
+	}
+	_ = p.conn.SetReadDeadline(time.Now().Add(idle))
+}
+
+func (p *pipeline) closed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ending
+}
+
+// hangUp ends the connection after its last answer.
+func (c *serverConn) hangUp(w *answerWriter) {
+	if w.complete {
+		c.linger()
+	}
+	c.Close()
+}
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -26,6 +27,9 @@
 	if c.extra != nil {
 		c.extra(h)
 	}
+	if x.whole && len(x.resp.Trailer) == 0 && x.resp.ContentLength < 0 {
+		h["Content-Length"] = []string{strconv.Itoa(len(x.prefix))}
+	}
 	c.answered = true
 	c.w.WriteHeader(x.resp.StatusCode)
 	if err := x.relayBody(c); err != nil {
@@ -37,7 +41,7 @@
 		h[k] = v
 	}
 	done = true
-	if f, ok := c.w.(interface{ FlushError() error }); ok && x.resp.ContentLength >= 0 {
+	if f, ok := c.w.(interface{ FlushError() error }); ok && (x.resp.ContentLength >= 0 || x.whole) {
 		_ = f.FlushError() // now, before the bookkeeping; a failure ends the connection
 	}
 	return nil
@@ -78,6 +82,9 @@
 			return err
 		}
 	}
+	if x.whole {
+		return nil
+	}
 	buf := copyBuffers.Get().(*copyBuffer)
 	defer copyBuffers.Put(buf)
 	rc := http.NewResponseController(c.w)
@@ -133,10 +140,14 @@
 		status: x.resp.StatusCode, outcome: OutcomeUnknown, stated: true,
 		reason:   strings.TrimSuffix(string(reason), "\n"),
 		retried:  h.Get(HeaderRetry) == valueDone,
+		reached:  h.Get(HeaderReached) == valueTrue,
 		draining: h.Get(HeaderDraining) == valueTrue,
 		movedTo:  h.Get(HeaderMovedTo),
 		voucher:  h.Get(HeaderVoucher),
 	}
+	if after, perr := ParseDeadline(h.Get(HeaderAfter)); perr == nil {
+		f.after = after
+	}
 	if o, perr := ParseOutcome(outcome); perr == nil {
 		f.outcome = o
 	}
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -14,19 +14,99 @@
 	// budgetUnit is the cost of one retry in hundredths: each call deposits
 	// the budget's percentage.
 	budgetUnit = 100
-	// budgetReserve lets a service with little traffic retry a few times, and
+	// defaultReserve lets a service with little traffic retry a few times, and
 	// bounds the burst after a long time without failures.
-	budgetReserve = 10 * budgetUnit
+	defaultReserve = 10
 )
 
+// RetryOptions bounds how often calls are sent again. Zero values mean the
+// defaults.
+type RetryOptions struct {
+	// BudgetPercent is the share of a service's calls that may be repeated
+	// unless the policy states one; default 10.
+	BudgetPercent int
+	// Reserve is the number of repeats of one service that are saved up at
+	// most; default 10.
+	Reserve int
+	// FreeTries is the number of further nodes that are tried after nodes that
+	// refused the call before their target saw it. Such tries cost targets
+	// nothing and are not charged to the budget; default 0, which charges them.
+	FreeTries int
+}
+
+func (o RetryOptions) withDefaults() RetryOptions {
+	if o.BudgetPercent <= 0 {
+		o.BudgetPercent = defaultBudgetPercent
+	}
+	if o.Reserve <= 0 {
+		o.Reserve = defaultReserve
+	}
+	return o
+}
+
+// percent returns the share of calls that a policy lets repeat.
+func (o RetryOptions) percent(p *object.PolicySpec) int64 {
+	if p == nil || p.RetryBudgetPercent <= 0 {
+		return int64(o.BudgetPercent)
+	}
+	return int64(p.RetryBudgetPercent)
+}
+
+// tries follows the attempts to place one call.
+type tries struct {
+	policy  *object.PolicySpec
+	budget  *budget
+	free    int // tries left that are not charged
+	repeats int // of the call, charged to the budget
+	skip    []string
+	last    *refusal
+}
+
+// again takes the refusal of one node and reports whether the call goes to
+// another one.
+func (t *tries) again(c *call, f *refusal, node string) bool {
+	ok := mayRetry(c, t.policy, f) && t.charge(f)
+	t.last = merge(t.last, f)
+	t.skip = append(t.skip, node)
+	return ok
+}
+
+// charge takes the cost of one more try, or reports false.
+func (t *tries) charge(f *refusal) bool {
+	if !f.reached && f.outcome == OutcomeNotRun && t.free > 0 {
+		t.free--
+		return true
+	}
+	if t.repeats >= retriesOf(t.policy) || !t.budget.withdraw() {
+		return false
+	}
+	t.repeats++
+	return true
+}
+
+// end returns how the call ended; f is a reason of this node, or nil.
+func (t *tries) end(f *refusal) *refusal {
+	if t.last == nil {
+		return f
+	}
+	made := t.repeats
+	if f != nil {
+		made-- // no node was left for the last one
+	}
+	t.last.retried = t.last.retried || made > 0
+	return t.last
+}
+
 // budget limits the retries of one service to a share of its calls.
 type budget struct {
 	hundredths atomic.Int64
+	reserve    int64 // hundredths
 }
 
-func newBudget() *budget {
-	b := &budget{}
-	b.hundredths.Store(budgetReserve)
+// newBudget returns a full budget; reserve is its size in repeats.
+func newBudget(reserve int) *budget {
+	b := &budget{reserve: int64(reserve) * budgetUnit}
+	b.hundredths.Store(b.reserve)
 	return b
 }
 
@@ -34,7 +114,7 @@
 func (b *budget) deposit(percent int64) {
 	for {
 		now := b.hundredths.Load()
-		if now >= budgetReserve || b.hundredths.CompareAndSwap(now, min(now+percent, budgetReserve)) {
+		if now >= b.reserve || b.hundredths.CompareAndSwap(now, min(now+percent, b.reserve)) {
 			return
 		}
 	}
@@ -58,7 +138,7 @@
 	if b, ok := o.budgets.Load(service); ok {
 		return b.(*budget)
 	}
-	b, _ := o.budgets.LoadOrStore(service, newBudget())
+	b, _ := o.budgets.LoadOrStore(service, newBudget(o.opts.Retries.Reserve))
 	return b.(*budget)
 }
 
@@ -79,7 +159,12 @@
 	if c.key != "" {
 		return true // the owner's ledger runs it at most once
 	}
-	if p != nil && len(p.IdempotentMethods) > 0 {
+	switch {
+	case p != nil && p.Repeat == object.RepeatAlways:
+		return true
+	case p != nil && p.Repeat == object.RepeatNever:
+		return false
+	case p != nil && len(p.IdempotentMethods) > 0:
 		return slices.Contains(p.IdempotentMethods, c.r.Method)
 	}
 	switch c.r.Method {
@@ -89,16 +174,13 @@
 	return false
 }
 
+// retriesOf returns how often a call may reach a further target.
 func retriesOf(p *object.PolicySpec) int {
-	if p == nil || p.Retries <= 0 {
-		return defaultRetries
-	}
-	return p.Retries
-}
-
-func budgetPercent(p *object.PolicySpec) int64 {
-	if p == nil || p.RetryBudgetPercent <= 0 {
-		return defaultBudgetPercent
+	switch {
+	case p != nil && p.Retries > 0:
+		return p.Retries
+	case p != nil && p.MaxAttempts > 0:
+		return p.MaxAttempts - 1
 	}
-	return int64(p.RetryBudgetPercent)
+	return defaultRetries
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -15,6 +15,36 @@
 	IdleTimeout    time.Duration // between requests; default 75 s
 	MaxHeaderBytes int           // default 64 KB
 	Log            logr.Logger   // of a ConnServer; the zero value logs nothing
+
+	// Pipeline is the number of requests of one connection that a ConnServer
+	// serves at the same time; by default one after the other.
+	Pipeline int
+	// Bodies says which bodies a ConnServer with a Pipeline reads ahead.
+	Bodies BodyOptions
+	// Limits returns limits that may change while the server runs; zero values
+	// mean those above. It may be nil.
+	Limits func() ServerLimits
+}
+
+// ServerLimits bounds what callers may send and how long they may take.
+type ServerLimits struct {
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+	MaxHeaderBytes int
+}
+
+// or returns the limits with those of opts in place of zero values.
+func (l ServerLimits) or(opts ServerOptions) ServerLimits {
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = opts.HeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = opts.IdleTimeout
+	}
+	if l.MaxHeaderBytes <= 0 {
+		l.MaxHeaderBytes = opts.MaxHeaderBytes
+	}
+	return l
 }
 
 const (
@@ -52,5 +82,8 @@
 	if opts.MaxHeaderBytes <= 0 {
 		opts.MaxHeaderBytes = defaultMaxHeaderBytes
 	}
+	if opts.Bodies.MaxBuffered == 0 {
+		opts.Bodies.MaxBuffered = defaultBufferedBody
+	}
 	return opts
 }
--- a/proxy/upload.go
+++ b/proxy/upload.go
@@ -32,7 +32,9 @@
 	stopped chan struct{} // closed when the body is not wanted any more
 	done    chan struct{} // closed when the goroutine has ended
 
-	waiting bool // for proceed; used by the goroutine only
+	src     io.Reader // the body
+	held    bool      // the body is in memory and can be sent again
+	waiting bool      // for proceed; used by the goroutine only
 	armed   time.Time
 	read    int64
 	eof     bool
@@ -45,7 +47,10 @@
 	u := &upload{
 		c: c, conn: cn, rc: http.NewResponseController(c.w),
 		proceed: make(chan struct{}), stopped: make(chan struct{}), done: make(chan struct{}),
-		waiting: expect,
+		src: c.r.Body, held: c.body.buffered, waiting: expect,
+	}
+	if u.held {
+		u.src = c.body.reader
 	}
 	_ = u.rc.EnableFullDuplex() // fails only on a recorder in tests
 	c.out.Body = u
@@ -68,13 +73,16 @@
 	if err := u.wait(); err != nil {
 		return 0, err
 	}
+	if u.held {
+		return u.src.Read(p)
+	}
 	u.c.body.touched.Store(true)
 	if now := time.Now(); now.Sub(u.armed) > rearmInterval {
 		u.armed = now
 		_ = u.rc.SetReadDeadline(now.Add(stallTimeout))
 		_ = u.conn.SetWriteDeadline(earlier(u.c.deadline, now.Add(stallTimeout)))
 	}
-	n, err := u.c.r.Body.Read(p)
+	n, err := u.src.Read(p)
 	u.read += int64(n)
 	if limit := u.c.maxBody; limit > 0 && u.read > limit {
 		err = faults.Invalid.New("the body is larger than %d bytes", limit)
--- /dev/null
+++ b/proxy/work.go
@@ -0,0 +1,91 @@
+package proxy
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"siskingw/object"
+)
+
+// work is what a route asks for its calls. The target's node gets it from the
+// caller's node, because versions in force may differ between the two.
+type work struct {
+	class    string    // name of the route
+	priority int       // 0 is the most important
+	target   time.Time // an answer until then has its full value; zero without a target latency
+	repeat   bool      // the call may run more than once
+	inner    bool      // a target makes the call for work that it has begun
+	caller   string    // service on whose instance the call began
+}
+
+// maxWorkFields is the number of fields of a HeaderWork value.
+const maxWorkFields = 5
+
+const (
+	flagRepeat = "r"
+	flagInner  = "i"
+)
+
+// format returns the HeaderWork value: priority, ms from now to the target
+// time (empty for none), flags, class and caller.
+func (w *work) format() string {
+	target := ""
+	if !w.target.IsZero() {
+		target = formatMs(time.Until(w.target))
+	}
+	flags := ""
+	if w.repeat {
+		flags += flagRepeat
+	}
+	if w.inner {
+		flags += flagInner
+	}
+	return strings.Join([]string{strconv.Itoa(w.priority), target, flags, w.class, w.caller}, ";")
+}
+
+// parseWork reads a HeaderWork value that arrives now. What it cannot read has
+// the zero value: the call then counts as the least demanding of its kind.
+func parseWork(v string, now time.Time, kind object.WorkKind) work {
+	w := work{priority: defaultPriority(kind)}
+	fields := strings.SplitN(v, ";", maxWorkFields)
+	if len(fields) != maxWorkFields {
+		return w
+	}
+	if p, err := strconv.Atoi(fields[0]); err == nil && p >= 0 {
+		w.priority = p
+	}
+	if d, err := ParseDeadline(fields[1]); err == nil {
+		w.target = now.Add(d)
+	}
+	w.repeat = strings.Contains(fields[2], flagRepeat)
+	w.inner = strings.Contains(fields[2], flagInner)
+	w.class, w.caller = fields[3], fields[4]
+	return w
+}
+
+// defaultPriority returns the priority of a kind of work.
+func defaultPriority(kind object.WorkKind) int {
+	switch kind {
+	case object.WorkBid:
+		return 0
+	case object.WorkUpload:
+		return 1
+	}
+	return 2
+}
+
+// workOf returns what the route and its policy ask for the call.
+func (c *call) workOf(route string, p *object.PolicySpec) work {
+	w := work{class: route, priority: defaultPriority(c.kind), repeat: idempotent(c, p)}
+	if p == nil {
+		return w
+	}
+	if p.Priority != nil {
+		w.priority = *p.Priority
+	}
+	if p.TargetLatencyMs > 0 {
+		w.target = c.start.Add(time.Duration(p.TargetLatencyMs) * time.Millisecond)
+	}
+	return w
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -13,6 +13,8 @@
 const (
 	maxSlots     = 100_000
 	maxVerbosity = 2
+	minGraceS    = 1    // a shorter stop cannot finish calls in flight
+	maxSeconds   = 3600 // of the times that are given in seconds
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
@@ -46,6 +48,9 @@
 	for i, seed := range s.Seeds {
 		c.seed("seeds["+strconv.Itoa(i)+"]", seed)
 	}
+	if s.Platform != nil {
+		c.platform(s)
+	}
 	c.within("log.verbosity", s.Log.Verbosity, 0, maxVerbosity)
 	if s.Trace.SampleRatio < 0 || s.Trace.SampleRatio > 1 {
 		c.add("trace.sampleRatio", "must be from 0 to 1")
@@ -114,6 +119,47 @@
 
 func (c *checker) seed(field string, s Seed) {
 	c.advertised(field+".address", s.Address)
+	if s.Region == "" && s.FailureDomain == "" {
+		return // not known
+	}
 	c.name(field+".region", s.Region)
 	c.name(field+".failureDomain", s.FailureDomain)
 }
+
+// platform checks the settings of a node on the users' platform.
+func (c *checker) platform(s *Settings) {
+	p := s.Platform
+	for _, a := range []struct{ field, addr string }{{"platform.control", p.Control}, {"platform.ready", p.Ready}} {
+		c.address(a.field, a.addr)
+		for _, other := range []string{s.Listen.Outbound, s.Listen.Inbound, s.Listen.Peer, s.Listen.Admin} {
+			if a.addr == other {
+				c.add(a.field, a.addr+" is also the address of another listener")
+			}
+		}
+	}
+	if s.Store.Endpoint == "" {
+		c.add("store.endpoint", "a node on the platform needs the platform's store")
+	}
+	if s.Target != nil {
+		c.add("target", "the target announces itself on the platform")
+	}
+	for i, host := range p.SeedHosts {
+		c.address("platform.seedHosts["+strconv.Itoa(i)+"]", host)
+	}
+	c.within("platform.heartbeatMs", p.HeartbeatMs, 1, 60_000)
+	c.within("platform.drainMs", p.DrainMs, 1, 600_000)
+	c.fraction("platform.graceS", p.GraceS, minGraceS, maxSeconds)
+	c.fraction("platform.retryRatio", p.RetryRatio, 0, 1)
+	c.within("platform.retrySlack", p.RetrySlack, 0, 1_000_000)
+	c.fraction("platform.retryWindowS", p.RetryWindowS, 0, maxSeconds)
+	c.within("platform.memoryMB", p.MemoryMB, 0, 1<<20)
+	c.within("platform.maxFiles", p.MaxFiles, 0, 1<<30)
+}
+
+// fraction reports a number outside of low to high.
+func (c *checker) fraction(field string, v, low, high float64) {
+	if !(v >= low && v <= high) {
+		c.add(field, strconv.FormatFloat(v, 'g', -1, 64)+" is not from "+
+			strconv.FormatFloat(low, 'g', -1, 64)+" to "+strconv.FormatFloat(high, 'g', -1, 64))
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -4,6 +4,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"net/netip"
 	"os"
 	"time"
 
@@ -25,6 +26,7 @@
 	Log       Log       `json:"log"`
 	Trace     Trace     `json:"trace"`
 	Stop      Stop      `json:"stop"`
+	Platform  *Platform `json:"platform,omitempty"` // absent on a node that runs outside of the users' platform
 }
 
 // Listen holds the addresses that the node listens on.
@@ -65,6 +67,33 @@
 	FailureDomain string `json:"failureDomain"`
 }
 
+// Platform configures a node on the users' platform: the target announces
+// itself, operators publish in the platform's store, and callers and the target
+// use the platform's headers. Store.Endpoint is then that of this store.
+type Platform struct {
+	Control string `json:"control"` // listener for announcements of this instance's target
+	Ready   string `json:"ready"`   // listener for the platform's readiness checks
+	Service string `json:"service"` // service on this instance, as targets are told of its callers
+	// SeedHosts are addresses of other nodes at start. Their ports are not used:
+	// all nodes have the same peer port.
+	SeedHosts []string `json:"seedHosts,omitempty"`
+
+	HeartbeatMs  int     `json:"heartbeatMs"`  // between announcements of a target
+	DrainMs      int     `json:"drainMs"`      // after which a leaving target must get no new work
+	GraceS       float64 `json:"graceS"`       // from SIGTERM to SIGKILL
+	RetryRatio   float64 `json:"retryRatio"`   // repeats for each call, over the whole fleet
+	RetrySlack   int     `json:"retrySlack"`   // repeats beyond that in RetryWindowS, over the whole fleet
+	RetryWindowS float64 `json:"retryWindowS"` // window of the two limits
+	MemoryMB     int     `json:"memoryMB"`     // memory of the process
+	MaxFiles     int     `json:"maxFiles"`     // file descriptors of the process
+}
+
+// Heartbeat returns the time between announcements of a target.
+func (p *Platform) Heartbeat() time.Duration { return time.Duration(p.HeartbeatMs) * time.Millisecond }
+
+// Grace returns the time from SIGTERM to SIGKILL.
+func (p *Platform) Grace() time.Duration { return time.Duration(p.GraceS * float64(time.Second)) }
+
 // Log configures the log.
 type Log struct {
 	Verbosity int `json:"verbosity"` // 0 to 2
@@ -137,6 +166,23 @@
 	if t := s.Target; t != nil {
 		t.fillDefaults()
 	}
+	if s.Platform != nil {
+		s.addSeedHosts()
+	}
+}
+
+// addSeedHosts adds the platform's seeds with the peer port of this node. Where
+// they run is not known.
+func (s *Settings) addSeedHosts() {
+	own, err := netip.ParseAddrPort(s.Advertise.Peer)
+	if err != nil {
+		return // reported by check
+	}
+	for _, host := range s.Platform.SeedHosts {
+		if seed, err := netip.ParseAddrPort(host); err == nil {
+			s.Seeds = append(s.Seeds, Seed{Address: netip.AddrPortFrom(seed.Addr(), own.Port()).String()})
+		}
+	}
 }
 
 func (t *Target) fillDefaults() {
--- a/snapshot/delta.go
+++ b/snapshot/delta.go
@@ -1,6 +1,7 @@
 package snapshot
 
 import (
+	"reflect"
 	"slices"
 
 	"siskingw/faults"
@@ -73,6 +74,31 @@
 	return s.replaceShards(version, touched, changed)
 }
 
+// Replace returns the snapshot of a whole set at the given version. Objects that
+// the receiver holds alike are shared, and so are untouched shards. It returns
+// an Invalid error for duplicates and a Dangling error like New.
+func (s *Snapshot) Replace(version uint64, objects []*object.Object) (*Snapshot, error) {
+	var upserts []*object.Object
+	kept := make(map[object.Key]bool, len(objects))
+	for _, o := range objects {
+		k := o.Key()
+		if kept[k] {
+			return nil, faults.Invalid.New("%s is declared twice", k)
+		}
+		kept[k] = true
+		if old := s.Get(k); old == nil || !reflect.DeepEqual(old, o) {
+			upserts = append(upserts, o)
+		}
+	}
+	var deletes []object.Key
+	for o := range s.All() {
+		if !kept[o.Key()] {
+			deletes = append(deletes, o.Key())
+		}
+	}
+	return s.With(version, upserts, deletes)
+}
+
 // replaceShards returns a snapshot that shares every shard not in touched.
 func (s *Snapshot) replaceShards(version uint64, touched map[int][]*object.Object, changed []object.Key) (*Snapshot, error) {
 	next := &Snapshot{version: version, shards: s.shards}
--- a/snapshot/index.go
+++ b/snapshot/index.go
@@ -18,6 +18,13 @@
 	EndpointSet *object.EndpointSetSpec
 	Policy      *object.PolicySpec // the route's, else the service's, else nil
 	Fallback    *Resolved
+	Split       []Share // of a route with several services; ServiceName is then that of the first
+}
+
+// Share is a split route bound to one of its services.
+type Share struct {
+	Route  *Resolved
+	Weight int
 }
 
 // maxIncremental is the number of changed objects up to which the index of the
@@ -167,7 +174,7 @@
 	for before := -1; before != len(affected); {
 		before = len(affected)
 		for name, r := range idx.byName {
-			if services[r.ServiceName] || policies[r.Route.Policy] || affected[r.Route.Fallback] {
+			if services[r.ServiceName] || policies[r.Route.Policy] || affected[r.Route.Fallback] || r.splitsTo(services) {
 				affected[name] = true
 			}
 		}
@@ -175,6 +182,11 @@
 	return affected
 }
 
+// splitsTo reports whether the route has one of the services in its split.
+func (r *Resolved) splitsTo(services map[string]bool) bool {
+	return slices.ContainsFunc(r.Route.Split, func(w object.Weighted) bool { return services[w.Service] })
+}
+
 // add resolves the objects, puts them into the index and takes the removed
 // routes out of their hosts.
 func (idx *index) add(s *Snapshot, services, routes []*object.Object, removed map[*Resolved]bool) error {
@@ -227,23 +239,41 @@
 
 // addRoute resolves everything that a route refers to but its fallback.
 func (idx *index) addRoute(s *Snapshot, o *object.Object) error {
-	service, ok := idx.services[o.Route.Service]
-	if !ok {
-		return dangling(o.Key(), object.KindService, o.Route.Service)
+	if len(o.Route.Split) == 0 {
+		r, err := idx.bind(s, o, o.Route.Service)
+		idx.byName[o.Name] = r
+		return err
 	}
-	r := *service
-	r.Name, r.Route = o.Name, o.Route
-	if o.Route.Policy != "" {
-		policy, err := resolvePolicy(s, o.Key(), o.Route.Policy)
+	shares := make([]Share, len(o.Route.Split))
+	for i, w := range o.Route.Split {
+		r, err := idx.bind(s, o, w.Service)
 		if err != nil {
 			return err
 		}
-		r.Policy = policy
+		shares[i] = Share{Route: r, Weight: w.Weight}
 	}
+	r := *shares[0].Route
+	r.Split = shares
 	idx.byName[o.Name] = &r
 	return nil
 }
 
+// bind resolves a route as if it had only the named service.
+func (idx *index) bind(s *Snapshot, o *object.Object, serviceName string) (*Resolved, error) {
+	service, ok := idx.services[serviceName]
+	if !ok {
+		return nil, dangling(o.Key(), object.KindService, serviceName)
+	}
+	r := *service
+	r.Name, r.Route = o.Name, o.Route
+	if o.Route.Policy == "" {
+		return &r, nil
+	}
+	policy, err := resolvePolicy(s, o.Key(), o.Route.Policy)
+	r.Policy = policy
+	return &r, err
+}
+
 func (idx *index) linkFallback(r *Resolved) error {
 	if r.Route.Fallback == "" {
 		return nil
@@ -253,6 +283,9 @@
 		return dangling(object.Key{Kind: object.KindRoute, Name: r.Name}, object.KindRoute, r.Route.Fallback)
 	}
 	r.Fallback = target
+	for _, share := range r.Split {
+		share.Route.Fallback = target
+	}
 	return nil
 }
 
--- a/snapshot/index_test.go
+++ b/snapshot/index_test.go
@@ -31,6 +31,12 @@
 	case 2:
 		return &object.Object{Kind: object.KindService, Name: n("name"), Service: &object.ServiceSpec{EndpointSet: n("set"), Policy: opt("policy")}}
 	}
+	if rapid.IntRange(0, 3).Draw(t, "split") == 0 {
+		return &object.Object{Kind: object.KindRoute, Name: n("name"), Route: &object.RouteSpec{
+			PathPrefix: "/" + opt("prefix"), Policy: opt("policy"), Fallback: opt("fallback"),
+			Split: []object.Weighted{{Service: n("service"), Weight: 1}, {Service: n("service"), Weight: 2}},
+		}}
+	}
 	return &object.Object{Kind: object.KindRoute, Name: n("name"), Route: &object.RouteSpec{
 		Host: opt("host"), PathPrefix: "/" + opt("prefix"), Service: n("service"), Policy: opt("policy"), Fallback: opt("fallback"),
 	}}
--- a/spread/compare.go
+++ b/spread/compare.go
@@ -98,7 +98,7 @@
 func (n *Node) hear(p Peer, ageMs uint32) {
 	now := n.nowMs()
 	switch {
-	case p.Region == n.opts.StoreRegion:
+	case n.opts.Readers.Count == 0 && p.Region == n.opts.StoreRegion:
 		raise(&n.heard, now)
 	case ageMs > 1:
 		raise(&n.heard, now-int64(min(ageMs-1, maxAgeMs)))
@@ -108,7 +108,7 @@
 // storeAge returns the time since the node heard of the store's region in ms
 // plus 1, or 0 for never.
 func (n *Node) storeAge() uint32 {
-	if n.view.Self().Region == n.opts.StoreRegion {
+	if n.opts.Readers.Count == 0 && n.view.Self().Region == n.opts.StoreRegion {
 		return 1
 	}
 	at := n.heard.Load()
--- /dev/null
+++ b/spread/duty.go
@@ -0,0 +1,178 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"siskingw/member"
+)
+
+const (
+	// readGrace is how long even the first reader waits for a change to arrive
+	// from the node that accepted it. That node pushes at once, so the store
+	// is read only when it failed, and a change is not sent into the other
+	// regions from two sides.
+	readGrace = 100 * time.Millisecond
+	// storeSilence is how long the store's region may be silent before relays
+	// of other regions watch the head.
+	storeSilence = 5 * time.Second
+	// dutySettle is how long a node must hold the duty before it calls the
+	// store. A starting node knows few members at first and would take itself
+	// for a relay; with a whole failure domain starting, that would be
+	// thousands of store calls at once.
+	dutySettle = 3 * time.Second
+	// aloneSpread is the full jitter added for a node that knows no other
+	// member: all nodes may be in that state at once.
+	aloneSpread = 10 * time.Second
+	// successionStep is the time by which each further node waits longer before
+	// it takes over from readers that lost the store.
+	successionStep = 500 * time.Millisecond
+	// maxSuccession bounds the succession, so that somebody reads the store
+	// even when the nodes before it are all cut off.
+	maxSuccession = 6
+)
+
+// ReaderOptions selects the nodes that watch the store. The zero value selects
+// every relay of the store's region.
+type ReaderOptions struct {
+	// Count is the number of nodes that watch at a time, in different failure
+	// domains if possible; 0 for every relay of the store's region. With a
+	// count the readers tell the others how fresh their contact to the store is,
+	// and the next in order take over when it is lost.
+	Count int
+	// Silence is the age of the contact from which others take over. The
+	// default is 5 s.
+	Silence time.Duration
+	// Grace is how long even the first reader waits for a change to arrive from
+	// the node that accepted it. The default is 100 ms; negative for none.
+	Grace time.Duration
+	// Settle is how long a node holds the duty before it calls the store, and
+	// AloneSpread the full jitter added for one that knows no other member. The
+	// defaults are 3 s and 10 s.
+	Settle      time.Duration
+	AloneSpread time.Duration
+}
+
+func (o ReaderOptions) withDefaults() ReaderOptions {
+	for _, d := range []struct {
+		value *time.Duration
+		usual time.Duration
+	}{{&o.Silence, storeSilence}, {&o.Grace, readGrace}, {&o.Settle, dutySettle}, {&o.AloneSpread, aloneSpread}} {
+		if *d.value == 0 {
+			*d.value = d.usual
+		}
+	}
+	o.Grace = max(o.Grace, 0)
+	return o
+}
+
+// isReader reports whether this node watches the store: the relays of the
+// store's region do, and others when nothing was heard from that region. With a
+// count of readers, the first of all relays do.
+func (n *Node) isReader() bool {
+	t := n.topology()
+	if !t.isRelay() {
+		return false
+	}
+	if n.opts.Readers.Count > 0 {
+		return n.isCountedReader()
+	}
+	if t.self.Region == n.opts.StoreRegion {
+		return true
+	}
+	age := n.storeAge()
+	if age == 0 { // never heard of; count from the start of the process
+		raise(&n.heard, n.nowMs())
+		return false
+	}
+	return time.Duration(age)*time.Millisecond > n.opts.Readers.Silence
+}
+
+// isCountedReader reports whether this node is one of the first readers, or one
+// of those after them while the contact to the store is lost.
+func (n *Node) isCountedReader() bool {
+	after := n.readerTurn() - n.opts.Readers.Count
+	if after < 0 {
+		return true
+	}
+	age := n.storeAge()
+	if age == 0 {
+		raise(&n.heard, n.nowMs())
+		return false
+	}
+	turn := time.Duration(min(after, maxSuccession)) * successionStep
+	return time.Duration(age)*time.Millisecond > n.opts.Readers.Silence+turn
+}
+
+// readerTurn returns the number of nodes that read the store before this one.
+func (n *Node) readerTurn() int {
+	if n.opts.Readers.Count == 0 {
+		return max(0, n.topology().rank)
+	}
+	order := readerOrder(n.view)
+	if i := slices.Index(order, n.view.Self().ID); i >= 0 {
+		return i
+	}
+	return len(order)
+}
+
+// readerOrder returns the relays of the fleet: the first of each failure domain,
+// then the second ones, those of unreachable failure domains last.
+func readerOrder(v member.View) []string {
+	var order, last []string
+	for rank := range member.RelayCount {
+		for _, d := range v.FailureDomains() {
+			ranked := v.Ranked(d.Name)
+			switch {
+			case rank >= len(ranked):
+			case d.Unreachable:
+				last = append(last, ranked[rank].ID)
+			default:
+				order = append(order, ranked[rank].ID)
+			}
+		}
+	}
+	return append(order, last...)
+}
+
+const (
+	// firstReadSeed is how long a starting node that is a seed waits for a peer
+	// with a version before it reads the store. The other nodes ask the seeds,
+	// so when a whole fleet starts only its seeds read.
+	firstReadSeed = 300 * time.Millisecond
+	// firstReadOther and firstReadSpread are the same for any other node, for
+	// the case that no seed lives.
+	firstReadOther  = 1500 * time.Millisecond
+	firstReadSpread = 3 * time.Second
+)
+
+// runFirstRead reads the store when a starting node finds no peer with a
+// version. The duty of the readers begins later, once the members are known.
+func (n *Node) runFirstRead() {
+	wait := firstReadOther + rand.N(firstReadSpread)
+	self := n.view.Self().PeerAddr
+	if slices.ContainsFunc(n.opts.Seeds, func(p Peer) bool { return p.Addr == self }) {
+		wait = firstReadSeed
+	}
+	retry := storeRetryBase
+	for sleep(n.ctx, wait) && n.cur.Load() == nil {
+		h, err := n.readHead(n.ctx)
+		if err == nil && h.Version > 0 {
+			err = n.loadOnce(h)
+		}
+		if err != nil {
+			n.stats.storeErrors.Inc()
+			n.log.Info("first version not read from the store", "cause", cause(err), "error", err.Error())
+		}
+		wait = retry/2 + rand.N(retry)
+		retry = min(2*retry, storeRetryMax)
+	}
+}
+
+// contacted notes that the store answered this node.
+func (n *Node) contacted() {
+	if n.opts.Readers.Count > 0 {
+		raise(&n.heard, n.nowMs())
+	}
+}
--- a/spread/node.go
+++ b/spread/node.go
@@ -47,6 +47,7 @@
 	Transport   Transport
 	Source      Source // the platform's store; nil for a node that never reads it
 	StoreRegion string // region of the store
+	Readers     ReaderOptions
 	Seeds       []Peer // nodes to ask at start, from the settings
 	// SeedHints returns further nodes to ask at start. It may be nil.
 	SeedHints func(ctx context.Context) []Peer
@@ -95,6 +96,7 @@
 
 // New returns a node that serves its peers at once; Run starts its duties.
 func New(opts Options) *Node {
+	opts.Readers = opts.Readers.withDefaults()
 	if opts.CompareEvery == 0 {
 		opts.CompareEvery = defaultCompareEvery
 	}
@@ -128,6 +130,9 @@
 	}
 	if n.opts.Source != nil {
 		n.tasks.spawn(n.runStoreReader)
+		if n.opts.Readers.Count > 0 {
+			n.tasks.spawn(n.runFirstRead)
+		}
 	}
 	<-n.ctx.Done()
 	n.tasks.close()
--- a/spread/published.go
+++ b/spread/published.go
@@ -38,12 +38,16 @@
 // decodeHead returns a Corrupt error for a value that is no head.
 func decodeHead(kv store.KeyValue) (Head, error) {
 	h, err := publish.DecodeHead(kv.Value)
-	return Head{Version: h.Version, Revision: kv.ModRevision, Value: kv.Value}, err
+	return Head{Version: h.Version, Revision: kv.ModRevision, Content: kv.Value}, err
 }
 
 // Load implements Source.
 func (p published) Load(ctx context.Context, h Head, base *snapshot.Snapshot) (*snapshot.Snapshot, error) {
-	head, err := publish.DecodeHead(h.Value)
+	value, ok := h.Content.([]byte)
+	if !ok {
+		return nil, faults.Internal.New("head of version %d without its content", h.Version)
+	}
+	head, err := publish.DecodeHead(value)
 	if err != nil {
 		return nil, err
 	}
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -16,10 +16,11 @@
 type Head struct {
 	Version  uint64
 	Revision int64 // store revision of the head's last write
-	Value    []byte
+	Content  any   // what the Source read, for its Load
 }
 
-// HeadEvent is a change of the head, or the error that ended the watch.
+// HeadEvent is a change of the head, or the error that ended the watch. One
+// without a version only shows that the store answered.
 type HeadEvent struct {
 	Head Head
 	Err  error // StoreCompacted or StoreUnavailable; the channel closes after it
@@ -38,24 +39,8 @@
 }
 
 const (
-	// readGrace is how long even the first reader waits for a change to arrive
-	// from the node that accepted it. That node pushes at once, so the store
-	// is read only when it failed, and a change is not sent into the other
-	// regions from two sides.
-	readGrace = 100 * time.Millisecond
-	// storeSilence is how long the store's region may be silent before relays
-	// of other regions watch the head.
-	storeSilence = 5 * time.Second
 	// dutyCheck is the period at which a node checks whether it is a reader.
 	dutyCheck = 500 * time.Millisecond
-	// dutySettle is how long a node must hold the duty before it calls the
-	// store. A starting node knows few members at first and would take itself
-	// for a relay; with a whole failure domain starting, that would be
-	// thousands of store calls at once.
-	dutySettle = 3 * time.Second
-	// aloneSpread is the full jitter added for a node that knows no other
-	// member: all nodes may be in that state at once.
-	aloneSpread = 10 * time.Second
 	// pollEvery is the period at which a reader reads the head although its
 	// watch reports nothing, in case the watch stalled.
 	pollEvery = 30 * time.Second
@@ -99,9 +84,9 @@
 		case !n.isReader():
 			since = time.Time{}
 		case since.IsZero():
-			since, settle = time.Now(), dutySettle
+			since, settle = time.Now(), n.opts.Readers.Settle
 			if n.topology().alone() {
-				settle += rand.N(aloneSpread)
+				settle += rand.N(n.opts.Readers.AloneSpread)
 			}
 		case time.Since(since) >= settle:
 			return true
@@ -111,24 +96,6 @@
 	return false
 }
 
-// isReader reports whether this node watches the store: the relays of the
-// store's region do, and others when nothing was heard from that region.
-func (n *Node) isReader() bool {
-	t := n.topology()
-	if !t.isRelay() {
-		return false
-	}
-	if t.self.Region == n.opts.StoreRegion {
-		return true
-	}
-	age := n.storeAge()
-	if age == 0 { // never heard of; count from the start of the process
-		raise(&n.heard, n.nowMs())
-		return false
-	}
-	return time.Duration(age)*time.Millisecond > storeSilence
-}
-
 // watchStore reads the head and follows it. It returns nil when the duty ends
 // and otherwise the error that broke the watch. After a gap the head is read
 // again, so a change that the watch lost is found at the next start.
@@ -163,6 +130,7 @@
 			if e.Err != nil {
 				return e.Err
 			}
+			n.contacted()
 			n.considerHead(e.Head)
 		case <-duty.C:
 			if !n.isReader() {
@@ -185,7 +153,10 @@
 	defer cancel()
 	h, err := n.opts.Source.Head(ctx)
 	if errorx.IsOfType(err, faults.NotFound) {
-		return h, nil
+		err = nil
+	}
+	if err == nil {
+		n.contacted()
 	}
 	return h, err
 }
@@ -209,7 +180,7 @@
 // while the store fails and the version is still missing.
 func (n *Node) loadHead(h Head) {
 	retry := storeRetryBase
-	turn := readGrace + time.Duration(max(0, n.topology().rank))*takeoverAfter
+	turn := n.opts.Readers.Grace + time.Duration(n.readerTurn())*takeoverAfter
 	if n.cur.Load() == nil {
 		turn += storeAfter // peers come first
 	}
--- /dev/null
+++ b/targets/registry_test.go
@@ -0,0 +1,92 @@
+package targets
+
+import (
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+)
+
+var epoch = time.UnixMilli(1_800_000_000_000)
+
+func announcement(id string, started time.Duration, sequence uint64) Announcement {
+	return Announcement{ID: id, Service: "floor", Address: "10.0.0.1:80", Started: epoch.Add(started), Sequence: sequence, Slots: 9}
+}
+
+func currentID(r *Registry) string {
+	if t := r.Current(); t != nil {
+		return t.ID
+	}
+	return ""
+}
+
+// Guards against a delayed announcement that brings back a target that left,
+// or replaces a later start at the same address.
+func TestDelayedAnnouncementsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(5 * time.Second)
+	is.NoErr(r.Announce(announcement("a", 0, 4), epoch))
+	is.True(errorx.IsOfType(r.Announce(announcement("a", 0, 3), epoch), faults.Stale))
+	is.Equal(currentID(r), "a")
+
+	is.NoErr(r.Announce(announcement("b", time.Second, 1), epoch))
+	is.Equal(currentID(r), "b")
+	is.NoErr(r.Announce(announcement("a", 0, 5), epoch)) // was on its way when a crashed
+	is.Equal(currentID(r), "b")
+
+	leaving := announcement("b", time.Second, 2)
+	leaving.Leaving = true
+	is.NoErr(r.Announce(leaving, epoch))
+	is.Equal(currentID(r), "")
+	is.NoErr(r.Announce(announcement("b", time.Second, 3), epoch)) // states ready again
+	is.NoErr(r.Announce(announcement("a", 0, 6), epoch))
+	is.Equal(currentID(r), "")
+}
+
+// Guards against a target that left without a word before, whose departure is
+// overtaken by one of its announcements.
+func TestLeaveHoldsForItsStartOnly(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(5 * time.Second)
+	r.Leave("a", epoch, epoch)
+	is.NoErr(r.Announce(announcement("a", 0, 7), epoch))
+	is.Equal(currentID(r), "")
+	is.NoErr(r.Announce(announcement("a", time.Second, 1), epoch)) // started again under its id
+	is.Equal(currentID(r), "a")
+	r.Leave("a", time.Time{}, epoch)
+	is.Equal(currentID(r), "")
+}
+
+// Guards against a silent target that keeps its place, and against one that was
+// silent for a while and is not taken back.
+func TestSilentTargetExpiresAndReturns(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(5 * time.Second)
+	var changes []string
+	r.OnChange(func(t *Target) {
+		if t == nil {
+			changes = append(changes, "")
+			return
+		}
+		changes = append(changes, t.ID)
+	})
+	is.NoErr(r.Announce(announcement("a", 0, 1), epoch))
+	r.Expire(epoch.Add(4 * time.Second))
+	r.Expire(epoch.Add(6 * time.Second))
+	is.NoErr(r.Announce(announcement("a", 0, 2), epoch.Add(7*time.Second)))
+	is.Equal(changes, []string{"a", "", "a"})
+}
+
+// Guards against a target whose address another one has taken.
+func TestGoneTargetIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(5 * time.Second)
+	is.NoErr(r.Announce(announcement("a", 0, 1), epoch))
+	r.Gone(r.Current(), epoch)
+	is.Equal(currentID(r), "")
+	is.NoErr(r.Announce(announcement("a", 0, 2), epoch))
+	is.Equal(currentID(r), "")
+}
