Keep calls to their service, departures to their start, readers to the store

Change: calls name the announced service; a node with a target of another one refuses them unsent. Departures of unknown starts are remembered. Readers tell three successors once a second how fresh their contact is; successors take over after 2.2 s without settling. One line each when the store is lost and back.

--- a/node/platform.go
+++ b/node/platform.go
@@ -95,7 +95,7 @@
 		s.node.log.Info("target lost")
 	} else if old == nil || old.target.ID != t.ID || !old.target.Started.Equal(t.Started) || old.target.Slots != t.Slots {
 		s.backend.Store(&localBackend{
-			Backend: proxy.Backend{Addr: t.Address, Instance: t.ID, Gate: admit.New(admit.Options{Slots: t.Slots})},
+			Backend: proxy.Backend{Addr: t.Address, Instance: t.ID, Service: t.Service, Gate: admit.New(admit.Options{Slots: t.Slots})},
 			target:  *t,
 		})
 		s.node.log.Info("target in use", "target", t.ID, "service", t.Service, "address", t.Address, "slots", t.Slots)
--- a/node/services.go
+++ b/node/services.go
@@ -135,14 +135,14 @@
 const (
 	// watchWait is how long the platform's store holds a watch. Each answer
 	// shows that this node still reaches the store.
-	watchWait = 2 * time.Second
+	watchWait = time.Second
 	// watchPause collects configurations that come in quick succession.
 	watchPause = 250 * time.Millisecond
 	// platformReaders is the number of nodes that watch the platform's store.
 	platformReaders = 2
 	// contactSilence is the age of the contact to the platform's store from
 	// which further nodes watch it.
-	contactSilence = 4 * time.Second
+	contactSilence = 2200 * time.Millisecond
 	// readerSettle and readerSpread bound the start of the duty: the fleet
 	// learns of itself within a second.
 	readerSettle = 500 * time.Millisecond
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -32,6 +32,7 @@
 type Backend struct {
 	Addr     string // host:port
 	Instance string // identity that the target is asked to confirm; empty for none
+	Service  string // announced name; empty for any
 	Gate     *admit.Gate
 }
 
@@ -173,6 +174,12 @@
 	if b == nil {
 		return notRun("the instance has no target", nil)
 	}
+	if b.Service != "" && c.work.service != "" && b.Service != c.work.service {
+		// The address belonged to an instance of another service before.
+		f := notRun("the instance has a target of another service", nil)
+		f.status = http.StatusMisdirectedRequest
+		return f
+	}
 	c.gateCtx = deadlineContext{Context: c.ctx, deadline: c.deadline}
 	ticket, err := b.Gate.Enter(&c.gateCtx, c.kind)
 	if err != nil {
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -135,6 +135,7 @@
 			}
 			return t.end(notRun("no endpoint is left", err))
 		}
+		c.work.service = res.EndpointSet.Announce
 		f := o.send(c, picked.Record)
 		picked.Done(c.report(f))
 		if f == nil || f.aborted {
@@ -169,7 +170,11 @@
 		o.drained(rec)
 	}
 	if v := x.resp.Header[HeaderOutcome]; len(v) > 0 {
-		return x.refusal(c, v[0])
+		f := x.refusal(c, v[0])
+		if f.status == http.StatusMisdirectedRequest && f.outcome == OutcomeNotRun {
+			f.status, f.unreachable = http.StatusServiceUnavailable, true // the endpoint is gone
+		}
+		return f
 	}
 	if f := x.hold(c, o.opts.Answers.HoldBytes); f != nil {
 		return f
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -12,6 +12,7 @@
 // caller's node, because versions in force may differ between the two.
 type work struct {
 	class    string    // name of the route
+	service  string    // announced name of the service that the call is for; empty for any
 	priority int       // 0 is the most important
 	target   time.Time // an answer until then has its full value; zero without a target latency
 	repeat   bool      // the call may run more than once
@@ -20,7 +21,7 @@
 }
 
 // maxWorkFields is the number of fields of a HeaderWork value.
-const maxWorkFields = 5
+const maxWorkFields = 6
 
 const (
 	flagRepeat = "r"
@@ -28,7 +29,7 @@
 )
 
 // format returns the HeaderWork value: priority, ms from now to the target
-// time (empty for none), flags, class and caller.
+// time (empty for none), flags, class, service and caller.
 func (w *work) format() string {
 	target := ""
 	if !w.target.IsZero() {
@@ -41,7 +42,7 @@
 	if w.inner {
 		flags += flagInner
 	}
-	return strings.Join([]string{strconv.Itoa(w.priority), target, flags, w.class, w.caller}, ";")
+	return strings.Join([]string{strconv.Itoa(w.priority), target, flags, w.class, w.service, w.caller}, ";")
 }
 
 // parseWork reads a HeaderWork value that arrives now. What it cannot read has
@@ -60,7 +61,7 @@
 	}
 	w.repeat = strings.Contains(fields[2], flagRepeat)
 	w.inner = strings.Contains(fields[2], flagInner)
-	w.class, w.caller = fields[3], fields[4]
+	w.class, w.service, w.caller = fields[3], fields[4], fields[5]
 	return w
 }
 
--- a/spread/duty.go
+++ b/spread/duty.go
@@ -27,10 +27,16 @@
 	aloneSpread = 10 * time.Second
 	// successionStep is the time by which each further node waits longer before
 	// it takes over from readers that lost the store.
-	successionStep = 500 * time.Millisecond
-	// maxSuccession bounds the succession, so that somebody reads the store
-	// even when the nodes before it are all cut off.
-	maxSuccession = 6
+	successionStep = 300 * time.Millisecond
+	// successors is the number of nodes after the readers that are told of the
+	// readers' contact to the store, and maxSuccession the number after which
+	// nobody waits longer, so that somebody reads the store even when the nodes
+	// before it are all cut off.
+	successors    = 3
+	maxSuccession = 8
+	// beaconEvery is the period at which readers tell their successors that
+	// they reach the store.
+	beaconEvery = time.Second
 )
 
 // ReaderOptions selects the nodes that watch the store. The zero value selects
@@ -67,6 +73,29 @@
 	return o
 }
 
+// countedRetryMax bounds the jitter between tries of counted readers. They are
+// few, and a change must be found soon after the store is back.
+const countedRetryMax = 1500 * time.Millisecond
+
+// countedCheck is the period at which a node checks whether it is one of the
+// counted readers: a successor has about two seconds to find a change.
+const countedCheck = 100 * time.Millisecond
+
+// check returns the period at which a node checks whether it has the duty.
+func (o ReaderOptions) check() time.Duration {
+	if o.Count > 0 {
+		return countedCheck
+	}
+	return dutyCheck
+}
+
+func (o ReaderOptions) retryMax() time.Duration {
+	if o.Count > 0 {
+		return countedRetryMax
+	}
+	return storeRetryMax
+}
+
 // isReader reports whether this node watches the store: the relays of the
 // store's region do, and others when nothing was heard from that region. With a
 // count of readers, the first of all relays do.
@@ -102,9 +131,40 @@
 		return false
 	}
 	turn := time.Duration(min(after, maxSuccession)) * successionStep
+	if after >= successors {
+		turn += n.opts.CompareEvery // hears of the contact from its region's head
+	}
 	return time.Duration(age)*time.Millisecond > n.opts.Readers.Silence+turn
 }
 
+// runBeacon tells the successors of the readers how fresh the contact to the
+// store is.
+func (n *Node) runBeacon() {
+	for sleep(n.ctx, beaconEvery) {
+		turn := n.readerTurn()
+		age := time.Duration(n.storeAge()) * time.Millisecond
+		if turn >= n.opts.Readers.Count || age == 0 || age > n.opts.Readers.Silence {
+			continue
+		}
+		order := readerOrder(n.view)
+		for _, id := range order[min(n.opts.Readers.Count, len(order)):min(n.opts.Readers.Count+successors, len(order))] {
+			if p, ok := n.peerByID(id); ok {
+				n.tasks.spawn(func() { _, _ = n.compare(p, takeoverAfter) }) // a silent peer is nothing to the beacon
+			}
+		}
+	}
+}
+
+// loadWait returns how long this reader waits for a peer before it loads a head.
+// A successor that had to take over does not wait for those before it.
+func (n *Node) loadWait() time.Duration {
+	turn := n.readerTurn()
+	if count := n.opts.Readers.Count; count > 0 && turn >= count {
+		turn = 0
+	}
+	return n.opts.Readers.Grace + time.Duration(turn)*takeoverAfter
+}
+
 // readerTurn returns the number of nodes that read the store before this one.
 func (n *Node) readerTurn() int {
 	if n.opts.Readers.Count == 0 {
--- a/spread/fake_test.go
+++ b/spread/fake_test.go
@@ -38,6 +38,8 @@
 
 	joinAfter time.Duration // a started node sees only itself for so long
 	seeds     []Peer
+	readers   ReaderOptions
+	sourceFor func(r *member.Record) Source // nil: the fleet's source
 
 	published map[uint64]*snapshot.Snapshot
 	faults    []string // broken invariants
@@ -122,8 +124,12 @@
 	if s != nil {
 		_ = p.cur.Advance(s)
 	}
-	p.node = New(Options{View: joiningView{fakeView{f, r}, time.Now().Add(f.joinAfter)}, Seeds: f.seeds, Current: p.cur, Transport: fakeTransport{f, PeerOf(r)},
-		Source: f.source, StoreRegion: "r0"})
+	opts := Options{View: joiningView{fakeView{f, r}, time.Now().Add(f.joinAfter)}, Seeds: f.seeds, Current: p.cur, Transport: fakeTransport{f, PeerOf(r)},
+		Source: f.source, StoreRegion: "r0", Readers: f.readers}
+	if f.sourceFor != nil {
+		opts.Source = f.sourceFor(r)
+	}
+	p.node = New(opts)
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
 	f.mu.Lock()
--- a/spread/node.go
+++ b/spread/node.go
@@ -132,6 +132,7 @@
 		n.tasks.spawn(n.runStoreReader)
 		if n.opts.Readers.Count > 0 {
 			n.tasks.spawn(n.runFirstRead)
+			n.tasks.spawn(n.runBeacon)
 		}
 	}
 	<-n.ctx.Done()
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -56,22 +56,33 @@
 
 // runStoreReader watches the head of the store while this node has the duty.
 func (n *Node) runStoreReader() {
-	retry := storeRetryBase
 	for n.awaitDuty() {
-		started := time.Now()
-		err := n.watchStore()
-		for err != nil && n.ctx.Err() == nil && n.isReader() {
-			n.stats.storeErrors.Inc()
-			n.log.Info("store watch ended", "cause", cause(err), "error", err.Error())
-			if time.Since(started) > storeRetryMax {
-				retry = storeRetryBase
-			}
-			sleep(n.ctx, rand.N(retry))
-			retry = min(2*retry, storeRetryMax)
-			started = time.Now()
-			err = n.watchStore()
+		n.log.Info("watching the store", "turn", n.readerTurn(), "contactAgeMs", n.storeAge())
+		n.holdDuty()
+		n.log.Info("no longer watching the store", "turn", n.readerTurn(), "contactAgeMs", n.storeAge())
+	}
+}
+
+// holdDuty watches the store until the duty or the node ends. It reports when
+// the store is lost and when it is back.
+func (n *Node) holdDuty() {
+	retry := storeRetryBase
+	var lost time.Time // zero while the store answers
+	answered := func() {
+		if !lost.IsZero() {
+			n.log.Info("store is back", "afterMs", time.Since(lost).Milliseconds())
+			lost, retry = time.Time{}, storeRetryBase
 		}
 	}
+	for err := n.watchStore(answered); err != nil && n.ctx.Err() == nil && n.isReader(); err = n.watchStore(answered) {
+		n.stats.storeErrors.Inc()
+		if lost.IsZero() {
+			lost = time.Now()
+			n.log.Info("store is lost", "cause", cause(err), "error", err.Error())
+		}
+		sleep(n.ctx, rand.N(retry))
+		retry = min(2*retry, n.opts.Readers.retryMax())
+	}
 }
 
 // awaitDuty waits until the node has held the duty for long enough. It reports
@@ -79,35 +90,45 @@
 func (n *Node) awaitDuty() bool {
 	var since time.Time
 	var settle time.Duration
+	if n.opts.Readers.Count > 0 {
+		since = n.started // a successor must not wait once it knows the fleet
+	}
 	for n.ctx.Err() == nil {
 		switch {
 		case !n.isReader():
-			since = time.Time{}
-		case since.IsZero():
-			since, settle = time.Now(), n.opts.Readers.Settle
+			if n.opts.Readers.Count == 0 {
+				since = time.Time{}
+			}
+		case since.IsZero() || settle == 0:
+			if since.IsZero() {
+				since = time.Now()
+			}
+			settle = n.opts.Readers.Settle
 			if n.topology().alone() {
 				settle += rand.N(n.opts.Readers.AloneSpread)
 			}
 		case time.Since(since) >= settle:
 			return true
 		}
-		sleep(n.ctx, dutyCheck)
+		sleep(n.ctx, n.opts.Readers.check())
 	}
 	return false
 }
 
 // watchStore reads the head and follows it. It returns nil when the duty ends
 // and otherwise the error that broke the watch. After a gap the head is read
-// again, so a change that the watch lost is found at the next start.
+// again, so a change that the watch lost is found at the next start. answered is
+// called once the store has answered.
 //
 //siskingw:step watch-fires
-func (n *Node) watchStore() error {
+func (n *Node) watchStore(answered func()) error {
 	ctx, cancel := context.WithCancel(n.ctx)
 	defer cancel()
 	h, err := n.readHead(ctx)
 	if err != nil {
 		return err
 	}
+	answered()
 	n.considerHead(h)
 	return n.followHead(ctx, n.opts.Source.Watch(ctx, h.Revision))
 }
@@ -180,7 +201,7 @@
 // while the store fails and the version is still missing.
 func (n *Node) loadHead(h Head) {
 	retry := storeRetryBase
-	turn := n.opts.Readers.Grace + time.Duration(n.readerTurn())*takeoverAfter
+	turn := n.loadWait()
 	if n.cur.Load() == nil {
 		turn += storeAfter // peers come first
 	}
--- a/targets/registry.go
+++ b/targets/registry.go
@@ -62,8 +62,9 @@
 type Registry struct {
 	expiry time.Duration // silence after which a target counts as gone
 
-	mu       sync.Mutex
+	mu        sync.Mutex
 	entries   map[start]*entry
+	departed  map[string]time.Time // when a start that is not known left, by id
 	current   *entry
 	published *Target // as last reported to onChange
 	onChange  func(*Target)
@@ -72,7 +73,7 @@
 // NewRegistry returns an empty registry. expiry is how long a target may be
 // silent before it counts as gone.
 func NewRegistry(expiry time.Duration) *Registry {
-	return &Registry{expiry: expiry, entries: make(map[start]*entry)}
+	return &Registry{expiry: expiry, entries: make(map[start]*entry), departed: make(map[string]time.Time)}
 }
 
 // OnChange registers f, which is called with the current target, or nil, after
@@ -95,7 +96,7 @@
 		r.remember(k, e, now)
 	}
 	e.sequence, e.heardAt = a.Sequence, now
-	e.leaving = e.leaving || a.Leaving
+	e.leaving = e.leaving || a.Leaving || !a.Started.After(r.departed[a.ID])
 	cold := e.target.ColdUntil
 	if cold.IsZero() && a.ColdFor > 0 {
 		cold = now.Add(a.ColdFor)
@@ -105,8 +106,9 @@
 	return nil
 }
 
-// Leave notes that a target leaves for good. A start of zero means the one that
-// is current under the id.
+// Leave notes that a target leaves for good. A start of zero means every start
+// under the id so far, also those that this registry has not heard of: it may be
+// younger than the target.
 func (r *Registry) Leave(id string, started time.Time, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -115,7 +117,9 @@
 			e.leaving, e.heardAt = true, now
 		}
 	}
-	if !started.IsZero() {
+	if started.IsZero() {
+		r.rememberDeparture(id, now)
+	} else {
 		k := start{id, started.UnixMilli()}
 		if r.entries[k] == nil {
 			r.remember(k, &entry{leaving: true, heardAt: now, target: Target{ID: id, Started: started}}, now)
@@ -215,6 +219,20 @@
 	r.entries[k] = e
 }
 
+// rememberDeparture notes the departure of starts that may not be known. The
+// registry is locked.
+func (r *Registry) rememberDeparture(id string, now time.Time) {
+	for old, at := range r.departed {
+		if now.Sub(at) > forgetAfter {
+			delete(r.departed, old)
+		}
+	}
+	if len(r.departed) >= maxEntries {
+		clear(r.departed) // more departures than one instance can have
+	}
+	r.departed[id] = now
+}
+
 func (r *Registry) forgetOldest() {
 	var oldest start
 	var at time.Time
--- a/targets/registry_test.go
+++ b/targets/registry_test.go
@@ -60,6 +60,19 @@
 	is.Equal(currentID(r), "")
 }
 
+// Guards against a node that was restarted, acknowledges the departure of a
+// target that it has not heard of yet, and then uses it after an announcement
+// that was on its way.
+func TestDepartureOfUnknownTargetHolds(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(5 * time.Second)
+	r.Leave("a", time.Time{}, epoch.Add(time.Second))
+	is.NoErr(r.Announce(announcement("a", 0, 7), epoch.Add(2*time.Second)))
+	is.Equal(currentID(r), "")
+	is.NoErr(r.Announce(announcement("a", 3*time.Second, 1), epoch.Add(3*time.Second))) // a new start
+	is.Equal(currentID(r), "a")
+}
+
 // Guards against a silent target that keeps its place, and against one that was
 // silent for a while and is not taken back.
 func TestSilentTargetExpiresAndReturns(t *testing.T) {
