Choose endpoints by expected loss and admit by the chance to be in time

Change: a route's target latency decides. lateness.Share estimates how likely a call misses it; the gate refuses what would probably be late and runs late work last; the balancer selects the endpoint with the least expected loss of value, link prices included, from the gates' states that answers and refusals carry. Refused calls get a spread time to come back. Routes without a target latency keep the choice by locality and load.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -99,9 +99,13 @@
 	inFlight    int
 	queued      int
 	queues      [kinds]queue
+	late        [kinds]queue // calls that will miss their target latency; after all others
 	draining    bool
 	busySince   time.Time // since when the queue is not empty, zero when it is empty
 	serviceTime [kinds]ewma
+	classTime   classes       // of work with a target latency
+	startSum    time.Duration // sum of the starts of the calls in flight, since epoch
+	epoch       time.Time
 	idle        chan struct{} // closed when inFlight and queued are zero; nil unless awaited
 	stats       Stats
 
@@ -110,13 +114,16 @@
 
 // New returns an open gate.
 func New(opts Options) *Gate {
-	return &Gate{opts: opts.withDefaults()}
+	g := &Gate{opts: opts.withDefaults()}
+	g.epoch = g.opts.Now()
+	return g
 }
 
 // Ticket is the right to run one call on the target.
 type Ticket struct {
 	gate     *Gate
 	priority int
+	class    string
 	since    time.Time
 	left     atomic.Bool
 }
@@ -140,13 +147,16 @@
 		g.mu.Unlock()
 		return t, nil
 	}
-	w, err := g.enqueue(ctx, p, now)
+	if !g.makeRoom(p, false) {
+		g.mu.Unlock()
+		return nil, errQueueFull
+	}
+	w := &waiter{priority: p, since: now, done: make(chan struct{})}
+	w.deadline, _ = ctx.Deadline()
+	g.enqueue(w)
 	g.publish()
 	g.mu.Unlock()
-	if err != nil {
-		return nil, err
-	}
-	return g.wait(ctx, w)
+	return g.wait(ctx, w, g.opts.QueueTimeout)
 }
 
 // refuseEarly returns the reason to refuse a call before it is queued, or nil.
@@ -166,15 +176,20 @@
 	if wait > g.allowedWait(now) {
 		return errTooLong
 	}
-	if deadline, ok := ctx.Deadline(); ok && g.tooLate(p, now.Add(wait), deadline) {
+	if deadline, ok := ctx.Deadline(); ok && deadline.Sub(now.Add(wait)) < g.serviceTime[p].duration() {
 		return errDeadline
 	}
 	return nil
 }
 
-// tooLate reports whether a call that starts at start will probably miss its deadline.
-func (g *Gate) tooLate(p int, start, deadline time.Time) bool {
-	return deadline.Sub(start) < g.serviceTime[p].duration()
+// tooLate reports whether a queued call that starts now will probably miss its
+// deadline.
+func (g *Gate) tooLate(w *waiter, now time.Time) bool {
+	service := g.serviceTime[w.priority].duration()
+	if !w.target.IsZero() {
+		service = g.classTime.of(w.class)
+	}
+	return w.deadline.Sub(now) < service
 }
 
 // expectedWait estimates how long a new call of priority p will be queued while
@@ -190,6 +205,7 @@
 // admit takes a slot. The gate is locked.
 func (g *Gate) admit(p int, now time.Time) *Ticket {
 	g.inFlight++
+	g.startSum += now.Sub(g.epoch)
 	g.stats.Kinds[p].Admitted++
 	g.publish()
 	return &Ticket{gate: g, priority: p, since: now}
@@ -205,7 +221,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inFlight--
+	g.startSum -= t.since.Sub(g.epoch)
 	g.serviceTime[t.priority].add(float64(now.Sub(t.since)))
+	g.classTime.add(t.class, now.Sub(t.since))
 	g.dispatch(now)
 	g.publish()
 }
@@ -215,14 +233,23 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.draining = true
-	for i := range g.queues {
-		for w := g.queues[i].popOldest(); w != nil; w = g.queues[i].popOldest() {
+	for _, q := range g.all() {
+		for w := q.popOldest(); w != nil; w = q.popOldest() {
 			g.refuse(w, errDraining)
 		}
 	}
 	g.publish()
 }
 
+// all returns the queues in the order in which they are served.
+func (g *Gate) all() [2 * kinds]*queue {
+	var qs [2 * kinds]*queue
+	for i := range kinds {
+		qs[i], qs[kinds+i] = &g.queues[i], &g.late[i]
+	}
+	return qs
+}
+
 // Wait returns nil when no call is in flight, or a Timeout error when ctx ends first.
 func (g *Gate) Wait(ctx context.Context) error {
 	g.mu.Lock()
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -26,7 +26,10 @@
 type waiter struct {
 	priority int
 	since    time.Time
-	deadline time.Time     // zero for none
+	deadline time.Time // zero for none
+	target   time.Time // zero for work without a target latency
+	class    string
+	late     bool          // in a queue of late work
 	ticket   *Ticket       // set when admitted
 	err      error         // set when refused
 	done     chan struct{} // closed once ticket or err is set
@@ -67,37 +70,60 @@
 	return true
 }
 
-// enqueue adds a waiter. When the queue is full, the newest waiter of the least
-// important kind below p gives up its place. The gate is locked.
-func (g *Gate) enqueue(ctx context.Context, p int, now time.Time) (*waiter, error) {
-	if g.queued >= g.opts.QueueLength && !g.displace(p) {
-		g.stats.Kinds[p].Refused++
-		return nil, errQueueFull
+// makeRoom reports whether another call can be queued. When the queues are full,
+// the newest call of the least important kind below p gives up its place. The
+// gate is locked.
+func (g *Gate) makeRoom(p int, late bool) bool {
+	if g.queued < g.opts.QueueLength || g.displace(p, late) {
+		return true
 	}
+	g.stats.Kinds[p].Refused++
+	return false
+}
+
+// enqueue adds a waiter to its queue. The gate is locked.
+func (g *Gate) enqueue(w *waiter) {
 	if g.queued == 0 {
-		g.busySince = now
+		g.busySince = w.since
 	}
-	w := &waiter{priority: p, since: now, done: make(chan struct{})}
-	w.deadline, _ = ctx.Deadline()
-	g.queues[p].waiters = append(g.queues[p].waiters, w)
+	g.queueOf(w).insert(w)
 	g.queued++
-	return w, nil
 }
 
-// displace refuses one queued call that is less important than p, if there is one.
-func (g *Gate) displace(p int) bool {
-	for i := kinds - 1; i > p; i-- {
-		if w := g.queues[i].popNewest(); w != nil {
+// insert keeps the queue ordered: work with a target latency by its target time,
+// other work by its arrival.
+func (q *queue) insert(w *waiter) {
+	i := len(q.waiters)
+	for ; i > 0 && w.before(q.waiters[i-1]); i-- {
+	}
+	q.waiters = slices.Insert(q.waiters, i, w)
+}
+
+func (w *waiter) before(o *waiter) bool {
+	return !w.target.IsZero() && !o.target.IsZero() && w.target.Before(o.target)
+}
+
+// displace refuses one queued call that is less important than a new one of
+// priority p, if there is one: late work first. Late work displaces nothing.
+func (g *Gate) displace(p int, late bool) bool {
+	for i := kinds - 1; i >= 0 && !late; i-- {
+		if w := g.late[i].popNewest(); w != nil {
 			g.refuse(w, errDisplaced)
 			return true
 		}
 	}
+	for i := kinds - 1; i > p && !late; i-- {
+		if less := g.queues[i].popNewest(); less != nil {
+			g.refuse(less, errDisplaced)
+			return true
+		}
+	}
 	return false
 }
 
-// wait returns the answer for w: exactly one of a ticket and an error.
-func (g *Gate) wait(ctx context.Context, w *waiter) (*Ticket, error) {
-	longest := g.opts.QueueTimeout
+// wait returns the answer for w, after the longest wait at most: exactly one of
+// a ticket and an error.
+func (g *Gate) wait(ctx context.Context, w *waiter, longest time.Duration) (*Ticket, error) {
 	if !w.deadline.IsZero() {
 		longest = min(longest, w.deadline.Sub(w.since)) // ctx may have a deadline without a timer
 	}
@@ -113,7 +139,7 @@
 		reason = errCanceled
 	}
 	g.mu.Lock()
-	if g.queues[w.priority].remove(w) {
+	if g.queueOf(w).remove(w) {
 		g.refuse(w, reason)
 		g.publish()
 	}
@@ -121,6 +147,14 @@
 	return w.ticket, w.err
 }
 
+// queueOf returns the queue that holds the waiter.
+func (g *Gate) queueOf(w *waiter) *queue {
+	if w.late {
+		return &g.late[w.priority]
+	}
+	return &g.queues[w.priority]
+}
+
 // refuse answers a waiter that was taken out of its queue. The gate is locked.
 func (g *Gate) refuse(w *waiter, reason error) {
 	w.err = reason
@@ -146,6 +180,7 @@
 			return
 		}
 		w.ticket = g.admit(w.priority, now)
+		w.ticket.class = w.class
 		g.answer(w)
 	}
 }
@@ -157,19 +192,20 @@
 	allowed := g.allowedWait(now)
 	for i := range g.queues {
 		q := &g.queues[i]
-		for q.len() > 0 && now.Sub(q.waiters[0].since) > allowed {
+		for q.len() > 0 && q.waiters[0].target.IsZero() && now.Sub(q.waiters[0].since) > allowed {
 			g.refuse(q.popOldest(), errTimeout)
 		}
 	}
+	g.expireTargets(now)
 }
 
 // next takes the waiter to admit out of its queue, refusing those that cannot
 // be answered in time any more. It returns nil when the queues are empty.
 func (g *Gate) next(now time.Time) *waiter {
-	for i := range g.queues {
-		for g.queues[i].len() > 0 {
-			w := g.take(&g.queues[i], now)
-			if w.deadline.IsZero() || !g.tooLate(w.priority, now, w.deadline) {
+	for _, q := range g.all() {
+		for q.len() > 0 {
+			w := g.take(q, now)
+			if w.deadline.IsZero() || !g.tooLate(w, now) {
 				return w
 			}
 			g.refuse(w, errDeadline)
@@ -180,7 +216,7 @@
 
 // take removes the next waiter of a non-empty queue by the discipline.
 func (g *Gate) take(q *queue, now time.Time) *waiter {
-	if g.opts.Discipline == LIFO && g.overloaded(now) {
+	if g.opts.Discipline == LIFO && g.overloaded(now) && q.waiters[0].target.IsZero() {
 		return q.popNewest()
 	}
 	return q.popOldest()
--- /dev/null
+++ b/admit/target.go
@@ -0,0 +1,198 @@
+package admit
+
+import (
+	"context"
+	"time"
+
+	"siskingw/faults"
+	"siskingw/lateness"
+)
+
+// Work is a call whose route states a target latency: the time within which an
+// answer has its full value.
+type Work struct {
+	Class    string    // calls of one class take about as long; usually the route
+	Priority int       // 0 is the most important
+	Target   time.Time // when an answer begins to lose value
+	// Late states that the call is wanted although it will probably miss its
+	// target. It runs when nothing that can be in time waits.
+	Late bool
+}
+
+const (
+	// maxLateShare is the share of calls that may miss their target: a call
+	// that is more likely to miss it is refused, so that its caller finds a
+	// better place or knows at once. Queues that make more calls late do not
+	// let the target finish more of them.
+	maxLateShare = 0.2
+	// hopelessShare is the probability of missing the target from which a
+	// waiting call is refused.
+	hopelessShare = 0.5
+)
+
+var (
+	errLate     = faults.NotRun.New("call would miss its target latency")
+	errNoChance = faults.NotRun.New("late call has no chance while others wait")
+)
+
+// Admit admits a call like Enter, by its chance to be in time. It returns a
+// NotRun error when the call is refused or ctx ends first. The caller must call
+// Leave on the ticket.
+//
+//siskingw:step admit
+func (g *Gate) Admit(ctx context.Context, work Work) (*Ticket, error) {
+	now := g.opts.Now()
+	p := min(max(work.Priority, 0), kinds-1)
+	g.mu.Lock()
+	if err := g.refuseWork(ctx, work, p, now); err != nil {
+		g.stats.Kinds[p].Refused++
+		g.mu.Unlock()
+		return nil, err
+	}
+	if g.inFlight < g.opts.Slots && g.queued == 0 {
+		t := g.admit(p, now)
+		t.class = work.Class
+		g.mu.Unlock()
+		return t, nil
+	}
+	if !g.makeRoom(p, work.Late) {
+		g.mu.Unlock()
+		return nil, errQueueFull
+	}
+	w := &waiter{priority: p, since: now, target: work.Target, class: work.Class, late: work.Late, done: make(chan struct{})}
+	w.deadline, _ = ctx.Deadline()
+	g.enqueue(w)
+	longest := w.target.Sub(now) // later the call is hopeless
+	if w.late {
+		longest = w.deadline.Sub(now) - g.classTime.of(w.class)
+	}
+	g.publish()
+	g.mu.Unlock()
+	return g.wait(ctx, w, longest)
+}
+
+// refuseWork returns the reason to refuse a call before it is queued, or nil. As
+// with Enter, a call is never refused for expected times while a slot is free.
+// The gate is locked.
+func (g *Gate) refuseWork(ctx context.Context, work Work, p int, now time.Time) error {
+	switch {
+	case g.draining:
+		return errDraining
+	case ctx.Err() != nil:
+		return errCanceled
+	case g.inFlight < g.opts.Slots && g.queued == 0:
+		return nil
+	}
+	service := g.classTime.of(work.Class)
+	wait := g.waitFor(p, now)
+	if work.Late {
+		deadline, ok := ctx.Deadline()
+		if g.overloaded(now) || ok && lateness.Share(wait+service, deadline.Sub(now)) > hopelessShare {
+			return errNoChance
+		}
+		return nil
+	}
+	if lateness.Share(wait+service, work.Target.Sub(now)) > maxLateShare {
+		return errLate
+	}
+	return nil
+}
+
+// waitFor estimates how long a new call of priority p waits for a slot: until
+// the calls before it have got theirs. The gate is locked.
+func (g *Gate) waitFor(p int, now time.Time) time.Duration {
+	if g.inFlight < g.opts.Slots && g.queued == 0 {
+		return 0
+	}
+	ahead := 1 // the slot that the call itself needs
+	for i := range p + 1 {
+		ahead += g.queues[i].len()
+	}
+	return time.Duration(ahead) * g.service(now) / time.Duration(g.opts.Slots)
+}
+
+// ageFactor turns the mean age of the calls in flight into an estimate of their
+// service time: a call is seen half-way through on average, longer ones more
+// often than short ones.
+const ageFactor = 1.3
+
+// service estimates the service time from the calls that ended and, so that a
+// target that has become slow is seen before its calls end, from the age of
+// those in flight. The gate is locked.
+func (g *Gate) service(now time.Time) time.Duration {
+	mean := g.classTime.all.duration()
+	if g.inFlight == 0 {
+		return mean
+	}
+	age := now.Sub(g.epoch) - g.startSum/time.Duration(g.inFlight)
+	return max(mean, time.Duration(ageFactor*float64(age)))
+}
+
+// expireTargets refuses the waiting calls that will hardly meet their target any
+// more. The gate is locked.
+func (g *Gate) expireTargets(now time.Time) {
+	for i := range g.queues {
+		q := &g.queues[i]
+		for q.len() > 0 {
+			w := q.waiters[0]
+			if w.target.IsZero() || lateness.Share(g.classTime.of(w.class), w.target.Sub(now)) <= hopelessShare {
+				break
+			}
+			g.refuse(q.popOldest(), errLate)
+		}
+	}
+}
+
+// Report is the state of a gate as other nodes use it.
+type Report struct {
+	Calls   int           // in flight and queued
+	Service time.Duration // expected service time
+}
+
+// Report returns the state of the gate.
+func (g *Gate) Report() Report {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return Report{Calls: g.inFlight + g.queued, Service: g.service(g.opts.Now())}
+}
+
+// ExpectedWait estimates how long a new call of the priority would wait.
+func (g *Gate) ExpectedWait(priority int) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.waitFor(min(max(priority, 0), kinds-1), g.opts.Now())
+}
+
+// classes estimates service times by class.
+type classes struct {
+	all     ewma
+	byClass map[string]*ewma
+}
+
+// maxClasses bounds the classes with an estimate of their own; a configuration
+// with more routes than that has few classes of work.
+const maxClasses = 256
+
+func (c *classes) add(class string, d time.Duration) {
+	c.all.add(float64(d))
+	if class == "" {
+		return
+	}
+	e := c.byClass[class]
+	if e == nil {
+		if c.byClass == nil || len(c.byClass) >= maxClasses {
+			c.byClass = make(map[string]*ewma)
+		}
+		e = new(ewma)
+		c.byClass[class] = e
+	}
+	e.add(float64(d))
+}
+
+// of returns the expected service time of a class.
+func (c *classes) of(class string) time.Duration {
+	if e := c.byClass[class]; e != nil {
+		return e.duration()
+	}
+	return c.all.duration()
+}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -57,6 +57,7 @@
 	start    time.Time
 	services sync.Map // announced service name to *service
 	sweepAt  atomic.Int64
+	links    linkTimes
 }
 
 // New returns a balancer that selects among the endpoints of view.
@@ -70,6 +71,7 @@
 // Picked is one selected target. Done must be called once when the call ended.
 type Picked struct {
 	Record   *member.Record
+	Loss     float64 // expected loss of a call picked with a Demand
 	balancer *Balancer
 	endpoint *endpoint
 	ejection ejection
@@ -84,6 +86,11 @@
 	Unreachable bool          // no connection could be made; ejects at once
 	Load        float64       // calls in flight and queued per slot as the response reports; 0 when it reports none
 	Duration    time.Duration // time from the first byte sent to the end of the response
+
+	// What the endpoint's node reports of its gate; Service is 0 when it does not.
+	Calls   int           // in flight and queued
+	Service time.Duration // expected service time
+	Handled time.Duration // time that the call spent at the endpoint's node
 }
 
 // now returns the ns since the balancer was made.
@@ -120,7 +127,12 @@
 	if r == (Report{}) {
 		return
 	}
-	p.endpoint.observe(r, p.ejection, p.balancer.now(), p.balancer.opts.Rand)
+	now := p.balancer.now()
+	p.endpoint.observe(r, p.ejection, now, p.balancer.opts.Rand)
+	p.endpoint.observeState(r, now)
+	if r.Handled > 0 {
+		p.balancer.links.add(distance(p.balancer.view.Self(), p.Record), r.Duration-r.Handled)
+	}
 }
 
 // Services returns the number of services for which state is kept.
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -59,6 +59,8 @@
 	paceAt atomic.Int64
 	pace   atomic.Uint64 // float64 bits of the average of log2 of durations in ns; 0 without calls
 
+	state atomic.Pointer[state] // of the gate, as last reported; nil before
+
 	shown  evidence // of failures and refusals
 	failed evidence // of failures only
 
--- /dev/null
+++ b/balance/loss.go
@@ -0,0 +1,226 @@
+package balance
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"siskingw/faults"
+	"siskingw/lateness"
+	"siskingw/member"
+	"siskingw/object"
+)
+
+// Demand is what a call asks of its endpoint when its route states a target
+// latency. The endpoint with the least expected loss is then selected: the value
+// that is lost when the answer is late or missing, and the price of the bytes
+// that cross between failure domains and regions.
+type Demand struct {
+	Target time.Duration // left until the answer begins to lose value
+	Left   time.Duration // left until it has none
+	Bytes  int           // expected size of request and answer together
+}
+
+const (
+	// lateLoss is the share of a call's value that a late answer loses.
+	lateLoss = 0.5
+	// failLoss is the share that a failed attempt loses: some calls may be sent
+	// again, others not.
+	failLoss = 0.6
+	// The price of 1 KB between failure domains and between regions, as a share
+	// of a call's value. Users pay for traffic by volume, and a scan that
+	// crosses regions costs more than it is worth to them.
+	domainPrice = 0.01
+	regionPrice = 0.035
+	// noise is the largest random addition to a loss: nodes that know the same
+	// must not all select the same endpoint.
+	noise = 0.01
+
+	// stateHalfLife is the time in which what an endpoint's node reported loses
+	// half of its weight against what is usual for the service.
+	stateHalfLife = 400 * time.Millisecond
+	// speedHalfLife is the same for the service time, which changes less often
+	// than the calls in flight.
+	speedHalfLife = 3 * time.Second
+	// stateMaxAge is the age from which a report counts no more.
+	stateMaxAge = 4 * time.Second
+	// driftCalls is the standard deviation, in calls, by which the calls at an
+	// endpoint differ from a report that is driftTime old.
+	driftCalls = 2.0
+	driftTime  = 300 * time.Millisecond
+	// unknownService is the expected service time before anything is known.
+	unknownService = 100 * time.Millisecond
+
+	// Expected time on the link before it is measured.
+	domainLink = time.Millisecond
+	regionLink = 4 * time.Millisecond
+	farLink    = 50 * time.Millisecond
+	linkWeight = 0.1 // of a new measurement
+)
+
+// state is the gate of an endpoint as its node reported it.
+type state struct {
+	calls   float64 // in flight and queued
+	service float64 // expected service time, ns
+	at      int64
+	own     int64 // calls of this node in flight at the time of the report
+}
+
+// linkTimes are the measured times on the links by distance, ns.
+type linkTimes [3]atomic.Int64
+
+// Distances between this node and an endpoint.
+const (
+	sameDomain = iota
+	sameRegion
+	otherRegion
+)
+
+func (l *linkTimes) of(distance int) time.Duration {
+	if d := l[distance].Load(); d > 0 {
+		return time.Duration(d)
+	}
+	return [...]time.Duration{domainLink, regionLink, farLink}[distance]
+}
+
+func (l *linkTimes) add(distance int, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	old := l[distance].Load()
+	if old == 0 {
+		l[distance].Store(int64(d))
+		return
+	}
+	l[distance].Store(old + int64(linkWeight*float64(int64(d)-old)))
+}
+
+// distance returns how far the endpoint's node is.
+func distance(self, r *member.Record) int {
+	switch {
+	case r.FailureDomain == self.FailureDomain:
+		return sameDomain
+	case r.Region == self.Region:
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// price returns the share of a call's value that its bytes cost.
+func price(distance, bytes int) float64 {
+	kb := float64(bytes) / 1024
+	switch distance {
+	case sameDomain:
+		return 0
+	case sameRegion:
+		return domainPrice * kb
+	}
+	return regionPrice * kb
+}
+
+// PickFor selects the endpoint with the least expected loss among those that are
+// not in skip. It returns a NotRun error when none is left.
+//
+//siskingw:step choose
+func (b *Balancer) PickFor(set *object.EndpointSetSpec, spec *object.EjectionSpec, skip []string, d Demand) (*Picked, error) {
+	now := b.now()
+	s := b.service(set.Announce, now)
+	t := s.current(b, now)
+	ej := newEjection(spec)
+	c := choice{b: b, now: now, skip: skip}
+	c.panicking = now < s.badUntil.Load() && t.panics(ej, set.MinReady, now)
+	if c.panicking != s.panicking.Load() {
+		s.panicking.Store(c.panicking)
+	}
+	e, loss := c.least(t, d)
+	if e == nil {
+		e = c.last(t)
+	}
+	if e == nil {
+		return nil, faults.NotRun.New("service %q has no endpoint left", set.Announce)
+	}
+	e.inFlight.Add(1)
+	return &Picked{Record: e.record.Load(), Loss: loss, balancer: b, endpoint: e, ejection: ej}, nil
+}
+
+// least returns the usable endpoint with the least expected loss, or nil.
+func (c *choice) least(t *table, d Demand) (*endpoint, float64) {
+	usual := c.usual(t)
+	self := c.b.view.Self()
+	var best *endpoint
+	least := math.Inf(1)
+	for _, e := range t.all {
+		if !c.usable(e) {
+			continue
+		}
+		loss := c.loss(e, self, usual, d) + noise*c.float()
+		if loss < least {
+			best, least = e, loss
+		}
+	}
+	return best, least
+}
+
+// loss estimates the share of the call's value that is lost at the endpoint.
+func (c *choice) loss(e *endpoint, self *member.Record, usual state, d Demand) float64 {
+	r := e.record.Load()
+	far := distance(self, r)
+	expected := c.b.links.of(far) + c.expected(e, usual)
+	late := lateness.Share(expected, d.Target)
+	missed := lateness.Share(expected, d.Left)
+	loss := lateLoss*late + (1-lateLoss)*missed
+	loss += (1 - loss) * failLoss * e.failed.level(c.now)
+	return loss + price(far, d.Bytes)
+}
+
+// expected returns the time that a call is expected to wait and run at the
+// endpoint.
+func (c *choice) expected(e *endpoint, usual state) time.Duration {
+	slots := e.slots()
+	calls, service, age := usual.calls*slots, usual.service, stateMaxAge
+	own := float64(e.inFlight.Load())
+	if s := e.state.Load(); s != nil && c.now-s.at < int64(stateMaxAge) {
+		age = time.Duration(c.now - s.at)
+		weight := math.Exp2(-float64(age) / float64(stateHalfLife))
+		calls += weight * (s.calls + own - float64(s.own) - calls)
+		service += math.Exp2(-float64(age)/float64(speedHalfLife)) * (s.service - service)
+	}
+	calls = max(calls, own)
+	deviation := 1 + driftCalls*math.Sqrt(min(float64(age)/float64(driftTime), 1))
+	ahead := excess(calls-slots+1, deviation)
+	return time.Duration(service * (1 + ahead/slots))
+}
+
+// excess returns the mean of the positive part of a normally distributed value.
+func excess(mean, deviation float64) float64 {
+	z := mean / deviation
+	density := math.Exp(-z*z/2) / math.Sqrt(2*math.Pi)
+	return mean*0.5*math.Erfc(-z/math.Sqrt2) + deviation*density
+}
+
+// usual returns the mean state of the service's endpoints that reported one
+// lately: calls per slot, and the service time.
+func (c *choice) usual(t *table) state {
+	var calls, service, n float64
+	for _, e := range t.all {
+		s := e.state.Load()
+		if s == nil || c.now-s.at >= int64(stateMaxAge) {
+			continue
+		}
+		calls += s.calls / e.slots()
+		service += s.service
+		n++
+	}
+	if n == 0 {
+		return state{service: float64(unknownService)}
+	}
+	return state{calls: calls / n, service: service / n}
+}
+
+// observeState records what the endpoint's node reported of its gate.
+func (e *endpoint) observeState(r Report, now int64) {
+	if r.Service <= 0 {
+		return
+	}
+	e.state.Store(&state{calls: float64(r.Calls), service: float64(r.Service), at: now, own: e.inFlight.Load()})
+}
--- /dev/null
+++ b/lateness/lateness.go
@@ -0,0 +1,30 @@
+// Package lateness estimates how likely a call takes longer than a limit when
+// only its expected time is known. The caller's node and the target's node use
+// the same estimate, so that one does not send what the other refuses.
+package lateness
+
+import (
+	"math"
+	"time"
+)
+
+// spread is the standard deviation of the logarithm of a call's time around its
+// expected time: work within a route varies by about half, up or down.
+const spread = 0.5
+
+// logisticScale turns the logistic function into a close fit of the normal
+// distribution function.
+const logisticScale = 1.702
+
+// Share returns the probability, 0..1, that a call with the expected time takes
+// longer than the limit.
+func Share(expected, limit time.Duration) float64 {
+	switch {
+	case limit <= 0:
+		return 1
+	case expected <= 0:
+		return 0
+	}
+	z := math.Log(float64(limit)/float64(expected)) / spread
+	return 1 / (1 + math.Exp(logisticScale*z))
+}
--- a/node/platform.go
+++ b/node/platform.go
@@ -20,6 +20,9 @@
 	// silentBeats is the number of announcements after whose time a silent
 	// target counts as gone; announcements may come some seconds late.
 	silentBeats = 4
+	// queuePerSlot bounds the calls that wait for a slot of the target. Calls
+	// that would miss their target latency are refused long before.
+	queuePerSlot = 4
 	// stopReserve is the part of the grace before SIGKILL that is left for
 	// closing.
 	stopReserve = 500 * time.Millisecond
@@ -95,7 +98,7 @@
 		s.node.log.Info("target lost")
 	} else if old == nil || old.target.ID != t.ID || !old.target.Started.Equal(t.Started) || old.target.Slots != t.Slots {
 		s.backend.Store(&localBackend{
-			Backend: proxy.Backend{Addr: t.Address, Instance: t.ID, Service: t.Service, Gate: admit.New(admit.Options{Slots: t.Slots})},
+			Backend: proxy.Backend{Addr: t.Address, Instance: t.ID, Service: t.Service, Gate: admit.New(admit.Options{Slots: t.Slots, QueueLength: queuePerSlot * t.Slots})},
 			target:  *t,
 		})
 		s.node.log.Info("target in use", "target", t.ID, "service", t.Service, "address", t.Address, "slots", t.Slots)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -40,6 +40,7 @@
 	refused  *refusal          // how the call ended, nil for an answer
 	status   int               // status of the last attempt's answer
 	load     float64           // load that the last attempt's answer states, or 0
+	gate     gateState         // state of the gate that the last attempt's answer states
 	gateCtx  deadlineContext
 	sentAt   time.Time     // when the last attempt began
 	waited   time.Duration // time spent waiting for answers' headers
@@ -186,9 +187,11 @@
 	// callerFault marks a failure that the caller caused, such as a body that
 	// did not arrive.
 	callerFault bool
-	hangUp      bool          // what follows on the caller's connection is not trusted
-	unreachable bool          // no connection to the next hop could be made
-	reached     bool          // the target itself saw the call
+	hangUp      bool // what follows on the caller's connection is not trusted
+	unreachable bool // no connection to the next hop could be made
+	reached     bool // the target itself saw the call
+	crowded     bool // the target has no room for the call in time
+	gate        gateState
 	after       time.Duration // when the caller should come back; 0 for no advice
 }
 
@@ -266,6 +269,12 @@
 	if f.reached {
 		h[HeaderReached] = headerTrue
 	}
+	if f.crowded {
+		h[HeaderCrowded] = headerTrue
+	}
+	if f.gate.report.Service > 0 {
+		h[HeaderGate] = []string{f.gate.format()}
+	}
 	if f.after > 0 {
 		h[HeaderAfter] = []string{formatMs(f.after)}
 	}
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -39,6 +39,10 @@
 	HeaderWork = "Siskingw-Work"
 	// HeaderReached is "true" on a refusal of a call that the target saw.
 	HeaderReached = "Siskingw-Reached"
+	// HeaderCrowded is "true" on a refusal of the target's gate.
+	HeaderCrowded = "Siskingw-Crowded"
+	// HeaderGate is the state of the target's gate, see gateState.
+	HeaderGate = "Siskingw-Gate"
 	// HeaderAfter is when a refused call has a better chance, in ms.
 	HeaderAfter = "Siskingw-After-Ms"
 	// HeaderVoucher carries the voucher of a key that moved.
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -40,7 +40,6 @@
 type Inbound struct {
 	opts     InboundOptions
 	draining atomic.Bool
-	extra    func(http.Header) // nodeHeader, bound once
 }
 
 const (
@@ -56,9 +55,7 @@
 	if opts.Edge == nil {
 		opts.Edge = nativeEdge{}
 	}
-	in := &Inbound{opts: opts}
-	in.extra = in.nodeHeader
-	return in
+	return &Inbound{opts: opts}
 }
 
 // backend returns the target that may get work now, or nil.
@@ -118,6 +115,7 @@
 	in.opts.Metrics.observe(sideInbound, c, f)
 	if f != nil {
 		f.load = loadValue(in.load())
+		f.gate = in.gateState(c)
 		f.draining = in.draining.Load()
 		c.refuse(f)
 	}
@@ -164,6 +162,9 @@
 	}
 	if f != nil {
 		f.stated = true
+		if c.outside { // the caller's node is this one
+			c.gate = in.gateState(c)
+		}
 	}
 	return f
 }
@@ -180,10 +181,9 @@
 		f.status = http.StatusMisdirectedRequest
 		return f
 	}
-	c.gateCtx = deadlineContext{Context: c.ctx, deadline: c.deadline}
-	ticket, err := b.Gate.Enter(&c.gateCtx, c.kind)
-	if err != nil {
-		return notRun("the target's node refuses the call", err)
+	ticket, f := in.admit(c, b)
+	if f != nil {
+		return f
 	}
 	defer ticket.Leave()
 	x := exchange{pool: in.opts.Pool}
@@ -200,6 +200,36 @@
 	return x.relay(c)
 }
 
+// admit asks the gate for a slot.
+func (in *Inbound) admit(c *call, b *Backend) (*admit.Ticket, *refusal) {
+	c.gateCtx = deadlineContext{Context: c.ctx, deadline: c.deadline}
+	var ticket *admit.Ticket
+	var err error
+	if c.work.target.IsZero() {
+		ticket, err = b.Gate.Enter(&c.gateCtx, c.kind)
+	} else {
+		ticket, err = b.Gate.Admit(&c.gateCtx, admit.Work{
+			Class: c.work.class, Priority: c.work.priority, Target: c.work.target, Late: c.work.late,
+		})
+	}
+	if err == nil {
+		return ticket, nil
+	}
+	f := notRun("the target's node refuses the call", err)
+	f.after = b.Gate.ExpectedWait(c.work.priority)
+	f.crowded = true
+	return nil, f
+}
+
+// gateState returns the state of the gate, for an answer that is sent now.
+func (in *Inbound) gateState(c *call) gateState {
+	s := gateState{handled: time.Since(c.start)}
+	if b := in.backend(); b != nil {
+		s.report = b.Gate.Report()
+	}
+	return s
+}
+
 // start sends the call to the target. A refusal of the target ends the exchange
 // like one of this node.
 //
@@ -236,16 +266,17 @@
 
 // answerHeader adds what this node tells the caller's node.
 func (in *Inbound) answerHeader(c *call) {
-	if c.outside {
-		c.load = in.load() // the caller is on this instance
+	if c.outside { // the caller is on this instance
+		c.load, c.gate = in.load(), in.gateState(c)
 		return
 	}
-	c.extra = in.extra
+	c.extra = func(h http.Header) { in.nodeHeader(c, h) }
 }
 
 // nodeHeader sets the headers for the caller's node on an answer.
-func (in *Inbound) nodeHeader(h http.Header) {
+func (in *Inbound) nodeHeader(c *call, h http.Header) {
 	h[HeaderLoad] = loadValue(in.load())
+	h[HeaderGate] = []string{in.gateState(c).format()}
 	if in.draining.Load() {
 		h[HeaderDraining] = headerTrue
 		h["Connection"] = connectionClose
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -35,6 +36,7 @@
 	budgets sync.Map // service name to *budget
 
 	splitters sync.Map // route name to *splitter
+	sizes     sync.Map // route name to *sizes
 }
 
 // reservedPrefix is the part of the path space that belongs to the node.
@@ -70,6 +72,7 @@
 	c.refused = f
 	o.opts.Metrics.observe(sideOutbound, c, f)
 	if f != nil {
+		f.after = returnAfter(c, f, rand.Float64())
 		f.draining, f.movedTo = false, "" // matters of the nodes
 		c.refuse(f)
 	}
@@ -125,9 +128,9 @@
 func (o *Outbound) route(c *call, res *snapshot.Resolved) *refusal {
 	b := o.budgetOf(res.ServiceName)
 	b.deposit(o.opts.Retries.percent(res.Policy))
-	t := tries{policy: res.Policy, budget: b, free: o.opts.Retries.FreeTries}
+	t := tries{policy: res.Policy, budget: b, free: o.opts.Retries.FreeTries, unsent: o.opts.Retries.FreeTries > 0}
 	for {
-		picked, err := o.opts.Balancer.Pick(res.EndpointSet, ejectionOf(res.Policy), t.skip)
+		picked, err := o.pick(c, res, &t)
 		if err != nil {
 			if res.Fallback != nil {
 				res = res.Fallback
@@ -148,9 +151,20 @@
 	}
 }
 
+// pick selects the endpoint for the next try.
+func (o *Outbound) pick(c *call, res *snapshot.Resolved, t *tries) (*balance.Picked, error) {
+	if c.work.target.IsZero() {
+		return o.opts.Balancer.Pick(res.EndpointSet, ejectionOf(res.Policy), t.skip)
+	}
+	c.work.late = t.late
+	return o.opts.Balancer.PickFor(res.EndpointSet, ejectionOf(res.Policy), t.skip, balance.Demand{
+		Target: time.Until(c.work.target), Left: c.left(), Bytes: o.sizeOf(res.Name).of(c),
+	})
+}
+
 // send passes the call to the node of the chosen endpoint and its answer back.
 func (o *Outbound) send(c *call, rec *member.Record) *refusal {
-	c.load, c.status, c.sentAt = 0, 0, time.Now()
+	c.load, c.gate, c.status, c.sentAt = 0, gateState{}, 0, time.Now()
 	if o.opts.Local != nil && rec.ID == o.opts.View.Self().ID {
 		return o.opts.Local.pass(c)
 	}
@@ -166,6 +180,9 @@
 			c.load = load
 		}
 	}
+	if v := x.resp.Header[HeaderGate]; len(v) > 0 {
+		c.gate = parseGateState(v[0])
+	}
 	if len(x.resp.Header[HeaderDraining]) > 0 {
 		o.drained(rec)
 	}
@@ -179,6 +196,9 @@
 	if f := x.hold(c, o.opts.Answers.HoldBytes); f != nil {
 		return f
 	}
+	if x.whole {
+		o.sizeOf(c.work.class).add(len(x.prefix))
+	}
 	return x.relay(c)
 }
 
@@ -193,7 +213,10 @@
 // report tells the balancer how the attempt went. What the caller caused is
 // no failure of the endpoint.
 func (c *call) report(f *refusal) balance.Report {
-	r := balance.Report{Load: c.load, Duration: time.Since(c.sentAt)}
+	r := balance.Report{
+		Load: c.load, Duration: time.Since(c.sentAt),
+		Calls: c.gate.report.Calls, Service: c.gate.report.Service, Handled: c.gate.handled,
+	}
 	switch {
 	case f == nil:
 		r.Failed = c.status >= http.StatusInternalServerError
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -141,6 +141,7 @@
 		reason:   strings.TrimSuffix(string(reason), "\n"),
 		retried:  h.Get(HeaderRetry) == valueDone,
 		reached:  h.Get(HeaderReached) == valueTrue,
+		crowded:  h.Get(HeaderCrowded) == valueTrue,
 		draining: h.Get(HeaderDraining) == valueTrue,
 		movedTo:  h.Get(HeaderMovedTo),
 		voucher:  h.Get(HeaderVoucher),
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -56,26 +56,40 @@
 type tries struct {
 	policy  *object.PolicySpec
 	budget  *budget
-	free    int // tries left that are not charged
-	repeats int // of the call, charged to the budget
+	free    int  // tries left that are not charged
+	unsent  bool // refusals before the target saw the call are never charged
+	repeats int  // of the call, charged to the budget
 	skip    []string
+	late    bool // the next try goes to a gate that may make the call late
 	last    *refusal
 }
 
 // again takes the refusal of one node and reports whether the call goes to
 // another one.
 func (t *tries) again(c *call, f *refusal, node string) bool {
-	ok := mayRetry(c, t.policy, f) && t.charge(f)
+	ok := mayRetry(c, t.policy, f) && (t.charge(f) || t.beLate(c, f))
 	t.last = merge(t.last, f)
-	t.skip = append(t.skip, node)
+	if !t.late {
+		t.skip = append(t.skip, node)
+	}
 	return ok
 }
 
+// beLate reports whether a call that no gate admits in time is sent once more to
+// run late.
+func (t *tries) beLate(c *call, f *refusal) bool {
+	if t.late || !f.crowded || c.work.target.IsZero() {
+		return false
+	}
+	t.late, t.skip = true, nil
+	return true
+}
+
 // charge takes the cost of one more try, or reports false.
 func (t *tries) charge(f *refusal) bool {
-	if !f.reached && f.outcome == OutcomeNotRun && t.free > 0 {
+	if t.unsent && !f.reached && f.outcome == OutcomeNotRun {
 		t.free--
-		return true
+		return t.free >= 0
 	}
 	if t.repeats >= retriesOf(t.policy) || !t.budget.withdraw() {
 		return false
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -16,7 +16,7 @@
 	priority int       // 0 is the most important
 	target   time.Time // an answer until then has its full value; zero without a target latency
 	repeat   bool      // the call may run more than once
-	inner    bool      // a target makes the call for work that it has begun
+	late     bool      // the call is wanted although it will probably miss its target
 	caller   string    // service on whose instance the call began
 }
 
@@ -25,7 +25,7 @@
 
 const (
 	flagRepeat = "r"
-	flagInner  = "i"
+	flagLate   = "l"
 )
 
 // format returns the HeaderWork value: priority, ms from now to the target
@@ -39,8 +39,8 @@
 	if w.repeat {
 		flags += flagRepeat
 	}
-	if w.inner {
-		flags += flagInner
+	if w.late {
+		flags += flagLate
 	}
 	return strings.Join([]string{strconv.Itoa(w.priority), target, flags, w.class, w.service, w.caller}, ";")
 }
@@ -60,7 +60,7 @@
 		w.target = now.Add(d)
 	}
 	w.repeat = strings.Contains(fields[2], flagRepeat)
-	w.inner = strings.Contains(fields[2], flagInner)
+	w.late = strings.Contains(fields[2], flagLate)
 	w.class, w.service, w.caller = fields[3], fields[4], fields[5]
 	return w
 }
