Estimate service times by class, find targets at start, log decisions

Cause: a call to another service within a page (200 ms target) was judged by the mean service time of uploads and refused; a restarted node left its target idle until the next announcement; a whole fleet recovered in 1.4 s; refusals could not be explained from the logs.

Change: gates report the service time of a call's class, and callers' nodes keep its ratio to the mean. Waits count the calls that overtake. Refusals for lateness are kept for overload. A starting node finds its target by its health check unless the process before had acknowledged its departure. Starting nodes stop asking once half of the sources have nothing. One JSON line for each call that did not simply succeed, written by a bounded queue that never blocks.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -104,6 +104,7 @@
 	busySince   time.Time // since when the queue is not empty, zero when it is empty
 	serviceTime [kinds]ewma
 	classTime   classes       // of work with a target latency
+	admitted    [kinds]ewma   // share of the admitted calls by priority
 	startSum    time.Duration // sum of the starts of the calls in flight, since epoch
 	epoch       time.Time
 	idle        chan struct{} // closed when inFlight and queued are zero; nil unless awaited
@@ -207,6 +208,13 @@
 	g.inFlight++
 	g.startSum += now.Sub(g.epoch)
 	g.stats.Kinds[p].Admitted++
+	for i := range g.admitted {
+		share := 0.0
+		if i == p {
+			share = 1
+		}
+		g.admitted[i].add(share)
+	}
 	g.publish()
 	return &Ticket{gate: g, priority: p, since: now}
 }
--- a/admit/target.go
+++ b/admit/target.go
@@ -24,7 +24,11 @@
 	// that is more likely to miss it is refused, so that its caller finds a
 	// better place or knows at once. Queues that make more calls late do not
 	// let the target finish more of them.
-	maxLateShare = 0.2
+	maxLateShare = 0.08
+	// keepBusy is the part of the slots for which calls may wait in any case,
+	// unless they are hopeless: a slow target would otherwise stand idle
+	// between the calls that it is offered.
+	keepBusy = 0.25
 	// hopelessShare is the probability of missing the target from which a
 	// waiting call is refused.
 	hopelessShare = 0.5
@@ -84,31 +88,57 @@
 		return nil
 	}
 	service := g.classTime.of(work.Class)
-	wait := g.waitFor(p, now)
+	ahead := g.ahead(p, work.Target)
+	wait := g.waitBehind(ahead, p, now)
+	if deadline, ok := ctx.Deadline(); ok && lateness.Share(wait+service, deadline.Sub(now)) > hopelessShare {
+		return errDeadline
+	}
+	if !g.overloaded(now) {
+		return nil // a late answer is better than none while slots become free
+	}
 	if work.Late {
-		deadline, ok := ctx.Deadline()
-		if g.overloaded(now) || ok && lateness.Share(wait+service, deadline.Sub(now)) > hopelessShare {
-			return errNoChance
-		}
-		return nil
+		return errNoChance
 	}
-	if lateness.Share(wait+service, work.Target.Sub(now)) > maxLateShare {
+	share := lateness.Share(wait+service, work.Target.Sub(now))
+	if share > hopelessShare || share > maxLateShare && float64(ahead) >= keepBusy*float64(g.opts.Slots) {
 		return errLate
 	}
 	return nil
 }
 
-// waitFor estimates how long a new call of priority p waits for a slot: until
-// the calls before it have got theirs. The gate is locked.
-func (g *Gate) waitFor(p int, now time.Time) time.Duration {
+// ahead returns the number of queued calls that are served before a new one of
+// priority p with the target time. The gate is locked.
+func (g *Gate) ahead(p int, target time.Time) int {
+	n := 0
+	for i := range p {
+		n += g.queues[i].len()
+	}
+	for _, w := range g.queues[p].waiters {
+		if target.Before(w.target) {
+			break
+		}
+		n++
+	}
+	return n
+}
+
+// maxOvertaken bounds the part of the slots that more important calls are
+// expected to take while a call waits.
+const maxOvertaken = 0.75
+
+// waitBehind estimates how long a new call of priority p waits for a slot behind
+// the calls ahead, and behind the more important ones that arrive meanwhile. The
+// gate is locked.
+func (g *Gate) waitBehind(ahead, p int, now time.Time) time.Duration {
 	if g.inFlight < g.opts.Slots && g.queued == 0 {
 		return 0
 	}
-	ahead := 1 // the slot that the call itself needs
-	for i := range p + 1 {
-		ahead += g.queues[i].len()
+	overtaken := 0.0
+	for i := range p {
+		overtaken += g.admitted[i].value
 	}
-	return time.Duration(ahead) * g.service(now) / time.Duration(g.opts.Slots)
+	wait := float64(ahead+1) * float64(g.service(now)) / float64(g.opts.Slots)
+	return time.Duration(wait / (1 - min(overtaken, maxOvertaken)))
 }
 
 // ageFactor turns the mean age of the calls in flight into an estimate of their
@@ -145,24 +175,51 @@
 
 // Report is the state of a gate as other nodes use it.
 type Report struct {
-	Calls   int           // in flight and queued
+	// Calls is the number of calls that a new call of each priority finds before
+	// it: in flight, and queued with its priority or a higher one.
+	Calls   [Priorities]int
 	Service time.Duration // expected service time
 }
 
+// Priorities is the number of priorities that the gate tells apart; less
+// important work counts with the last.
+const Priorities = kinds
+
+// ServiceOf returns the expected service time of a class, or 0 before the gate
+// has seen a call of it.
+func (g *Gate) ServiceOf(class string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if e := g.classTime.byClass[class]; e != nil {
+		return e.duration()
+	}
+	return 0
+}
+
 // Report returns the state of the gate.
 func (g *Gate) Report() Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return Report{Calls: g.inFlight + g.queued, Service: g.service(g.opts.Now())}
+	r := Report{Service: g.service(g.opts.Now())}
+	calls := g.inFlight
+	for i := range kinds {
+		calls += g.queues[i].len()
+		r.Calls[i] = calls
+	}
+	return r
 }
 
 // ExpectedWait estimates how long a new call of the priority would wait.
 func (g *Gate) ExpectedWait(priority int) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.waitFor(min(max(priority, 0), kinds-1), g.opts.Now())
+	p := min(max(priority, 0), kinds-1)
+	return g.waitBehind(g.ahead(p, farFuture), p, g.opts.Now())
 }
 
+// farFuture is after every target time.
+var farFuture = time.Unix(1<<40, 0)
+
 // classes estimates service times by class.
 type classes struct {
 	all     ewma
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"siskingw/admit"
 	"siskingw/faults"
 	"siskingw/member"
 	"siskingw/object"
@@ -71,7 +72,7 @@
 // Picked is one selected target. Done must be called once when the call ended.
 type Picked struct {
 	Record   *member.Record
-	Loss     float64 // expected loss of a call picked with a Demand
+	Late     float64 // probability that a call picked with a Demand is late
 	balancer *Balancer
 	endpoint *endpoint
 	ejection ejection
@@ -88,9 +89,11 @@
 	Duration    time.Duration // time from the first byte sent to the end of the response
 
 	// What the endpoint's node reports of its gate; Service is 0 when it does not.
-	Calls   int           // in flight and queued
-	Service time.Duration // expected service time
-	Handled time.Duration // time that the call spent at the endpoint's node
+	Calls   [admit.Priorities]int // that a new call of each priority finds before it
+	Service time.Duration         // expected service time of all calls
+	Class   string                // of this call
+	OfClass time.Duration         // expected service time of the class at the endpoint; 0 when not known
+	Handled time.Duration         // time that the call spent at the endpoint's node
 }
 
 // now returns the ns since the balancer was made.
@@ -130,6 +133,7 @@
 	now := p.balancer.now()
 	p.endpoint.observe(r, p.ejection, now, p.balancer.opts.Rand)
 	p.endpoint.observeState(r, now)
+	p.endpoint.service.ratios.add(r)
 	if r.Handled > 0 {
 		p.balancer.links.add(distance(p.balancer.view.Self(), p.Record), r.Duration-r.Handled)
 	}
--- a/balance/loss.go
+++ b/balance/loss.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"siskingw/admit"
 	"siskingw/faults"
 	"siskingw/lateness"
 	"siskingw/member"
@@ -19,8 +21,14 @@
 	Target time.Duration // left until the answer begins to lose value
 	Left   time.Duration // left until it has none
 	Bytes  int           // expected size of request and answer together
+
+	Class    string // calls of one class take about as long
+	Priority int    // 0 is the most important
 }
 
+// lane returns the index of the priority in a gate's report.
+func (d Demand) lane() int { return min(max(d.Priority, 0), admit.Priorities-1) }
+
 const (
 	// lateLoss is the share of a call's value that a late answer loses.
 	lateLoss = 0.5
@@ -60,8 +68,8 @@
 
 // state is the gate of an endpoint as its node reported it.
 type state struct {
-	calls   float64 // in flight and queued
-	service float64 // expected service time, ns
+	calls   [admit.Priorities]float64 // found by a new call of each priority
+	service float64                   // expected service time, ns
 	at      int64
 	own     int64 // calls of this node in flight at the time of the report
 }
@@ -132,7 +140,7 @@
 	if c.panicking != s.panicking.Load() {
 		s.panicking.Store(c.panicking)
 	}
-	e, loss := c.least(t, d)
+	e, late := c.least(t, d, s.ratios.of(d.Class))
 	if e == nil {
 		e = c.last(t)
 	}
@@ -140,55 +148,98 @@
 		return nil, faults.NotRun.New("service %q has no endpoint left", set.Announce)
 	}
 	e.inFlight.Add(1)
-	return &Picked{Record: e.record.Load(), Loss: loss, balancer: b, endpoint: e, ejection: ej}, nil
+	return &Picked{Record: e.record.Load(), Late: late, balancer: b, endpoint: e, ejection: ej}, nil
 }
 
-// least returns the usable endpoint with the least expected loss, or nil.
-func (c *choice) least(t *table, d Demand) (*endpoint, float64) {
+// least returns the usable endpoint with the least expected loss, or nil, and
+// the probability that the call is late there.
+func (c *choice) least(t *table, d Demand, ratio float64) (best *endpoint, late float64) {
 	usual := c.usual(t)
 	self := c.b.view.Self()
-	var best *endpoint
 	least := math.Inf(1)
 	for _, e := range t.all {
 		if !c.usable(e) {
 			continue
 		}
-		loss := c.loss(e, self, usual, d) + noise*c.float()
-		if loss < least {
-			best, least = e, loss
+		loss, share := c.loss(e, self, usual, d, ratio)
+		if loss += noise * c.float(); loss < least {
+			best, least, late = e, loss, share
 		}
 	}
-	return best, least
+	return best, late
 }
 
-// loss estimates the share of the call's value that is lost at the endpoint.
-func (c *choice) loss(e *endpoint, self *member.Record, usual state, d Demand) float64 {
+// loss estimates the share of the call's value that is lost at the endpoint, and
+// the probability that the call is late there. ratio is the service time of the
+// call's class in relation to that of all calls.
+func (c *choice) loss(e *endpoint, self *member.Record, usual state, d Demand, ratio float64) (loss, late float64) {
 	r := e.record.Load()
 	far := distance(self, r)
-	expected := c.b.links.of(far) + c.expected(e, usual)
-	late := lateness.Share(expected, d.Target)
+	expected := c.b.links.of(far) + c.expected(e, usual, d.lane(), ratio)
+	late = lateness.Share(expected, d.Target)
 	missed := lateness.Share(expected, d.Left)
-	loss := lateLoss*late + (1-lateLoss)*missed
+	loss = lateLoss*late + (1-lateLoss)*missed
 	loss += (1 - loss) * failLoss * e.failed.level(c.now)
-	return loss + price(far, d.Bytes)
+	return loss + price(far, d.Bytes), late
 }
 
 // expected returns the time that a call is expected to wait and run at the
 // endpoint.
-func (c *choice) expected(e *endpoint, usual state) time.Duration {
+func (c *choice) expected(e *endpoint, usual state, lane int, ratio float64) time.Duration {
 	slots := e.slots()
-	calls, service, age := usual.calls*slots, usual.service, stateMaxAge
+	calls, service, age := usual.calls[lane]*slots, usual.service, stateMaxAge
 	own := float64(e.inFlight.Load())
 	if s := e.state.Load(); s != nil && c.now-s.at < int64(stateMaxAge) {
 		age = time.Duration(c.now - s.at)
 		weight := math.Exp2(-float64(age) / float64(stateHalfLife))
-		calls += weight * (s.calls + own - float64(s.own) - calls)
+		calls += weight * (s.calls[lane] + own - float64(s.own) - calls)
 		service += math.Exp2(-float64(age)/float64(speedHalfLife)) * (s.service - service)
 	}
 	calls = max(calls, own)
 	deviation := 1 + driftCalls*math.Sqrt(min(float64(age)/float64(driftTime), 1))
 	ahead := excess(calls-slots+1, deviation)
-	return time.Duration(service * (1 + ahead/slots))
+	return time.Duration(service * (ratio + ahead/slots))
+}
+
+// ratios are the service times of the classes of one service in relation to that
+// of all its calls. Endpoints differ in speed, but hardly in these.
+type ratios struct {
+	mu      sync.Mutex
+	byClass map[string]float64
+}
+
+const (
+	// ratioWeight is the weight of a new value.
+	ratioWeight = 0.1
+	// maxRatios bounds the classes with a ratio of their own.
+	maxRatios = 1024
+)
+
+func (r *ratios) add(report Report) {
+	if report.OfClass <= 0 || report.Service <= 0 {
+		return
+	}
+	v := float64(report.OfClass) / float64(report.Service)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old, ok := r.byClass[report.Class]
+	if !ok {
+		if r.byClass == nil || len(r.byClass) >= maxRatios {
+			r.byClass = make(map[string]float64)
+		}
+		old = v
+	}
+	r.byClass[report.Class] = old + ratioWeight*(v-old)
+}
+
+// of returns the ratio of a class; 1 before it is known.
+func (r *ratios) of(class string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if v, ok := r.byClass[class]; ok {
+		return v
+	}
+	return 1
 }
 
 // excess returns the mean of the positive part of a normally distributed value.
@@ -201,20 +252,23 @@
 // usual returns the mean state of the service's endpoints that reported one
 // lately: calls per slot, and the service time.
 func (c *choice) usual(t *table) state {
-	var calls, service, n float64
+	var mean state
+	n := 0.0
 	for _, e := range t.all {
 		s := e.state.Load()
 		if s == nil || c.now-s.at >= int64(stateMaxAge) {
 			continue
 		}
-		calls += s.calls / e.slots()
-		service += s.service
 		n++
+		for i := range mean.calls {
+			mean.calls[i] += (s.calls[i]/e.slots() - mean.calls[i]) / n
+		}
+		mean.service += (s.service - mean.service) / n
 	}
 	if n == 0 {
-		return state{service: float64(unknownService)}
+		mean.service = float64(unknownService)
 	}
-	return state{calls: calls / n, service: service / n}
+	return mean
 }
 
 // observeState records what the endpoint's node reported of its gate.
@@ -222,5 +276,9 @@
 	if r.Service <= 0 {
 		return
 	}
-	e.state.Store(&state{calls: float64(r.Calls), service: float64(r.Service), at: now, own: e.inFlight.Load()})
+	s := &state{service: float64(r.Service), at: now, own: e.inFlight.Load()}
+	for i, n := range r.Calls {
+		s.calls[i] = float64(n)
+	}
+	e.state.Store(s)
 }
--- a/balance/service.go
+++ b/balance/service.go
@@ -22,6 +22,7 @@
 	badUntil  atomic.Int64 // no endpoint looks bad from then on
 	panicking atomic.Bool  // ejection has stopped
 	table     atomic.Pointer[table]
+	ratios    ratios
 	refreshAt atomic.Int64
 	mu        sync.Mutex // held while the table is rebuilt or refreshed
 	endpoints map[identity]*endpoint
--- a/faults/faults.go
+++ b/faults/faults.go
@@ -62,6 +62,8 @@
 var (
 	// NotRun reports a call of which no byte reached the target's handler.
 	NotRun = calls.NewType("not_run", Retriable)
+	// Unhealthy reports a target that fails its health check.
+	Unhealthy = calls.NewType("unhealthy")
 	// OutcomeUnknown reports a call that may have run.
 	OutcomeUnknown = calls.NewType("outcome_unknown")
 )
--- a/member/directory.go
+++ b/member/directory.go
@@ -33,6 +33,7 @@
 	opts       DirectoryOptions
 	generation atomic.Uint64
 	self       atomic.Pointer[Record]
+	former     atomic.Pointer[Record] // of an earlier process of this node, as others last knew it
 	root       atomic.Uint64
 	buckets    [BucketCount]bucket
 	domains    atomic.Pointer[[]*domain] // by region, then name
@@ -214,6 +215,7 @@
 		return
 	}
 	if r.ID == d.Self().ID {
+		d.noteFormer(r)
 		d.refute(r, b)
 		return
 	}
@@ -249,6 +251,21 @@
 	return d.opts.Clock.Now().UnixMilli()-r.DepartedMs >= d.opts.TombstoneTTL.Milliseconds()
 }
 
+// noteFormer keeps the last record of an earlier process of this node.
+func (d *Directory) noteFormer(r *Record) {
+	if r.Incarnation >= d.Self().Incarnation || r.Service == "" && r.PeerAddr == "" {
+		return // a statement about this process, or one without content
+	}
+	if old := d.former.Load(); old == nil || r.Supersedes(old) {
+		next := *r
+		d.former.Store(&next)
+	}
+}
+
+// Former returns the last record of an earlier process of this node that
+// another node knew, or nil.
+func (d *Directory) Former() *Record { return d.former.Load() }
+
 // refute raises the own record above a statement that supersedes it. A process
 // that has left refutes nothing that its final record does not already precede.
 func (d *Directory) refute(r *Record, b *batch) {
--- a/member/service.go
+++ b/member/service.go
@@ -165,6 +165,9 @@
 	return g.Wait()
 }
 
+// Joined is closed when this node has received a full set of records.
+func (s *Service) Joined() <-chan struct{} { return s.complete }
+
 // Drain states that this node's target leaves and returns when the relays of
 // its failure domain have the statement or ctx ends.
 //
--- a/node/calls.go
+++ b/node/calls.go
@@ -25,7 +25,7 @@
 
 // platformLinger is the same on the platform, where the grace before SIGKILL is
 // short and other nodes hear of the drain in the answers as well.
-const platformLinger = time.Second
+const platformLinger = 300 * time.Millisecond
 
 // httpServer is what http.Server and proxy.ConnServer have in common.
 type httpServer interface {
@@ -97,6 +97,7 @@
 		OnDraining: s.onDraining,
 		Metrics:    s.node.proxyMetrics(),
 		Tracer:     s.node.tracer(),
+		Decisions:  s.node.callDecisions(),
 	}
 	server := proxy.ServerOptions{Log: s.node.log}
 	if s.node.settings.Platform != nil {
@@ -165,9 +166,10 @@
 			Slots: t.Slots, Connections: t.Connections, QueueLength: t.QueueLength,
 			QueueTimeout: time.Duration(t.QueueMs) * time.Millisecond,
 		}),
-		Ledger:  s.ledger,
-		Metrics: s.node.proxyMetrics(),
-		Tracer:  s.node.tracer(),
+		Ledger:    s.ledger,
+		Decisions: s.node.callDecisions(),
+		Metrics:   s.node.proxyMetrics(),
+		Tracer:    s.node.tracer(),
 	})
 	return s.inbound
 }
@@ -175,11 +177,12 @@
 // platformHandler builds the handler for a target that announces itself.
 func (s *inboundService) platformHandler() *proxy.Inbound {
 	return proxy.NewInbound(proxy.InboundOptions{
-		Backend: s.node.target.current,
-		Metrics: s.node.proxyMetrics(),
-		Tracer:  s.node.tracer(),
-		Edge:    platform.Edge{},
-		Answers: platformAnswers, Bodies: platformBodies, OpenEnded: true,
+		Backend:   s.node.target.current,
+		Metrics:   s.node.proxyMetrics(),
+		Tracer:    s.node.tracer(),
+		Decisions: s.node.callDecisions(),
+		Edge:      platform.Edge{},
+		Answers:   platformAnswers, Bodies: platformBodies, OpenEnded: true,
 		OnOther: s.node.target.other,
 	})
 }
@@ -201,7 +204,9 @@
 	if s.ledger != nil {
 		s.ledger.Drain(s.nextOwner)
 	}
-	s.member.service.Drain(ctx)
+	announceCtx, announced := s.node.announceContext(ctx)
+	s.member.service.Drain(announceCtx)
+	announced()
 	drainCtx, cancel := context.WithTimeout(ctx, s.node.settings.Stop.DrainTimeout())
 	defer cancel()
 	linger := drainLinger
@@ -235,6 +240,14 @@
 	return n.callMetrics
 }
 
+// callDecisions returns the log of decisions, which both listeners share.
+func (n *Node) callDecisions() *proxy.Decisions {
+	if n.decisions == nil {
+		n.decisions = proxy.NewDecisions(n.log)
+	}
+	return n.decisions
+}
+
 // tracer returns the tracer of the proxy, or nil when traces are off.
 func (n *Node) tracer() *proxy.Tracer {
 	if n.settings.Trace.SampleRatio == 0 {
--- a/node/command.go
+++ b/node/command.go
@@ -56,7 +56,9 @@
 	stop := make(chan os.Signal, pendingSignals)
 	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(stop)
-	n, err := New(s, telemetry.NewLogger(os.Stderr, s.Log.Verbosity))
+	out := telemetry.NewAsyncWriter(os.Stdout)
+	defer out.Close()
+	n, err := New(s, telemetry.NewLogger(out, s.Log.Verbosity))
 	if err != nil {
 		return err
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	kernel   *kernel.Kernel
 
 	callMetrics *proxy.Metrics
+	decisions   *proxy.Decisions
 	target      *targetService // on the platform only
 }
 
--- a/node/platform.go
+++ b/node/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +12,7 @@
 	"siskingw/faults"
 	"siskingw/kernel"
 	"siskingw/member"
+	"siskingw/object"
 	"siskingw/platform"
 	"siskingw/proxy"
 	"siskingw/targets"
@@ -34,6 +36,7 @@
 	callServer
 	registry *targets.Registry
 	backend  atomic.Pointer[localBackend]
+	member   *memberService
 }
 
 // localBackend is the backend made for one start of the target.
@@ -49,14 +52,78 @@
 }
 
 func (s *targetService) Name() string    { return nameTarget }
-func (s *targetService) Needs() []string { return nil }
+func (s *targetService) Needs() []string { return []string{nameMember} }
 
-func (s *targetService) Start(context.Context, *kernel.Kernel) error {
+func (s *targetService) Start(_ context.Context, k *kernel.Kernel) error {
+	var err error
+	if s.member, err = kernel.Lookup[*memberService](k, nameMember); err != nil {
+		return err
+	}
 	return s.listen(nameTarget, s.node.settings.Platform.Control, proxy.NewServer(platform.NewControl(s), proxy.ServerOptions{}))
 }
 
+const (
+	// findAfter is how long a starting node waits for the records of other nodes
+	// before it looks for its target without them.
+	findAfter = time.Second
+	// findTries and findPause bound the search: an announcement follows anyway.
+	findTries   = 3
+	findPause   = 200 * time.Millisecond
+	findTimeout = 300 * time.Millisecond
+)
+
+// find looks for a target that runs beside this process since before its start,
+// so that it gets work before its next announcement.
+func (s *targetService) find(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-s.member.service.Joined():
+	case <-time.After(findAfter):
+	}
+	if former := s.node.dir.Former(); former != nil && former.Service == "" {
+		return // the process before knew of none, or had acknowledged its departure
+	}
+	p := s.node.live.Load().Platform
+	client := &http.Client{Timeout: findTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	for range findTries {
+		if path := s.healthPath(p.Service); path != "" && p.TargetAddress != "" {
+			t, err := platform.FindTarget(ctx, client, p.TargetAddress, path)
+			if err == nil {
+				t.Service = p.Service
+				if err = s.registry.Find(t, time.Now()); err == nil {
+					s.node.log.Info("target found by its health check", "target", t.ID, "slots", t.Slots)
+				}
+				return
+			}
+			s.node.log.V(1).Info("target not found", "error", err.Error())
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(findPause):
+		}
+	}
+}
+
+// healthPath returns the path of the health check of a service, or "" while the
+// configuration in force does not name one.
+func (s *targetService) healthPath(service string) string {
+	snap := s.node.current.Load()
+	if snap == nil {
+		return ""
+	}
+	o := snap.Get(object.Key{Kind: object.KindService, Name: service})
+	if o == nil {
+		return ""
+	}
+	return o.Service.HealthPath
+}
+
 // Run serves announcements and drops targets that fall silent.
 func (s *targetService) Run(ctx context.Context) error {
+	go s.debugGate(ctx)
+	go s.find(ctx)
 	go func() {
 		tick := time.NewTicker(s.node.settings.Platform.Heartbeat() / 2)
 		defer tick.Stop()
@@ -96,7 +163,7 @@
 	if t == nil {
 		s.backend.Store(nil)
 		s.node.log.Info("target lost")
-	} else if old == nil || old.target.ID != t.ID || !old.target.Started.Equal(t.Started) || old.target.Slots != t.Slots {
+	} else if old == nil || !old.sameStart(t) {
 		s.backend.Store(&localBackend{
 			Backend: proxy.Backend{Addr: t.Address, Instance: t.ID, Service: t.Service, Gate: admit.New(admit.Options{Slots: t.Slots, QueueLength: queuePerSlot * t.Slots})},
 			target:  *t,
@@ -116,6 +183,12 @@
 	})
 }
 
+// sameStart reports whether t is the start that the backend was made for. The
+// start of a target that was only found is not known.
+func (b *localBackend) sameStart(t *targets.Target) bool {
+	return b.target.ID == t.ID && b.target.Slots == t.Slots && (b.target.Started.IsZero() || b.target.Started.Equal(t.Started))
+}
+
 // current returns the backend that may get work, or nil.
 func (s *targetService) current() *proxy.Backend {
 	if b := s.backend.Load(); b != nil {
@@ -148,8 +221,8 @@
 }
 
 // serveOn is how long a stopping node serves as before: callers leave it after
-// two readiness checks a second apart.
-const serveOn = 1200 * time.Millisecond
+// two readiness checks a second apart, and its target works on until then.
+const serveOn = 1800 * time.Millisecond
 
 func (s *readyService) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
--- a/node/services.go
+++ b/node/services.go
@@ -149,6 +149,31 @@
 	readerSpread = 2 * time.Second
 )
 
+// announceTimeout bounds the wait for relays that are told of a drain or a
+// departure on the platform, where the grace before SIGKILL is short: a relay
+// may be stopping as well.
+const announceTimeout = 300 * time.Millisecond
+
+// announceContext bounds an announcement of the node's own state.
+func (n *Node) announceContext(ctx context.Context) (context.Context, context.CancelFunc) {
+	if n.settings.Platform == nil {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, announceTimeout)
+}
+
+// platformCrossStep lets starting nodes fetch across failure domains soon: a
+// snapshot has a few KB there.
+const platformCrossStep = 150 * time.Millisecond
+
+// crossStep returns the stagger of starting nodes, 0 for the usual one.
+func (n *Node) crossStep() time.Duration {
+	if n.settings.Platform == nil {
+		return 0
+	}
+	return platformCrossStep
+}
+
 // readers returns the options of the store reader's duty.
 func (n *Node) readers() spread.ReaderOptions {
 	if n.settings.Platform == nil {
@@ -263,6 +288,8 @@
 	if s.service == nil {
 		return nil // Start failed
 	}
+	ctx, cancel := s.node.announceContext(ctx)
+	defer cancel()
 	s.service.Leave(ctx)
 	return nil
 }
@@ -292,7 +319,8 @@
 	s.spread = spread.New(spread.Options{
 		View: s.node.dir, Current: s.node.current, Transport: spread.NewTransport(peers.pool, s.node.place()),
 		Source: st.source(), StoreRegion: s.node.settings.Store.Region, Readers: s.node.readers(),
-		Seeds: settingsSeeds(s.node.settings), SeedHints: m.readHints,
+		CrossStep: s.node.crossStep(),
+		Seeds:     settingsSeeds(s.node.settings), SeedHints: m.readHints,
 		Log: s.node.log, Metrics: s.node.metrics,
 	})
 	s.spread.Register(peers.server)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -44,6 +44,7 @@
 	gateCtx  deadlineContext
 	sentAt   time.Time     // when the last attempt began
 	waited   time.Duration // time spent waiting for answers' headers
+	steps    []step        // tries so far
 }
 
 // deadlineContext tells the gate the deadline without the cost of a timer: the
--- a/proxy/gatestate.go
+++ b/proxy/gatestate.go
@@ -12,35 +12,47 @@
 // and refusal.
 type gateState struct {
 	report  admit.Report
+	class   time.Duration // expected service time of the call's class; 0 when not known
 	handled time.Duration // time that the call spent at the target's node
 }
 
-// maxGateFields is the number of fields of a HeaderGate value.
-const maxGateFields = 3
+// gateFields is the number of fields of a HeaderGate value.
+const gateFields = admit.Priorities + 3
 
-// format returns the HeaderGate value: calls in flight and queued, expected
-// service time and handling time, both in microseconds.
+// format returns the HeaderGate value: the calls that a new one of each priority
+// finds, and in microseconds the expected service times of all calls and of the
+// call's class and the handling time.
 func (g gateState) format() string {
-	return strconv.Itoa(g.report.Calls) + ";" + strconv.FormatInt(g.report.Service.Microseconds(), 10) +
-		";" + strconv.FormatInt(g.handled.Microseconds(), 10)
+	var b []byte
+	for _, n := range g.report.Calls {
+		b = append(strconv.AppendInt(b, int64(n), 10), ';')
+	}
+	b = append(strconv.AppendInt(b, g.report.Service.Microseconds(), 10), ';')
+	b = append(strconv.AppendInt(b, g.class.Microseconds(), 10), ';')
+	return string(strconv.AppendInt(b, g.handled.Microseconds(), 10))
 }
 
 // parseGateState reads a HeaderGate value; the zero state stands for one that is
 // not well formed.
 func parseGateState(v string) gateState {
-	fields := strings.SplitN(v, ";", maxGateFields)
-	if len(fields) != maxGateFields {
+	fields := strings.Split(v, ";")
+	if len(fields) != gateFields {
 		return gateState{}
 	}
-	var n [maxGateFields]int64
+	var n [gateFields]int64
 	for i, f := range fields {
 		var err error
 		if n[i], err = strconv.ParseInt(f, 10, 64); err != nil || n[i] < 0 {
 			return gateState{}
 		}
 	}
-	return gateState{
-		report:  admit.Report{Calls: int(n[0]), Service: time.Duration(n[1]) * time.Microsecond},
-		handled: time.Duration(n[2]) * time.Microsecond,
+	g := gateState{
+		report:  admit.Report{Service: time.Duration(n[gateFields-3]) * time.Microsecond},
+		class:   time.Duration(n[gateFields-2]) * time.Microsecond,
+		handled: time.Duration(n[gateFields-1]) * time.Microsecond,
+	}
+	for i := range g.report.Calls {
+		g.report.Calls[i] = int(n[i])
 	}
+	return g
 }
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -12,16 +12,17 @@
 
 // InboundOptions configures the handler at the target's node.
 type InboundOptions struct {
-	Target  string // host:port of the target, unless Backend is set
-	Gate    *admit.Gate
-	Backend func() *Backend // returns the target that may get work now, or nil
-	Ledger  *idem.Ledger    // nil refuses keyed work
-	Pool    *Pool           // connections to the target; default: a new pool
-	Metrics *Metrics        // nil counts nothing
-	Tracer  *Tracer         // nil traces nothing
-	Edge    Edge            // towards the target; nil for the nodes' own headers
-	Answers AnswerOptions
-	Bodies  BodyOptions
+	Target    string // host:port of the target, unless Backend is set
+	Gate      *admit.Gate
+	Backend   func() *Backend // returns the target that may get work now, or nil
+	Ledger    *idem.Ledger    // nil refuses keyed work
+	Pool      *Pool           // connections to the target; default: a new pool
+	Metrics   *Metrics        // nil counts nothing
+	Tracer    *Tracer         // nil traces nothing
+	Edge      Edge            // towards the target; nil for the nodes' own headers
+	Answers   AnswerOptions
+	Bodies    BodyOptions
+	Decisions *Decisions // nil logs nothing
 	// OpenEnded accepts answers of the target that end with their connection.
 	OpenEnded bool
 	// OnOther is told that another target answers at the address of a backend.
@@ -162,6 +163,7 @@
 	}
 	if f != nil {
 		f.stated = true
+		in.logRefusal(c, f)
 		if c.outside { // the caller's node is this one
 			c.gate = in.gateState(c)
 		}
@@ -169,6 +171,16 @@
 	return f
 }
 
+// logRefusal logs a refusal or a failure of this node.
+func (in *Inbound) logRefusal(c *call, f *refusal) {
+	b := in.backend()
+	if b != nil && (f.reached || f.outcome == OutcomeUnknown) {
+		in.opts.Decisions.fail(c, b, f)
+		return
+	}
+	in.opts.Decisions.refuse(c, b, f)
+}
+
 // passPlain passes a call without a key.
 func (in *Inbound) passPlain(c *call) *refusal {
 	b := in.backend()
@@ -225,7 +237,7 @@
 func (in *Inbound) gateState(c *call) gateState {
 	s := gateState{handled: time.Since(c.start)}
 	if b := in.backend(); b != nil {
-		s.report = b.Gate.Report()
+		s.report, s.class = b.Gate.Report(), b.Gate.ServiceOf(c.work.class)
 	}
 	return s
 }
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -28,6 +28,7 @@
 	Answers    AnswerOptions
 	Bodies     BodyOptions
 	Retries    RetryOptions
+	Decisions  *Decisions // nil logs nothing
 }
 
 // Outbound routes the calls of this instance's callers.
@@ -73,6 +74,9 @@
 	o.opts.Metrics.observe(sideOutbound, c, f)
 	if f != nil {
 		f.after = returnAfter(c, f, rand.Float64())
+	}
+	o.opts.Decisions.end(c, f, o.opts.Current.Version())
+	if f != nil {
 		f.draining, f.movedTo = false, "" // matters of the nodes
 		c.refuse(f)
 	}
@@ -131,6 +135,12 @@
 	t := tries{policy: res.Policy, budget: b, free: o.opts.Retries.FreeTries, unsent: o.opts.Retries.FreeTries > 0}
 	for {
 		picked, err := o.pick(c, res, &t)
+		if err == nil && t.futile(picked, rand.Float64()) {
+			picked.Done(balance.Report{})
+			f := notRun("every endpoint is full", nil)
+			f.crowded = true
+			return t.end(f)
+		}
 		if err != nil {
 			if res.Fallback != nil {
 				res = res.Fallback
@@ -140,6 +150,7 @@
 		}
 		c.work.service = res.EndpointSet.Announce
 		f := o.send(c, picked.Record)
+		c.note(picked.Record, picked.Late, f)
 		picked.Done(c.report(f))
 		if f == nil || f.aborted {
 			return f
@@ -159,6 +170,7 @@
 	c.work.late = t.late
 	return o.opts.Balancer.PickFor(res.EndpointSet, ejectionOf(res.Policy), t.skip, balance.Demand{
 		Target: time.Until(c.work.target), Left: c.left(), Bytes: o.sizeOf(res.Name).of(c),
+		Class: c.work.class, Priority: c.work.priority,
 	})
 }
 
@@ -215,7 +227,8 @@
 func (c *call) report(f *refusal) balance.Report {
 	r := balance.Report{
 		Load: c.load, Duration: time.Since(c.sentAt),
-		Calls: c.gate.report.Calls, Service: c.gate.report.Service, Handled: c.gate.handled,
+		Calls: c.gate.report.Calls, Service: c.gate.report.Service,
+		Class: c.work.class, OfClass: c.gate.class, Handled: c.gate.handled,
 	}
 	switch {
 	case f == nil:
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -4,7 +4,9 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
+	"time"
 
+	"siskingw/balance"
 	"siskingw/object"
 )
 
@@ -75,10 +77,33 @@
 	return ok
 }
 
+const (
+	// firstTryLate is the probability of being late from which a call is
+	// refused without asking any node, and askAnyway the share of such calls
+	// that ask one all the same, so that the states stay known.
+	firstTryLate = 0.8
+	askAnyway    = 0.25
+	// nextTryLate is the same for a further node after a refusal: a hop to a
+	// node that refuses the call as well only costs its caller time.
+	nextTryLate = 0.5
+)
+
+// futile reports whether the picked endpoint's node would probably refuse the
+// call. random is from 0 to 1.
+func (t *tries) futile(p *balance.Picked, random float64) bool {
+	switch {
+	case t.late:
+		return false
+	case t.last != nil && t.last.crowded:
+		return p.Late > nextTryLate
+	}
+	return p.Late > firstTryLate && random > askAnyway
+}
+
 // beLate reports whether a call that no gate admits in time is sent once more to
 // run late.
 func (t *tries) beLate(c *call, f *refusal) bool {
-	if t.late || !f.crowded || c.work.target.IsZero() {
+	if t.late || !f.crowded || c.work.target.IsZero() || time.Until(c.work.target) > 0 {
 		return false
 	}
 	t.late, t.skip = true, nil
--- a/settings/check.go
+++ b/settings/check.go
@@ -143,6 +143,9 @@
 	if s.Target != nil {
 		c.add("target", "the target announces itself on the platform")
 	}
+	if p.TargetAddress != "" {
+		c.advertised("platform.targetAddress", p.TargetAddress)
+	}
 	for i, host := range p.SeedHosts {
 		c.address("platform.seedHosts["+strconv.Itoa(i)+"]", host)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -74,6 +74,9 @@
 	Control string `json:"control"` // listener for announcements of this instance's target
 	Ready   string `json:"ready"`   // listener for the platform's readiness checks
 	Service string `json:"service"` // service on this instance, as targets are told of its callers
+	// TargetAddress is the address at which a starting node looks for the target
+	// of this instance; empty on an instance without one.
+	TargetAddress string `json:"targetAddress,omitempty"`
 	// SeedHosts are addresses of other nodes at start. Their ports are not used:
 	// all nodes have the same peer port.
 	SeedHosts []string `json:"seedHosts,omitempty"`
--- a/spread/duty.go
+++ b/spread/duty.go
@@ -200,7 +200,7 @@
 	// firstReadSeed is how long a starting node that is a seed waits for a peer
 	// with a version before it reads the store. The other nodes ask the seeds,
 	// so when a whole fleet starts only its seeds read.
-	firstReadSeed = 300 * time.Millisecond
+	firstReadSeed = 200 * time.Millisecond
 	// firstReadOther and firstReadSpread are the same for any other node, for
 	// the case that no seed lives.
 	firstReadOther  = 1500 * time.Millisecond
--- a/spread/node.go
+++ b/spread/node.go
@@ -53,6 +53,9 @@
 	SeedHints func(ctx context.Context) []Peer
 	Log       logr.Logger
 	Metrics   *metrics.Set // nil for a private set
+	// CrossStep is the stagger between starting nodes that fetch a version
+	// across the boundary of their failure domain. The default is 1 s.
+	CrossStep time.Duration
 	// CompareEvery is the period of comparisons between relays; negative
 	// turns them off. The default is 2 s.
 	CompareEvery time.Duration
@@ -97,6 +100,9 @@
 // New returns a node that serves its peers at once; Run starts its duties.
 func New(opts Options) *Node {
 	opts.Readers = opts.Readers.withDefaults()
+	if opts.CrossStep == 0 {
+		opts.CrossStep = crossStep
+	}
 	if opts.CompareEvery == 0 {
 		opts.CompareEvery = defaultCompareEvery
 	}
--- a/spread/recovery.go
+++ b/spread/recovery.go
@@ -24,8 +24,8 @@
 	// recoverBase and recoverMax bound the full jitter between rounds.
 	recoverBase = 200 * time.Millisecond
 	recoverMax  = 2 * time.Second
-	// crossStep is the stagger between the first-ranked starting nodes of a
-	// failure domain that may fetch across its boundary.
+	// crossStep is the usual stagger between the first-ranked starting nodes of
+	// a failure domain that may fetch across its boundary.
 	crossStep = time.Second
 	// storeAfter is how long a starting store reader looks for a peer before it
 	// loads a version from the store.
@@ -195,7 +195,7 @@
 	if class == peer.CrossRegion {
 		rank += member.RelayCount * n.topology().domainIndex()
 	}
-	return waited >= time.Duration(rank)*crossStep
+	return waited >= time.Duration(rank)*n.opts.CrossStep
 }
 
 // nearest returns the sources of the version over the cheapest link class.
@@ -310,17 +310,34 @@
 	var answers []answer
 	late := time.NewTimer(timeout)
 	defer late.Stop()
-	for range peers {
+	soon := time.NewTimer(askStep)
+	defer soon.Stop()
+	hinted, waited := false, false
+	for left := len(peers); left > 0; {
 		select {
 		case a := <-got:
+			left--
 			if a.peer.Addr != "" {
 				answers = append(answers, a)
 			}
 		case <-late.C:
 			return answers
+		case <-soon.C:
+			waited = true
+		case <-n.recovery.wake:
+			hinted = true
 		case <-n.ctx.Done():
 			return answers
 		}
+		// When a whole fleet starts, most sources have nothing. The rest need not
+		// be waited for: some cannot answer yet, and the first that gets a
+		// version tells.
+		if (hinted || waited) && 2*len(answers) >= len(peers) && withVersion(answers) == 0 {
+			break
+		}
+	}
+	if hinted {
+		answers = append(answers, n.recovery.takeHints()...)
 	}
 	return answers
 }
--- a/targets/registry.go
+++ b/targets/registry.go
@@ -46,6 +46,7 @@
 	target   Target
 	sequence uint64
 	leaving  bool
+	found    bool // answered a health check, but has not announced itself yet
 	heardAt  time.Time
 }
 
@@ -87,6 +88,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := start{a.ID, a.Started.UnixMilli()}
+	r.dropFound()
 	e := r.entries[k]
 	if e != nil && a.Sequence <= e.sequence {
 		return faults.Stale.New("announcement %d of %q is not newer than %d", a.Sequence, a.ID, e.sequence)
@@ -106,6 +108,29 @@
 	return nil
 }
 
+// Find takes a target that answers its health check before it has announced
+// itself to this process. It is used until the first announcement. It returns a
+// Stale error when the target has announced itself, or its departure, already.
+func (r *Registry) Find(t Target, now time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, left := r.departed[t.ID]; left || len(r.entries) > 0 {
+		return faults.Stale.New("target %q has announced itself", t.ID)
+	}
+	r.entries[start{t.ID, t.Started.UnixMilli()}] = &entry{target: t, found: true, heardAt: now}
+	r.choose(now)
+	return nil
+}
+
+// dropFound forgets the target that was only found. The registry is locked.
+func (r *Registry) dropFound() {
+	for k, e := range r.entries {
+		if e.found {
+			delete(r.entries, k)
+		}
+	}
+}
+
 // Leave notes that a target leaves for good. A start of zero means every start
 // under the id so far, also those that this registry has not heard of: it may be
 // younger than the target.
