Recover a killed fleet faster

Cause: after a power loss nodes served nothing for 1 to 2 s: only seeds read the store, rounds of joining waited for dark seeds, rounds of asking for a version lasted 1 s.

Change: other starting nodes read the store after 0.25 to 0.6 s, joins ask the next seed after 0.1 s and end a round once one has answered, one line says when a node has joined.

--- a/member/join.go
+++ b/member/join.go
@@ -23,7 +23,6 @@
 	joinLimit = 4
 	// joinTries is the number of nodes asked in one round.
 	joinTries     = 8
-	joinTimeout   = 2 * time.Second
 	joinBaseDelay = 100 * time.Millisecond
 	joinMaxDelay  = 5 * time.Second
 	// patientRounds is the number of rounds in which a node that is no relay
@@ -42,9 +41,11 @@
 //
 //siskingw:step announce
 func (s *Service) Join(ctx context.Context) error {
+	started := s.clock.Now()
 	for round := 0; ; round++ {
 		if s.joinRound(ctx, round) {
 			s.completeOnce.Do(func() { close(s.complete) })
+			s.opts.Log.Info("joined", "rounds", round+1, "members", len(s.dir.All()), "ms", s.clock.Now().Sub(started).Milliseconds())
 			return nil
 		}
 		if !s.sleep(ctx, fullJitter(round)) {
@@ -83,18 +84,48 @@
 	return answered > 0 && round >= patientRounds
 }
 
-// joinAny asks nodes in turn until one returns a full set. It also returns how
-// many answered.
+// joinAny asks nodes until one returns a full set. It also returns how many
+// answered. The next node is asked when one fails or has not answered for
+// JoinStagger.
 func (s *Service) joinAny(ctx context.Context, candidates []Seed, round int) (complete bool, answered int) {
-	for _, seed := range candidates {
-		complete, err := s.joinThrough(ctx, seed, s.domainOnly(seed, round))
-		if err != nil {
-			s.opts.Log.V(1).Info("join failed", "seed", seed.Addr, "error", err.Error())
-			continue
+	type result struct {
+		complete bool
+		err      error
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan result, len(candidates))
+	asked, pending := 0, 0
+	for asked < len(candidates) || pending > 0 {
+		if asked < len(candidates) {
+			seed := candidates[asked]
+			asked++
+			pending++
+			go func() {
+				complete, err := s.joinThrough(ctx, seed, s.domainOnly(seed, round))
+				if err != nil {
+					s.opts.Log.V(1).Info("join failed", "seed", seed.Addr, "error", err.Error())
+				}
+				results <- result{complete, err}
+			}()
+		}
+		var late <-chan time.Time
+		if asked < len(candidates) || answered > 0 {
+			late = s.clock.After(s.opts.JoinStagger)
 		}
-		answered++
-		if complete {
-			return true, answered
+		select {
+		case r := <-results:
+			pending--
+			if r.err == nil {
+				answered++
+			}
+			if r.complete {
+				return true, answered
+			}
+		case <-late:
+			if asked == len(candidates) { // the others may be down; the next round asks again
+				return false, answered
+			}
 		}
 	}
 	return false, answered
@@ -133,7 +164,7 @@
 // joinThrough announces the own record to a node and merges what it returns.
 // It reports whether that was a full set.
 func (s *Service) joinThrough(ctx context.Context, seed Seed, domainOnly bool) (bool, error) {
-	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.opts.JoinTimeout)
 	defer cancel()
 	client, err := s.client(&Record{PeerAddr: seed.Addr, Region: seed.Place.Region, FailureDomain: seed.Place.FailureDomain})
 	if err != nil {
--- a/member/service.go
+++ b/member/service.go
@@ -30,6 +30,8 @@
 	// defaultByteBurst lets the restart of a whole failure domain of 2,222 nodes
 	// through at once to a few tree children.
 	defaultByteBurst = 512 << 10
+	// defaultJoinTimeout is enough for the records of 20,000 members.
+	defaultJoinTimeout = 2 * time.Second
 	// urgentDelay collects the records of one departure without holding it up.
 	urgentDelay = 20 * time.Millisecond
 	// changeQueue bounds the merges whose suspicions the detector has not seen.
@@ -72,6 +74,8 @@
 	BatchDelay     time.Duration // how long changed records are collected, default 100 ms
 	ByteRate       int           // budget for records, in bytes/s, default 3,584 bytes/s
 	ByteBurst      int           // budget that may be used at once, in bytes, default 512 KiB
+	JoinTimeout    time.Duration // bound of one join, default 2 s
+	JoinStagger    time.Duration // after which a join asks a further node, default JoinTimeout
 }
 
 func (o Options) withDefaults() Options {
@@ -81,6 +85,8 @@
 	setDefault(&o.BatchDelay, defaultBatchDelay)
 	setDefault(&o.ByteRate, defaultByteRate)
 	setDefault(&o.ByteBurst, defaultByteBurst)
+	setDefault(&o.JoinTimeout, defaultJoinTimeout)
+	setDefault(&o.JoinStagger, o.JoinTimeout)
 	if o.Clock == nil {
 		o.Clock = clockwork.NewRealClock()
 	}
--- a/node/services.go
+++ b/node/services.go
@@ -149,6 +149,30 @@
 	readerSpread = 2 * time.Second
 )
 
+// platformJoinStagger lets a starting node ask the next seed when one is slow:
+// the platform's seeds may be down without refusing connections.
+const platformJoinStagger = 100 * time.Millisecond
+
+// platformJoinTimeout bounds one join there. It is above the time of a join
+// across regions and short enough for a node that asks a dark seed first.
+const platformJoinTimeout = 500 * time.Millisecond
+
+// joinTimeout returns the bound of one join, 0 for the usual one.
+func (n *Node) joinTimeout() time.Duration {
+	if n.settings.Platform == nil {
+		return 0
+	}
+	return platformJoinTimeout
+}
+
+// joinStagger returns the stagger of a joining node, 0 for the usual one.
+func (n *Node) joinStagger() time.Duration {
+	if n.settings.Platform == nil {
+		return 0
+	}
+	return platformJoinStagger
+}
+
 // announceTimeout bounds the wait for relays that are told of a drain or a
 // departure on the platform, where the grace before SIGKILL is short: a relay
 // may be stopping as well.
@@ -216,7 +240,8 @@
 		OnSummary:    s.onSummary,
 		Seeds:        s.memberSeeds(settingsSeeds(s.node.settings)),
 		MoreSeeds:    s.hintedSeeds,
-		Log:          s.node.log,
+		JoinTimeout:  s.node.joinTimeout(), JoinStagger: s.node.joinStagger(),
+		Log: s.node.log,
 	})
 	s.service.Register(peers.server)
 	return nil
--- a/spread/duty.go
+++ b/spread/duty.go
@@ -200,11 +200,11 @@
 	// firstReadSeed is how long a starting node that is a seed waits for a peer
 	// with a version before it reads the store. The other nodes ask the seeds,
 	// so when a whole fleet starts only its seeds read.
-	firstReadSeed = 200 * time.Millisecond
-	// firstReadOther and firstReadSpread are the same for any other node, for
-	// the case that no seed lives.
-	firstReadOther  = 1500 * time.Millisecond
-	firstReadSpread = 3 * time.Second
+	firstReadSeed = 150 * time.Millisecond
+	// firstReadOther and firstReadSpread are the same for any other node: the
+	// seeds may be down, or start later than the others.
+	firstReadOther  = 250 * time.Millisecond
+	firstReadSpread = 350 * time.Millisecond
 )
 
 // runFirstRead reads the store when a starting node finds no peer with a
