Send uploads where links can take them, keep late work apart

A process that ended while calls logged died of a send on a closed channel.

Ruled out: processor time (at most 4 percent of a core), slots (12 of 16 used).

Change: gates report the bytes that are to arrive and the rate of the link, and the balancer counts the transfer. Large bodies wait until the target's node asks for them, so that a refusal costs a round trip. The own instance comes before others of the failure domain. Calls that miss their target wait on as late work while the gate refuses nothing. The log writer takes lines after its end.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -105,6 +105,7 @@
 	serviceTime [kinds]ewma
 	classTime   classes       // of work with a target latency
 	admitted    [kinds]ewma   // share of the admitted calls by priority
+	refusedAt   time.Time     // last refusal of work that would have been late
 	startSum    time.Duration // sum of the starts of the calls in flight, since epoch
 	epoch       time.Time
 	idle        chan struct{} // closed when inFlight and queued are zero; nil unless awaited
--- /dev/null
+++ b/admit/link_test.go
@@ -0,0 +1,32 @@
+package admit
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against uploads that are sent to an instance whose link cannot take
+// them in time: the expected transfer must count what is still to arrive, and
+// nothing must stay counted after a body has arrived or broken off.
+func TestLinkCountsWhatIsToArrive(t *testing.T) {
+	is := is.New(t)
+	l := NewLink(1000)
+	is.Equal(l.Report().Transfer(500), 500*time.Millisecond)
+	first, done := l.Receive(strings.NewReader(strings.Repeat("a", 600)), 1000) // breaks off
+	_, doneSecond := l.Receive(strings.NewReader(strings.Repeat("b", 1000)), 1000)
+	is.Equal(l.Report().Transfer(1000), 3*time.Second)
+	_, err := io.Copy(io.Discard, first)
+	is.NoErr(err)
+	is.Equal(l.Report().Transfer(1000), 2400*time.Millisecond)
+	done()
+	doneSecond()
+	is.Equal(l.Report().Pending, int64(0))
+
+	var none *Link
+	is.Equal(none.Report().Transfer(1<<40), time.Duration(0))
+	is.Equal(NewLink(0).Report().Transfer(1<<40), time.Duration(0))
+}
--- a/admit/target.go
+++ b/admit/target.go
@@ -66,15 +66,86 @@
 	w := &waiter{priority: p, since: now, target: work.Target, class: work.Class, late: work.Late, done: make(chan struct{})}
 	w.deadline, _ = ctx.Deadline()
 	g.enqueue(w)
-	longest := w.target.Sub(now) // later the call is hopeless
-	if w.late {
-		longest = w.deadline.Sub(now) - g.classTime.of(w.class)
-	}
+	inTime, longest := w.target.Sub(now), w.deadline.Sub(now)-g.classTime.of(w.class)
+	late := w.late
 	g.publish()
 	g.mu.Unlock()
+	if !late {
+		if t, err, done := g.waitInTime(ctx, w, min(inTime, longest)); done {
+			return t, err
+		}
+		longest -= inTime
+	}
 	return g.wait(ctx, w, longest)
 }
 
+// waitInTime waits for the answer for w until it is hopeless. done is false when
+// w then waits on as late work.
+func (g *Gate) waitInTime(ctx context.Context, w *waiter, longest time.Duration) (t *Ticket, err error, done bool) {
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+		return w.ticket, w.err, true
+	case <-timer.C:
+	case <-ctx.Done():
+		t, err = g.wait(ctx, w, 0)
+		return t, err, true
+	}
+	g.mu.Lock()
+	if !w.late && g.queueOf(w).remove(w) {
+		g.miss(w, g.opts.Now())
+		g.publish()
+	}
+	g.mu.Unlock()
+	select {
+	case <-w.done:
+		return w.ticket, w.err, true
+	default:
+		return nil, nil, false
+	}
+}
+
+// miss takes a call that will hardly meet its target any more and is in no
+// queue. While the gate has refused nothing lately, slots become free soon and
+// the call waits on as late work; otherwise it is refused, because others that
+// can be in time take the slots. The gate is locked.
+func (g *Gate) miss(w *waiter, now time.Time) {
+	if w.late || !g.calm(now) {
+		g.refuse(w, errLate)
+		return
+	}
+	w.late = true
+	g.queueOf(w).insert(w)
+}
+
+// calmAfter is the time without refusals after which an overload counts as over.
+// The queue alone does not show it: refusals keep the queue short.
+const calmAfter = 2 * overloadInterval
+
+// calm reports whether no work was refused lately because it would be late.
+func (g *Gate) calm(now time.Time) bool { return now.Sub(g.refusedAt) >= calmAfter }
+
+// Check returns the reason for which the gate would refuse a call whose body
+// arrives after the given time, or nil.
+func (g *Gate) Check(work Work, deadline time.Time, arrival time.Duration) error {
+	now := g.opts.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.draining {
+		return errDraining
+	}
+	service := g.classTime.of(work.Class)
+	if lateness.Share(arrival+service, deadline.Sub(now)) > hopelessShare {
+		return errDeadline
+	}
+	if !work.Late && lateness.Share(arrival+service, work.Target.Sub(now)) > hopelessShare {
+		return errLate
+	}
+	p := min(max(work.Priority, 0), kinds-1)
+	return g.refuseWork(context.Background(), work, p, now)
+}
+
 // refuseWork returns the reason to refuse a call before it is queued, or nil. As
 // with Enter, a call is never refused for expected times while a slot is free.
 // The gate is locked.
@@ -93,7 +164,7 @@
 	if deadline, ok := ctx.Deadline(); ok && lateness.Share(wait+service, deadline.Sub(now)) > hopelessShare {
 		return errDeadline
 	}
-	if !g.overloaded(now) {
+	if !g.overloaded(now) && g.calm(now) {
 		return nil // a late answer is better than none while slots become free
 	}
 	if work.Late {
@@ -101,6 +172,7 @@
 	}
 	share := lateness.Share(wait+service, work.Target.Sub(now))
 	if share > hopelessShare || share > maxLateShare && float64(ahead) >= keepBusy*float64(g.opts.Slots) {
+		g.refusedAt = now
 		return errLate
 	}
 	return nil
@@ -158,8 +230,8 @@
 	return max(mean, time.Duration(ageFactor*float64(age)))
 }
 
-// expireTargets refuses the waiting calls that will hardly meet their target any
-// more. The gate is locked.
+// expireTargets takes the waiting calls that will hardly meet their target any
+// more out of their queues. The gate is locked.
 func (g *Gate) expireTargets(now time.Time) {
 	for i := range g.queues {
 		q := &g.queues[i]
@@ -168,7 +240,7 @@
 			if w.target.IsZero() || lateness.Share(g.classTime.of(w.class), w.target.Sub(now)) <= hopelessShare {
 				break
 			}
-			g.refuse(q.popOldest(), errLate)
+			g.miss(q.popOldest(), now)
 		}
 	}
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -94,6 +94,7 @@
 	Class   string                // of this call
 	OfClass time.Duration         // expected service time of the class at the endpoint; 0 when not known
 	Handled time.Duration         // time that the call spent at the endpoint's node
+	Link    admit.LinkReport
 }
 
 // now returns the ns since the balancer was made.
--- a/balance/loss.go
+++ b/balance/loss.go
@@ -21,6 +21,7 @@
 	Target time.Duration // left until the answer begins to lose value
 	Left   time.Duration // left until it has none
 	Bytes  int           // expected size of request and answer together
+	Body   int64         // size of the request's body, bytes
 
 	Class    string // calls of one class take about as long
 	Priority int    // 0 is the most important
@@ -70,16 +71,18 @@
 type state struct {
 	calls   [admit.Priorities]float64 // found by a new call of each priority
 	service float64                   // expected service time, ns
+	link    admit.LinkReport
 	at      int64
 	own     int64 // calls of this node in flight at the time of the report
 }
 
 // linkTimes are the measured times on the links by distance, ns.
-type linkTimes [3]atomic.Int64
+type linkTimes [4]atomic.Int64
 
 // Distances between this node and an endpoint.
 const (
-	sameDomain = iota
+	sameNode = iota
+	sameDomain
 	sameRegion
 	otherRegion
 )
@@ -88,7 +91,7 @@
 	if d := l[distance].Load(); d > 0 {
 		return time.Duration(d)
 	}
-	return [...]time.Duration{domainLink, regionLink, farLink}[distance]
+	return [...]time.Duration{0, domainLink, regionLink, farLink}[distance]
 }
 
 func (l *linkTimes) add(distance int, d time.Duration) {
@@ -106,6 +109,8 @@
 // distance returns how far the endpoint's node is.
 func distance(self, r *member.Record) int {
 	switch {
+	case r.ID == self.ID:
+		return sameNode
 	case r.FailureDomain == self.FailureDomain:
 		return sameDomain
 	case r.Region == self.Region:
@@ -118,7 +123,7 @@
 func price(distance, bytes int) float64 {
 	kb := float64(bytes) / 1024
 	switch distance {
-	case sameDomain:
+	case sameNode, sameDomain:
 		return 0
 	case sameRegion:
 		return domainPrice * kb
@@ -176,6 +181,9 @@
 	r := e.record.Load()
 	far := distance(self, r)
 	expected := c.b.links.of(far) + c.expected(e, usual, d.lane(), ratio)
+	if far != sameNode {
+		expected += c.transfer(e, d.Body)
+	}
 	late = lateness.Share(expected, d.Target)
 	missed := lateness.Share(expected, d.Left)
 	loss = lateLoss*late + (1-lateLoss)*missed
@@ -242,6 +250,18 @@
 	return 1
 }
 
+// transfer returns the time that a body is expected to take over the link of the
+// endpoint's instance.
+func (c *choice) transfer(e *endpoint, size int64) time.Duration {
+	s := e.state.Load()
+	if s == nil || size == 0 || c.now-s.at >= int64(stateMaxAge) {
+		return 0
+	}
+	link := s.link
+	link.Pending = int64(float64(link.Pending) * math.Exp2(-float64(c.now-s.at)/float64(stateHalfLife)))
+	return link.Transfer(size)
+}
+
 // excess returns the mean of the positive part of a normally distributed value.
 func excess(mean, deviation float64) float64 {
 	z := mean / deviation
@@ -276,7 +296,7 @@
 	if r.Service <= 0 {
 		return
 	}
-	s := &state{service: float64(r.Service), at: now, own: e.inFlight.Load()}
+	s := &state{service: float64(r.Service), link: r.Link, at: now, own: e.inFlight.Load()}
 	for i, n := range r.Calls {
 		s.calls[i] = float64(n)
 	}
--- a/node/calls.go
+++ b/node/calls.go
@@ -117,6 +117,12 @@
 	platformBodies  = proxy.BodyOptions{MaxBuffered: 4 << 20, Chunked: true}
 )
 
+const (
+	bytesPerMbit = 1e6 / 8
+	// linkUse is the part of the link's rate that bodies of calls can use.
+	linkUse = 0.8
+)
+
 // maxPipelined is the number of requests of one caller's connection that are
 // served at the same time.
 const maxPipelined = 16
@@ -184,6 +190,7 @@
 		Edge:      platform.Edge{},
 		Answers:   platformAnswers, Bodies: platformBodies, OpenEnded: true,
 		OnOther: s.node.target.other,
+		Link:    admit.NewLink(s.node.settings.Platform.LinkMbps * linkUse * bytesPerMbit),
 	})
 }
 
--- a/node/platform.go
+++ b/node/platform.go
@@ -122,7 +122,6 @@
 
 // Run serves announcements and drops targets that fall silent.
 func (s *targetService) Run(ctx context.Context) error {
-	go s.debugGate(ctx)
 	go s.find(ctx)
 	go func() {
 		tick := time.NewTicker(s.node.settings.Platform.Heartbeat() / 2)
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -20,6 +20,10 @@
 // body that does not fit into the buffers of the connection.
 const backgroundBody = 16 << 10
 
+// askFirstBody is the size from which a node waits for the target's node to ask
+// for a body in memory: a refusal then costs a round trip instead of the body.
+const askFirstBody = 64 << 10
+
 // maxInterimAnswers bounds the 1xx answers to one request.
 const maxInterimAnswers = 8
 
@@ -111,7 +115,11 @@
 //siskingw:step send
 func (x *exchange) send(c *call) error {
 	if len(c.body.buf) > backgroundBody && c.body.buffered {
-		x.upload = startUpload(c, x.conn, false)
+		x.expect = x.expect && len(c.body.buf) > askFirstBody
+		if x.expect {
+			c.header["Expect"] = expectContinue
+		}
+		x.upload = startUpload(c, x.conn, x.expect)
 		return nil
 	}
 	if c.body.streamed {
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -22,7 +22,8 @@
 	Edge      Edge            // towards the target; nil for the nodes' own headers
 	Answers   AnswerOptions
 	Bodies    BodyOptions
-	Decisions *Decisions // nil logs nothing
+	Decisions *Decisions  // nil logs nothing
+	Link      *admit.Link // of this instance; nil for one that never binds
 	// OpenEnded accepts answers of the target that end with their connection.
 	OpenEnded bool
 	// OnOther is told that another target answers at the address of a backend.
@@ -146,12 +147,38 @@
 	if s, err := in.opts.Edge.Call(c.r.Header); err == nil {
 		c.id = s.ID
 	}
-	if f := c.body.load(c.w, c.r, 0, in.opts.Bodies); f != nil {
+	if f := in.receive(c); f != nil {
 		return f
 	}
 	return in.pass(c)
 }
 
+// receive reads the body of a call. A large one for which the caller's node
+// waits is refused before it arrives when it cannot be answered in time.
+func (in *Inbound) receive(c *call) *refusal {
+	size := c.r.ContentLength
+	if b := in.backend(); len(c.r.Header["Expect"]) > 0 && size > 0 && b != nil && !c.work.target.IsZero() {
+		if err := b.Gate.Check(c.workForGate(), c.deadline, in.opts.Link.Report().Transfer(size)); err != nil {
+			f := in.crowded(c, b, err)
+			f.stated = true
+			in.logRefusal(c, f)
+			return f
+		}
+	}
+	if c.r.Body == nil || c.r.Body == http.NoBody {
+		return c.body.load(c.w, c.r, 0, in.opts.Bodies)
+	}
+	body, done := in.opts.Link.Receive(c.r.Body, size)
+	defer done()
+	c.r.Body = prefixed{body, c.r.Body}
+	return c.body.load(c.w, c.r, 0, in.opts.Bodies)
+}
+
+// workForGate returns what the gate must know of the call.
+func (c *call) workForGate() admit.Work {
+	return admit.Work{Class: c.work.class, Priority: c.work.priority, Target: c.work.target, Late: c.work.late}
+}
+
 // pass sends the call to the target, unless the gate or the ledger is against
 // it. Its refusals are statements of the target's node.
 func (in *Inbound) pass(c *call) *refusal {
@@ -220,22 +247,25 @@
 	if c.work.target.IsZero() {
 		ticket, err = b.Gate.Enter(&c.gateCtx, c.kind)
 	} else {
-		ticket, err = b.Gate.Admit(&c.gateCtx, admit.Work{
-			Class: c.work.class, Priority: c.work.priority, Target: c.work.target, Late: c.work.late,
-		})
+		ticket, err = b.Gate.Admit(&c.gateCtx, c.workForGate())
 	}
 	if err == nil {
 		return ticket, nil
 	}
+	return nil, in.crowded(c, b, err)
+}
+
+// crowded refuses a call for which the gate has no room.
+func (in *Inbound) crowded(c *call, b *Backend, err error) *refusal {
 	f := notRun("the target's node refuses the call", err)
 	f.after = b.Gate.ExpectedWait(c.work.priority)
 	f.crowded = true
-	return nil, f
+	return f
 }
 
 // gateState returns the state of the gate, for an answer that is sent now.
 func (in *Inbound) gateState(c *call) gateState {
-	s := gateState{handled: time.Since(c.start)}
+	s := gateState{handled: time.Since(c.start), link: in.opts.Link.Report()}
 	if b := in.backend(); b != nil {
 		s.report, s.class = b.Gate.Report(), b.Gate.ServiceOf(c.work.class)
 	}
@@ -249,7 +279,7 @@
 func (in *Inbound) start(x *exchange, c *call, ctx context.Context, b *Backend) *refusal {
 	c.prepare()
 	in.opts.Edge.Send(c.header, TargetStatement{ID: c.id, Deadline: c.left(), Instance: b.Instance, Caller: c.work.caller})
-	x.expect, x.openEnded = c.expects, in.opts.OpenEnded
+	x.expect, x.openEnded = c.expects && c.body.streamed, in.opts.OpenEnded
 	var stated AnswerStatement
 	x.judge = func(resp *http.Response) verdict {
 		stated = in.opts.Edge.Answer(resp)
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -169,7 +169,7 @@
 	}
 	c.work.late = t.late
 	return o.opts.Balancer.PickFor(res.EndpointSet, ejectionOf(res.Policy), t.skip, balance.Demand{
-		Target: time.Until(c.work.target), Left: c.left(), Bytes: o.sizeOf(res.Name).of(c),
+		Target: time.Until(c.work.target), Left: c.left(), Bytes: o.sizeOf(res.Name).of(c), Body: max(c.r.ContentLength, 0),
 		Class: c.work.class, Priority: c.work.priority,
 	})
 }
@@ -228,7 +228,7 @@
 	r := balance.Report{
 		Load: c.load, Duration: time.Since(c.sentAt),
 		Calls: c.gate.report.Calls, Service: c.gate.report.Service,
-		Class: c.work.class, OfClass: c.gate.class, Handled: c.gate.handled,
+		Class: c.work.class, OfClass: c.gate.class, Handled: c.gate.handled, Link: c.gate.link,
 	}
 	switch {
 	case f == nil:
--- a/settings/check.go
+++ b/settings/check.go
@@ -13,7 +13,8 @@
 const (
 	maxSlots     = 100_000
 	maxVerbosity = 2
-	minGraceS    = 1    // a shorter stop cannot finish calls in flight
+	minGraceS    = 1 // a shorter stop cannot finish calls in flight
+	maxLinkMbps  = 1_000_000
 	maxSeconds   = 3600 // of the times that are given in seconds
 )
 
@@ -156,6 +157,7 @@
 	c.within("platform.retrySlack", p.RetrySlack, 0, 1_000_000)
 	c.fraction("platform.retryWindowS", p.RetryWindowS, 0, maxSeconds)
 	c.within("platform.memoryMB", p.MemoryMB, 0, 1<<20)
+	c.fraction("platform.linkMbps", p.LinkMbps, 0, maxLinkMbps)
 	c.within("platform.maxFiles", p.MaxFiles, 0, 1<<30)
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -89,6 +89,7 @@
 	RetryWindowS float64 `json:"retryWindowS"` // window of the two limits
 	MemoryMB     int     `json:"memoryMB"`     // memory of the process
 	MaxFiles     int     `json:"maxFiles"`     // file descriptors of the process
+	LinkMbps     float64 `json:"linkMbps"`     // rate of the instance's link, Mbit/s
 }
 
 // Heartbeat returns the time between announcements of a target.
--- a/telemetry/async.go
+++ b/telemetry/async.go
@@ -27,13 +27,14 @@
 	lines   chan []byte
 	dropped atomic.Uint64
 	total   atomic.Uint64 // lines dropped so far
-	done    chan struct{}
+	stop    chan struct{} // closed by Close
+	done    chan struct{} // closed when the goroutine has ended
 	once    sync.Once
 }
 
 // NewAsyncWriter returns a writer in front of w. Close ends it.
 func NewAsyncWriter(w io.Writer) *AsyncWriter {
-	a := &AsyncWriter{w: w, lines: make(chan []byte, asyncLines), done: make(chan struct{})}
+	a := &AsyncWriter{w: w, lines: make(chan []byte, asyncLines), stop: make(chan struct{}), done: make(chan struct{})}
 	go a.run()
 	return a
 }
@@ -52,9 +53,9 @@
 // Dropped returns how many lines were dropped.
 func (a *AsyncWriter) Dropped() uint64 { return a.total.Load() }
 
-// Close writes what is queued, for flushTimeout at most.
+// Close writes what is queued, for flushTimeout at most. Later lines are lost.
 func (a *AsyncWriter) Close() {
-	a.once.Do(func() { close(a.lines) })
+	a.once.Do(func() { close(a.stop) })
 	select {
 	case <-a.done:
 	case <-time.After(flushTimeout):
@@ -64,16 +65,28 @@
 func (a *AsyncWriter) run() {
 	defer close(a.done)
 	out := bufio.NewWriterSize(a.w, asyncBuffer)
-	for line := range a.lines {
-		_, _ = out.Write(line) // there is nowhere to report a log that cannot be written
-		if n := a.dropped.Swap(0); n > 0 {
-			a.writeDropped(out, n)
-		}
-		if len(a.lines) == 0 {
-			_ = out.Flush()
+	for {
+		select {
+		case line := <-a.lines:
+			a.write(out, line)
+		case <-a.stop:
+			for len(a.lines) > 0 {
+				a.write(out, <-a.lines)
+			}
+			return
 		}
 	}
-	_ = out.Flush()
+}
+
+// write writes one line, and all that is buffered when no other line waits.
+func (a *AsyncWriter) write(out *bufio.Writer, line []byte) {
+	_, _ = out.Write(line) // there is nowhere to report a log that cannot be written
+	if n := a.dropped.Swap(0); n > 0 {
+		a.writeDropped(out, n)
+	}
+	if len(a.lines) == 0 {
+		_ = out.Flush()
+	}
 }
 
 // writeDropped says how many lines are missing.
--- a/telemetry/async_test.go
+++ b/telemetry/async_test.go
@@ -38,6 +38,16 @@
 	is.True(strings.Contains(<-got, "log lines dropped"))
 }
 
+// Guards against a call in flight that logs after the process has begun to end,
+// and brings it down.
+func TestWriteAfterCloseIsHarmless(t *testing.T) {
+	a := NewAsyncWriter(io.Discard)
+	log := NewLogger(a, 0)
+	a.Close()
+	log.Info("late")
+	a.Close()
+}
+
 // Guards against lines that are lost when the process ends.
 func TestCloseWritesQueuedLines(t *testing.T) {
 	is := is.New(t)
