Answer every call of a stopping node

Change: a stopping node refuses new calls as not run after 3 s and ends those in flight 0.9 s before the end of the grace with an answer of its own.

--- a/node/calls.go
+++ b/node/calls.go
@@ -107,7 +107,8 @@
 		opts.Retries = proxy.RetryOptions{BudgetPercent: 15, Reserve: 4, FreeTries: 3}
 		server.Pipeline, server.Bodies, server.Limits = maxPipelined, platformBodies, s.node.callerLimits
 	}
-	return s.listen(nameOutbound, s.node.settings.Listen.Outbound, proxy.NewConnServer(proxy.NewOutbound(opts), server))
+	s.node.outbound = proxy.NewOutbound(opts)
+	return s.listen(nameOutbound, s.node.settings.Listen.Outbound, proxy.NewConnServer(s.node.outbound, server))
 }
 
 // On the platform, answers and bodies of the usual sizes are held whole, so that
@@ -160,6 +161,7 @@
 	}
 	if s.node.settings.Platform != nil {
 		s.inbound = s.platformHandler()
+		s.node.inbound = s.inbound
 		return s.inbound
 	}
 	t := s.node.settings.Target
--- a/node/node.go
+++ b/node/node.go
@@ -36,6 +36,8 @@
 	callMetrics *proxy.Metrics
 	decisions   *proxy.Decisions
 	target      *targetService // on the platform only
+	outbound    *proxy.Outbound
+	inbound     *proxy.Inbound
 }
 
 // New returns a node that is not yet started.
--- a/node/platform.go
+++ b/node/platform.go
@@ -225,6 +225,7 @@
 
 func (s *readyService) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
+	s.node.boundStop()
 	t := time.NewTimer(serveOn)
 	defer t.Stop()
 	select {
@@ -234,6 +235,26 @@
 	return nil
 }
 
+const (
+	// takeCalls is how long a stopping node takes new calls: callers have left
+	// by then, and a later call could hardly end within the grace.
+	takeCalls = 3 * time.Second
+	// abortReserve is the part of the grace before SIGKILL that is left for
+	// answering calls in flight.
+	abortReserve = 900 * time.Millisecond
+)
+
+// boundStop refuses new calls and ends those in flight in time before the
+// process is killed.
+func (n *Node) boundStop() {
+	time.AfterFunc(takeCalls, n.outbound.Refuse)
+	time.AfterFunc(n.settings.Platform.Grace()-abortReserve, func() {
+		n.log.Info("calls in flight are ended, the grace is over")
+		n.outbound.Abort()
+		n.inbound.Abort()
+	})
+}
+
 // callerLimits returns the limits on callers that the configuration in force
 // states.
 func (n *Node) callerLimits() proxy.ServerLimits {
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -40,6 +40,7 @@
 
 // Inbound passes calls of other nodes to the target of this instance.
 type Inbound struct {
+	*stopping
 	opts     InboundOptions
 	draining atomic.Bool
 }
@@ -57,7 +58,7 @@
 	if opts.Edge == nil {
 		opts.Edge = nativeEdge{}
 	}
-	return &Inbound{opts: opts}
+	return &Inbound{stopping: newStopping(), opts: opts}
 }
 
 // backend returns the target that may get work now, or nil.
@@ -111,6 +112,7 @@
 func (in *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := newCall(w, r)
 	defer c.free()
+	defer in.follow(c)()
 	defer in.opts.Tracer.begin(c, "inbound")()
 	f := in.serve(c)
 	c.refused = f
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -33,6 +33,7 @@
 
 // Outbound routes the calls of this instance's callers.
 type Outbound struct {
+	*stopping
 	opts    OutboundOptions
 	budgets sync.Map // service name to *budget
 
@@ -55,7 +56,7 @@
 		opts.Caller = func() string { return "" }
 	}
 	opts.Retries = opts.Retries.withDefaults()
-	return &Outbound{opts: opts}
+	return &Outbound{stopping: newStopping(), opts: opts}
 }
 
 // ServeHTTP routes one call.
@@ -67,6 +68,7 @@
 	c := newCall(w, r)
 	c.outside, c.edge = true, o.opts.Edge
 	defer c.free()
+	defer o.follow(c)()
 	defer o.opts.Tracer.begin(c, "outbound")()
 	c.readKey()
 	f := c.keyedRefusal(o.serve(c))
@@ -91,6 +93,11 @@
 	if c.r.Host == "" && c.r.ProtoAtLeast(1, 1) {
 		return &refusal{status: http.StatusBadRequest, outcome: OutcomeNotRun, reason: "the request names no host", hangUp: true}
 	}
+	if o.refusing.Load() {
+		f := notRun("the node stops", nil)
+		f.hangUp = true
+		return f
+	}
 	snap := o.opts.Current.Load()
 	if snap == nil {
 		return notRun("no configuration is in force yet", nil)
--- a/proxy/platform_test.go
+++ b/proxy/platform_test.go
@@ -30,3 +30,32 @@
 	is.Equal(rt.runs.Load(), int32(20))
 	is.Equal(r.gates[0].Stats().InFlight, 0)
 }
+
+// Guards against calls that end without an answer because the process is killed
+// at the end of its grace, and against new calls that it takes shortly before.
+func TestStoppingNodeAnswersEveryCall(t *testing.T) {
+	is := is.New(t)
+	started, release := make(chan struct{}), make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool {
+		close(started)
+		<-release
+		return false
+	})
+	r := newRig(t, nil, rt.addr)
+	answered := make(chan *http.Response)
+	go func() {
+		resp, _ := r.do(t, "POST", "/bids", "bid")
+		answered <- resp
+	}()
+	<-started
+	r.out.Refuse()
+	resp, _ := r.do(t, "POST", "/bids", "bid")
+	is.Equal(resp.StatusCode, 503)
+	is.Equal(resp.Header.Get(HeaderOutcome), OutcomeNotRun)
+	is.True(resp.Close)
+	r.out.Abort()
+	resp = <-answered
+	is.Equal(resp.Header.Get(HeaderOutcome), OutcomeUnknown)
+	is.Equal(rt.runs.Load(), int32(1))
+}
