--- a/balance/loss.go
+++ b/balance/loss.go
@@ -41,6 +41,9 @@
 	// crosses regions costs more than it is worth to them.
 	domainPrice = 0.01
 	regionPrice = 0.035
+	// hopPrice is the same for a call that another instance's node forwards: it
+	// costs processor time there and a connection between the two.
+	hopPrice = 0.02
 	// noise is the largest random addition to a loss: nodes that know the same
 	// must not all select the same endpoint.
 	noise = 0.01
@@ -119,16 +122,18 @@
 	return otherRegion
 }
 
-// price returns the share of a call's value that its bytes cost.
+// price returns the share of a call's value that its way costs.
 func price(distance, bytes int) float64 {
 	kb := float64(bytes) / 1024
 	switch distance {
-	case sameNode, sameDomain:
+	case sameNode:
 		return 0
+	case sameDomain:
+		return hopPrice
 	case sameRegion:
-		return domainPrice * kb
+		return hopPrice + domainPrice*kb
 	}
-	return regionPrice * kb
+	return hopPrice + regionPrice*kb
 }
 
 // PickFor selects the endpoint with the least expected loss among those that are
--- /dev/null
+++ b/balance/loss_test.go
@@ -0,0 +1,236 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskingw/admit"
+	"siskingw/member"
+)
+
+// newLossFixture returns a node in sask-1 with two targets of 9 slots in each
+// failure domain; every gate reports that it is idle.
+func newLossFixture() *fixture {
+	f := newFixture(2, Options{})
+	for i := range f.view.records {
+		r := *f.view.records[i]
+		r.Slots = 9
+		f.view.set(r)
+	}
+	for _, r := range f.view.records {
+		f.state(r.ID, 0, 250*time.Millisecond, admit.LinkReport{})
+	}
+	return f
+}
+
+// state makes the balancer hear from the gate of a target: its calls, in flight
+// and queued, and its service time.
+func (f *fixture) state(id string, calls int, service time.Duration, link admit.LinkReport) {
+	r := Report{Duration: time.Millisecond, Service: service, Link: link}
+	for i := range r.Calls {
+		r.Calls[i] = calls
+	}
+	f.only(id).Done(r)
+}
+
+// only picks the target.
+func (f *fixture) only(id string) *Picked {
+	var skip []string
+	for _, r := range f.view.records {
+		if r.ID != id {
+			skip = append(skip, r.ID)
+		}
+	}
+	p, err := f.b.PickFor(&f.set, nil, skip, page)
+	if err != nil {
+		panic(err)
+	}
+	return p
+}
+
+// pick returns the target of a call with the demand.
+func (f *fixture) pick(d Demand, skip ...string) (string, float64) {
+	p, err := f.b.PickFor(&f.set, &f.ejection, skip, d)
+	if err != nil {
+		return "", 1
+	}
+	p.Done(Report{})
+	return p.Record.ID, p.Late
+}
+
+// share returns how many of 100 picks go to each failure domain.
+func (f *fixture) shares(d Demand) map[string]int {
+	n := make(map[string]int)
+	for range 100 {
+		id, _ := f.pick(d)
+		n[id[:6]]++
+	}
+	return n
+}
+
+var page = Demand{Target: 800 * time.Millisecond, Left: 1500 * time.Millisecond, Bytes: 2 << 10}
+
+// Pattern: unevenly loaded failure domains. Guards against calls that wait in a
+// full failure domain beside free ones, and against paid traffic while the own
+// one is free.
+func TestCallsLeaveAFullFailureDomain(t *testing.T) {
+	is := is.New(t)
+	f := newLossFixture()
+	is.Equal(f.shares(page)["sask-1"], 100)
+	for _, id := range []string{"sask-1-0", "sask-1-1"} {
+		f.state(id, 40, 250*time.Millisecond, admit.LinkReport{})
+	}
+	is.Equal(f.shares(page)["sask-2"], 100)
+	for _, id := range []string{"sask-2-0", "sask-2-1"} {
+		f.state(id, 40, 250*time.Millisecond, admit.LinkReport{})
+	}
+	got := f.shares(page)
+	is.Equal(got["alta-1"]+got["mani-1"], 100)
+}
+
+// Pattern: endpoints that differ in speed by a factor of three. Guards against
+// calls that are late at the slow one while a fast one is free.
+func TestCallsAvoidTheSlowTarget(t *testing.T) {
+	is := is.New(t)
+	f := newLossFixture()
+	f.state("sask-1-0", 0, 750*time.Millisecond, admit.LinkReport{})
+	for range 50 {
+		id, late := f.pick(page)
+		is.Equal(id, "sask-1-1")
+		is.True(late < 0.1)
+	}
+}
+
+// Pattern: uploads over links of different rates. Guards against bodies that
+// queue at the link of a weak instance, and against uploads that leave a failure
+// domain that can take them: their bytes cost more than they are worth.
+func TestUploadsGoWhereTheLinkTakesThem(t *testing.T) {
+	is := is.New(t)
+	f := newLossFixture()
+	upload := Demand{Target: 1500 * time.Millisecond, Left: 6 * time.Second, Bytes: 280 << 10, Body: 280 << 10}
+	f.state("sask-1-0", 0, 250*time.Millisecond, admit.LinkReport{Pending: 6 << 20, Rate: 3e6})
+	f.state("sask-1-1", 0, 250*time.Millisecond, admit.LinkReport{Pending: 1 << 20, Rate: 3e6})
+	for range 50 {
+		id, _ := f.pick(upload)
+		is.Equal(id, "sask-1-1")
+	}
+	f.state("sask-1-1", 9, 400*time.Millisecond, admit.LinkReport{Pending: 3 << 20, Rate: 3e6})
+	is.Equal(f.shares(upload)["sask-1"], 100)
+}
+
+// Guards against calls that go to another instance although the target of their
+// own is as good.
+func TestOwnInstanceComesFirst(t *testing.T) {
+	is := is.New(t)
+	f := newLossFixture()
+	f.view.self.ID = "sask-1-1"
+	upload := Demand{Target: 1500 * time.Millisecond, Left: 6 * time.Second, Bytes: 280 << 10, Body: 280 << 10}
+	link := admit.LinkReport{Rate: 3e6}
+	f.state("sask-1-0", 0, 250*time.Millisecond, link)
+	f.state("sask-1-1", 0, 250*time.Millisecond, link)
+	for range 50 {
+		id, _ := f.pick(upload)
+		is.Equal(id, "sask-1-1")
+	}
+}
+
+// Pattern: overload by reads. Guards against bids that are taken for hopeless
+// because reads fill the queues that bids overtake.
+func TestUrgentCallsSeeTheirOwnQueue(t *testing.T) {
+	is := is.New(t)
+	f := newLossFixture()
+	for _, r := range f.view.records {
+		f.only(r.ID).Done(Report{Duration: time.Millisecond, Service: 250 * time.Millisecond, Calls: [admit.Priorities]int{9, 10, 40}})
+	}
+	read, bid := page, page
+	read.Priority, bid.Priority = 2, 0
+	_, late := f.pick(read)
+	is.True(late > 0.5)
+	_, late = f.pick(bid)
+	is.True(late < 0.2)
+}
+
+// Pattern: calls of classes that take different times. Guards against a call
+// with a short target latency that is judged by the time of uploads.
+func TestClassesHaveTheirOwnServiceTime(t *testing.T) {
+	is := is.New(t)
+	f := newLossFixture()
+	for range 60 {
+		for _, class := range []string{"call", "upload"} {
+			p := f.only("sask-1-0")
+			of := map[string]time.Duration{"call": 50 * time.Millisecond, "upload": 450 * time.Millisecond}[class]
+			p.Done(Report{Duration: time.Millisecond, Service: 250 * time.Millisecond, Class: class, OfClass: of})
+		}
+	}
+	_, late := f.pick(Demand{Target: 200 * time.Millisecond, Left: 600 * time.Millisecond, Class: "call"})
+	is.True(late < 0.1)
+	_, late = f.pick(Demand{Target: 200 * time.Millisecond, Left: 600 * time.Millisecond, Class: "upload"})
+	is.True(late > 0.9)
+}
+
+// Guards against a state that is believed for ever: after the load has ended a
+// target must be used again without a report.
+func TestStatesFade(t *testing.T) {
+	is := is.New(t)
+	f := newLossFixture()
+	f.state("sask-1-0", 60, 250*time.Millisecond, admit.LinkReport{})
+	is.Equal(f.shares(page)["sask-1"], 100)
+	first := 0
+	f.now = f.now.Add(3 * time.Second)
+	for range 100 {
+		if id, _ := f.pick(page); id == "sask-1-0" {
+			first++
+		}
+	}
+	is.True(first > 20)
+}
+
+// Guards against a failing target that is preferred because it is free, and
+// against one that is skipped and selected again.
+func TestFailingAndSkippedTargetsLose(t *testing.T) {
+	is := is.New(t)
+	f := newLossFixture()
+	for range 3 {
+		p, err := f.b.PickFor(&f.set, &f.ejection, []string{"sask-1-1"}, page)
+		is.NoErr(err)
+		if p.Record.ID == "sask-1-0" {
+			p.Done(Report{Failed: true, Duration: time.Millisecond})
+		} else {
+			p.Done(Report{})
+		}
+		f.now = f.now.Add(10 * time.Millisecond)
+	}
+	for range 50 {
+		id, _ := f.pick(page)
+		is.Equal(id, "sask-1-1")
+		id, _ = f.pick(page, "sask-1-0", "sask-1-1")
+		is.True(id[:6] != "sask-1")
+	}
+}
+
+// Guards against calls to a departed target, and against a service without any
+// that is not reported.
+func TestPickForWithoutTargets(t *testing.T) {
+	is := is.New(t)
+	f := newLossFixture()
+	for _, r := range f.view.records {
+		f.view.state(r.ID, member.Draining)
+	}
+	id, _ := f.pick(page)
+	is.Equal(id, "")
+}
+
+// BenchmarkPickFor measures one choice among the endpoints of a service.
+func BenchmarkPickFor(b *testing.B) {
+	for _, n := range []int{2, 16} {
+		b.Run(fmt.Sprint(4*n), func(b *testing.B) {
+			f := newFixture(n, Options{})
+			for b.Loop() {
+				f.pick(page)
+			}
+		})
+	}
+}
