--- a/Makefile
+++ b/Makefile
@@ -10,11 +10,15 @@
 space := $(empty) $(empty)
 SKIP := $(if $(KNOWN_RED),-skip '^($(subst $(space),|,$(strip $(KNOWN_RED))))$$')
 
-.PHONY: build test race soak lint fmt demo generate mutants
+.PHONY: build deploy test race soak lint fmt demo generate mutants
 
 build:
 	$(GO) build -o bin/ ./cmd/...
 
+# Builds the way the users' platform does.
+deploy:
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+
 test: build
 	@for t in $(KNOWN_RED); do echo "known red and passed over: $$t"; done
 	$(GO) test -timeout $(TEST_TIMEOUT) $(SKIP) ./...
--- a/admit/target.go
+++ b/admit/target.go
@@ -42,8 +42,6 @@
 // Admit admits a call like Enter, by its chance to be in time. It returns a
 // NotRun error when the call is refused or ctx ends first. The caller must call
 // Leave on the ticket.
-//
-//siskingw:step admit
 func (g *Gate) Admit(ctx context.Context, work Work) (*Ticket, error) {
 	now := g.opts.Now()
 	p := min(max(work.Priority, 0), kinds-1)
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,7 @@
 	LoadMaxAge time.Duration    // age from which reported load is ignored
 	IdleTime   time.Duration    // time without calls after which a service's state is dropped
 	Now        func() time.Time // clock; nil for time.Now
+	OnEject    func(Ejection)   // told when a target is left out and when it is trusted again; may be nil
 	Rand       func() uint64    // source of random bits, safe for concurrent use; nil for math/rand/v2
 }
 
@@ -50,6 +51,14 @@
 	return o
 }
 
+// Ejection is a change of what the balancer believes of a target.
+type Ejection struct {
+	Target      *member.Record
+	For         time.Duration // how long it is left out; 0 when it is trusted again
+	Failures    uint32        // in a row
+	Unreachable bool          // no connection could be made
+}
+
 // Balancer selects targets. All methods may be used concurrently. Pick and Done
 // take no lock unless the endpoints of the service changed.
 type Balancer struct {
@@ -154,7 +163,7 @@
 	}
 	v, ok := b.services.Load(announce)
 	if !ok {
-		v, _ = b.services.LoadOrStore(announce, newService(announce, b.opts.SlowStart))
+		v, _ = b.services.LoadOrStore(announce, newService(announce, b.opts))
 	}
 	s := v.(*service)
 	if now-s.usedAt.Load() > int64(time.Second) { // avoids a write for each call
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -168,6 +168,7 @@
 	if e.failures < ej.failures && !unreachable && e.probation.Load() == 0 {
 		return
 	}
+	failures := e.failures
 	length := int64(ej.base) << min(e.shift, maxEjectShift)
 	length += int64(random() % uint64(length/4+1)) // callers must not return all at once
 	e.shift = min(e.shift+1, maxEjectShift)
@@ -177,6 +178,15 @@
 	e.rampFrom.Store(now + length)
 	e.badUntil.Store(now + length)
 	e.service.ejectedUntil(now + length)
+	e.tell(Ejection{For: time.Duration(length), Failures: failures, Unreachable: unreachable})
+}
+
+// tell reports a change of what is believed of the target.
+func (e *endpoint) tell(change Ejection) {
+	if e.service.onEject != nil {
+		change.Target = e.record.Load()
+		e.service.onEject(change)
+	}
 }
 
 // succeed ends a run of failures and, after enough successes, the ejection and
@@ -190,5 +200,6 @@
 		e.shift = 0
 		e.rampFrom.Store(min(e.rampFrom.Load(), now))
 		e.badUntil.Store(0)
+		e.tell(Ejection{})
 	}
 }
--- a/balance/loss.go
+++ b/balance/loss.go
@@ -138,8 +138,6 @@
 
 // PickFor selects the endpoint with the least expected loss among those that are
 // not in skip. It returns a NotRun error when none is left.
-//
-//siskingw:step choose
 func (b *Balancer) PickFor(set *object.EndpointSetSpec, spec *object.EjectionSpec, skip []string, d Demand) (*Picked, error) {
 	now := b.now()
 	s := b.service(set.Announce, now)
--- a/balance/loss_test.go
+++ b/balance/loss_test.go
@@ -234,3 +234,21 @@
 		})
 	}
 }
+
+// Guards against a target that is left out or trusted again without a word to
+// the operator.
+func TestEjectionsAreReported(t *testing.T) {
+	is := is.New(t)
+	var told []Ejection
+	f := newFixture(2, Options{OnEject: func(e Ejection) { told = append(told, e) }})
+	f.only("sask-1-0").Done(Report{Unreachable: true})
+	is.Equal(len(told), 1)
+	is.Equal(told[0].Target.ID, "sask-1-0")
+	is.True(told[0].Unreachable && told[0].For > 0)
+	f.now = f.now.Add(2 * told[0].For)
+	for range probationCalls {
+		f.only("sask-1-0").Done(Report{Duration: time.Millisecond})
+	}
+	is.Equal(len(told), 2)
+	is.Equal(told[1].For, time.Duration(0))
+}
--- a/balance/service.go
+++ b/balance/service.go
@@ -18,6 +18,7 @@
 type service struct {
 	announce  string
 	slowStart int64 // ns
+	onEject   func(Ejection)
 	usedAt    atomic.Int64
 	badUntil  atomic.Int64 // no endpoint looks bad from then on
 	panicking atomic.Bool  // ejection has stopped
@@ -61,8 +62,8 @@
 	pace      atomic.Uint64 // float64 bits, median of the endpoints' pace
 }
 
-func newService(announce string, slowStart time.Duration) *service {
-	return &service{announce: announce, slowStart: int64(slowStart), endpoints: make(map[identity]*endpoint)}
+func newService(announce string, opts Options) *service {
+	return &service{announce: announce, slowStart: int64(opts.SlowStart), onEject: opts.OnEject, endpoints: make(map[identity]*endpoint)}
 }
 
 // ejectedUntil records that an endpoint looks bad until the given time.
--- a/node/calls.go
+++ b/node/calls.go
@@ -90,7 +90,7 @@
 	}
 	opts := proxy.OutboundOptions{
 		Current:    s.node.current,
-		Balancer:   balance.New(s.node.dir, balance.Options{}),
+		Balancer:   balance.New(s.node.dir, balance.Options{OnEject: s.node.beliefs.eject}),
 		View:       s.node.dir,
 		Pool:       proxy.NewPool(proxy.PoolOptions{LocalAddr: s.node.localAddr()}),
 		Local:      local,
--- a/node/command.go
+++ b/node/command.go
@@ -58,6 +58,7 @@
 	defer signal.Stop(stop)
 	out := telemetry.NewAsyncWriter(os.Stdout)
 	defer out.Close()
+	telemetry.ExportLog(out)
 	n, err := New(s, telemetry.NewLogger(out, s.Log.Verbosity))
 	if err != nil {
 		return err
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,13 +1,40 @@
 package node
 
 import (
+	"context"
 	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"siskingw/kernel"
+	"siskingw/member"
 	"siskingw/peer"
+	"siskingw/platform"
+	"siskingw/proxy"
+	"siskingw/snapshot"
+	"siskingw/telemetry"
 )
 
+// metricsService serves the metrics at an address of their own.
+type metricsService struct {
+	node *Node
+	callServer
+}
+
+func (s *metricsService) Name() string    { return nameMetrics }
+func (s *metricsService) Needs() []string { return nil }
+
+func (s *metricsService) Start(context.Context, *kernel.Kernel) error {
+	mux := http.NewServeMux()
+	telemetry.MountMetrics(mux)
+	return s.listen(nameMetrics, s.node.settings.Listen.Metrics, proxy.NewServer(mux, proxy.ServerOptions{}))
+}
+
+func (s *metricsService) Stop(ctx context.Context) error { return s.shutdown(ctx) }
+
 // exportTraffic adds the control bytes by link class to the metrics.
 func exportTraffic(set *metrics.Set, t *peer.Traffic) {
 	for _, c := range []peer.LinkClass{peer.SameDomain, peer.SameRegion, peer.CrossRegion} {
@@ -15,3 +42,57 @@
 		set.NewGauge(fmt.Sprintf(`siskingw_control_received_bytes{link=%q}`, c), func() float64 { return float64(t.Received(c)) })
 	}
 }
+
+// exportState adds what the node believes: the age of its version and the
+// members by state.
+func exportState(n *Node) {
+	var since atomic.Int64 // ns since 1970; 0 before the first version
+	n.current.OnAdvance(func(*snapshot.Snapshot) { since.Store(time.Now().UnixNano()) })
+	n.metrics.NewGauge("siskingw_version_age_seconds", func() float64 {
+		if at := since.Load(); at > 0 {
+			return time.Since(time.Unix(0, at)).Seconds()
+		}
+		return -1
+	})
+	for _, state := range []member.State{member.Alive, member.Suspect, member.Draining, member.Dead, member.Left} {
+		n.metrics.NewGauge(fmt.Sprintf(`siskingw_members{state=%q}`, state), func() float64 {
+			return float64(countMembers(n.dir, state))
+		})
+	}
+}
+
+// countMembers returns how many known members are in the state.
+func countMembers(dir *member.Directory, state member.State) int {
+	count := 0
+	for _, r := range dir.All() {
+		if r.State == state {
+			count++
+		}
+	}
+	return count
+}
+
+// storeCalls returns a function that counts calls to the platform's store.
+func storeCalls(set *metrics.Set) func(operation string, err error, took time.Duration) {
+	type counters struct {
+		done, failed *metrics.Counter
+		took         *metrics.Histogram
+	}
+	byOperation := make(map[string]counters)
+	for _, op := range platform.Operations() {
+		byOperation[op] = counters{
+			done:   set.NewCounter(fmt.Sprintf(`siskingw_store_calls_total{call=%q,result="done"}`, op)),
+			failed: set.NewCounter(fmt.Sprintf(`siskingw_store_calls_total{call=%q,result="failed"}`, op)),
+			took:   set.NewHistogram(fmt.Sprintf(`siskingw_store_call_seconds{call=%q}`, op)),
+		}
+	}
+	return func(operation string, err error, took time.Duration) {
+		c := byOperation[operation]
+		if err != nil {
+			c.failed.Inc()
+			return
+		}
+		c.done.Inc()
+		c.took.Update(took.Seconds())
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -35,6 +35,7 @@
 
 	callMetrics *proxy.Metrics
 	decisions   *proxy.Decisions
+	beliefs     *beliefs
 	target      *targetService // on the platform only
 	outbound    *proxy.Outbound
 	inbound     *proxy.Inbound
@@ -51,6 +52,9 @@
 		kernel:   kernel.New(log),
 	}
 	n.live.Store(s)
+	n.beliefs = newBeliefs(n.log)
+	n.dir.OnChange(n.beliefs.members)
+	exportState(n)
 	metrics.RegisterSet(n.metrics)
 	for _, svc := range n.services() {
 		if err := n.kernel.Register(svc); err != nil {
@@ -73,6 +77,9 @@
 		&adminService{node: n},
 		&outboundService{node: n},
 	}
+	if n.settings.Listen.Metrics != "" {
+		list = append(list, &metricsService{node: n})
+	}
 	if n.settings.Target != nil {
 		list = append(list, &inboundService{node: n})
 	}
--- /dev/null
+++ b/node/platform_test.go
@@ -0,0 +1,311 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskingw/platform/standin"
+	"siskingw/settings"
+	"siskingw/store/memstore"
+	"siskingw/telemetry"
+)
+
+const (
+	testHost    = "lots.example"
+	testService = "floor"
+	// soon bounds what a small fleet does within a second or two, on a busy machine.
+	soon = 15 * time.Second
+)
+
+// site is a platform with a store and nodes that each have an IP address of the
+// loopback network.
+type site struct {
+	t     *testing.T
+	mem   *memstore.Store
+	store *standin.Store
+	addr  string // of the store
+	ports [6]int // outbound, inbound, peer, admin, control, ready
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	s := &site{t: t, mem: memstore.New(memstore.Options{})}
+	s.store = standin.NewStore(s.mem)
+	srv := httptest.NewServer(s.store)
+	t.Cleanup(srv.Close)
+	t.Cleanup(srv.CloseClientConnections)
+	s.addr = srv.Listener.Addr().String()
+	for i := range s.ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		s.ports[i] = l.Addr().(*net.TCPAddr).Port
+	}
+	return s
+}
+
+func (s *site) publish(version uint64) {
+	s.t.Helper()
+	if _, err := s.mem.Put(s.t.Context(), standin.ConfigKey, standin.Config(version, testHost, testService), 0); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// instance is a node and the target beside it.
+type instance struct {
+	site   *site
+	ip     string
+	node   *Node
+	log    *syncBuffer
+	signal chan os.Signal
+	done   chan error
+	target *standin.Target
+	leave  context.CancelFunc
+	left   chan struct{}
+}
+
+// settingsOf returns the settings of the instance with the number.
+func (s *site) settingsOf(number int) string {
+	ip := fmt.Sprintf("127.0.0.%d", number)
+	return fmt.Sprintf(`{"id":"n-%[1]d","region":"sask","failureDomain":"sask-%[2]d",
+ "listen":{"outbound":"%[3]s:%[4]d","inbound":"%[3]s:%[5]d","peer":"%[3]s:%[6]d","admin":"%[3]s:%[7]d"},
+ "store":{"endpoint":%[10]q},"seeds":[],
+ "platform":{"control":"%[3]s:%[8]d","ready":"%[3]s:%[9]d","service":"floor","seedHosts":["127.0.0.1:1","127.0.0.2:1"],
+  "heartbeatMs":200,"drainMs":2000,"graceS":4,"retryRatio":0.1,"retrySlack":20,"retryWindowS":10,"memoryMB":128}}`,
+		number, number%2, ip, s.ports[0], s.ports[1], s.ports[2], s.ports[3], s.ports[4], s.ports[5], s.addr)
+}
+
+func (s *site) start(number int) *instance {
+	s.t.Helper()
+	conf, err := settings.Parse([]byte(s.settingsOf(number)))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	in := &instance{site: s, ip: fmt.Sprintf("127.0.0.%d", number), log: new(syncBuffer), signal: make(chan os.Signal, 2), done: make(chan error, 1)}
+	if in.node, err = New(conf, telemetry.NewLogger(in.log, 0)); err != nil {
+		s.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { in.done <- in.node.Run(ctx, in.signal) }()
+	s.t.Cleanup(cancel)
+	return in
+}
+
+// serve starts the target of the instance.
+func (in *instance) serve(work time.Duration) {
+	in.site.t.Helper()
+	l, err := net.Listen("tcp", in.ip+":0")
+	if err != nil {
+		in.site.t.Fatal(err)
+	}
+	in.target = standin.NewTarget(standin.TargetOptions{
+		ID: "i-" + in.ip, Service: testService, Addr: l.Addr().String(), Slots: 4, Work: work,
+		Control: fmt.Sprintf("%s:%d", in.ip, in.site.ports[4]), Beat: 200 * time.Millisecond,
+	})
+	srv := &http.Server{Handler: in.target}
+	go srv.Serve(l)
+	in.site.t.Cleanup(func() { srv.Close() })
+	ctx, cancel := context.WithCancel(context.Background())
+	in.leave, in.left = cancel, make(chan struct{})
+	in.site.t.Cleanup(cancel)
+	go func() {
+		in.target.Run(ctx)
+		close(in.left)
+	}()
+}
+
+// call sends one request to the instance's outbound listener.
+func (in *instance) call(method, path, id string) (status int, header http.Header, body string) {
+	in.site.t.Helper()
+	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", in.ip, in.site.ports[0], path), strings.NewReader("x"))
+	if err != nil {
+		in.site.t.Fatal(err)
+	}
+	req.Host = testHost
+	standin.SetCaller(req.Header, id, 1500*time.Millisecond)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil, err.Error()
+	}
+	return resp.StatusCode, resp.Header, string(b)
+}
+
+// ready returns the answer to the platform's readiness check.
+func (in *instance) ready() int {
+	resp, err := http.Get(fmt.Sprintf("http://%s:%d/ready", in.ip, in.site.ports[5]))
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// eventually waits until ok returns true.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(soon); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("%s does not happen", what)
+}
+
+// syncBuffer is a log that a test reads while nodes write it.
+type syncBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *syncBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+func (s *syncBuffer) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.String()
+}
+
+// Guards against a node that serves without a configuration, misses a change,
+// gives work to a target that leaves, or states that a call has not run that
+// did: the way from the operator's change to an answer and back, on the
+// platform.
+func TestNodeOnThePlatform(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	first, second := s.start(1), s.start(2)
+	eventually(t, "an answer before the first version", func() bool { return first.ready() == http.StatusServiceUnavailable })
+	status, _, _ := first.call("GET", "/lots/1", "a0")
+	is.Equal(status, http.StatusServiceUnavailable)
+
+	s.publish(1)
+	eventually(t, "readiness", func() bool { return first.ready() == 200 && second.ready() == 200 })
+	first.serve(time.Millisecond)
+	eventually(t, "an answer through another node", func() bool {
+		status, _, body := second.call("GET", "/lots/1", "a1")
+		return status == 200 && body == "a1x"
+	})
+	second.serve(time.Millisecond)
+	eventually(t, "a call at the second target", func() bool {
+		second.call("POST", "/bids/1", "a2")
+		return len(second.target.Runs()) > 0
+	})
+
+	s.publish(2)
+	eventually(t, "the second version on both nodes", func() bool {
+		return first.node.current.Version() == 2 && second.node.current.Version() == 2
+	})
+
+	first.leave()
+	<-first.left
+	before := len(first.target.Runs())
+	for i := range 20 {
+		status, _, _ := first.call("POST", "/bids/1", fmt.Sprint("b", i))
+		is.Equal(status, 200) // the second target runs it
+	}
+	is.Equal(len(first.target.Runs()), before)
+	for id, n := range second.target.Runs() {
+		if strings.HasPrefix(id, "b") && n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+
+	second.leave()
+	<-second.left
+	eventually(t, "a refusal without any target", func() bool {
+		status, header, _ := second.call("POST", "/bids/1", "c")
+		return status == 503 && header.Get("Retry-After") != ""
+	})
+	for _, want := range []string{"target in use", "target lost", "version in force", "joined", "member changed", "call ended"} {
+		is.True(strings.Contains(second.log.String(), want))
+	}
+}
+
+// Guards against a stop that cuts calls in flight or takes longer than the
+// platform's grace, and against callers that are not told to leave.
+func TestNodeStopsWithinTheGrace(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.publish(1)
+	in := s.start(1)
+	in.serve(300 * time.Millisecond)
+	eventually(t, "an answer", func() bool { status, _, _ := in.call("GET", "/lots/1", "a"); return status == 200 })
+	answered := make(chan int)
+	go func() {
+		status, _, _ := in.call("POST", "/bids/1", "b")
+		answered <- status
+	}()
+	eventually(t, "a call in flight", func() bool { return in.target.Runs()["b"] == 1 })
+	started := time.Now()
+	in.signal <- syscall.SIGTERM
+	eventually(t, "the end of readiness", func() bool { return in.ready() != 200 })
+	is.Equal(<-answered, 200)
+	is.NoErr(<-in.done)
+	is.True(time.Since(started) < in.node.settings.Platform.Grace())
+	is.True(strings.Contains(in.log.String(), `"msg":"stopped"`))
+}
+
+// Guards against a reload that needs a restart, goes unnoticed or lets a bad
+// file replace the settings in force.
+func TestNodeReloadsItsSettings(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	in := s.start(1)
+	path := filepath.Join(t.TempDir(), "node.json")
+	write := func(content string) { is.NoErr(os.WriteFile(path, []byte(content), 0o600)) }
+	write(s.settingsOf(1))
+	hup := make(chan os.Signal, 1)
+	go NewReloader(in.node, path).Run(t.Context(), hup)
+
+	write(strings.Replace(s.settingsOf(1), `"service":"floor"`, `"service":"house"`, 1))
+	hup <- syscall.SIGHUP
+	eventually(t, "the reload", func() bool { return in.node.live.Load().Platform.Service == "house" })
+	is.True(strings.Contains(in.log.String(), "platform.service"))
+
+	write(`{"id":`)
+	hup <- syscall.SIGHUP
+	eventually(t, "the refusal", func() bool { return strings.Contains(in.log.String(), "settings not reloaded") })
+	is.Equal(in.node.live.Load().Platform.Service, "house")
+}
+
+// Guards against nodes without the store that cannot start, and against a
+// configuration that does not decode and takes the one in force away.
+func TestNodeWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.publish(1)
+	first := s.start(1)
+	eventually(t, "readiness", func() bool { return first.ready() == 200 })
+	_, err := s.mem.Put(t.Context(), standin.ConfigKey, []byte("{"), 0)
+	is.NoErr(err)
+	eventually(t, "the refusal", func() bool { return strings.Contains(first.log.String(), "configuration refused") })
+	s.store.TurnAway("127.0.0.1", standin.Busy) // every node connects from there
+	second := s.start(2)
+	eventually(t, "readiness from a peer", func() bool { return second.ready() == 200 })
+	is.Equal(second.node.current.Version(), uint64(1))
+	eventually(t, "the loss of the store", func() bool { return strings.Contains(first.log.String(), "store is lost") })
+}
--- a/node/services.go
+++ b/node/services.go
@@ -34,6 +34,7 @@
 	nameInbound  = "inbound"
 	nameTarget   = "target" // on the platform only
 	nameReady    = "ready"  // on the platform only
+	nameMetrics  = "metrics"
 )
 
 // peerService owns the gRPC listener and the connections to other nodes.
@@ -95,7 +96,7 @@
 	if s.node.settings.Platform != nil {
 		s.store = platform.NewStore(platform.StoreOptions{
 			Endpoint: s.node.settings.Store.Endpoint, LocalAddr: s.node.localAddr(),
-			WatchWait: watchWait, WatchPause: watchPause,
+			WatchWait: watchWait, WatchPause: watchPause, OnCall: storeCalls(s.node.metrics),
 		})
 		return nil
 	}
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -46,7 +46,7 @@
 	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
 		return nil
 	case maxBytes > 0 && r.ContentLength > maxBytes:
-		return &refusal{status: http.StatusRequestEntityTooLarge, outcome: OutcomeNotRun, reason: "the body is too large"}
+		return &refusal{status: http.StatusRequestEntityTooLarge, outcome: OutcomeNotRun, cause: causeRequest, reason: "the body is too large"}
 	case b.buffered:
 		return nil
 	case r.ContentLength > opts.MaxBuffered || r.ContentLength < 0 && !opts.Chunked:
@@ -65,7 +65,7 @@
 	_ = rc.SetReadDeadline(time.Now().Add(stallTimeout)) // a test's recorder has no deadlines
 	got, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
 	if err != nil {
-		return &refusal{status: http.StatusRequestTimeout, outcome: OutcomeNotRun, reason: withCause("the body did not arrive", err)}
+		return &refusal{status: http.StatusRequestTimeout, outcome: OutcomeNotRun, cause: causeBody, reason: withCause("the body did not arrive", err)}
 	}
 	_ = rc.SetReadDeadline(time.Time{})
 	if int64(len(got)) > limit {
@@ -94,7 +94,7 @@
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(stallTimeout)) // a test's recorder has no deadlines
 	if _, err := io.ReadFull(r.Body, b.buf); err != nil {
-		return &refusal{status: http.StatusRequestTimeout, outcome: OutcomeNotRun, reason: withCause("the body did not arrive", err)}
+		return &refusal{status: http.StatusRequestTimeout, outcome: OutcomeNotRun, cause: causeBody, reason: withCause("the body did not arrive", err)}
 	}
 	_ = rc.SetReadDeadline(time.Time{})
 	b.buffered = true
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -103,7 +103,7 @@
 	}
 	c.deadline = c.start.Add(limit)
 	if limit < time.Millisecond {
-		return notRun("no time remains for the call", nil)
+		return notRun(causeNoTime, "no time remains for the call", nil)
 	}
 	return nil
 }
@@ -177,6 +177,7 @@
 type refusal struct {
 	status   int
 	outcome  string // OutcomeNotRun or OutcomeUnknown
+	cause    cause
 	reason   string
 	retried  bool // another level has retried already
 	draining bool
@@ -197,22 +198,22 @@
 }
 
 // notRun refuses a call that certainly did not reach the target's handler.
-func notRun(reason string, err error) *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, outcome: OutcomeNotRun, reason: withCause(reason, err)}
+func notRun(why cause, reason string, err error) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, outcome: OutcomeNotRun, cause: why, reason: withCause(reason, err)}
 }
 
 // badRequest refuses a call that no node would accept.
 func badRequest(reason string) *refusal {
-	return &refusal{status: http.StatusBadRequest, outcome: OutcomeNotRun, reason: reason}
+	return &refusal{status: http.StatusBadRequest, outcome: OutcomeNotRun, cause: causeRequest, reason: reason}
 }
 
 // unknown refuses a call that may have run.
-func unknown(reason string, err error) *refusal {
+func unknown(why cause, reason string, err error) *refusal {
 	status := http.StatusBadGateway
 	if isTimeout(err) {
 		status = http.StatusGatewayTimeout
 	}
-	return &refusal{status: status, outcome: OutcomeUnknown, reason: withCause(reason, err)}
+	return &refusal{status: status, outcome: OutcomeUnknown, cause: why, reason: withCause(reason, err)}
 }
 
 func withCause(reason string, err error) string {
@@ -276,6 +277,7 @@
 	if f.gate.report.Service > 0 {
 		h[HeaderGate] = []string{f.gate.format()}
 	}
+	h[HeaderCause] = []string{string(f.cause)}
 	if f.after > 0 {
 		h[HeaderAfter] = []string{formatMs(f.after)}
 	}
--- a/proxy/decisions.go
+++ b/proxy/decisions.go
@@ -67,7 +67,10 @@
 	d.ended.Log(func() []any {
 		fields := []any{
 			"call", c.id, "route", c.work.class, "service", c.work.service, "version", version,
-			"ms", time.Since(c.start).Milliseconds(), "deadlineLeftMs", c.left().Milliseconds(), "tries", c.steps,
+			"ms", time.Since(c.start).Milliseconds(), "tries", c.steps,
+		}
+		if !c.deadline.IsZero() {
+			fields = append(fields, "deadlineLeftMs", c.left().Milliseconds())
 		}
 		if !c.work.target.IsZero() {
 			fields = append(fields, "targetLeftMs", time.Until(c.work.target).Milliseconds())
@@ -75,7 +78,7 @@
 		if f == nil {
 			return append(fields, "outcome", outcomeAnswered, "status", c.status)
 		}
-		return append(fields, "outcome", f.outcome, "status", f.status, "reason", f.reason, "returnAfterMs", f.after.Milliseconds())
+		return append(fields, "outcome", f.outcome, "status", f.status, "cause", f.cause, "reason", f.reason, "returnAfterMs", f.after.Milliseconds())
 	})
 }
 
@@ -88,7 +91,7 @@
 	d.refused.Log(func() []any {
 		fields := []any{
 			"call", c.id, "route", c.work.class, "caller", c.work.caller, "priority", c.work.priority,
-			"deadlineLeftMs", c.left().Milliseconds(), "reason", f.reason, "waitMs", f.after.Milliseconds(),
+			"deadlineLeftMs", c.left().Milliseconds(), "cause", f.cause, "reason", f.reason, "waitMs", f.after.Milliseconds(),
 		}
 		if !c.work.target.IsZero() {
 			fields = append(fields, "targetLeftMs", time.Until(c.work.target).Milliseconds())
@@ -109,7 +112,7 @@
 	d.lost.Log(func() []any {
 		return []any{
 			"call", c.id, "route", c.work.class, "target", b.Instance, "outcome", f.outcome, "reached", f.reached,
-			"reason", f.reason, "ms", time.Since(c.start).Milliseconds(), "deadlineLeftMs", c.left().Milliseconds(),
+			"cause", f.cause, "reason", f.reason, "ms", time.Since(c.start).Milliseconds(), "deadlineLeftMs", c.left().Milliseconds(),
 		}
 	})
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -55,26 +55,26 @@
 // the exchange; otherwise the caller must end it with finish.
 func (x *exchange) start(ctx context.Context, c *call, addr string) *refusal {
 	if err := ctx.Err(); err != nil {
-		f := notRun("the caller is gone", err)
+		f := notRun(causeCallerGone, "the caller is gone", err)
 		f.callerFault = true
 		return f
 	}
 	cn, err := x.pool.get(ctx, addr, c.deadline)
 	if err != nil {
-		f := notRun("the next hop does not take the call", err)
+		f := notRun(causeUnreachable, "the next hop does not take the call", err)
 		f.unreachable = errorx.IsOfType(err, faults.PeerUnavailable)
 		return f
 	}
 	x.conn = cn
 	if err := cn.begin(c.deadline); err != nil {
 		x.pool.discard(cn)
-		return notRun("the next hop does not take the call", err)
+		return notRun(causeUnsent, "the next hop does not take the call", err)
 	}
 	if c.body.streamed {
 		x.stop = context.AfterFunc(ctx, cn.abort)
 	}
 	if err := x.send(c); err != nil {
-		return x.fail("the request was not sent in full", err)
+		return x.fail(causeLost, "the request was not sent in full", err)
 	}
 	if x.stop == nil {
 		// The next hop works meanwhile; a buffered request is sent without waiting.
@@ -84,14 +84,14 @@
 	resp, err := x.receive(c)
 	c.waited += time.Since(sentAt)
 	if err != nil {
-		return x.fail("no answer", err)
+		return x.fail(causeLost, "no answer", err)
 	}
 	x.resp, c.status = resp, resp.StatusCode
 	return nil
 }
 
 // fail ends the exchange without an answer.
-func (x *exchange) fail(reason string, err error) *refusal {
+func (x *exchange) fail(why cause, reason string, err error) *refusal {
 	u, cn := x.upload, x.conn
 	if u != nil {
 		u.cancel()
@@ -100,11 +100,11 @@
 	sent := cn.sent
 	x.finish(false)
 	if u != nil && u.source != nil {
-		reason, err = "the body did not arrive in full", u.source
+		reason, err, why = "the body did not arrive in full", u.source, causeBody
 	}
-	f := unknown(reason, err)
+	f := unknown(why, reason, err)
 	if sent == 0 {
-		f = notRun(reason, err)
+		f = notRun(causeUnsent, reason, err)
 	}
 	f.callerFault = u != nil && u.source != nil
 	return f
@@ -206,7 +206,7 @@
 	buf := bytes.NewBuffer(make([]byte, 0, size))
 	_, err := buf.ReadFrom(io.LimitReader(x.resp.Body, int64(limit)+1))
 	if err != nil {
-		return x.fail("the answer broke off", err)
+		return x.fail(causeCut, "the answer broke off", err)
 	}
 	x.prefix = buf.Bytes()
 	x.whole = len(x.prefix) <= limit
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -43,6 +43,8 @@
 	HeaderCrowded = "Siskingw-Crowded"
 	// HeaderGate is the state of the target's gate, see gateState.
 	HeaderGate = "Siskingw-Gate"
+	// HeaderCause is the cause of a refusal, see cause.
+	HeaderCause = "Siskingw-Cause"
 	// HeaderAfter is when a refused call has a better chance, in ms.
 	HeaderAfter = "Siskingw-After-Ms"
 	// HeaderVoucher carries the voucher of a key that moved.
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -137,7 +137,7 @@
 
 func (in *Inbound) check(c *call) *refusal {
 	if status, reason := checkRequest(c.r); status != 0 {
-		return &refusal{status: status, outcome: OutcomeNotRun, reason: reason, hangUp: true}
+		return &refusal{status: status, outcome: OutcomeNotRun, cause: causeRequest, reason: reason, hangUp: true}
 	}
 	stated, f := c.readCaller(nativeEdge{})
 	if f != nil {
@@ -214,11 +214,11 @@
 func (in *Inbound) passPlain(c *call) *refusal {
 	b := in.backend()
 	if b == nil {
-		return notRun("the instance has no target", nil)
+		return notRun(causeNoTarget, "the instance has no target", nil)
 	}
 	if b.Service != "" && c.work.service != "" && b.Service != c.work.service {
 		// The address belonged to an instance of another service before.
-		f := notRun("the instance has a target of another service", nil)
+		f := notRun(causeOtherService, "the instance has a target of another service", nil)
 		f.status = http.StatusMisdirectedRequest
 		return f
 	}
@@ -246,12 +246,14 @@
 	c.gateCtx = deadlineContext{Context: c.ctx, deadline: c.deadline}
 	var ticket *admit.Ticket
 	var err error
+	asked := time.Now()
 	if c.work.target.IsZero() {
 		ticket, err = b.Gate.Enter(&c.gateCtx, c.kind)
 	} else {
 		ticket, err = b.Gate.Admit(&c.gateCtx, c.workForGate())
 	}
 	if err == nil {
+		in.opts.Metrics.wait(time.Since(asked))
 		return ticket, nil
 	}
 	return nil, in.crowded(c, b, err)
@@ -259,7 +261,7 @@
 
 // crowded refuses a call for which the gate has no room.
 func (in *Inbound) crowded(c *call, b *Backend, err error) *refusal {
-	f := notRun("the target's node refuses the call", err)
+	f := notRun(cause(admit.Cause(err)), "the target's node refuses the call", err)
 	f.after = b.Gate.ExpectedWait(c.work.priority)
 	f.crowded = true
 	return f
@@ -303,7 +305,7 @@
 		in.opts.OnOther(b)
 	}
 	x.finish(false)
-	f := notRun("the target did not run the call", nil)
+	f := notRun(causeTarget, "the target did not run the call", nil)
 	f.reached = !stated.Other
 	return f
 }
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"siskingw/admit"
 	"siskingw/idem"
 )
 
@@ -18,7 +19,7 @@
 // refusal by the gate can state that the key never ran.
 func (in *Inbound) passKeyed(c *call) *refusal {
 	if in.opts.Ledger == nil {
-		return notRun("the target's node keeps no ledger", nil)
+		return notRun(causeKey, "the target's node keeps no ledger", nil)
 	}
 	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
 	defer cancel()
@@ -29,11 +30,11 @@
 	d, err := in.opts.Ledger.Begin(ctx, key, c.voucher)
 	switch {
 	case d.Action == idem.Closed, d.Action == idem.Refused && c.first:
-		return notRun("the ledger refuses the key", err)
+		return notRun(causeKey, "the ledger refuses the key", err)
 	case d.Action == idem.Refused:
-		return unknown("the ledger refuses the key, and an earlier attempt may still arrive", err)
+		return unknown(causeKey, "the ledger refuses the key, and an earlier attempt may still arrive", err)
 	case err != nil:
-		return unknown("the key may have run", err)
+		return unknown(causeKey, "the key may have run", err)
 	}
 	switch d.Action {
 	case idem.Run:
@@ -43,13 +44,13 @@
 		c.replay(d.Answer)
 		return nil
 	case idem.Moved:
-		f := notRun("another node owns the key now", nil)
+		f := notRun(causeKey, "another node owns the key now", nil)
 		f.movedTo, f.voucher = d.Owner.ID, d.Voucher
 		return f
 	case idem.Ran:
-		return unknown("the key ran, but its answer is not held any more", nil)
+		return unknown(causeKey, "the key ran, but its answer is not held any more", nil)
 	}
-	return unknown("the key may have run", nil)
+	return unknown(causeKey, "the key may have run", nil)
 }
 
 // runKeyed runs a key and settles it in the ledger on every path. A run that
@@ -65,12 +66,12 @@
 	}
 	if b == nil {
 		settle = notRunYet
-		return notRun("the instance has no target", nil)
+		return notRun(causeNoTarget, "the instance has no target", nil)
 	}
 	ticket, err := b.Gate.Enter(ctx, c.kind)
 	if err != nil {
 		settle = notRunYet
-		return notRun("the target's node refuses the call", err)
+		return notRun(cause(admit.Cause(err)), "the target's node refuses the call", err)
 	}
 	defer ticket.Leave()
 	x := exchange{pool: in.opts.Pool}
@@ -84,7 +85,7 @@
 	a, err := x.store()
 	if err != nil {
 		x.finish(false)
-		return unknown("the answer is not complete", err)
+		return unknown(causeCut, "the answer is not complete", err)
 	}
 	if a == nil {
 		return x.relay(c)
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -35,17 +35,38 @@
 
 // Metrics counts calls by side, kind and outcome. A nil *Metrics counts nothing.
 type Metrics struct {
-	calls   [sideCount][len(kinds)][endCount]*metrics.Counter
-	added   [sideCount]*metrics.Histogram
-	retries *metrics.Counter
+	calls    [sideCount][len(kinds)][endCount]*metrics.Counter
+	duration [sideCount][len(kinds)]*metrics.Histogram
+	added    [sideCount]*metrics.Histogram
+	refusals [sideCount]map[cause]*metrics.Counter
+	waits    *metrics.Histogram
+	tries    [triesCount]*metrics.Counter
 }
 
+// What became of a wish to send a call again, as an index of the counters.
+const (
+	triesFree    = iota // the node before refused the call before its target saw it
+	triesRepeat         // charged to the budget
+	triesRefused        // not made: the policy or the budget does not allow it
+	triesCount
+)
+
+var triesNames = [triesCount]string{"free", "repeat", "refused"}
+
 // NewMetrics registers the metrics of the proxy in the set.
 func NewMetrics(set *metrics.Set) *Metrics {
-	m := &Metrics{retries: set.NewCounter("siskingw_call_retries_total")}
+	m := &Metrics{waits: set.NewHistogram("siskingw_gate_wait_seconds")}
+	for i, name := range triesNames {
+		m.tries[i] = set.NewCounter(fmt.Sprintf(`siskingw_call_retries_total{result=%q}`, name))
+	}
 	for s, sideName := range sideNames {
 		m.added[s] = set.NewHistogram(fmt.Sprintf(`siskingw_call_added_seconds{side=%q}`, sideName))
+		m.refusals[s] = make(map[cause]*metrics.Counter)
+		for _, why := range causes {
+			m.refusals[s][why] = set.GetOrCreateCounter(fmt.Sprintf(`siskingw_refusals_total{side=%q,cause=%q}`, sideName, why))
+		}
 		for k, kind := range kinds {
+			m.duration[s][k] = set.NewHistogram(fmt.Sprintf(`siskingw_call_seconds{side=%q,kind=%q}`, sideName, kind))
 			for e, end := range endNames {
 				m.calls[s][k][e] = set.NewCounter(fmt.Sprintf(
 					`siskingw_calls_total{side=%q,kind=%q,outcome=%q}`, sideName, kind, end))
@@ -68,8 +89,14 @@
 		}
 	}
 	m.calls[s][k][endOf(f)].Inc()
+	took := time.Since(c.start)
+	m.duration[s][k].Update(took.Seconds())
 	if f == nil {
-		m.added[s].Update((time.Since(c.start) - c.waited).Seconds())
+		m.added[s].Update((took - c.waited).Seconds())
+		return
+	}
+	if counter := m.refusals[s][f.cause]; counter != nil {
+		counter.Inc()
 	}
 }
 
@@ -85,9 +112,16 @@
 	return endUnknown
 }
 
-// retry counts a call that is sent again.
-func (m *Metrics) retry() {
+// retry counts a wish to send a call again.
+func (m *Metrics) retry(result int) {
+	if m != nil {
+		m.tries[result].Inc()
+	}
+}
+
+// wait counts the time that a call waited for a slot of the target.
+func (m *Metrics) wait(d time.Duration) {
 	if m != nil {
-		m.retries.Inc()
+		m.waits.Update(d.Seconds())
 	}
 }
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -88,29 +88,29 @@
 // sends the call.
 func (o *Outbound) serve(c *call) *refusal {
 	if status, reason := checkRequest(c.r); status != 0 {
-		return &refusal{status: status, outcome: OutcomeNotRun, reason: reason, hangUp: true}
+		return &refusal{status: status, outcome: OutcomeNotRun, cause: causeRequest, reason: reason, hangUp: true}
 	}
 	if c.r.Host == "" && c.r.ProtoAtLeast(1, 1) {
-		return &refusal{status: http.StatusBadRequest, outcome: OutcomeNotRun, reason: "the request names no host", hangUp: true}
+		return &refusal{status: http.StatusBadRequest, outcome: OutcomeNotRun, cause: causeRequest, reason: "the request names no host", hangUp: true}
 	}
 	if o.refusing.Load() {
-		f := notRun("the node stops", nil)
+		f := notRun(causeStopping, "the node stops", nil)
 		f.hangUp = true
 		return f
 	}
+	stated, unreadable := c.readCaller(o.opts.Edge)
 	snap := o.opts.Current.Load()
 	if snap == nil {
-		return notRun("no configuration is in force yet", nil)
+		return notRun(causeNoConfig, "no configuration is in force yet", nil)
 	}
 	res := snap.Match(hostName(c.r.Host), c.r.URL.Path)
 	if res == nil {
-		return &refusal{status: http.StatusNotFound, outcome: OutcomeNotRun, reason: "no route matches"}
+		return &refusal{status: http.StatusNotFound, outcome: OutcomeNotRun, cause: causeNoRoute, reason: "no route matches"}
 	}
 	res = o.share(res)
 	c.kind = ParseKind(string(res.Route.Kind))
-	stated, f := c.readCaller(o.opts.Edge)
-	if f != nil {
-		return f
+	if unreadable != nil {
+		return unreadable
 	}
 	if f := c.setDeadline(timeoutOf(res.Policy, c.kind), stated); f != nil {
 		return f
@@ -144,7 +144,7 @@
 		picked, err := o.pick(c, res, &t)
 		if err == nil && t.futile(picked, rand.Float64()) {
 			picked.Done(balance.Report{})
-			f := notRun("every endpoint is full", nil)
+			f := notRun(causeFull, "every endpoint is full", nil)
 			f.crowded = true
 			return t.end(f)
 		}
@@ -153,7 +153,7 @@
 				res = res.Fallback
 				continue
 			}
-			return t.end(notRun("no endpoint is left", err))
+			return t.end(notRun(causeNoEndpoint, "no endpoint is left", err))
 		}
 		c.work.service = res.EndpointSet.Announce
 		f := o.send(c, picked.Record)
@@ -163,9 +163,10 @@
 			return f
 		}
 		if !t.again(c, f, picked.Record.ID) {
+			o.opts.Metrics.retry(triesRefused)
 			return t.end(nil)
 		}
-		o.opts.Metrics.retry()
+		o.opts.Metrics.retry(t.kind())
 	}
 }
 
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -23,7 +23,7 @@
 	}
 	owner := o.opts.View.Lookup(key.Owner)
 	if owner == nil || owner.Incarnation != key.Incarnation || owner.State == member.Dead || owner.State == member.Left {
-		return notRun("the owner of the key is gone", nil)
+		return notRun(causeKey, "the owner of the key is gone", nil)
 	}
 	if owner.Service != res.EndpointSet.Announce {
 		return badRequest("the key belongs to another service")
@@ -37,7 +37,7 @@
 	next := o.opts.View.Lookup(f.movedTo)
 	if next == nil || next.Service != owner.Service {
 		// A repeat can have reached the new owner through another node.
-		return notRun("the new owner of the key is not known", nil)
+		return notRun(causeKey, "the new owner of the key is not known", nil)
 	}
 	c.voucher = f.voucher
 	f2 := o.sendOwner(c, next, res.Policy, b)
@@ -65,7 +65,7 @@
 		if f.outcome == OutcomeUnknown {
 			c.first = false // the attempt that failed may still arrive
 		}
-		o.opts.Metrics.retry()
+		o.opts.Metrics.retry(triesRepeat)
 	}
 }
 
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -33,7 +33,7 @@
 	c.answered = true
 	c.w.WriteHeader(x.resp.StatusCode)
 	if err := x.relayBody(c); err != nil {
-		f := unknown("the answer was not passed on in full", err)
+		f := unknown(causeCut, "the answer was not passed on in full", err)
 		f.aborted, f.callerFault = true, x.callerGone
 		return f
 	}
@@ -143,6 +143,7 @@
 		reached:  h.Get(HeaderReached) == valueTrue,
 		crowded:  h.Get(HeaderCrowded) == valueTrue,
 		draining: h.Get(HeaderDraining) == valueTrue,
+		cause:    parseCause(h.Get(HeaderCause)),
 		movedTo:  h.Get(HeaderMovedTo),
 		voucher:  h.Get(HeaderVoucher),
 	}
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -62,6 +62,7 @@
 	unsent  bool // refusals before the target saw the call are never charged
 	repeats int  // of the call, charged to the budget
 	skip    []string
+	charged bool // the next try is one of repeats
 	late    bool // the next try goes to a gate that may make the call late
 	last    *refusal
 }
@@ -69,6 +70,7 @@
 // again takes the refusal of one node and reports whether the call goes to
 // another one.
 func (t *tries) again(c *call, f *refusal, node string) bool {
+	t.charged = false
 	ok := mayRetry(c, t.policy, f) && (t.charge(f) || t.beLate(c, f))
 	t.last = merge(t.last, f)
 	if !t.late {
@@ -88,6 +90,14 @@
 	nextTryLate = 0.5
 )
 
+// kind returns how the try that follows is counted.
+func (t *tries) kind() int {
+	if t.charged {
+		return triesRepeat
+	}
+	return triesFree
+}
+
 // futile reports whether the picked endpoint's node would probably refuse the
 // call. random is from 0 to 1.
 func (t *tries) futile(p *balance.Picked, random float64) bool {
@@ -120,6 +130,7 @@
 		return false
 	}
 	t.repeats++
+	t.charged = true
 	return true
 }
 
--- /dev/null
+++ b/proxy/work_test.go
@@ -0,0 +1,103 @@
+package proxy
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskingw/admit"
+	"siskingw/object"
+	"siskingw/snapshot"
+)
+
+// Guards against work whose priority, target time or class changes on the way
+// to the target's node.
+func TestWorkPassesBetweenNodes(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	w := work{class: "bids", service: "floor", priority: 1, target: now.Add(800 * time.Millisecond), repeat: true, late: true, caller: "house"}
+	got := parseWork(w.format(), now, object.WorkPage)
+	is.True(got.target.Sub(w.target).Abs() < 5*time.Millisecond)
+	got.target = w.target
+	is.Equal(got, w)
+	w = work{class: "bids"}
+	is.Equal(parseWork(w.format(), now, object.WorkPage), w)
+}
+
+// Guards against a state of a gate that another node reads differently.
+func TestGateStatePassesBetweenNodes(t *testing.T) {
+	is := is.New(t)
+	g := gateState{
+		report: admit.Report{Calls: [admit.Priorities]int{9, 12, 40}, Service: 250 * time.Millisecond},
+		class:  80 * time.Millisecond, handled: 312 * time.Microsecond,
+		link: admit.LinkReport{Pending: 3 << 20, Rate: 2.5e6},
+	}
+	is.Equal(parseGateState(g.format()), g)
+	for _, bad := range []string{"", "1;2", "1;2;3;4;5;6;7;x", "-1;2;3;4;5;6;7;8", "1;2;3;4;5;6;7;8;9"} {
+		is.Equal(parseGateState(bad), gateState{})
+	}
+}
+
+// Guards against values of other nodes that panic or give work a negative
+// priority.
+func FuzzNodeHeaders(f *testing.F) {
+	f.Add("1;800;rl;bids;floor;house", "9;12;40;250000;80000;312;3145728;2500000")
+	f.Add(";;;;;", ";;;;;;;")
+	f.Fuzz(func(t *testing.T, w, g string) {
+		if got := parseWork(w, time.Now(), object.WorkBid); got.priority < 0 {
+			t.Errorf("%q has priority %d", w, got.priority)
+		}
+		if s := parseGateState(g); s != (gateState{}) && parseGateState(s.format()) != s {
+			t.Errorf("%q changes when it is passed on", g)
+		}
+		if c := parseCause(w); !knownCauses[c] {
+			t.Errorf("%q adds the cause %q", w, c)
+		}
+	})
+}
+
+// Guards against refused callers that come back together, after their call has
+// lost its value, or although the call may have run.
+func TestReturnAfterLeavesTimeForAnotherTry(t *testing.T) {
+	is := is.New(t)
+	c := &call{deadline: time.Now().Add(3 * time.Second), work: work{target: time.Now().Add(time.Second)}}
+	f := notRun(causeFull, "full", nil)
+	first, last := returnAfter(c, f, 0), returnAfter(c, f, 1)
+	is.True(first > 100*time.Millisecond && last < 600*time.Millisecond && last > 2*first)
+	c.work.target = time.Now().Add(-time.Second)
+	is.True(returnAfter(c, f, 1) < time.Second) // a third of the time to the deadline
+	is.Equal(returnAfter(c, unknown(causeLost, "lost", nil), 1), time.Duration(0))
+	is.Equal(returnAfter(c, badRequest("bad"), 1), time.Duration(0))
+}
+
+// Guards against a split that is right only in the long run: a service with a
+// quarter of the weight must get one of every four calls.
+func TestSplitIsEven(t *testing.T) {
+	is := is.New(t)
+	share := func(service string, weight int) snapshot.Share {
+		return snapshot.Share{Weight: weight, Route: &snapshot.Resolved{ServiceName: service}}
+	}
+	shares := []snapshot.Share{share("new", 25), share("old", 75), share("none", 0)}
+	s := &splitter{credit: make(map[string]int)}
+	for range 50 {
+		got := make(map[string]int)
+		for range 4 {
+			got[s.next(shares).Route.ServiceName]++
+		}
+		is.Equal(got, map[string]int{"new": 1, "old": 3})
+	}
+}
+
+// Guards against a call of unknown size that counts as free.
+func TestSizesFollowAnswers(t *testing.T) {
+	is := is.New(t)
+	var s sizes
+	c := &call{r: &http.Request{ContentLength: 1000}}
+	is.Equal(s.of(c), exchangeOverhead+1000)
+	for range 100 {
+		s.add(5000)
+	}
+	is.Equal(s.of(c), exchangeOverhead+6000)
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -75,13 +75,16 @@
 	}
 }
 
-// listeners checks that the four addresses are valid and differ.
+// listeners checks that the addresses are valid and differ.
 func (c *checker) listeners(l Listen) {
 	seen := make(map[string]string)
 	for _, a := range []struct{ field, addr string }{
 		{"listen.outbound", l.Outbound}, {"listen.inbound", l.Inbound},
-		{"listen.peer", l.Peer}, {"listen.admin", l.Admin},
+		{"listen.peer", l.Peer}, {"listen.admin", l.Admin}, {"listen.metrics", l.Metrics},
 	} {
+		if a.addr == "" && a.field == "listen.metrics" {
+			continue
+		}
 		if _, ok := c.address(a.field, a.addr); !ok {
 			continue
 		}
@@ -132,7 +135,7 @@
 	p := s.Platform
 	for _, a := range []struct{ field, addr string }{{"platform.control", p.Control}, {"platform.ready", p.Ready}} {
 		c.address(a.field, a.addr)
-		for _, other := range []string{s.Listen.Outbound, s.Listen.Inbound, s.Listen.Peer, s.Listen.Admin} {
+		for _, other := range []string{s.Listen.Outbound, s.Listen.Inbound, s.Listen.Peer, s.Listen.Admin, s.Listen.Metrics} {
 			if a.addr == other {
 				c.add(a.field, a.addr+" is also the address of another listener")
 			}
--- /dev/null
+++ b/settings/platform_test.go
@@ -0,0 +1,69 @@
+package settings
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+
+	"siskingw/faults"
+)
+
+const onPlatform = `{"id":"sask-a-1","region":"sask","failureDomain":"sask-a",
+ "listen":{"outbound":"10.0.0.1:1","inbound":"10.0.0.1:2","peer":"10.0.0.1:3","admin":"10.0.0.1:4","metrics":"10.0.0.1:9464"},
+ "store":{"endpoint":"10.0.9.9:6"}, "seeds":[],
+ "platform":{"control":"10.0.0.1:5","ready":"10.0.0.1:7","service":"floor","targetAddress":"10.0.0.1:80",
+  "seedHosts":["10.0.0.2:5"],"heartbeatMs":1500,"drainMs":2000,"graceS":6,"retryRatio":0.1,"retrySlack":20,
+  "retryWindowS":10,"memoryMB":128,"maxFiles":512,"linkMbps":23.8}}`
+
+// Guards against seeds that are asked at the port of another listener.
+func TestPlatformSeedsHaveThePeerPort(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse([]byte(onPlatform))
+	is.NoErr(err)
+	is.Equal(s.Seeds, []Seed{{Address: "10.0.0.2:3"}})
+}
+
+// Guards against settings that let a node start and fail later, or that an
+// operator must correct one fault at a time.
+func TestPlatformFaultsAreAllListed(t *testing.T) {
+	is := is.New(t)
+	bad := strings.NewReplacer(
+		`"10.0.0.1:9464"`, `"10.0.0.1:4"`, `"control":"10.0.0.1:5"`, `"control":"10.0.0.1:2"`, `"ready":"10.0.0.1:7"`, `"ready":"host:7"`,
+		`"10.0.0.1:80"`, `"0.0.0.0:80"`, `["10.0.0.2:5"]`, `["x"]`, `"heartbeatMs":1500`, `"heartbeatMs":0`, `"drainMs":2000`, `"drainMs":-1`,
+		`"graceS":6`, `"graceS":0.2`, `"retryRatio":0.1`, `"retryRatio":1.1`, `"retrySlack":20`, `"retrySlack":-1`,
+		`"memoryMB":128`, `"memoryMB":-1`, `"linkMbps":23.8`, `"linkMbps":-2`, `"endpoint":"10.0.9.9:6"`, `"endpoint":""`,
+	).Replace(onPlatform)
+	_, err := Parse([]byte(bad))
+	is.True(errorx.IsOfType(err, faults.Invalid))
+	for _, field := range []string{
+		"listen.metrics", "platform.control", "platform.ready", "platform.targetAddress", "platform.seedHosts[0]",
+		"platform.heartbeatMs", "platform.drainMs", "platform.graceS", "platform.retryRatio", "platform.retrySlack",
+		"platform.memoryMB", "platform.linkMbps", "store.endpoint",
+	} {
+		if !strings.Contains(err.Error(), field+":") {
+			t.Errorf("%s is not in %v", field, err)
+		}
+	}
+}
+
+// Guards against a template whose fields these settings do not have: every node
+// of the fleet would refuse to start.
+func TestDeployTemplateParses(t *testing.T) {
+	is := is.New(t)
+	b, err := os.ReadFile("../deploy/node.json")
+	is.NoErr(err)
+	values := strings.NewReplacer(
+		"{{node}}", "sask-a-1", "{{region}}", "sask", "{{zone}}", "sask-a", "{{service}}", "floor", "{{app_addr}}", "10.0.0.1:80",
+		"{{listen.outbound}}", "10.0.0.1:1", "{{listen.inbound}}", "10.0.0.1:2", "{{listen.control}}", "10.0.0.1:5",
+		"{{listen.ready}}", "10.0.0.1:7", "{{ip}}", "10.0.0.1", "{{port_range.0}}", "3", "{{port_range.1}}", "4",
+		"{{platform.address}}", "10.0.9.9:6", `{{#seeds}}"{{.}}"{{,}}{{/seeds}}`, `"10.0.0.2:5", "10.0.0.3:5"`,
+	).Replace(string(b))
+	values = regexp.MustCompile(`\{\{[a-z_.]+\}\}`).ReplaceAllString(values, "1")
+	s, err := Parse([]byte(values))
+	is.NoErr(err)
+	is.Equal(len(s.Seeds), 2)
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,6 +35,9 @@
 	Inbound  string `json:"inbound"`  // calls from other nodes to this instance's target
 	Peer     string `json:"peer"`     // gRPC between nodes
 	Admin    string `json:"admin"`    // operators, metrics and health
+	// Metrics is a further address of the metrics alone, for collectors that must
+	// not reach the operators' interface; empty for none.
+	Metrics string `json:"metrics,omitempty"`
 }
 
 // Advertise holds the addresses under which other nodes reach this one.
--- a/telemetry/limit.go
+++ b/telemetry/limit.go
@@ -30,6 +30,7 @@
 	l.mu.Lock()
 	if !l.limit.AllowN(time.Now(), 1) {
 		l.skipped++
+		skippedLines.Add(1)
 		l.mu.Unlock()
 		return
 	}
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -55,12 +55,17 @@
 	return otlptracegrpc.New(ctx, otlptracegrpc.WithEndpoint(endpoint), otlptracegrpc.WithInsecure())
 }
 
-// Mount adds /metrics, /healthz and /readyz to mux. ready returns nil when the
-// node has a configuration in force, else the reason why not.
-func Mount(mux *http.ServeMux, ready func() error) {
+// MountMetrics adds /metrics to mux.
+func MountMetrics(mux *http.ServeMux) {
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
 		metrics.WritePrometheus(w, true)
 	})
+}
+
+// Mount adds /metrics, /healthz and /readyz to mux. ready returns nil when the
+// node has a configuration in force, else the reason why not.
+func Mount(mux *http.ServeMux, ready func() error) {
+	MountMetrics(mux)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
