Explain calls from logs, end connections to silent instances

Cause: (1) an engineer had log lines but nothing that joined those of several instances for one call. (2) A connection to another instance had no limit on silence: calls on kept connections to an instance without power waited until their deadline, up to 3 s, and the instance was selected until five of them had failed; new connections waited 1 s, as long as the repeat of a lost packet.

Ruled out: keep-alive probes on every idle connection, which cost bytes between failure domains all the time; a limit on connections to targets, which may read a long body late.

Change: siskingw explain, for one call or for a span of time, from files or standard input; events of the log are named in one place; "target lost" says which and why. Connections to other nodes end after 0.8 s without acknowledgement, their instance is left out at once and its other connections are closed; dials end after 0.4 s.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -1,5 +1,5 @@
 // Package cli holds the operators' commands: check, apply, get, delete,
-// history, status and version. Exit codes are those of package faults.
+// history, status, version and explain. Exit codes are those of package faults.
 package cli
 
 import (
@@ -48,7 +48,7 @@
 func register(c *subcommands.Commander, s streams) {
 	for _, cmd := range []command{
 		new(checkCommand), new(applyCommand), new(getCommand), new(deleteCommand),
-		new(historyCommand), new(statusCommand), new(versionCommand),
+		new(historyCommand), new(statusCommand), new(versionCommand), new(explainCommand),
 	} {
 		c.Register(&adapter{command: cmd, s: s}, groupName)
 	}
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -12,6 +12,7 @@
 	"github.com/oklog/run"
 
 	"siskingw/faults"
+	"siskingw/telemetry"
 )
 
 // Service is a unit that the kernel starts, runs and stops.
@@ -103,7 +104,7 @@
 	g.Add(func() error {
 		select {
 		case sig := <-stop:
-			k.log.Info("stopping", "signal", sig.String())
+			k.log.Info(telemetry.EventStopping, "signal", sig.String())
 		case <-ctx.Done():
 		case <-done:
 		}
--- a/member/join.go
+++ b/member/join.go
@@ -16,6 +16,7 @@
 	"siskingw/faults"
 	"siskingw/peer"
 	"siskingw/peer/peerpb"
+	"siskingw/telemetry"
 )
 
 const (
@@ -45,7 +46,7 @@
 	for round := 0; ; round++ {
 		if s.joinRound(ctx, round) {
 			s.completeOnce.Do(func() { close(s.complete) })
-			s.opts.Log.Info("joined", "rounds", round+1, "members", len(s.dir.All()), "ms", s.clock.Now().Sub(started).Milliseconds())
+			s.opts.Log.Info(telemetry.EventJoined, "rounds", round+1, "members", len(s.dir.All()), "ms", s.clock.Now().Sub(started).Milliseconds())
 			return nil
 		}
 		if !s.sleep(ctx, fullJitter(round)) {
--- a/node/beliefs.go
+++ b/node/beliefs.go
@@ -23,8 +23,8 @@
 
 func newBeliefs(log logr.Logger) *beliefs {
 	return &beliefs{
-		member: telemetry.NewLimited(log, "member changed", beliefRate, beliefBurst),
-		target: telemetry.NewLimited(log, "target judged", beliefRate, beliefBurst),
+		member: telemetry.NewLimited(log, telemetry.EventMemberChanged, beliefRate, beliefBurst),
+		target: telemetry.NewLimited(log, telemetry.EventTargetJudged, beliefRate, beliefBurst),
 	}
 }
 
--- a/node/calls.go
+++ b/node/calls.go
@@ -23,6 +23,11 @@
 // after the drain has been announced; leaving is known everywhere within 2 s.
 const drainLinger = 2 * time.Second
 
+// silenceTimeout leaves room for two repeats of a lost packet on the longest
+// links, 0.24 and 0.72 s after it was sent; what is still not acknowledged then
+// went to an instance that is down or cut off.
+const silenceTimeout = 800 * time.Millisecond
+
 // platformLinger is the same on the platform, where the grace before SIGKILL is
 // short and other nodes hear of the drain in the answers as well.
 const platformLinger = 300 * time.Millisecond
@@ -92,7 +97,7 @@
 		Current:    s.node.current,
 		Balancer:   balance.New(s.node.dir, balance.Options{OnEject: s.node.beliefs.eject}),
 		View:       s.node.dir,
-		Pool:       proxy.NewPool(proxy.PoolOptions{LocalAddr: s.node.localAddr()}),
+		Pool:       proxy.NewPool(proxy.PoolOptions{LocalAddr: s.node.localAddr(), SilenceTimeout: silenceTimeout}),
 		Local:      local,
 		OnDraining: s.onDraining,
 		Metrics:    s.node.proxyMetrics(),
--- a/node/node.go
+++ b/node/node.go
@@ -100,12 +100,12 @@
 	if err != nil {
 		return err
 	}
-	n.log.Info("starting", "failureDomain", n.settings.FailureDomain, "incarnation", n.dir.Self().Incarnation)
+	n.log.Info(telemetry.EventStarting, "failureDomain", n.settings.FailureDomain, "incarnation", n.dir.Self().Incarnation)
 	err = n.kernel.Run(ctx, stop, n.stopTimeout())
 	flush, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_ = endTraces(flush)
-	n.log.Info("stopped")
+	n.log.Info(telemetry.EventStopped)
 	return err
 }
 
--- a/node/platform.go
+++ b/node/platform.go
@@ -16,6 +16,7 @@
 	"siskingw/platform"
 	"siskingw/proxy"
 	"siskingw/targets"
+	"siskingw/telemetry"
 )
 
 const (
@@ -92,7 +93,7 @@
 			if err == nil {
 				t.Service = p.Service
 				if err = s.registry.Find(t, time.Now()); err == nil {
-					s.node.log.Info("target found by its health check", "target", t.ID, "slots", t.Slots)
+					s.node.log.Info(telemetry.EventTargetFound, "target", t.ID, "slots", t.Slots)
 				}
 				return
 			}
@@ -157,17 +158,21 @@
 }
 
 // onChange takes the target that may get work, or nil.
-func (s *targetService) onChange(t *targets.Target) {
+func (s *targetService) onChange(t *targets.Target, loss targets.Loss) {
 	old := s.backend.Load()
 	if t == nil {
 		s.backend.Store(nil)
-		s.node.log.Info("target lost")
+		fields := []any{"reason", loss.Reason, "silentMs", loss.Silent.Milliseconds()}
+		if loss.Target != nil {
+			fields = append(fields, "target", loss.Target.ID, "service", loss.Target.Service)
+		}
+		s.node.log.Info(telemetry.EventTargetLost, fields...)
 	} else if old == nil || !old.sameStart(t) {
 		s.backend.Store(&localBackend{
 			Backend: proxy.Backend{Addr: t.Address, Instance: t.ID, Service: t.Service, Gate: admit.New(admit.Options{Slots: t.Slots, QueueLength: queuePerSlot * t.Slots})},
 			target:  *t,
 		})
-		s.node.log.Info("target in use", "target", t.ID, "service", t.Service, "address", t.Address, "slots", t.Slots)
+		s.node.log.Info(telemetry.EventTargetInUse, "target", t.ID, "service", t.Service, "address", t.Address, "slots", t.Slots)
 	} else {
 		return
 	}
--- a/node/reload.go
+++ b/node/reload.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"siskingw/settings"
+	"siskingw/telemetry"
 )
 
 // settingsCheck is the period at which a node looks whether its settings file
@@ -57,12 +58,12 @@
 	r.stamp = stampOf(r.path)
 	next, err := settings.Load(r.path)
 	if err != nil {
-		r.node.log.Error(err, "settings not reloaded, the old ones stay", "reason", reason)
+		r.node.log.Error(err, telemetry.EventReloadFail, "reason", reason)
 		return
 	}
 	changed := changedFields(r.node.live.Load(), next)
 	r.node.live.Store(next)
-	r.node.log.Info("settings reloaded", "reason", reason, "changed", changed)
+	r.node.log.Info(telemetry.EventReload, "reason", reason, "changed", changed)
 }
 
 // stampOf returns the zero stamp for a file that cannot be read.
--- a/node/services.go
+++ b/node/services.go
@@ -19,6 +19,7 @@
 	"siskingw/spread"
 	"siskingw/store"
 	"siskingw/store/etcd"
+	"siskingw/telemetry"
 )
 
 // Names under which services are registered.
@@ -351,7 +352,7 @@
 	})
 	s.spread.Register(peers.server)
 	s.node.current.OnAdvance(func(next *snapshot.Snapshot) {
-		s.node.log.Info("version in force", "version", next.Version(), "digest", next.Digest().String(), "objects", next.Len())
+		s.node.log.Info(telemetry.EventVersion, "version", next.Version(), "digest", next.Digest().String(), "objects", next.Len())
 	})
 	return nil
 }
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -190,7 +190,7 @@
 	// did not arrive.
 	callerFault bool
 	hangUp      bool // what follows on the caller's connection is not trusted
-	unreachable bool // no connection to the next hop could be made
+	unreachable bool // no connection to the next hop could be made, or it is silent
 	reached     bool // the target itself saw the call
 	crowded     bool // the target has no room for the call in time
 	gate        gateState
--- a/proxy/decisions.go
+++ b/proxy/decisions.go
@@ -32,9 +32,9 @@
 		return telemetry.NewLimited(log, event, decisionRate, decisionBurst)
 	}
 	return &Decisions{
-		ended:   limited("call ended"),
-		refused: limited("call refused at its target"),
-		lost:    limited("call failed at its target"),
+		ended:   limited(telemetry.EventCallEnded),
+		refused: limited(telemetry.EventCallRefused),
+		lost:    limited(telemetry.EventCallLost),
 	}
 }
 
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -99,6 +100,10 @@
 	}
 	sent := cn.sent
 	x.finish(false)
+	silent := errors.Is(err, syscall.ETIMEDOUT)
+	if silent {
+		x.pool.Forget(cn.addr) // the other connections to it are as silent
+	}
 	if u != nil && u.source != nil {
 		reason, err, why = "the body did not arrive in full", u.source, causeBody
 	}
@@ -107,6 +112,7 @@
 		f = notRun(causeUnsent, reason, err)
 	}
 	f.callerFault = u != nil && u.source != nil
+	f.unreachable = silent && !f.callerFault
 	return f
 }
 
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"siskingw/faults"
@@ -13,14 +14,20 @@
 type PoolOptions struct {
 	MaxPerAddress int           // open connections to one address; default 120
 	IdleTimeout   time.Duration // idle connections are closed after it; default 30 s
-	DialTimeout   time.Duration // default 1 s
-	LocalAddr     net.Addr      // address to connect from; nil lets the system choose
+	DialTimeout   time.Duration // default 400 ms
+	// SilenceTimeout ends a connection whose peer acknowledges nothing for so
+	// long, as when its instance has lost power or is cut off; default 0 leaves
+	// that to the calls' deadlines.
+	SilenceTimeout time.Duration
+	LocalAddr      net.Addr // address to connect from; nil lets the system choose
 }
 
 const (
 	defaultMaxPerAddress = 120              // the connection limit of the first users' endpoints
 	defaultPoolIdle      = 30 * time.Second // below the idle timeout of a node's server, see NewServer
-	defaultDialTimeout   = time.Second
+	// defaultDialTimeout is ten round trips between regions. The system repeats a
+	// lost opening packet after 1 s only, when another instance has long answered.
+	defaultDialTimeout = 400 * time.Millisecond
 )
 
 // Pool keeps open connections by address. A connection is used for one
@@ -52,11 +59,15 @@
 	if opts.DialTimeout <= 0 {
 		opts.DialTimeout = defaultDialTimeout
 	}
-	return &Pool{
+	p := &Pool{
 		opts:   opts,
 		dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAlive: -1, LocalAddr: opts.LocalAddr},
 		hosts:  make(map[string]*host),
 	}
+	if opts.SilenceTimeout > 0 {
+		p.dialer.Control = func(_, _ string, raw syscall.RawConn) error { return limitSilence(raw, opts.SilenceTimeout) }
+	}
+	return p
 }
 
 // get returns a connection to addr that is idle and alive, or a new one. It
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -10,6 +10,7 @@
 
 	"siskingw/faults"
 	"siskingw/snapshot"
+	"siskingw/telemetry"
 )
 
 // Head is the head of the store as a Source read it.
@@ -70,7 +71,7 @@
 	var lost time.Time // zero while the store answers
 	answered := func() {
 		if !lost.IsZero() {
-			n.log.Info("store is back", "afterMs", time.Since(lost).Milliseconds())
+			n.log.Info(telemetry.EventStoreBack, "afterMs", time.Since(lost).Milliseconds())
 			lost, retry = time.Time{}, storeRetryBase
 		}
 	}
@@ -78,7 +79,7 @@
 		n.stats.storeErrors.Inc()
 		if lost.IsZero() {
 			lost = time.Now()
-			n.log.Info("store is lost", "cause", cause(err), "error", err.Error())
+			n.log.Info(telemetry.EventStoreLost, "cause", cause(err), "error", err.Error())
 		}
 		sleep(n.ctx, rand.N(retry))
 		retry = min(2*retry, n.opts.Readers.retryMax())
--- a/targets/registry.go
+++ b/targets/registry.go
@@ -68,19 +68,34 @@
 	departed  map[string]time.Time // when a start that is not known left, by id
 	current   *entry
 	published *Target // as last reported to onChange
-	onChange  func(*Target)
+	onChange  func(*Target, Loss)
 }
 
+// Loss tells why the target that may get work changed. The zero Loss stands for
+// the first one.
+type Loss struct {
+	Target *Target       // the one before; nil for none
+	Reason string        // why it gets no more work
+	Silent time.Duration // since its last announcement
+}
+
+// Reasons of a Loss.
+const (
+	LostLeaving  = "leaving"  // it said that it leaves, or another one answers at its address
+	LostSilent   = "silent"   // it has not announced itself for too long
+	LostReplaced = "replaced" // a later start has taken its place
+)
+
 // NewRegistry returns an empty registry. expiry is how long a target may be
 // silent before it counts as gone.
 func NewRegistry(expiry time.Duration) *Registry {
 	return &Registry{expiry: expiry, entries: make(map[start]*entry), departed: make(map[string]time.Time)}
 }
 
-// OnChange registers f, which is called with the current target, or nil, after
-// each change of it. It must return quickly, must not call the registry and be
-// registered before use.
-func (r *Registry) OnChange(f func(*Target)) { r.onChange = f }
+// OnChange registers f, which is called with the current target, or nil, and the
+// reason after each change of it. It must return quickly, must not call the
+// registry and be registered before use.
+func (r *Registry) OnChange(f func(*Target, Loss)) { r.onChange = f }
 
 // Announce takes a statement. It returns a Stale error for one that is older
 // than what is known.
@@ -201,24 +216,43 @@
 	if best != nil && r.superseded(best) {
 		best = nil
 	}
+	loss := r.loss(best, now)
 	r.current = best
 	if best == nil {
-		r.publish(nil)
+		r.publish(nil, loss)
 		return
 	}
 	t := best.target
-	r.publish(&t)
+	r.publish(&t, loss)
+}
+
+// loss tells why the target so far gives way to next, which may be nil. The
+// registry is locked.
+func (r *Registry) loss(next *entry, now time.Time) Loss {
+	old := r.current
+	if old == nil || old == next {
+		return Loss{}
+	}
+	t := old.target
+	l := Loss{Target: &t, Reason: LostReplaced, Silent: now.Sub(old.heardAt)}
+	switch {
+	case old.leaving:
+		l.Reason = LostLeaving
+	case l.Silent > r.expiry:
+		l.Reason = LostSilent
+	}
+	return l
 }
 
 // publish reports the current target when it differs from the last one
 // reported. The registry is locked.
-func (r *Registry) publish(t *Target) {
+func (r *Registry) publish(t *Target, loss Loss) {
 	if t == nil && r.published == nil || t != nil && r.published != nil && *t == *r.published {
 		return
 	}
 	r.published = t
 	if r.onChange != nil {
-		r.onChange(t)
+		r.onChange(t, loss)
 	}
 }
 
--- a/targets/registry_test.go
+++ b/targets/registry_test.go
@@ -79,7 +79,7 @@
 	is := is.New(t)
 	r := NewRegistry(5 * time.Second)
 	var changes []string
-	r.OnChange(func(t *Target) {
+	r.OnChange(func(t *Target, _ Loss) {
 		if t == nil {
 			changes = append(changes, "")
 			return
--- a/telemetry/async.go
+++ b/telemetry/async.go
@@ -96,7 +96,7 @@
 		Level string    `json:"level"`
 		Msg   string    `json:"msg"`
 		Lines uint64    `json:"lines"`
-	}{time.Now(), "WARN", "log lines dropped", n})
+	}{time.Now(), "WARN", EventDropped, n})
 	if err == nil {
 		_, _ = out.Write(append(line, '\n'))
 	}
