Name why calls are not repeated and who ended them, check everything in one run

Cause: an incident's log held 353 answers lost on reads, which may be repeated. Of those traced, the connection had been closed by this node because the caller had left: the log and the metrics blamed the target. The log did not say why a call was not sent again. siskingw check stopped at the first kind of fault.

Change: calls ended on this side count as caller_gone or stopping; "call ended" has noRetry. check validates what could be decoded and lists all faults, quotes names, and reads settings and platform configurations.

--- a/cli/change.go
+++ b/cli/change.go
@@ -13,33 +13,49 @@
 	"siskingw/admin"
 	"siskingw/faults"
 	"siskingw/object"
+	"siskingw/platform"
 	"siskingw/publish"
+	"siskingw/settings"
 )
 
 // checkCommand validates files without changing anything.
 type checkCommand struct {
-	files paths
-	live  bool
+	files    paths
+	settings paths
+	platform paths
+	live     bool
 }
 
-func (*checkCommand) name() string     { return "check" }
-func (*checkCommand) synopsis() string { return "validate objects in files" }
+func (*checkCommand) name() string { return "check" }
+func (*checkCommand) synopsis() string {
+	return "validate objects, settings and configurations in files"
+}
 func (*checkCommand) usage() string {
-	return `-f FILE|DIRECTORY ...
+	return `-f FILE|DIRECTORY ... | -settings FILE ... | -platform FILE ...
 
 Reports every fault of the objects at once. Without -live the files must hold
-everything that they refer to and no node is asked.`
+everything that they refer to and no node is asked. -settings checks settings of
+a node, -platform a whole configuration as operators keep it in the platform's
+store.`
 }
 
 func (c *checkCommand) flags(f *flag.FlagSet) {
+	f.Var(&c.settings, "settings", "settings file of a node; may be repeated")
+	f.Var(&c.platform, "platform", "configuration as it stands in the platform's store; may be repeated")
 	f.Var(&c.files, "f", "file, or directory whose .json files are read; may be repeated")
 	f.BoolVar(&c.live, "live", false, "validate together with the objects in force on the node")
 }
 
 func (c *checkCommand) run(ctx context.Context, e *env, args []string) error {
-	set, err := readObjects(append(c.files, args...))
-	if err != nil {
-		return err
+	if len(c.settings)+len(c.platform) > 0 {
+		if len(c.files)+len(args) > 0 {
+			return usageError("objects are checked by a run of their own")
+		}
+		return c.others(e)
+	}
+	set, decoding := readObjects(append(c.files, args...))
+	if decoding != nil && len(object.FaultsOf(decoding)) == 0 {
+		return decoding
 	}
 	declared := len(set)
 	if c.live {
@@ -49,12 +65,36 @@
 		}
 		set = overlay(live.Objects, set)
 	}
-	if err := object.Validate(set); err != nil {
+	if err := object.Join(decoding, object.Validate(set)); err != nil {
 		return err
 	}
 	return e.print(map[string]int{"objects": declared}, [][]string{{fmt.Sprintf("%d objects are valid", declared)}})
 }
 
+// others checks settings and configurations of the platform.
+func (c *checkCommand) others(e *env) error {
+	for _, path := range c.settings {
+		if _, err := settings.Load(path); err != nil {
+			return err
+		}
+	}
+	for _, path := range c.platform {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			return faults.Invalid.Wrap(err, "file cannot be read")
+		}
+		config, err := platform.DecodeConfig(b)
+		if err != nil {
+			return err
+		}
+		if err := object.Validate(config.Objects); err != nil {
+			return err
+		}
+	}
+	n := len(c.settings) + len(c.platform)
+	return e.print(map[string]int{"files": n}, [][]string{{fmt.Sprintf("%d files are valid", n)}})
+}
+
 // overlay returns set and the live objects that set does not replace.
 func overlay(live, set []*object.Object) []*object.Object {
 	declared := make(map[object.Key]bool, len(set))
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -236,3 +236,65 @@
 	is.True(strings.Contains(out, "node-7"))
 	is.True(strings.Contains(errOut, "version 2 is not in force everywhere"))
 }
+
+// Guards against a check that hides the other faults of a set behind a field
+// that decoding does not know, and against a name whose line break forges a line
+// of the output.
+func TestCheckListsEveryFaultInOneRun(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	path := filepath.Join(t.TempDir(), "bad.json")
+	is.NoErr(os.WriteFile(path, []byte(`{"objects":[
+		{"kind":"EndpointSet","name":"carts","spec":{"announce":"carts","typo":1}},
+		{"kind":"Service","name":"a/../b\nc","spec":{"endpointSet":"carts"}},
+		{"kind":"Service","name":"twice","spec":{"endpointSet":"carts"}},
+		{"kind":"Service","name":"twice","spec":{"endpointSet":"carts"}},
+		{"kind":"Service","name":"lost","spec":{"endpointSet":"nowhere","policy":"nothing"}}]}`), 0o600))
+	code, _, errOut := r.run("check", "-f", path)
+	is.Equal(code, faults.ExitRefused)
+	for _, want := range []string{"typo", "declared more than once", "nowhere", "nothing", `\nc`} {
+		is.True(strings.Contains(errOut, want))
+	}
+	for line := range strings.Lines(errOut) {
+		is.True(strings.HasPrefix(line, "siskingw check: ") || strings.HasPrefix(line, "  "))
+	}
+}
+
+// Guards against explain that does not read several files, and against one that
+// reports success for a call that no log names.
+func TestExplainReadsLogFiles(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	dir := t.TempDir()
+	a, b := filepath.Join(dir, "a"), filepath.Join(dir, "b")
+	is.NoErr(os.WriteFile(a, []byte(`{"time":"2026-01-02T10:00:02Z","msg":"call ended","node":"n1","call":"c1","route":"r","status":503,"outcome":"not-run","cause":"late"}`), 0o600))
+	is.NoErr(os.WriteFile(b, []byte(`{"time":"2026-01-02T10:00:01Z","msg":"call refused at its target","node":"n2","call":"c1","inFlight":9}`), 0o600))
+	code, out, _ := r.run("explain", "-call", "c1", a, b)
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, "n2") && strings.Contains(out, "would have missed its target latency"))
+	code, out, _ = r.run("explain", "-o", "json", "-from", "2026-01-02T10:00:02Z", a, b)
+	is.Equal(code, 0)
+	is.True(strings.Contains(out, `"late"`))
+	code, _, _ = r.run("explain", "-call", "c2", a, b)
+	is.Equal(code, faults.ExitNotFound)
+	code, _, _ = r.run("explain", "-from", "noon", a)
+	is.Equal(code, faults.ExitUsage)
+}
+
+// Guards against settings and configurations whose faults show only when a node
+// takes them.
+func TestCheckReadsSettingsAndConfigurations(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	is.NoErr(os.WriteFile(bad, []byte(`{"version":"0000000c","routes":7}`), 0o600))
+	code, _, _ := r.run("check", "-settings", "../docs/examples/node.json")
+	is.Equal(code, 0)
+	code, _, errOut := r.run("check", "-settings", bad)
+	is.Equal(code, faults.ExitRefused)
+	is.True(strings.Contains(errOut, "bad.json"))
+	code, _, _ = r.run("check", "-platform", bad)
+	is.Equal(code, faults.ExitRefused)
+	code, _, _ = r.run("check", "-platform", bad, "-f", bad)
+	is.Equal(code, faults.ExitUsage)
+}
--- a/cli/files.go
+++ b/cli/files.go
@@ -22,8 +22,9 @@
 	return nil
 }
 
-// readObjects decodes every file and every .json file below a directory. It
-// returns one Invalid error with the faults of all files.
+// readObjects decodes every file and every .json file below a directory. With an
+// Invalid error, which holds the faults of all files, it returns what could be
+// read.
 func readObjects(list []string) ([]*object.Object, error) {
 	if len(list) == 0 {
 		return nil, usageError("no file is given; use -f")
@@ -45,7 +46,7 @@
 		}
 	}
 	if err := object.NewInvalid(bad); err != nil {
-		return nil, err
+		return objects, err
 	}
 	if len(objects) == 0 {
 		return nil, faults.Invalid.New("%s: no object is declared", strings.Join(list, ", "))
--- a/node/platform_test.go
+++ b/node/platform_test.go
@@ -241,7 +241,8 @@
 		return status == 503 && header.Get("Retry-After") != ""
 	})
 	for _, want := range []string{"target in use", "target lost", "version in force", "joined", "member changed", "call ended"} {
-		is.True(strings.Contains(second.log.String(), want))
+		// A node may serve by what others tell it before its own join has ended.
+		eventually(t, "the line "+want, func() bool { return strings.Contains(second.log.String(), want) })
 	}
 }
 
--- a/object/decode.go
+++ b/object/decode.go
@@ -12,14 +12,13 @@
 // DecodeFile reads the objects of one file: either {"objects":[...]} or a
 // single object. It returns one Invalid error with every fault that decoding
 // can find: syntax, unknown fields, unknown kinds and values of a wrong type.
-// The result still has to pass Validate.
+// The result still has to pass Validate. With an error, the objects are those of
+// which kind and name could be read, so that their other faults can be found as
+// well; they must not be published.
 func DecodeFile(source string, b []byte) ([]*Object, error) {
 	d := decodeRun{source: source}
 	objects := d.file(b)
-	if err := NewInvalid(d.faults); err != nil {
-		return nil, err
-	}
-	return objects, nil
+	return objects, NewInvalid(d.faults)
 }
 
 // decodeRun collects the faults of one file.
@@ -66,7 +65,6 @@
 
 // object decodes one object; label names it until its key is known.
 func (d *decodeRun) object(label string, b []byte) *Object {
-	before := len(d.faults)
 	var head decoded
 	if err := json.Unmarshal(b, &head); err != nil {
 		d.report(label, fieldOf(err), "%s", describe(err, b))
@@ -86,7 +84,7 @@
 	default:
 		d.spec(label, head.Spec, spec)
 	}
-	if len(d.faults) > before {
+	if spec == nil || o.Name == "" && len(d.faults) > 0 {
 		return nil
 	}
 	return o
--- a/object/fault.go
+++ b/object/fault.go
@@ -1,8 +1,9 @@
 package object
 
 import (
-	"slices"
+	"strconv"
 	"strings"
+	"unicode"
 
 	"github.com/joomcode/errorx"
 
@@ -17,12 +18,40 @@
 	Reason string `json:"reason"`
 }
 
-// String returns the fault as one line.
+// String returns the fault as one line. Parts that are not printable are quoted,
+// so that a name cannot look like a line of its own.
 func (f Fault) String() string {
-	parts := slices.DeleteFunc([]string{f.Source, f.Object, f.Field, f.Reason}, func(s string) bool { return s == "" })
+	var parts []string
+	for _, s := range []string{f.Source, f.Object, f.Field, f.Reason} {
+		if strings.IndexFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) >= 0 {
+			s = strconv.Quote(s)
+		}
+		if s != "" {
+			parts = append(parts, s)
+		}
+	}
 	return strings.Join(parts, ": ")
 }
 
+// Join returns one Invalid error with the faults of decoding and of validation,
+// or nil. Where decoding found a fault in a field of an object, what validation
+// says of that field or of the missing spec is left out: it judged a value that
+// could not be read.
+func Join(decoding, validation error) error {
+	all := FaultsOf(decoding)
+	unread := make(map[string]bool)
+	for _, f := range all {
+		unread[f.Object+"\x00"+f.Field] = true
+		unread[f.Object+"\x00spec"] = unread[f.Object+"\x00spec"] || f.Field == "spec"
+	}
+	for _, f := range FaultsOf(validation) {
+		if !unread[f.Object+"\x00"+f.Field] && !unread[f.Object+"\x00spec"] {
+			all = append(all, f)
+		}
+	}
+	return NewInvalid(all)
+}
+
 var faultsProperty = errorx.RegisterProperty("faults")
 
 // maxListedFaults bounds how many faults the message of an error spells out;
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -45,6 +45,7 @@
 	sentAt   time.Time     // when the last attempt began
 	waited   time.Duration // time spent waiting for answers' headers
 	steps    []step        // tries so far
+	barred   bar           // why there was no further try
 }
 
 // deadlineContext tells the gate the deadline without the cost of a timer: the
--- a/proxy/decisions.go
+++ b/proxy/decisions.go
@@ -75,6 +75,9 @@
 		if !c.work.target.IsZero() {
 			fields = append(fields, "targetLeftMs", time.Until(c.work.target).Milliseconds())
 		}
+		if c.barred != "" {
+			fields = append(fields, "noRetry", c.barred)
+		}
 		if f == nil {
 			return append(fields, "outcome", outcomeAnswered, "status", c.status)
 		}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -31,7 +31,8 @@
 // exchange is one request and its answer on a pooled connection.
 type exchange struct {
 	pool       *Pool
-	expect     bool // a streamed body waits for 100 Continue
+	ctx        context.Context // ends when the caller leaves or the node stops
+	expect     bool            // a streamed body waits for 100 Continue
 	conn       *conn
 	resp       *http.Response
 	upload     *upload                      // nil unless the body is streamed
@@ -55,6 +56,7 @@
 // start sends the request and reads the header of the answer. A refusal ends
 // the exchange; otherwise the caller must end it with finish.
 func (x *exchange) start(ctx context.Context, c *call, addr string) *refusal {
+	x.ctx = ctx
 	if err := ctx.Err(); err != nil {
 		f := notRun(causeCallerGone, "the caller is gone", err)
 		f.callerFault = true
@@ -107,6 +109,12 @@
 	if u != nil && u.source != nil {
 		reason, err, why = "the body did not arrive in full", u.source, causeBody
 	}
+	if x.ctx != nil && x.ctx.Err() != nil { // the connection was closed on this side
+		why, reason, err = causeCallerGone, "the caller left before it was answered", nil
+		if errorx.IsOfType(context.Cause(x.ctx), faults.Stopped) {
+			why, reason = causeStopping, "the node ends its calls before it is killed"
+		}
+	}
 	f := unknown(why, reason, err)
 	if sent == 0 {
 		f = notRun(causeUnsent, reason, err)
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -163,6 +163,7 @@
 			return f
 		}
 		if !t.again(c, f, picked.Record.ID) {
+			c.barred = t.barred
 			o.opts.Metrics.retry(triesRefused)
 			return t.end(nil)
 		}
--- a/proxy/owner.go
+++ b/proxy/owner.go
@@ -56,7 +56,7 @@
 		if f == nil || f.aborted || f.movedTo != "" {
 			return f
 		}
-		again := retry < retriesOf(p) && !f.stated && mayRetry(c, p, f) && b.withdraw()
+		again := retry < retriesOf(p) && !f.stated && barOf(c, p, f) == "" && b.withdraw()
 		last = merge(last, f)
 		if !again {
 			last.retried = last.retried || retry > 0
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -65,18 +65,38 @@
 	charged bool // the next try is one of repeats
 	late    bool // the next try goes to a gate that may make the call late
 	last    *refusal
+	barred  bar // why there is no further try
 }
 
+// bar names why a call is not sent again; "" when it may be.
+type bar string
+
+const (
+	barRetried  bar = "retried"  // another level has retried already
+	barBody     bar = "body"     // the body is not kept
+	barGone     bar = "gone"     // the caller left, or the node stops
+	barTime     bar = "time"     // no time is left
+	barStatus   bar = "status"   // the refusal is final
+	barKind     bar = "kind"     // it may have run and must not run twice
+	barAttempts bar = "attempts" // of the policy
+	barFree     bar = "hops"     // nodes that may be asked without charge
+	barBudget   bar = "budget"   // of the service's repeats
+)
+
 // again takes the refusal of one node and reports whether the call goes to
 // another one.
 func (t *tries) again(c *call, f *refusal, node string) bool {
 	t.charged = false
-	ok := mayRetry(c, t.policy, f) && (t.charge(f) || t.beLate(c, f))
+	if t.barred = barOf(c, t.policy, f); t.barred == "" {
+		if t.barred = t.charge(f); t.barred != "" && t.beLate(c, f) {
+			t.barred = ""
+		}
+	}
 	t.last = merge(t.last, f)
 	if !t.late {
 		t.skip = append(t.skip, node)
 	}
-	return ok
+	return t.barred == ""
 }
 
 const (
@@ -120,18 +140,22 @@
 	return true
 }
 
-// charge takes the cost of one more try, or reports false.
-func (t *tries) charge(f *refusal) bool {
-	if t.unsent && !f.reached && f.outcome == OutcomeNotRun {
-		t.free--
-		return t.free >= 0
-	}
-	if t.repeats >= retriesOf(t.policy) || !t.budget.withdraw() {
-		return false
+// charge takes the cost of one more try, or tells why there is none.
+func (t *tries) charge(f *refusal) bar {
+	switch {
+	case t.unsent && !f.reached && f.outcome == OutcomeNotRun:
+		if t.free--; t.free < 0 {
+			return barFree
+		}
+		return ""
+	case t.repeats >= retriesOf(t.policy):
+		return barAttempts
+	case !t.budget.withdraw():
+		return barBudget
 	}
 	t.repeats++
 	t.charged = true
-	return true
+	return ""
 }
 
 // end returns how the call ended; f is a reason of this node, or nil.
@@ -192,16 +216,27 @@
 	return b.(*budget)
 }
 
-// mayRetry reports whether the call may be sent again after the refusal.
-func mayRetry(c *call, p *object.PolicySpec, f *refusal) bool {
-	if f.retried || !c.body.replayable() || c.ctx.Err() != nil || c.left() <= 0 {
-		return false
+// barOf returns why the call may not be sent again after the refusal, whatever it
+// costs, or "".
+func barOf(c *call, p *object.PolicySpec, f *refusal) bar {
+	switch {
+	case f.retried:
+		return barRetried
+	case !c.body.replayable():
+		return barBody
+	case c.ctx.Err() != nil:
+		return barGone
+	case c.left() <= 0:
+		return barTime
 	}
 	switch f.status {
 	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		return f.outcome == OutcomeNotRun || idempotent(c, p)
+		if f.outcome == OutcomeNotRun || idempotent(c, p) {
+			return ""
+		}
+		return barKind
 	}
-	return false
+	return barStatus
 }
 
 // idempotent reports whether the call may run more than once.
--- a/proxy/silence_test.go
+++ b/proxy/silence_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"os"
 	"syscall"
@@ -59,3 +60,28 @@
 	x := exchange{pool: p, conn: c}
 	is.True(!x.fail(causeLost, "no answer", syscall.ECONNRESET).unreachable)
 }
+
+// Guards against a call whose caller left, or that ends because the node stops,
+// and that is logged and counted as an answer which its target lost.
+func TestCallEndedOnThisSideIsNoLostAnswer(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		reason error
+		want   cause
+	}{{context.Canceled, causeCallerGone}, {errStopping, causeStopping}} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer l.Close()
+		p := NewPool(PoolOptions{})
+		defer p.Close()
+		cn, err := p.get(t.Context(), l.Addr().String(), time.Now().Add(3*time.Second))
+		is.NoErr(err)
+		cn.sent = 100
+		ctx, cancel := context.WithCancelCause(t.Context())
+		cancel(c.reason)
+		x := exchange{pool: p, conn: cn, ctx: ctx}
+		f := x.fail(causeLost, "no answer", net.ErrClosed)
+		is.Equal(f.cause, c.want)
+		is.Equal(f.outcome, OutcomeUnknown)
+	}
+}
--- a/proxy/stopping.go
+++ b/proxy/stopping.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync/atomic"
+
+	"siskingw/faults"
 )
 
 // stopping is the end of a handler: first it refuses new calls, then it ends
@@ -13,6 +15,8 @@
 	abort    context.CancelFunc
 }
 
+var errStopping = faults.Stopped.New("the node stops")
+
 func newStopping() *stopping {
 	s := &stopping{}
 	s.ctx, s.abort = context.WithCancel(context.Background())
@@ -32,11 +36,11 @@
 // follow makes the call end when the handler aborts. The returned function must
 // be called at the end of the call.
 func (s *stopping) follow(c *call) (end func()) {
-	ctx, cancel := context.WithCancel(c.ctx)
+	ctx, cancel := context.WithCancelCause(c.ctx)
 	c.ctx = ctx
-	unlink := context.AfterFunc(s.ctx, cancel)
+	unlink := context.AfterFunc(s.ctx, func() { cancel(errStopping) })
 	return func() {
 		unlink()
-		cancel()
+		cancel(nil)
 	}
 }
