Soak of real nodes, recover a restarted fleet faster, limit silence between nodes

Cause: (1) no soak of the platform's path existed. A joining node was told only of its own failure domain and of relays, seeds served 4 joins at a time, dials to instances that were still dark hung until the repeat of the opening packet after 1 s, seeds waited 0.15 s before they read the store, and callers were sent back before the node could serve, at once while it had no configuration.

Ruled out: reads of the store by every starting node, which at 20,000 nodes are ten times the store's rate.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -158,18 +158,18 @@
 
 // startLinks starts a relay for each address that other processes connect to.
 func (f *Fleet) startLinks() error {
-	f.Links = newLinks()
+	f.Links = NewLinks()
 	for d, domain := range f.opts.Domains {
-		f.Links.places[fmt.Sprintf("%s.%d", f.base, d+1)] = domain.Name
+		f.Links.Place(fmt.Sprintf("%s.%d", f.base, d+1), domain.Name)
 	}
-	if err := f.Links.forward(f.relayAddr(0, 0, portStore), f.StoreAddr(), storePlace); err != nil {
+	if err := f.Links.Forward(f.relayAddr(0, 0, portStore), f.StoreAddr(), storePlace); err != nil {
 		return err
 	}
 	for d, domain := range f.opts.Domains {
 		for i := range domain.Instances {
 			for _, port := range []int{portPeer, portInbound} {
 				target := fmt.Sprintf("%s.%d.%d:%d", f.base, d+1, i+1, port)
-				if err := f.Links.forward(f.relayAddr(d, i, port), target, domain.Name); err != nil {
+				if err := f.Links.Forward(f.relayAddr(d, i, port), target, domain.Name); err != nil {
 					return err
 				}
 			}
@@ -194,8 +194,7 @@
 }
 
 func (f *Fleet) process(name, binary string, args ...string) *Process {
-	return &Process{Name: name, path: filepath.Join(f.opts.BinDir, binary), args: args,
-		logPath: filepath.Join(f.opts.WorkDir, name+".log")}
+	return NewProcess(name, filepath.Join(f.opts.BinDir, binary), filepath.Join(f.opts.WorkDir, name+".log"), args...)
 }
 
 func (in *Instance) addr(port int) string { return net.JoinHostPort(in.IP, fmt.Sprint(port)) }
@@ -287,6 +286,6 @@
 		p.WaitOrKill(stopTimeout)
 	}
 	if f.Links != nil {
-		f.Links.close()
+		f.Links.Close()
 	}
 }
--- a/bench/fleet/links.go
+++ b/bench/fleet/links.go
@@ -17,24 +17,62 @@
 const cutPoll = 10 * time.Millisecond
 
 // Links forwards the connections between processes and can cut the links
-// between two places, which are failure domains or the store. A cut link holds
-// its bytes back, as a network that drops packets does, and delivers them
-// after it is healed.
+// between two places, which are failure domains, instances or the store. A cut
+// link holds its bytes back, as a network that drops packets does, and delivers
+// them after it is healed. Links can also be slow, and lose connections.
 type Links struct {
 	mu     sync.Mutex
-	places map[string]string  // place by the first three octets of an address
-	cuts   map[[2]string]bool // from, to
+	places map[string]string // place by the first octets of an address, the longest match counts
+	cuts   map[[2]string]bool
+	delays map[[2]string]time.Duration
+	open   map[*link]bool
 	closed chan struct{}
 	lis    []net.Listener
 }
 
-func newLinks() *Links {
+// link is one forwarded connection.
+type link struct {
+	from, to string
+	ends     [2]net.Conn
+}
+
+// NewLinks returns links without places.
+func NewLinks() *Links {
 	return &Links{
 		places: make(map[string]string), cuts: make(map[[2]string]bool),
+		delays: make(map[[2]string]time.Duration), open: make(map[*link]bool),
 		closed: make(chan struct{}),
 	}
 }
 
+// Place names the place of the addresses that begin with the given octets.
+func (l *Links) Place(octets, name string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.places[octets] = name
+}
+
+// Delay makes what is sent from one place to another wait; 0 ends that.
+func (l *Links) Delay(from, to string, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delays[[2]string{from, to}] = d
+}
+
+// Reset resets every open connection of a place.
+func (l *Links) Reset(place string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for k := range l.open {
+		if k.from == place || k.to == place {
+			for _, c := range k.ends {
+				reset(c)
+				_ = c.Close()
+			}
+		}
+	}
+}
+
 // Cut holds back what is sent from one place to another, one way.
 func (l *Links) Cut(from, to string) { l.set(from, to, true) }
 
@@ -80,11 +118,16 @@
 	host, _, _ := net.SplitHostPort(addr.String())
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.places[host[:strings.LastIndexByte(host, '.')]]
+	for end := len(host); end > 0; end = strings.LastIndexByte(host[:end], '.') {
+		if p, ok := l.places[host[:end]]; ok {
+			return p
+		}
+	}
+	return ""
 }
 
-// forward listens on addr and forwards to the process at target in place to.
-func (l *Links) forward(addr, target, to string) error {
+// Forward listens on addr and forwards to the process at target in place to.
+func (l *Links) Forward(addr, target, to string) error {
 	lis, err := net.Listen("tcp", addr)
 	if err != nil {
 		return faults.Internal.Wrap(err, "relay")
@@ -115,6 +158,15 @@
 		return
 	}
 	defer func() { _ = s.Close() }()
+	k := &link{from: from, to: to, ends: [2]net.Conn{c, s}}
+	l.mu.Lock()
+	l.open[k] = true
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		delete(l.open, k)
+	}()
 	var wg sync.WaitGroup
 	wg.Go(func() { l.pump(s, c, from, to) })
 	wg.Go(func() { l.pump(c, s, to, from) })
@@ -133,6 +185,7 @@
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := src.Read(buf)
+		l.wait(from, to)
 		if !l.waitHealed(from, to) {
 			break
 		}
@@ -156,6 +209,16 @@
 	_ = src.Close()
 }
 
+// wait delays what is sent.
+func (l *Links) wait(from, to string) {
+	l.mu.Lock()
+	d := l.delays[[2]string{from, to}]
+	l.mu.Unlock()
+	if d > 0 {
+		time.Sleep(d)
+	}
+}
+
 // waitHealed waits until the link is not cut; false when the relay is closed.
 func (l *Links) waitHealed(from, to string) bool {
 	for l.isCut(from, to) {
@@ -168,8 +231,8 @@
 	return true
 }
 
-// close ends every listener.
-func (l *Links) close() {
+// Close ends every listener.
+func (l *Links) Close() {
 	close(l.closed)
 	for _, lis := range l.lis {
 		_ = lis.Close()
--- a/bench/fleet/process.go
+++ b/bench/fleet/process.go
@@ -26,6 +26,12 @@
 	err  error
 }
 
+// NewProcess returns a process that is not started. Its output goes to the log
+// file.
+func NewProcess(name, path, logPath string, args ...string) *Process {
+	return &Process{Name: name, path: path, args: args, logPath: logPath}
+}
+
 // Start starts the process. Its output is appended to its log file.
 func (p *Process) Start() error {
 	p.mu.Lock()
@@ -89,6 +95,9 @@
 // Terminate asks the process to stop gracefully.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// Hangup tells the process that its settings file has changed.
+func (p *Process) Hangup() { p.signal(syscall.SIGHUP) }
+
 // Pause stops the process without ending it.
 func (p *Process) Pause() { p.signal(syscall.SIGSTOP) }
 
--- /dev/null
+++ b/bench/soak/callers.go
@@ -0,0 +1,131 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"siskingw/platform/standin"
+)
+
+const (
+	callersPerNode = 4
+	// callPause is the mean pause of a caller between two calls: four of them use
+	// about half of the slots of a target.
+	callPause    = 25 * time.Millisecond
+	shortWait    = 1500 * time.Millisecond // deadline of reads
+	longWait     = 3 * time.Second         // deadline of bids
+	shareBids    = 0.35
+	shareProbes  = 0.12 // ask for the route of the newest version
+	shareLeaving = 0.04
+	// clientGrace is how long a caller waits beyond its deadline before it counts
+	// the request as unanswered.
+	clientGrace = 1500 * time.Millisecond
+)
+
+// callers send requests to every node until ctx ends.
+func (s *site) callers(ctx context.Context, seed uint64, wg *sync.WaitGroup) {
+	for _, in := range s.instances {
+		for n := range callersPerNode {
+			random := rand.New(rand.NewPCG(seed, uint64(in.number*callersPerNode+n)))
+			wg.Go(func() { s.caller(ctx, in, n, random) })
+		}
+	}
+}
+
+// caller sends one request after the other on a connection that it keeps until
+// the node closes it.
+func (s *site) caller(ctx context.Context, in *instance, number int, random *rand.Rand) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}
+	defer client.CloseIdleConnections()
+	for i := 0; ctx.Err() == nil; i++ {
+		a := s.nextAttempt(in, fmt.Sprintf("%d-%d-%d", in.number, number, i), random)
+		leave := time.Duration(0)
+		if a.repeatable && random.Float64() < shareLeaving {
+			leave = time.Duration(random.Int64N(int64(shortWait / 5)))
+		}
+		s.send(client, in, a, leave)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(random.ExpFloat64() * float64(callPause))):
+		}
+	}
+}
+
+func (s *site) nextAttempt(in *instance, id string, random *rand.Rand) *attempt {
+	a := &attempt{id: id, node: in.number, method: http.MethodGet, path: "/lots/" + id, repeatable: true, deadline: shortWait}
+	switch p := random.Float64(); {
+	case p < shareProbes:
+		s.mu.Lock()
+		a.version = s.version
+		s.mu.Unlock()
+		a.path = versionPath(a.version) + id
+	case p < shareProbes+shareBids:
+		a.method, a.path, a.repeatable, a.deadline = http.MethodPost, "/bids/"+id, false, longWait
+	}
+	in.mu.Lock()
+	a.life = in.life
+	in.mu.Unlock()
+	return a
+}
+
+// send sends one attempt. With leave the caller gives up after that time.
+func (s *site) send(client *http.Client, in *instance, a *attempt, leave time.Duration) {
+	wait := a.deadline + clientGrace
+	if leave > 0 {
+		wait = leave
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	var body []byte
+	if !a.repeatable {
+		body = []byte("bid " + a.id)
+	}
+	req, err := http.NewRequestWithContext(ctx, a.method, "http://"+at(in.ip, portOutbound)+a.path, bytes.NewReader(body))
+	if err != nil {
+		panic(err) // the path is made here
+	}
+	req.Host = host
+	standin.SetCaller(req.Header, a.id, a.deadline)
+	a.sent = time.Now()
+	s.seen.begin(a)
+	resp, err := client.Do(req)
+	status, wrong := 0, ""
+	if err == nil {
+		var got []byte
+		got, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err == nil {
+			status = resp.StatusCode
+			wrong = judge(a, resp, got, body)
+		}
+	}
+	s.seen.end(a, func() {
+		a.status, a.wrong = status, wrong
+		if status == 0 && leave > 0 && ctx.Err() != nil {
+			a.left = time.Now()
+		}
+	})
+}
+
+// judge returns what is wrong with an answer, or "".
+func judge(a *attempt, resp *http.Response, got, sent []byte) string {
+	seal := resp.Header.Get("Server-Seal")
+	switch {
+	case seal != "" && !strings.HasSuffix(seal, "."+a.id):
+		return fmt.Sprintf("the answer %d is that of another request: %q", resp.StatusCode, seal)
+	case resp.StatusCode/100 != 2:
+		return ""
+	case seal == "":
+		return "a success without a target's seal"
+	case !bytes.Equal(got, append([]byte(a.id), sent...)):
+		return fmt.Sprintf("a success with %d bytes that are not the target's", len(got))
+	}
+	return ""
+}
--- /dev/null
+++ b/bench/soak/site.go
@@ -0,0 +1,246 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"siskingw/bench/fleet"
+	"siskingw/faults"
+	"siskingw/platform/standin"
+	"siskingw/settings"
+)
+
+const (
+	host    = "lots.example"
+	service = "floor"
+)
+
+// Ports, the same on every instance.
+const (
+	portOutbound = 15001 + iota
+	portInbound
+	portPeer
+	portAdmin
+	portControl
+	portReady
+	portTarget
+	portStore
+)
+
+// perDomain is the number of instances of a failure domain, and domains that of
+// a region.
+const (
+	perDomain = 2
+	domains   = 2
+)
+
+// relayOctet is added to the second octet of an address for its relay.
+const relayOctet = 100
+
+// instance is a node process and the target beside it.
+type instance struct {
+	number  int
+	name    string
+	domain  string
+	ip      string
+	node    *fleet.Process
+	mu      sync.Mutex
+	life    int // of the node's processes
+	busy    bool
+	target  *target
+	started []*target
+}
+
+// site is the platform with its instances.
+type site struct {
+	base      int // second octet of the instances' addresses
+	size      int // number of instances
+	dir       string
+	bin       string
+	links     *fleet.Links
+	store     *unreliableStore
+	server    *http.Server
+	instances []*instance
+	ids       targets
+	seen      *record
+
+	mu       sync.Mutex
+	version  uint64
+	prefixes []string
+}
+
+func (s *site) ip(number int) string { return fmt.Sprintf("127.%d.0.%d", s.base, number+1) }
+
+func (s *site) relayIP(number int) string {
+	return fmt.Sprintf("127.%d.0.%d", s.base+relayOctet, number+1)
+}
+
+func at(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
+
+// newSite starts the store, the relays, every node and every target.
+func newSite(opts Options, seen *record) (*site, error) {
+	s := &site{base: opts.Base, size: opts.Instances, dir: opts.WorkDir, bin: opts.BinDir, links: fleet.NewLinks(), store: newUnreliableStore(), seen: seen}
+	storeIP := s.ip(opts.Instances)
+	l, err := net.Listen("tcp", at(storeIP, portStore))
+	if err != nil {
+		return nil, faults.Internal.Wrap(err, "store")
+	}
+	s.server = &http.Server{Handler: s.store}
+	go func() { _ = s.server.Serve(l) }() // ends with stop
+	if err := s.links.Forward(at(s.relayIP(opts.Instances), portStore), at(storeIP, portStore), "store"); err != nil {
+		return nil, err
+	}
+	if err := s.publish(context.Background()); err != nil {
+		return nil, err
+	}
+	for n := range opts.Instances {
+		in := &instance{number: n, name: fmt.Sprintf("n-%d", n), domain: fmt.Sprintf("d-%d", n/perDomain), ip: s.ip(n)}
+		s.links.Place(in.ip, in.name)
+		for _, port := range []int{portInbound, portPeer} {
+			if err := s.links.Forward(at(s.relayIP(n), port), at(in.ip, port), in.name); err != nil {
+				return nil, err
+			}
+		}
+		s.instances = append(s.instances, in)
+		if err := s.writeSettings(in, 0); err != nil {
+			return nil, err
+		}
+		in.node = fleet.NewProcess(in.name, filepath.Join(s.bin, "siskingw"), filepath.Join(s.dir, in.name+".log"), "node", "-config", s.settingsPath(in))
+	}
+	for _, in := range s.instances {
+		if err := in.node.Start(); err != nil {
+			return s, err
+		}
+		if err := s.startTarget(in); err != nil {
+			return s, err
+		}
+	}
+	return s, nil
+}
+
+func (s *site) settingsPath(in *instance) string { return filepath.Join(s.dir, in.name+".json") }
+
+// writeSettings writes the settings of a node; seeds from the given one on.
+func (s *site) writeSettings(in *instance, firstSeed int) error {
+	const seeds = 3
+	var hosts []string
+	for i := range seeds {
+		hosts = append(hosts, at(s.relayIP((firstSeed+i)%s.size), portControl))
+	}
+	b, err := json.Marshal(settings.Settings{
+		ID: in.name, Region: fmt.Sprintf("r-%d", in.number/perDomain/domains), FailureDomain: in.domain,
+		Listen:    settings.Listen{Outbound: at(in.ip, portOutbound), Inbound: at(in.ip, portInbound), Peer: at(in.ip, portPeer), Admin: at(in.ip, portAdmin)},
+		Advertise: settings.Advertise{Inbound: at(s.relayIP(in.number), portInbound), Peer: at(s.relayIP(in.number), portPeer)},
+		DialFrom:  in.ip,
+		Store:     settings.Store{Endpoint: at(s.relayIP(s.storeNumber()), portStore)},
+		Seeds:     []settings.Seed{},
+		Platform: &settings.Platform{
+			Control: at(in.ip, portControl), Ready: at(in.ip, portReady), Service: service, TargetAddress: at(in.ip, portTarget),
+			SeedHosts: hosts, HeartbeatMs: int(targetBeat.Milliseconds()), DrainMs: int(drainTime.Milliseconds()), GraceS: graceTime.Seconds(),
+			RetryRatio: budgetRatio, RetrySlack: budgetSlack, RetryWindowS: budgetWindow.Seconds(), MemoryMB: 200, MaxFiles: 4000, LinkMbps: 1000,
+		},
+	})
+	if err != nil {
+		return faults.Internal.Wrap(err, "settings of %s", in.name)
+	}
+	next := s.settingsPath(in) + ".new"
+	if err := os.WriteFile(next, b, 0o600); err != nil {
+		return faults.Internal.Wrap(err, "settings of %s", in.name)
+	}
+	if err := os.Rename(next, s.settingsPath(in)); err != nil {
+		return faults.Internal.Wrap(err, "settings of %s", in.name)
+	}
+	return nil
+}
+
+// storeNumber is the number in the store's address, behind those of the
+// instances.
+func (s *site) storeNumber() int { return s.size }
+
+func (s *site) startTarget(in *instance) error {
+	t, err := startTarget(s.ids.id(), at(in.ip, portTarget), at(in.ip, portControl), s.seen)
+	if err != nil {
+		return err
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.target = t
+	in.started = append(in.started, t)
+	return nil
+}
+
+// publish puts the next version in the store, with a route of its own.
+func (s *site) publish(ctx context.Context) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.prefixes = append(s.prefixes, versionPath(s.version))
+	_, err := s.store.mem.Put(ctx, standin.ConfigKey, standin.ConfigWith(s.version, host, service, s.prefixes), 0)
+	if err != nil {
+		return faults.Internal.Wrap(err, "configuration")
+	}
+	s.seen.mu.Lock()
+	defer s.seen.mu.Unlock()
+	s.seen.publications = append(s.seen.publications, publication{s.version, time.Now()})
+	return nil
+}
+
+// versionPath returns the prefix of the route that a version adds.
+func versionPath(version uint64) string { return fmt.Sprintf("/v%d/", version) }
+
+// ready reports whether the node says that it takes calls.
+func (in *instance) ready(client *http.Client) bool {
+	resp, err := client.Get("http://" + at(in.ip, portReady) + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// waitReady waits until every node is ready.
+func (s *site) waitReady(limit time.Duration) error {
+	client := &http.Client{Timeout: time.Second}
+	defer client.CloseIdleConnections()
+	end := time.Now().Add(limit)
+	for _, in := range s.instances {
+		for !in.ready(client) {
+			if time.Now().After(end) {
+				return faults.Timeout.New("%s is not ready after %v", in.name, limit)
+			}
+			const pause = 20 * time.Millisecond
+			time.Sleep(pause)
+		}
+	}
+	return nil
+}
+
+// stop ends everything that the site started and gathers what the targets ran.
+func (s *site) stop() {
+	var wg sync.WaitGroup
+	for _, in := range s.instances {
+		wg.Go(func() {
+			if in.node != nil {
+				in.node.Kill()
+			}
+			in.mu.Lock()
+			defer in.mu.Unlock()
+			if in.target != nil {
+				in.target.crash()
+			}
+			for _, t := range in.started {
+				s.seen.ran(t.stand.Runs())
+			}
+		})
+	}
+	wg.Wait()
+	s.links.Close()
+	_ = s.server.Close()
+}
--- /dev/null
+++ b/bench/soak/soak.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Options configures one run.
+type Options struct {
+	Seed      uint64
+	Instances int
+	Length    time.Duration // of the time in which faults are injected
+	BinDir    string        // holds siskingw
+	WorkDir   string        // for settings and logs, must exist
+	// Base is the second octet of the instances' loopback addresses, 2 to 100;
+	// runs at the same time need different ones.
+	Base    int
+	Planned bool // only planned work: stops, changes, replacements
+	Log     func(format string, args ...any)
+}
+
+// Result is what a run saw.
+type Result struct {
+	Calls, Answered, Refused, Lost int
+	Arrivals, StoreCalls           int
+	Faults                         map[string]int
+	Violations                     []Violation
+}
+
+const (
+	// startTime bounds the start of a fleet, and recoverTime the time after the
+	// last fault until calls are answered again.
+	startTime   = 15 * time.Second
+	recoverTime = 15 * time.Second
+	// servedShare is the share of the calls of a second that are answered once
+	// the fleet has recovered.
+	servedShare = 0.9
+	settleTime  = time.Second // for calls in flight at the end
+)
+
+// Run runs one seed. It returns an error when the fleet does not start.
+func Run(opts Options) (Result, error) {
+	seen := newRecord()
+	s, err := newSite(opts, seen)
+	if err == nil {
+		err = s.waitReady(startTime)
+	}
+	if err != nil {
+		if s != nil {
+			s.stop()
+		}
+		return Result{}, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	s.callers(ctx, opts.Seed, &wg)
+	j := &injector{site: s, random: rand.New(rand.NewPCG(opts.Seed, 0)), planned: opts.Planned, counts: make(map[string]int), log: opts.Log}
+	faulty, end := context.WithTimeout(ctx, opts.Length)
+	j.run(faulty)
+	end()
+	recovered := seen.recovers(time.Now())
+	cancel()
+	wg.Wait()
+	time.Sleep(settleTime)
+	s.stop()
+	r := seen.result()
+	r.StoreCalls, r.Faults = int(s.store.calls.Load()), j.counts
+	r.Violations = seen.check()
+	if !recovered {
+		r.Violations = append(r.Violations, Violation{"recovery", fmt.Sprintf("less than %.0f%% of the calls were answered in every second of %v after the last fault", 100*servedShare, recoverTime)})
+	}
+	return r, nil
+}
+
+// recovers waits until the calls of one second are answered, recoverTime at most.
+func (r *record) recovers(from time.Time) bool {
+	for time.Since(from) < recoverTime {
+		began := time.Now()
+		time.Sleep(time.Second)
+		calls, answered := 0, 0
+		r.mu.Lock()
+		for _, a := range r.attempts {
+			if a.ended.After(began) && a.left.IsZero() {
+				calls++
+				if a.status == http.StatusOK {
+					answered++
+				}
+			}
+		}
+		r.mu.Unlock()
+		if calls > 0 && float64(answered) >= servedShare*float64(calls) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *record) result() Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	res := Result{Calls: len(r.attempts), Arrivals: len(r.arrivals)}
+	for _, a := range r.attempts {
+		switch {
+		case a.status == http.StatusOK:
+			res.Answered++
+		case a.status == http.StatusServiceUnavailable:
+			res.Refused++
+		case a.status == 0 && a.left.IsZero():
+			res.Lost++
+		}
+	}
+	return res
+}
--- /dev/null
+++ b/bench/soak/target.go
@@ -0,0 +1,148 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"siskingw/faults"
+	"siskingw/platform/standin"
+)
+
+const (
+	targetSlots = 6
+	targetWork  = 40 * time.Millisecond
+	targetBeat  = 500 * time.Millisecond
+	slowWork    = 200 * time.Millisecond // added by a slow target
+)
+
+// target is one start of the target of an instance.
+type target struct {
+	id     string
+	seen   *record
+	stand  *standin.Target
+	server *http.Server
+	stop   context.CancelFunc
+	done   chan struct{}
+
+	slow  atomic.Bool
+	lossy atomic.Bool // every fourth answer is lost after the run
+	fails atomic.Bool // half of the answers are 500
+	count atomic.Int64
+}
+
+// startTarget starts a target that announces itself to the node at control.
+func startTarget(id, addr, control string, seen *record) (*target, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, faults.Internal.Wrap(err, "target %s", id)
+	}
+	t := &target{id: id, seen: seen, done: make(chan struct{})}
+	t.stand = standin.NewTarget(standin.TargetOptions{
+		ID: id, Service: service, Addr: addr, Slots: targetSlots, Work: targetWork, Control: control, Beat: targetBeat,
+	})
+	t.server = &http.Server{Handler: t}
+	go func() { _ = t.server.Serve(l) }() // ends with crash or leave
+	ctx, stop := context.WithCancel(context.Background())
+	t.stop = stop
+	go t.announce(ctx)
+	return t, nil
+}
+
+func (t *target) announce(ctx context.Context) {
+	defer close(t.done)
+	tick := time.NewTicker(targetBeat)
+	defer tick.Stop()
+	for {
+		_ = t.stand.Announce(ctx) // the next one follows
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// crash ends the target without a word.
+func (t *target) crash() {
+	t.stop()
+	<-t.done
+	_ = t.server.Close()
+}
+
+// leave states that the target leaves, serves on for the time that it must, and
+// ends.
+func (t *target) leave() {
+	t.stop()
+	<-t.done
+	const tries, pause = 40, 50 * time.Millisecond
+	for range tries {
+		if t.stand.Leave(context.Background()) == nil {
+			t.seen.mu.Lock()
+			t.seen.departures = append(t.seen.departures, departure{t.id, time.Now()})
+			t.seen.mu.Unlock()
+			break
+		}
+		time.Sleep(pause)
+	}
+	time.Sleep(drainTime + time.Second) // late work would show
+	_ = t.server.Close()
+}
+
+// ServeHTTP notes the request and lets the stand-in run it.
+func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == standin.HealthPath {
+		t.stand.ServeHTTP(w, r)
+		return
+	}
+	a := arrival{id: r.Header.Get("Attempt-Id"), target: t.id, at: time.Now(), deadline: time.Hour}
+	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
+		a.deadline = time.Duration(ms) * time.Millisecond
+	}
+	switch sent, ok := t.seen.of(a.id); {
+	case !ok:
+	case r.Method != sent.method || r.URL.RequestURI() != sent.path:
+		a.wrong = fmt.Sprintf("%s %s became %s %s", sent.method, sent.path, r.Method, r.URL.RequestURI())
+	case r.Header.Get("Caller-Service") != service:
+		a.wrong = fmt.Sprintf("its caller became %q", r.Header.Get("Caller-Service"))
+	}
+	expected := r.Header.Get("Expect-Instance")
+	a.other = expected != "" && expected != t.id
+	t.seen.arrive(a)
+	if t.slow.Load() {
+		time.Sleep(slowWork)
+	}
+	n := t.count.Add(1)
+	const one, of = 1, 4
+	switch {
+	case t.lossy.Load() && n%of == one:
+		t.stand.ServeHTTP(httptest.NewRecorder(), r)
+		panic(http.ErrAbortHandler)
+	case t.fails.Load() && n%2 == 0 && !a.other:
+		t.seen.ran(map[string]int{a.id: 1})
+		w.Header().Set("Attempt-Id", a.id)
+		w.Header().Set("Server-Seal", t.id+"."+a.id)
+		w.WriteHeader(http.StatusInternalServerError)
+	default:
+		t.stand.ServeHTTP(w, r)
+	}
+}
+
+// targets numbers the starts of targets, so that each has an id of its own.
+type targets struct {
+	mu   sync.Mutex
+	next int
+}
+
+func (s *targets) id() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next++
+	return fmt.Sprintf("i-%d", s.next)
+}
--- a/cmd/meshbench/main.go
+++ b/cmd/meshbench/main.go
@@ -17,6 +17,7 @@
 	"siskingw/bench/matrix"
 	"siskingw/bench/members"
 	"siskingw/bench/mutants"
+	"siskingw/bench/soak"
 	"siskingw/bench/spread"
 )
 
@@ -31,6 +32,7 @@
 	subcommands.Register(new(demo.Command), "")
 	subcommands.Register(new(matrix.Command), "")
 	subcommands.Register(new(mutants.Command), "")
+	subcommands.Register(new(soak.Command), "")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	status := subcommands.Execute(ctx)
--- a/member/cluster_test.go
+++ b/member/cluster_test.go
@@ -331,3 +331,24 @@
 	is.True(asked.Load() > 0)
 	c.within(2*time.Second, "join through a hint", holdsLive(3))
 }
+
+// Load: a whole fleet restarts. Guards against nodes that learn only of their
+// own failure domain and of relays, and refuse calls to the other targets until
+// some node has a full set.
+func TestSmallFleetIsToldWholeToEveryJoiner(t *testing.T) {
+	is := is.New(t)
+	c := newCluster(t)
+	c.build(4, 4)
+	c.within(4*time.Second, "build", holdsLive(16))
+	from := c.nodes["n00"]
+	late := c.launch(c.listen("fd-3"), "late", "fd-3", "region-1", "fd-3")
+	late.cancel() // asks by hand
+	<-late.done
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	self := from.dir.Self()
+	_, err := late.service.joinThrough(ctx, Seed{Addr: self.PeerAddr, Place: self.Place()}, true)
+	is.NoErr(err)
+	is.Equal(len(late.dir.All()), 17)
+	late.cancel = func() {}
+}
--- a/member/join.go
+++ b/member/join.go
@@ -20,8 +20,15 @@
 )
 
 const (
-	// joinLimit bounds the joins that one node serves at a time.
-	joinLimit = 4
+	// joinLimit bounds the joins that one node serves at a time, and
+	// smallJoinLimit those of a fleet of up to smallFleet records: a whole fleet
+	// that starts meets at a few seeds, and its nodes refuse calls until they
+	// know each other's targets.
+	joinLimit      = 4
+	smallJoinLimit = 64
+	// smallFleet is the number of records, about 25 KB, that are sent whole to
+	// every joining node.
+	smallFleet = 256
 	// joinTries is the number of nodes asked in one round.
 	joinTries     = 8
 	joinBaseDelay = 100 * time.Millisecond
@@ -202,7 +209,7 @@
 		s.apply([]Record{joiner}, origin{local: true})
 	}
 	records := s.dir.All()
-	if req.DomainOnly {
+	if req.DomainOnly && len(records) > smallFleet {
 		records = s.near(joiner)
 	}
 	for first := true; first || len(records) > 0; first = false {
@@ -249,15 +256,17 @@
 	*Service
 }
 
-// Join serves a joining node, at most joinLimit at a time.
+// Join serves a joining node, a bounded number at a time.
 func (j joinServer) Join(req *peerpb.JoinRequest, stream grpc.ServerStreamingServer[peerpb.JoinChunk]) error {
 	if req.Record == nil {
 		return status.Error(codes.InvalidArgument, "join without a record")
 	}
-	select {
-	case j.joins <- struct{}{}:
-		defer func() { <-j.joins }()
-	default:
+	limit := int64(joinLimit)
+	if len(j.dir.All()) <= smallFleet {
+		limit = smallJoinLimit
+	}
+	defer j.joins.Add(-1)
+	if j.joins.Add(1) > limit {
 		return status.Error(codes.ResourceExhausted, "too many joins are served")
 	}
 	return j.serveJoin(req, stream)
--- a/member/service.go
+++ b/member/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -116,7 +117,7 @@
 	clock    clockwork.Clock
 	detector *detector // used by the goroutine of probeLoop only
 	changes  *ring.Ring[[]*Record]
-	joins    chan struct{} // one element for each join that is served
+	joins    atomic.Int64  // that are served
 	complete chan struct{} // closed when a full set of records was received
 
 	compareLimit *rate.Limiter
@@ -139,7 +140,6 @@
 		dir: dir, opts: opts, clock: opts.Clock,
 		detector: newDetector(dir, opts.Heartbeat, opts.SuspectTimeout, newRand()),
 		changes:  ring.New[[]*Record](changeQueue, ring.DropOldest),
-		joins:    make(chan struct{}, joinLimit),
 		complete: make(chan struct{}),
 		outbox:   newOutbox(dir, opts.ByteRate, opts.ByteBurst),
 		softened: make(map[string]softening),
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -65,7 +65,7 @@
 
 // Options configures a Pool.
 type Options struct {
-	// Dial opens a connection. The default is a TCP dialer with a timeout of 1 s.
+	// Dial opens a connection. The default is a TCP dialer with a timeout of 0.4 s.
 	Dial func(ctx context.Context, addr string, class LinkClass) (net.Conn, error)
 	// LocalAddr is the address that the default Dial connects from; nil lets the system choose.
 	LocalAddr net.Addr
@@ -75,7 +75,13 @@
 
 const (
 	defaultMaxIdle = 30 * time.Second
-	dialTimeout    = time.Second
+	// dialTimeout is ten round trips between regions. The system repeats a lost
+	// opening packet after 1 s only, so that an instance that comes back
+	// meanwhile is reached sooner by a new attempt.
+	dialTimeout = 400 * time.Millisecond
+	// silenceTimeout ends connections to instances that are down or cut off. It
+	// leaves room for three repeats of a lost packet on the longest links.
+	silenceTimeout = 1500 * time.Millisecond
 	// maxConnectDelay is the longest wait before the next connection attempt.
 	maxConnectDelay = time.Second
 	// The initial windows keep gRPC's buffers small: a node holds few bytes in
@@ -114,7 +120,7 @@
 
 // dialerFrom returns a function that opens TCP connections from a local address.
 func dialerFrom(local net.Addr) func(context.Context, string, LinkClass) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialTimeout, LocalAddr: local}
+	d := net.Dialer{Timeout: dialTimeout, LocalAddr: local, Control: LimitSilence(silenceTimeout)}
 	return func(ctx context.Context, addr string, _ LinkClass) (net.Conn, error) {
 		return d.DialContext(ctx, "tcp", addr)
 	}
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -101,6 +101,9 @@
 	stated, unreadable := c.readCaller(o.opts.Edge)
 	snap := o.opts.Current.Load()
 	if snap == nil {
+		if unreadable == nil {
+			c.setDeadline(maxDeadline, stated) // for the time to come back
+		}
 		return notRun(causeNoConfig, "no configuration is in force yet", nil)
 	}
 	res := snap.Match(hostName(c.r.Host), c.r.URL.Path)
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -4,10 +4,10 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"siskingw/faults"
+	"siskingw/peer"
 )
 
 // PoolOptions bounds the connections of a Pool. Zero values mean the defaults.
@@ -65,7 +65,7 @@
 		hosts:  make(map[string]*host),
 	}
 	if opts.SilenceTimeout > 0 {
-		p.dialer.Control = func(_, _ string, raw syscall.RawConn) error { return limitSilence(raw, opts.SilenceTimeout) }
+		p.dialer.Control = peer.LimitSilence(opts.SilenceTimeout)
 	}
 	return p
 }
--- a/proxy/returnafter.go
+++ b/proxy/returnafter.go
@@ -15,6 +15,11 @@
 	// latestLateReturn bounds the part of the time to the deadline afterwards;
 	// callers ignore advice beyond a third of it.
 	latestLateReturn = 0.3
+	// A node that has just started refuses calls for some tenths of a second.
+	// Callers come back in the last part of the time for which they follow
+	// advice, rather than to be refused once more.
+	startReturn       = 0.22
+	latestStartReturn = 0.32
 )
 
 // returnAfter returns when the caller of a refused call should come back, or 0
@@ -23,6 +28,9 @@
 	if f.outcome != OutcomeNotRun || f.status != http.StatusServiceUnavailable {
 		return 0
 	}
+	if f.cause == causeNoConfig || f.cause == causeNoEndpoint {
+		return time.Duration((startReturn + (latestStartReturn-startReturn)*random) * float64(max(c.left(), 0)))
+	}
 	if left := time.Until(c.work.target); !c.work.target.IsZero() && left > 0 {
 		return time.Duration((earliestReturn + (latestReturn-earliestReturn)*random) * float64(left))
 	}
--- a/spread/duty.go
+++ b/spread/duty.go
@@ -198,9 +198,10 @@
 
 const (
 	// firstReadSeed is how long a starting node that is a seed waits for a peer
-	// with a version before it reads the store. The other nodes ask the seeds,
-	// so when a whole fleet starts only its seeds read.
-	firstReadSeed = 150 * time.Millisecond
+	// with a version before it reads the store: one round trip within its region.
+	// The other nodes ask the seeds, so when a whole fleet starts only its seeds
+	// read.
+	firstReadSeed = 30 * time.Millisecond
 	// firstReadOther and firstReadSpread are the same for any other node: the
 	// seeds may be down, or start later than the others.
 	firstReadOther  = 250 * time.Millisecond
--- a/spread/recovery.go
+++ b/spread/recovery.go
@@ -19,10 +19,13 @@
 	askTimeout = time.Second
 	// askStep is the time for which nearer sources are asked alone.
 	askStep = 250 * time.Millisecond
+	// startStep is how long sources that have not answered are waited for when
+	// most have and none has a version: two round trips between regions.
+	startStep = 100 * time.Millisecond
 	// maxAsked bounds the sources of one link class that are asked in a round.
 	maxAsked = 6
 	// recoverBase and recoverMax bound the full jitter between rounds.
-	recoverBase = 200 * time.Millisecond
+	recoverBase = 100 * time.Millisecond
 	recoverMax  = 2 * time.Second
 	// crossStep is the usual stagger between the first-ranked starting nodes of
 	// a failure domain that may fetch across its boundary.
@@ -310,7 +313,7 @@
 	var answers []answer
 	late := time.NewTimer(timeout)
 	defer late.Stop()
-	soon := time.NewTimer(askStep)
+	soon := time.NewTimer(startStep)
 	defer soon.Stop()
 	hinted, waited := false, false
 	for left := len(peers); left > 0; {
