--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -108,6 +108,7 @@
 	}
 	s.seen.end(a, func() {
 		a.status, a.wrong = status, wrong
+		a.own = resp != nil && resp.Header.Get("Server-Seal") == ""
 		if status == 0 && leave > 0 && ctx.Err() != nil {
 			a.left = time.Now()
 		}
--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -14,7 +14,8 @@
 	convergeTime = 2500 * time.Millisecond
 	rollbackTime = 250 * time.Millisecond
 	graceTime    = 6 * time.Second
-	leftTime     = 500 * time.Millisecond // after which a caller's leaving must be known
+	routeTimeout = 1500 * time.Millisecond // of every route of the stand-in's configuration
+	leftTime     = 500 * time.Millisecond  // after which a caller's leaving must be known
 	budgetRatio  = 0.2
 	budgetSlack  = 60
 	budgetWindow = 10 * time.Second
@@ -93,10 +94,11 @@
 	if a.wrong != "" {
 		add("right answer", "%s: %s", a.id, a.wrong)
 	}
-	// Around planned work, a request that a target began is answered.
-	if a.status == 0 && a.left.IsZero() && runs > 0 && a.ended.Sub(a.sent) < a.deadline &&
+	// Around planned work, a request that a target began gets its answer.
+	ended := a.status == 0 || a.own && (a.status == http.StatusBadGateway || a.status == http.StatusGatewayTimeout)
+	if ended && a.left.IsZero() && runs > 0 && a.ended.Sub(a.sent) < min(a.deadline, routeTimeout) &&
 		r.calm(-1, a.sent.Add(-contactTime), a.ended, false) {
-		add("nothing lost around planned work", "%s at node %d ended without an answer after %v", a.id, a.node, a.ended.Sub(a.sent))
+		add("nothing lost around planned work", "%s at node %d ended with %d after %v", a.id, a.node, a.status, a.ended.Sub(a.sent))
 	}
 }
 
--- a/bench/soak/record.go
+++ b/bench/soak/record.go
@@ -22,6 +22,7 @@
 	left       time.Time // when the caller gave up; zero if it did not
 	ended      time.Time
 	status     int    // 0 for a connection that ended without an answer
+	own        bool   // the answer is the system's own, not a target's
 	wrong      string // what is wrong with a 2xx answer; "" for nothing
 	version    uint64 // version whose route the request asks for; 0 for none
 }
--- /dev/null
+++ b/bench/soak/soak_test.go
@@ -0,0 +1,43 @@
+package soak
+
+import (
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// seeds are run in CI: one with every kind of disturbance, one with planned work
+// only. Seeds that once broke a promise are added here, with a line on the cause.
+var seeds = []struct {
+	seed    uint64
+	planned bool
+}{
+	{1, false},
+	{3, true},
+}
+
+// Guards against each promise of the system, under overlapping faults, with real
+// processes.
+func TestShortSoakKeepsEveryPromise(t *testing.T) {
+	const instances, length = 4, 4 * time.Second
+	is := is.New(t)
+	bin := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", bin, "siskingw/cmd/siskingw").CombinedOutput()
+	t.Log(string(out))
+	is.NoErr(err)
+	for i, s := range seeds {
+		r, err := Run(Options{
+			Seed: s.seed, Planned: s.planned, Instances: instances, Length: length, BinDir: bin, WorkDir: t.TempDir(),
+			Base: firstBase + bases + (os.Getpid()+i)%9, Log: t.Logf,
+		})
+		is.NoErr(err)
+		t.Logf("seed %d: %d calls, %d answered, %d refused", s.seed, r.Calls, r.Answered, r.Refused)
+		is.True(r.Answered > 100) // a run without calls shows nothing
+		for _, v := range r.Violations {
+			t.Errorf("seed %d: %s: %s", s.seed, v.Promise, v.Detail)
+		}
+	}
+}
--- a/bench/soak/target.go
+++ b/bench/soak/target.go
@@ -18,8 +18,10 @@
 const (
 	targetSlots = 6
 	targetWork  = 40 * time.Millisecond
-	targetBeat  = 500 * time.Millisecond
-	slowWork    = 200 * time.Millisecond // added by a slow target
+	// targetBeat makes the silence after which a target counts as gone longer
+	// than drainTime: only the acknowledged departure can end its work in time.
+	targetBeat = time.Second
+	slowWork   = 200 * time.Millisecond // added by a slow target
 )
 
 // target is one start of the target of an instance.
