--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -7,7 +7,6 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -108,7 +107,7 @@
 	}
 	s.seen.end(a, func() {
 		a.status, a.wrong = status, wrong
-		a.own = resp != nil && resp.Header.Get("Server-Seal") == ""
+		a.own = resp != nil && standin.SignedFor(resp.Header) == ""
 		if status == 0 && leave > 0 && ctx.Err() != nil {
 			a.left = time.Now()
 		}
@@ -117,14 +116,14 @@
 
 // judge returns what is wrong with an answer, or "".
 func judge(a *attempt, resp *http.Response, got, sent []byte) string {
-	seal := resp.Header.Get("Server-Seal")
+	signed := standin.SignedFor(resp.Header)
 	switch {
-	case seal != "" && !strings.HasSuffix(seal, "."+a.id):
-		return fmt.Sprintf("the answer %d is that of another request: %q", resp.StatusCode, seal)
+	case signed != "" && signed != a.id:
+		return fmt.Sprintf("the answer %d is that of another request: %q", resp.StatusCode, signed)
 	case resp.StatusCode/100 != 2:
 		return ""
-	case seal == "":
-		return "a success without a target's seal"
+	case signed == "":
+		return "a success without a target's signature"
 	case !bytes.Equal(got, append([]byte(a.id), sent...)):
 		return fmt.Sprintf("a success with %d bytes that are not the target's", len(got))
 	}
--- a/bench/soak/target.go
+++ b/bench/soak/target.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,19 +102,16 @@
 		t.stand.ServeHTTP(w, r)
 		return
 	}
-	a := arrival{id: r.Header.Get("Attempt-Id"), target: t.id, at: time.Now(), deadline: time.Hour}
-	if ms, err := strconv.Atoi(r.Header.Get("Deadline-Ms")); err == nil {
-		a.deadline = time.Duration(ms) * time.Millisecond
-	}
+	stated := standin.StatedBy(r)
+	a := arrival{id: stated.ID, target: t.id, at: time.Now(), deadline: stated.Deadline}
 	switch sent, ok := t.seen.of(a.id); {
 	case !ok:
 	case r.Method != sent.method || r.URL.RequestURI() != sent.path:
 		a.wrong = fmt.Sprintf("%s %s became %s %s", sent.method, sent.path, r.Method, r.URL.RequestURI())
-	case r.Header.Get("Caller-Service") != service:
-		a.wrong = fmt.Sprintf("its caller became %q", r.Header.Get("Caller-Service"))
+	case stated.Caller != service:
+		a.wrong = fmt.Sprintf("its caller became %q", stated.Caller)
 	}
-	expected := r.Header.Get("Expect-Instance")
-	a.other = expected != "" && expected != t.id
+	a.other = stated.Expected != "" && stated.Expected != t.id
 	t.seen.arrive(a)
 	if t.slow.Load() {
 		time.Sleep(slowWork)
@@ -128,8 +124,7 @@
 		panic(http.ErrAbortHandler)
 	case t.fails.Load() && n%2 == 0 && !a.other:
 		t.seen.ran(map[string]int{a.id: 1})
-		w.Header().Set("Attempt-Id", a.id)
-		w.Header().Set("Server-Seal", t.id+"."+a.id)
+		standin.Sign(w.Header(), t.id, a.id)
 		w.WriteHeader(http.StatusInternalServerError)
 	default:
 		t.stand.ServeHTTP(w, r)
