--- a/member/join.go
+++ b/member/join.go
@@ -42,6 +42,19 @@
 	seedInterval = time.Minute
 )
 
+// toldWhole reports whether a fleet with that many records is small enough for a
+// joining node to get all of them, also when it asks for those close by.
+func toldWhole(records int) bool { return records <= smallFleet }
+
+// joinsAtOnce returns the number of joins that a node of such a fleet serves at a
+// time.
+func joinsAtOnce(records int) int64 {
+	if toldWhole(records) {
+		return smallJoinLimit
+	}
+	return joinLimit
+}
+
 // Join gets the known records from other nodes, through the seeds first. It
 // retries with full jitter and returns a Timeout error when ctx ends before a
 // node with a full set answered; Run then goes on trying. A node without seeds
@@ -209,7 +222,7 @@
 		s.apply([]Record{joiner}, origin{local: true})
 	}
 	records := s.dir.All()
-	if req.DomainOnly && len(records) > smallFleet {
+	if req.DomainOnly && !toldWhole(len(records)) {
 		records = s.near(joiner)
 	}
 	for first := true; first || len(records) > 0; first = false {
@@ -261,12 +274,8 @@
 	if req.Record == nil {
 		return status.Error(codes.InvalidArgument, "join without a record")
 	}
-	limit := int64(joinLimit)
-	if len(j.dir.All()) <= smallFleet {
-		limit = smallJoinLimit
-	}
 	defer j.joins.Add(-1)
-	if j.joins.Add(1) > limit {
+	if j.joins.Add(1) > joinsAtOnce(len(j.dir.All())) {
 		return status.Error(codes.ResourceExhausted, "too many joins are served")
 	}
 	return j.serveJoin(req, stream)
