--- /dev/null
+++ b/proxy/retry_test.go
@@ -0,0 +1,63 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskingw/object"
+)
+
+// Load: targets lose answers while callers leave and the budget runs out. Guards
+// against a call that is not sent again for another reason than the log says,
+// and against one that runs twice because it may be repeated by mistake.
+func TestTriesSayWhyTheyEnd(t *testing.T) {
+	always, never := &object.PolicySpec{Repeat: object.RepeatAlways, MaxAttempts: 2}, &object.PolicySpec{Repeat: object.RepeatNever, MaxAttempts: 2}
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	lost := func() *refusal { return unknown(causeLost, "no answer", nil) }
+	for name, c := range map[string]struct {
+		policy *object.PolicySpec
+		ctx    context.Context
+		left   time.Duration
+		f      *refusal
+		free   int
+		spent  bool
+		want   bar
+	}{
+		"a lost read":               {always, t.Context(), time.Second, lost(), 3, false, ""},
+		"a lost bid":                {never, t.Context(), time.Second, lost(), 3, false, barKind},
+		"a refused bid":             {never, t.Context(), time.Second, notRun("late", "", nil), 3, false, ""},
+		"a refused bid, no hops":    {never, t.Context(), time.Second, notRun("late", "", nil), 0, false, barFree},
+		"a lost read, no budget":    {always, t.Context(), time.Second, lost(), 3, true, barBudget},
+		"the caller left":           {always, gone, time.Second, lost(), 3, false, barGone},
+		"no time":                   {always, t.Context(), -time.Second, lost(), 3, false, barTime},
+		"a request nobody accepts":  {always, t.Context(), time.Second, badRequest("x"), 3, false, barStatus},
+		"another node has repeated": {always, t.Context(), time.Second, &refusal{status: http.StatusBadGateway, retried: true}, 3, false, barRetried},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBudget(1)
+			if c.spent {
+				is.True(b.withdraw())
+			}
+			tries := tries{policy: c.policy, budget: b, free: c.free, unsent: true}
+			call := &call{r: &http.Request{Method: http.MethodPost}, ctx: c.ctx, deadline: time.Now().Add(c.left)}
+			is.Equal(tries.again(call, c.f, "n-1"), c.want == "")
+			is.Equal(tries.barred, c.want)
+		})
+	}
+}
+
+// Guards against more attempts than the policy allows.
+func TestTriesKeepToTheAttempts(t *testing.T) {
+	is := is.New(t)
+	tries := tries{policy: &object.PolicySpec{Repeat: object.RepeatAlways, MaxAttempts: 2}, budget: newBudget(10)}
+	c := &call{r: &http.Request{Method: http.MethodGet}, ctx: t.Context(), deadline: time.Now().Add(time.Second)}
+	is.True(tries.again(c, unknown(causeLost, "", nil), "n-1"))
+	is.True(!tries.again(c, unknown(causeLost, "", nil), "n-2"))
+	is.Equal(tries.barred, barAttempts)
+}
--- a/targets/registry_test.go
+++ b/targets/registry_test.go
@@ -103,3 +103,25 @@
 	is.NoErr(r.Announce(announcement("a", 0, 2), epoch))
 	is.Equal(currentID(r), "")
 }
+
+// Guards against a lost target whose log line does not say which one, or gives
+// silence as the reason for a departure.
+func TestLossNamesItsReason(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(5 * time.Second)
+	var losses []Loss
+	r.OnChange(func(_ *Target, l Loss) { losses = append(losses, l) })
+	is.NoErr(r.Announce(announcement("a", 0, 1), epoch))
+	r.Expire(epoch.Add(6 * time.Second))
+	is.NoErr(r.Announce(announcement("a", 0, 2), epoch.Add(7*time.Second)))
+	is.NoErr(r.Announce(announcement("b", 3*time.Second, 1), epoch.Add(8*time.Second)))
+	r.Leave("b", time.Time{}, epoch.Add(9*time.Second))
+	var got []string
+	for _, l := range losses {
+		if l.Target != nil {
+			got = append(got, l.Target.ID+" "+l.Reason)
+		}
+	}
+	is.Equal(got, []string{"a " + LostSilent, "a " + LostReplaced, "b " + LostLeaving})
+	is.Equal(losses[1].Silent, 6*time.Second)
+}
