--- a/cli/change.go
+++ b/cli/change.go
@@ -51,7 +51,7 @@
 		if len(c.files)+len(args) > 0 {
 			return usageError("objects are checked by a run of their own")
 		}
-		return c.others(e)
+		return c.checkOther(e)
 	}
 	set, decoding := readObjects(append(c.files, args...))
 	if decoding != nil && len(object.FaultsOf(decoding)) == 0 {
@@ -71,8 +71,8 @@
 	return e.print(map[string]int{"objects": declared}, [][]string{{fmt.Sprintf("%d objects are valid", declared)}})
 }
 
-// others checks settings and configurations of the platform.
-func (c *checkCommand) others(e *env) error {
+// checkOther checks settings and configurations of the platform.
+func (c *checkCommand) checkOther(e *env) error {
 	for _, path := range c.settings {
 		if _, err := settings.Load(path); err != nil {
 			return err
