targets, platform, node: refuse announcements with impossible values

Cause: an odd entry of another writer at the control address was taken as an announcement. Ruled out: nesting beyond what the decoder reads ends neither the process nor the listener, the entry alone is refused. Change: the registry bounds slots, warm-up, start time and, by the age of the start, the sequence number. The node refuses unknown services once it has a configuration. Each invalid announcement is logged, at most one line in 10 s.

--- a/node/platform.go
+++ b/node/platform.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/time/rate"
 
 	"siskingw/admit"
 	"siskingw/errdefs"
@@ -40,8 +41,15 @@
 	registry *targets.Registry
 	backend  atomic.Pointer[localBackend]
 	member   *memberService
+	// invalidLog limits the lines about announcements that name no target: a
+	// faulty writer may repeat them at any rate.
+	invalidLog rate.Sometimes
 }
 
+// invalidLogInterval is the minimum time between two lines about invalid
+// announcements.
+const invalidLogInterval = 10 * time.Second
+
 // localBackend is the backend for one process of the target, that is, for one
 // start as package targets calls it.
 type localBackend struct {
@@ -50,7 +58,10 @@
 }
 
 func newTargetService(n *Node) *targetService {
-	s := &targetService{node: n, registry: targets.NewRegistry(maxMissedHeartbeats * n.settings.Platform.Heartbeat())}
+	s := &targetService{
+		node: n, registry: targets.NewRegistry(maxMissedHeartbeats * n.settings.Platform.Heartbeat()),
+		invalidLog: rate.Sometimes{Interval: invalidLogInterval},
+	}
 	s.registry.OnChange(s.onTargetChange)
 	return s
 }
@@ -64,7 +75,7 @@
 		return err
 	}
 	return s.listen(nameTarget, s.node.settings.Platform.Control,
-		proxy.NewServer(platform.NewControl(s), proxy.ServerOptions{}))
+		proxy.NewServer(platform.NewControl(s, s.logInvalid), proxy.ServerOptions{}))
 }
 
 const (
@@ -149,8 +160,12 @@
 func (s *targetService) Stop(ctx context.Context) error { return s.shutdown(ctx) }
 
 // Announce implements platform.TargetSink. A stale announcement is acknowledged
-// without an effect: a newer one has been recorded.
+// without an effect: a newer one has been recorded. An announcement for an unknown
+// service is refused with an Invalid error, so that it cannot replace the target.
 func (s *targetService) Announce(a targets.Announcement) error {
+	if !s.knowsService(a.Service) {
+		return errdefs.Invalid.New("announcement of %q: service %q is not in the configuration", a.ID, a.Service)
+	}
 	err := s.registry.Announce(a, time.Now())
 	if errorx.IsOfType(err, errdefs.Stale) {
 		return nil
@@ -158,6 +173,19 @@
 	return err
 }
 
+// knowsService reports whether the configuration in force or the settings name a
+// service. Without a configuration every service counts as known.
+func (s *targetService) knowsService(service string) bool {
+	snap := s.node.current.Load()
+	return snap == nil || service == s.node.liveSettings.Load().Platform.Service ||
+		snap.Get(object.Key{Kind: object.KindService, Name: service}) != nil
+}
+
+// logInvalid logs an announcement that names no target to use.
+func (s *targetService) logInvalid(err error) {
+	s.invalidLog.Do(func() { s.node.log.Info(telemetry.EventTargetInvalid, "error", err.Error()) })
+}
+
 // Leave implements platform.TargetSink.
 func (s *targetService) Leave(id string, started time.Time) error {
 	s.registry.Leave(id, started, time.Now())
--- a/node/platform_test.go
+++ b/node/platform_test.go
@@ -114,6 +114,11 @@
 
 // startTarget starts the target of the instance, whose calls take work.
 func (in *instance) startTarget(work time.Duration) {
+	in.startTargetWithBeat(work, 200*time.Millisecond)
+}
+
+// startTargetWithBeat is startTarget with an interval between announcements.
+func (in *instance) startTargetWithBeat(work, beat time.Duration) {
 	in.platform.t.Helper()
 	l, err := net.Listen("tcp", in.ip+":0")
 	if err != nil {
@@ -121,7 +126,7 @@
 	}
 	in.target = standin.NewTarget(standin.TargetOptions{
 		ID: "i-" + in.ip, Service: testService, Addr: l.Addr().String(), Slots: 4, Work: work,
-		Control: fmt.Sprintf("%s:%d", in.ip, in.platform.ports[4]), Beat: 200 * time.Millisecond,
+		Control: fmt.Sprintf("%s:%d", in.ip, in.platform.ports[4]), Beat: beat,
 	})
 	srv := &http.Server{Handler: in.target}
 	go srv.Serve(l)
--- a/targets/registry.go
+++ b/targets/registry.go
@@ -26,6 +26,40 @@
 	WarmupLeft time.Duration // rest of its warm-up
 }
 
+const (
+	// MaxSlots is the largest credible number of slots. A target runs one request
+	// at a time on a connection, and a node has fewer than 65,536 local ports.
+	MaxSlots = 1<<16 - 1
+	// maxWarmup is the longest credible warm-up.
+	maxWarmup = time.Hour
+	// maxClockDifference is how far ahead of this node's clock a start time may
+	// be. A start time in the far future would outrank every later start.
+	maxClockDifference = time.Hour
+	// minAnnounceInterval and sequenceSlack bound the sequence number of a start:
+	// its age divided by the interval, plus the slack. After a higher number,
+	// every announcement of the target itself would count as stale.
+	minAnnounceInterval = time.Millisecond
+	sequenceSlack       = 1 << 20
+)
+
+// validate returns an Invalid error for an announcement with a value that no
+// target can have, such as those of a faulty writer.
+func (a Announcement) validate(now time.Time) error {
+	switch {
+	case a.Slots <= 0 || a.Slots > MaxSlots:
+		return errdefs.Invalid.New("announcement of %q: %d slots are not in the range 1 to %d", a.ID, a.Slots, MaxSlots)
+	case a.WarmupLeft < 0 || a.WarmupLeft > maxWarmup:
+		return errdefs.Invalid.New("announcement of %q: warm-up of %v is not in the range 0 to %v", a.ID, a.WarmupLeft, maxWarmup)
+	case a.Started.Sub(now) > maxClockDifference:
+		return errdefs.Invalid.New("announcement of %q: start time %v is in the future", a.ID, a.Started.UTC())
+	}
+	if limit := max(now.Sub(a.Started), 0)/minAnnounceInterval + sequenceSlack; a.Sequence > uint64(limit) {
+		return errdefs.Invalid.New("announcement of %q: sequence number %d is above %d, the highest that its age allows",
+			a.ID, a.Sequence, limit)
+	}
+	return nil
+}
+
 // Target is one start of a target that may receive calls.
 type Target struct {
 	ID        string
@@ -100,8 +134,12 @@
 func (r *Registry) OnChange(f func(*Target, Loss)) { r.onChange = f }
 
 // Announce handles an announcement. It returns a Stale error if one of the same
-// start with the same or a higher sequence number has been handled.
+// start with the same or a higher sequence number has been handled, and an
+// Invalid error if it holds a value that no target can have.
 func (r *Registry) Announce(a Announcement, now time.Time) error {
+	if err := a.validate(now); err != nil {
+		return err
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := startKey{a.ID, a.Started.UnixMilli()}
--- a/targets/registry_test.go
+++ b/targets/registry_test.go
@@ -1,6 +1,7 @@
 package targets
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -126,3 +127,34 @@
 	is.Equal(got, []string{"a " + LostSilent, "a " + LostReplaced, "b " + LostLeaving})
 	is.Equal(losses[1].Silent, 6*time.Second)
 }
+
+// Guards against an announcement with impossible values, written by another
+// program, that replaces the target, never expires, or makes the target's own
+// later announcements count as stale.
+func TestImpossibleAnnouncementsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	const expiry = 5 * time.Second
+	r := NewRegistry(expiry)
+	now := epoch.Add(time.Minute)
+	is.NoErr(r.Announce(announcement("a", 0, 40), now))
+	for _, change := range []func(*Announcement){
+		func(a *Announcement) { a.Sequence = math.MaxUint64 },
+		func(a *Announcement) { a.Sequence = 1 << 53 },
+		func(a *Announcement) { a.Slots = math.MaxInt },
+		func(a *Announcement) { a.Slots = 1 << 32 }, // 0 as the 32-bit number of a membership record
+		func(a *Announcement) { a.Slots = 0 },
+		func(a *Announcement) { a.WarmupLeft = math.MaxInt64 },
+		func(a *Announcement) { a.WarmupLeft = math.MinInt64 },
+		func(a *Announcement) { a.Started = time.UnixMilli(math.MaxInt64) },
+		func(a *Announcement) { a.ID, a.Started = "b", now.Add(24*time.Hour) },
+	} {
+		odd := announcement("a", 0, 41)
+		change(&odd)
+		is.True(errorx.IsOfType(r.Announce(odd, now), errdefs.Invalid))
+	}
+	is.Equal(r.Current().Slots, 9)
+	now = now.Add(expiry - time.Second)
+	is.NoErr(r.Announce(announcement("a", 0, 41), now)) // the target's own announcement still counts
+	r.Expire(now.Add(expiry))
+	is.Equal(currentID(r), "a")
+}
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -13,6 +13,7 @@
 	// Observed state of the node's own target, of other nodes and of their targets.
 	EventTargetInUse   = "target in use"
 	EventTargetLost    = "target lost"
+	EventTargetInvalid = "announcement names no target to use"
 	EventTargetFound   = "target found by its health check"
 	EventTargetJudged  = "target judged"
 	EventMemberChanged = "member changed"
