proxy: callers of a starting node return in time

Cause: a node without configuration told callers to come back after 0.22 to 0.32 of the time to their deadline, 1.1 to 1.6 s with a deadline of 5 s, though it serves within a second of its start; calls with a target latency of 1.2 s were then always late. Change: the delay is capped at 0.35 to 1 s; with deadlines up to 1.6 s it stays as it was. Test: TestCallersOfAStartingNodeReturnInTime got 1.6 s, the bound is 1 s.

--- a/proxy/retryafter.go
+++ b/proxy/retryafter.go
@@ -24,6 +24,14 @@
 	maxStartRetryShare = 0.32
 )
 
+// minStartRetry and maxStartRetry cap the delay for calls with long deadlines: a
+// node serves within that time of its start, and a longer delay would make calls
+// late that can still be in time.
+const (
+	minStartRetry = 350 * time.Millisecond
+	maxStartRetry = time.Second
+)
+
 // retryAfter returns the delay after which the caller of a refused call should
 // retry, or 0 for no advice. random is from 0 to 1.
 func retryAfter(c *call, f *refusal, random float64) time.Duration {
@@ -31,8 +39,10 @@
 		return 0
 	}
 	if f.cause == causeNoConfig || f.cause == causeNoEndpoint {
-		return time.Duration((minStartRetryShare + (maxStartRetryShare-minStartRetryShare)*random) *
-			float64(max(c.timeLeft(), 0)))
+		left := float64(max(c.timeLeft(), 0))
+		shortest := min(minStartRetryShare*left, float64(minStartRetry))
+		longest := min(maxStartRetryShare*left, float64(maxStartRetry))
+		return time.Duration(shortest + random*(longest-shortest))
 	}
 	if left := time.Until(c.work.targetTime); !c.work.targetTime.IsZero() && left > 0 {
 		return time.Duration((minRetryShare + (maxRetryShare-minRetryShare)*random) * float64(left))
--- a/proxy/retryafter_test.go
+++ b/proxy/retryafter_test.go
@@ -30,6 +30,20 @@
 	}
 }
 
+// Pattern: return of all callers after a loss of power, with deadlines far above the
+// target latency. Guards against callers that are told to come back only when their
+// call is late, and against callers that come back all at once.
+func TestCallersOfAStartingNodeReturnInTime(t *testing.T) {
+	is := is.New(t)
+	for _, why := range []cause{causeNoConfig, causeNoEndpoint} {
+		c := refusedCall(5*time.Second, 1200*time.Millisecond)
+		first, last := retryAfter(c, notRun(why, "starting", nil), 0), retryAfter(c, notRun(why, "starting", nil), 1)
+		is.True(first >= 320*time.Millisecond)
+		is.True(last <= time.Second)
+		is.True(last-first > 500*time.Millisecond)
+	}
+}
+
 // Guards against callers that retry after their target latency, or all at the same
 // moment, when every target is full for a short time.
 func TestRetryAfterMeetsTargetLatency(t *testing.T) {
