proxy, admit: report a charged retry when a free one was not sent; endless bytes

Cause: when the last decided retry was free and found no endpoint, the one charged before was taken back instead, and the call was reported as not retried; its caller's node could send it a third time. A call without a deadline that met a full target was refused at once. Change: only a charged retry that was not sent is taken back. Without a deadline a call waits until its target latency and the queue timeout are over. Tests: TestUnsentFreeRetryDoesNotHideASentOne and TestCallWithoutDeadlineIsQueued failed before.

--- a/admit/target.go
+++ b/admit/target.go
@@ -68,7 +68,11 @@
 		class: work.Class, late: work.Late, done: make(chan struct{})}
 	w.deadline, _ = ctx.Deadline()
 	g.enqueue(w)
-	targetLeft, maxWait := w.targetTime.Sub(now), w.deadline.Sub(now)-g.classTimes.of(w.class)
+	targetLeft := w.targetTime.Sub(now)
+	maxWait := targetLeft + g.opts.QueueTimeout // without a deadline
+	if !w.deadline.IsZero() {
+		maxWait = w.deadline.Sub(now) - g.classTimes.of(w.class)
+	}
 	late := w.late
 	g.publish()
 	g.mu.Unlock()
--- a/admit/target_test.go
+++ b/admit/target_test.go
@@ -213,3 +213,25 @@
 	is.True(errorx.IsOfType(g.Check(work, now.Add(2*time.Second), time.Second), errdefs.NotRun))
 	is.Equal(g.Stats().InFlight, 0)
 }
+
+// Guards against a call without a deadline that is refused at once when it finds
+// no free slot.
+func TestCallWithoutDeadlineIsQueued(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := New(Options{Slots: 1})
+		running, err := g.Admit(context.Background(), Work{TargetTime: time.Now().Add(time.Second)})
+		is.NoErr(err)
+		time.AfterFunc(500*time.Millisecond, running.Release)
+		queued, err := g.Admit(context.Background(), Work{TargetTime: time.Now().Add(time.Second)})
+		is.NoErr(err)
+		queued.Release()
+		running, err = g.Admit(context.Background(), Work{TargetTime: time.Now().Add(time.Second)})
+		is.NoErr(err)
+		defer running.Release()
+		started := time.Now()
+		_, err = g.Admit(context.Background(), Work{TargetTime: time.Now().Add(time.Second)})
+		is.True(errorx.IsOfType(err, errdefs.NotRun))
+		is.Equal(time.Since(started), time.Second+DefaultQueueTimeout)
+	})
+}
--- /dev/null
+++ b/proxy/endless_test.go
@@ -0,0 +1,182 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskingw/object"
+)
+
+// endlessPolicy ends every call of these tests after one second.
+var endlessPolicy = &object.PolicySpec{TimeoutMs: 1000}
+
+const (
+	signedHeader = "HTTP/1.1 200 OK\r\nSigned: 1\r\nCall: c\r\n"
+	// endlessSlack is how long after its deadline a call may end on a busy machine.
+	endlessSlack = time.Second
+	// endlessMemory bounds the growth of the heap, in bytes, during one call: a
+	// quarter of what a node may use.
+	endlessMemory = 32 << 20
+)
+
+// endlessBytes are bytes that a faulty target sends for as long as the connection
+// is open: first once, then again without end.
+var endlessBytes = []struct {
+	name          string
+	first, repeat string
+}{
+	{"no response", "", "\x00\xff garbage "},
+	{"status line", "HTTP/1.1 200 ", "O"},
+	{"header line", "HTTP/1.1 200 OK\r\nA: ", "b"},
+	{"header lines", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+	{"interim responses", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+	{"interim header", "HTTP/1.1 103 Early Hints\r\n", "Link: x\r\n"},
+	{"responses to another call", "", "HTTP/1.1 200 OK\r\nSigned: 1\r\nCall: old\r\nContent-Length: 2\r\n\r\nok"},
+	{"response to another call", "HTTP/1.1 200 OK\r\nSigned: 1\r\nCall: old\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\nok\r\n"},
+	{"chunked body", signedHeader + "Transfer-Encoding: chunked\r\n\r\n", "2\r\nok\r\n"},
+	{"chunk extension", signedHeader + "Transfer-Encoding: chunked\r\n\r\n2;", "x"},
+	{"chunk size", signedHeader + "Transfer-Encoding: chunked\r\n\r\n", "0"},
+	{"trailer line", signedHeader + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nT: ", "x"},
+	{"trailer lines", signedHeader + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", "T: x\r\n"},
+	{"body without a length", signedHeader + "\r\n", "more"},
+	{"body without a signature", "HTTP/1.1 200 OK\r\n\r\n", "more"},
+}
+
+// Guards against a faulty target whose bytes without end, sent at once or slowly,
+// reach a caller as a success, are taken as proof that the call did not run, keep
+// a call, its slot or its connection beyond the deadline, or fill the memory.
+func TestEndlessBytesOfATarget(t *testing.T) {
+	for _, pace := range []time.Duration{0, 50 * time.Millisecond} {
+		for _, e := range endlessBytes {
+			t.Run(fmt.Sprintf("%s every %v", e.name, pace), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				closed := make(chan struct{})
+				rt := newRawTarget(t, func(nc net.Conn, r *http.Request, n int32) bool {
+					if r.URL.Path == "/sound" {
+						io.WriteString(nc, signedHeader+"Content-Length: 2\r\n\r\nok")
+						return true
+					}
+					defer close(closed)
+					sendEndlessly(nc, e.first, e.repeat, pace)
+					return false
+				})
+				r := newCallIDRig(t, endlessPolicy, rt)
+				started := time.Now()
+				complete, status := r.outcomeOf(t, "/endless")
+				is.True(time.Since(started) < time.Second+endlessSlack)
+				is.True(!complete || status == http.StatusBadGateway || status == http.StatusGatewayTimeout)
+				select {
+				case <-closed:
+				case <-time.After(endlessSlack):
+					t.Error("the connection to the target stays open")
+				}
+				for _, g := range r.gates {
+					is.Equal(g.Stats().InFlight, 0)
+				}
+				_, body := r.do(t, "POST", "/sound", "bid", "Call", "c")
+				is.Equal(body, "ok")
+			})
+		}
+	}
+}
+
+// outcomeOf sends a call that cannot be repeated. It reports whether the caller got
+// a complete response, and its status.
+func (r *rig) outcomeOf(t *testing.T, path string) (complete bool, status int) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://"+r.addr+path, strings.NewReader("bid"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Call", "c")
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return false, 0
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil, resp.StatusCode
+}
+
+// sendEndlessly writes first, and then repeat until the peer closes the
+// connection: one piece at each pace, or as fast as the peer reads.
+func sendEndlessly(nc net.Conn, first, repeat string, pace time.Duration) {
+	if _, err := io.WriteString(nc, first); err != nil {
+		return
+	}
+	if pace == 0 {
+		repeat = strings.Repeat(repeat, 1+4096/len(repeat))
+	}
+	for {
+		if _, err := io.WriteString(nc, repeat); err != nil {
+			return
+		}
+		time.Sleep(pace)
+	}
+}
+
+// Guards against bytes without end after a complete response that are read as the
+// response to the next call on the connection.
+func TestEndlessBytesAfterAResponse(t *testing.T) {
+	is := is.New(t)
+	rt := newRawTarget(t, func(nc net.Conn, r *http.Request, n int32) bool {
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nSigned: 1\r\nCall: "+r.Header.Get("Call")+"\r\nContent-Length: 2\r\n\r\nok")
+		if n%2 == 1 {
+			sendEndlessly(nc, "", "HTTP/1.1 200 OK\r\nSigned: 1\r\nCall: old\r\nContent-Length: 5\r\n\r\nother", time.Millisecond)
+			return false
+		}
+		return true
+	})
+	r := newCallIDRig(t, endlessPolicy, rt)
+	for i := range 20 {
+		resp, body := r.do(t, "POST", "/", "bid", "Call", fmt.Sprint("c", i))
+		is.Equal(resp.StatusCode, 200)
+		is.Equal(body, "ok")
+	}
+}
+
+// Guards against a target whose bytes without end grow the memory of the node.
+func TestEndlessBytesAreNotKept(t *testing.T) {
+	for _, e := range endlessBytes {
+		rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool {
+			sendEndlessly(nc, e.first, e.repeat, 0)
+			return false
+		})
+		r := newCallIDRig(t, &object.PolicySpec{TimeoutMs: 300}, rt)
+		runtime.GC()
+		before := heapBytes()
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			r.outcomeOf(t, "/endless")
+		}()
+		peak := before
+		for done := false; !done; {
+			select {
+			case <-ended:
+				done = true
+			case <-time.After(10 * time.Millisecond):
+				peak = max(peak, heapBytes())
+			}
+		}
+		if peak-before > endlessMemory {
+			t.Errorf("%s: the heap grew by %d bytes", e.name, peak-before)
+		}
+	}
+}
+
+// heapBytes returns the bytes of the heap in use, garbage included.
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -165,7 +165,7 @@
 		return f
 	}
 	sent := t.chargedRetries
-	if f != nil {
+	if f != nil && t.nextCharged {
 		sent-- // the last retry was charged, but not sent
 	}
 	t.lastRefusal.retried = t.lastRefusal.retried || sent > 0
--- a/proxy/retry_test.go
+++ b/proxy/retry_test.go
@@ -65,3 +65,18 @@
 	is.True(!state.shouldRetry(c, mayHaveRun(causeAnswerLost, "", nil), "n-2"))
 	is.Equal(state.noRetry, noRetryLimit)
 }
+
+// Guards against a call that was sent twice and is reported as not retried, so that
+// the caller's node sends it a third time: the retry that was decided last was free
+// and was not sent.
+func TestUnsentFreeRetryDoesNotHideASentOne(t *testing.T) {
+	is := is.New(t)
+	state := retryState{policy: &object.PolicySpec{Repeat: object.RepeatAlways, MaxAttempts: 3}, budget: newRetryBudget(10),
+		freeLeft: 3, freeEnabled: true}
+	c := &call{r: &http.Request{Method: http.MethodGet}, ctx: t.Context(), deadline: time.Now().Add(time.Second)}
+	noEndpoint := func() *refusal { return notRun(causeNoEndpoint, "", nil) }
+	is.True(state.shouldRetry(c, mayHaveRun(causeAnswerLost, "", nil), "n-1")) // charged
+	is.True(!state.result(noEndpoint()).retried)                               // not sent
+	is.True(state.shouldRetry(c, notRun("late", "", nil), "n-2"))              // free: the charged one was sent
+	is.True(state.result(noEndpoint()).retried)
+}
