node: set the runtime's memory limit from the settings

Cause: the settings state the memory limit of the instance, and nothing read it; garbage could grow beyond it in a burst, and the platform kills such a process. Change: 85% of the stated limit is the runtime's soft limit.

--- a/node/command.go
+++ b/node/command.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/google/subcommands"
@@ -52,6 +53,7 @@
 	if err != nil {
 		return err
 	}
+	limitMemory(s)
 	const pendingSignals = 2 // one for the graceful stop, one for the immediate stop
 	stop := make(chan os.Signal, pendingSignals)
 	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
@@ -71,3 +73,16 @@
 	go NewReloader(n, c.config).Run(ctx, hup)
 	return n.Run(ctx, stop)
 }
+
+// memoryLimitPercent is the part of the instance's memory limit that the runtime
+// may use before it collects garbage more often. The rest is for what the runtime
+// does not count, such as received bytes that have not been read.
+const memoryLimitPercent = 85
+
+// limitMemory sets the runtime's memory limit from the settings. Without a stated
+// limit it changes nothing.
+func limitMemory(s *settings.Settings) {
+	if s.Platform != nil && s.Platform.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.Platform.MemoryMB) << 20 * memoryLimitPercent / 100)
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -92,7 +92,7 @@
 	RetryRatio   float64 `json:"retryRatio"`   // retries allowed per call, across the fleet
 	RetrySlack   int     `json:"retrySlack"`   // additional retries allowed per RetryWindowS, across the fleet
 	RetryWindowS float64 `json:"retryWindowS"` // window of RetryRatio and RetrySlack
-	MemoryMB     int     `json:"memoryMB"`     // memory limit of the process
+	MemoryMB     int     `json:"memoryMB"`     // memory limit of the process; sets the runtime's soft limit
 	MaxFiles     int     `json:"maxFiles"`     // limit of the process's file descriptors
 	LinkMbps     float64 `json:"linkMbps"`     // bandwidth of the instance's network link, Mbit/s
 }
