bench/soak: endless bytes, repeated responses and odd announcements

Change: three kinds of faults of the soak, which overlap with the others: a target sends bytes without end, sends some responses a second time, and another writer sends odd announcements to a node.

--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -54,6 +54,13 @@
 	{"isolate a node", false, (*injector).isolateNode},
 	{"delay", false, (*injector).delayLink},
 	{"reset connections", false, (*injector).resetConnections},
+	{"endless bytes", false, func(j *injector, d time.Duration) {
+		j.onTarget("endless bytes", d, func(t *target, on bool) { t.endless.Store(on) })
+	}},
+	{"repeated responses", false, func(j *injector, d time.Duration) {
+		j.onTarget("repeated responses", d, func(t *target, on bool) { t.repeats.Store(on) })
+	}},
+	{"odd announcements", false, (*injector).announceOddly},
 }
 
 const (
--- a/bench/soak/target.go
+++ b/bench/soak/target.go
@@ -37,6 +37,8 @@
 	slow           atomic.Bool
 	losesResponses atomic.Bool // every fourth request runs, but its connection is reset
 	fails          atomic.Bool // every other response has status 500
+	endless        atomic.Bool // every fourth request runs and gets bytes without end
+	repeats        atomic.Bool // some responses are sent a second time
 	requests       atomic.Int64
 }
 
@@ -52,7 +54,7 @@
 		ID: id, Service: service, Addr: addr, Slots: targetSlots, Work: targetWork, Control: control, Beat: targetHeartbeat,
 	})
 	t.server = &http.Server{Handler: t}
-	go func() { _ = t.server.Serve(l) }() // ends with crash or deregister
+	go func() { _ = t.server.Serve(repeatingListener{l, &t.repeats}) }() // ends with crash or deregister
 	ctx, stop := context.WithCancel(context.Background())
 	t.stop = stop
 	go t.announce(ctx)
@@ -127,6 +129,9 @@
 	case t.losesResponses.Load() && n%lostPeriod == lostRemainder:
 		t.standin.ServeHTTP(httptest.NewRecorder(), r)
 		panic(http.ErrAbortHandler)
+	case t.endless.Load() && n%lostPeriod == lostRemainder && !a.misdirected:
+		t.standin.ServeHTTP(httptest.NewRecorder(), r)
+		t.respondEndlessly(w, a.id, n)
 	case t.fails.Load() && n%2 == 0 && !a.misdirected:
 		t.history.addRuns(map[string]int{a.id: 1})
 		standin.SignResponse(w.Header(), t.id, a.id)
