--- a/spread/hints_test.go
+++ b/spread/hints_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -118,3 +120,22 @@
 		is.Equal(st.reads.Load(), int32(1))
 	})
 }
+
+// Guards against a hint of another writer that ends a starting node or names an
+// address that cannot be dialed.
+func FuzzHint(f *testing.F) {
+	for _, s := range []string{`{"ID":"a","Addr":"10.0.0.1:7380"}`, `{"Addr":"10.0.0.1:70000"}`, `{"Addr":"[fd00::1]:1"}`,
+		`{"Addr":1e400}`, "null", "\xff", strings.Repeat("[", 11_000)} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, ok := decodeHint(b)
+		if !ok {
+			return
+		}
+		host, port, err := net.SplitHostPort(p.Addr)
+		if n, perr := strconv.Atoi(port); err != nil || perr != nil || host == "" || n < 1 || n > 65535 {
+			t.Errorf("%q decoded as %+v", b, p)
+		}
+	})
+}
