--- a/bench/soak/faulty.go
+++ b/bench/soak/faulty.go
@@ -86,8 +86,8 @@
 	return c.Conn.Write(p)
 }
 
-// oddAnnouncements are announcements of another writer that name no target. %d is
-// the current time in ms.
+// oddAnnouncements are announcements of another writer that name no target. %s is
+// the service, %d the current time in ms.
 var oddAnnouncements = []string{
 	`{"service":"%s","address":"127.0.0.1:9","capacity":9223372036854775807,"state":"ready","seq":1,"born":%d}`,
 	`{"service":"%s","address":"127.0.0.1:70000","capacity":4,"state":"ready","seq":1,"born":%d}`,
--- a/member/join.go
+++ b/member/join.go
@@ -102,8 +102,9 @@
 func (s *Service) jitter(d time.Duration) time.Duration { return time.Duration(rand.Int64N(int64(d))) }
 
 // joinRound asks the candidates and reports whether this node now has the full
-// set, and whether any of them answered. When every node that answers is still joining itself, the union of their
-// records counts as the full set from round localJoinRounds on.
+// set, and whether any of them answered. When every node that answers is still
+// joining itself, the union of their records counts as the full set from round
+// localJoinRounds on.
 func (s *Service) joinRound(ctx context.Context, round int) (full, anyAnswer bool) {
 	candidates := s.joinCandidates(s.opts.Seeds)
 	complete, answered := s.joinAny(ctx, candidates, round)
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -80,11 +80,11 @@
 	// lost SYN only after 1 s, so a new attempt is the faster way to reach an
 	// instance that comes back meanwhile.
 	dialTimeout = 400 * time.Millisecond
-	// firstDialTimeout is the timeout of the first dialQuickly attempts after a
+	// firstDialTimeout is the timeout of the first shortAttempts attempts after a
 	// connection was requested or lost. When a fleet starts, nodes dial seeds
 	// whose instances come up a moment later and drop the first SYN.
 	firstDialTimeout = 150 * time.Millisecond
-	dialQuickly      = 2
+	shortAttempts    = 2
 	// unackedTimeout is the TCP user timeout. It closes connections to instances
 	// that are down or partitioned, and allows for three retransmissions of a
 	// lost packet on the longest links.
@@ -162,7 +162,7 @@
 	var failures atomic.Int32 // attempts since the last connection
 	dial := func(ctx context.Context, a string) (net.Conn, error) {
 		timeout := dialTimeout
-		if failures.Load() < dialQuickly {
+		if failures.Load() < shortAttempts {
 			timeout = firstDialTimeout
 		}
 		ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -53,9 +53,9 @@
 	pool.Close()
 	pool = NewPool(Place{}, &Traffic{}, pool.opts)
 	attempts.Store(0)
-	lost.Store(dialQuickly + 1)
+	lost.Store(shortAttempts + 1)
 	connect()
-	for range dialQuickly {
+	for range shortAttempts {
 		is.True(<-waits < 2*firstDialTimeout)
 	}
 	is.True(<-waits >= dialTimeout)
--- a/spread/hints.go
+++ b/spread/hints.go
@@ -93,7 +93,8 @@
 }
 
 // Read returns the nodes that the store names, as read at most fallbackMaxAge ago.
-// It returns none in the first moments of the node, and if the store fails.
+// It returns none in the first moments of the node, and if the store fails; the
+// store is not asked again sooner then.
 func (f *FallbackHints) Read(ctx context.Context) []Peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
