targets: keep an acknowledged departure across restarts of the node

The node's process had been killed and started again, and an announcement from before the departure arrived late.

Cause: departures were kept in the memory of one process. The next process took an announcement of a start that it did not know for that of a running target. The same held for a target that only reported that it drains, and for a target whose health check succeeds after its departure: the check that should have skipped it read the record of the previous process, which the join replaces before it is sent back.

Ruled out: stale records at other nodes (they chose the instance only because its own record named the service again) and wrong start times or sequence numbers (both were those of the target's own announcement).

Change: the departure is part of the membership record. The node pushes it to the relays of its failure domain before it acknowledges it; merging keeps the one acknowledged last, also when the record of a new process replaces the one that held it, and a relay gives it back to a node that does not know it. A start from before the process is used only once its health check has confirmed it, or once it has announced itself without a gap for longer than announcements may be late; this also holds when all processes have ended at once. In the fleet's first start no confirmation is needed (setting firstStart).

Also: an announcement without a start time always counted as leaving, because a missing departure was compared as time zero. The health check limits the header of the response.

Health checks of restarted nodes replace the announcement that was trusted before; TestRestartedNodeUsesRunningTarget shows that a running target is used.

--- a/member/codec.go
+++ b/member/codec.go
@@ -59,6 +59,9 @@
 		FailureDomain: r.FailureDomain, Region: r.Region, PeerAddr: r.PeerAddr,
 		InboundAddr: r.InboundAddr, Service: r.Service, Slots: r.Slots,
 	}
+	if t := r.TargetDeparture; t != nil {
+		p.TargetDeparture = &peerpb.TargetDeparture{Target: t.Target, StartedMs: t.StartedMs, AcknowledgedMs: t.AcknowledgedMs}
+	}
 	if r.Departed() {
 		p.DepartedAgeS = uint32(max(0, c.now.UnixMilli()-r.DepartedMs) / 1000)
 	}
@@ -71,6 +74,9 @@
 		FailureDomain: p.FailureDomain, Region: p.Region, PeerAddr: p.PeerAddr,
 		InboundAddr: p.InboundAddr, Service: p.Service, Slots: p.Slots,
 	}
+	if t := p.TargetDeparture; t != nil {
+		r.TargetDeparture = &TargetDeparture{Target: t.Target, StartedMs: t.StartedMs, AcknowledgedMs: t.AcknowledgedMs}
+	}
 	if r.Departed() {
 		r.DepartedMs = c.now.UnixMilli() - int64(p.DepartedAgeS)*1000
 	}
--- a/member/codec_test.go
+++ b/member/codec_test.go
@@ -22,6 +22,7 @@
 	received := codec{time.UnixMilli(9_000_000)} // a different clock
 	records := testRecords(600)
 	records[1].State, records[1].DepartedMs = Dead, 4_990_000
+	records[2].TargetDeparture = &TargetDeparture{Target: "t", StartedMs: 1, AcknowledgedMs: 2}
 	var pointers []*Record
 	for i := range records {
 		pointers = append(pointers, &records[i])
--- a/member/directory.go
+++ b/member/directory.go
@@ -31,14 +31,13 @@
 // of the records), the ranked list of its failure domain and the list of its
 // service.
 type Directory struct {
-	opts            DirectoryOptions
-	generation      atomic.Uint64
-	self            atomic.Pointer[Record]
-	previousProcess atomic.Pointer[Record] // record of an earlier process of this node, as other nodes last knew it
-	rootDigest      atomic.Uint64
-	buckets         [BucketCount]bucket
-	domains         atomic.Pointer[[]*domain] // sorted by region, then name
-	services        sync.Map                  // service name to *list
+	opts       DirectoryOptions
+	generation atomic.Uint64
+	self       atomic.Pointer[Record]
+	rootDigest atomic.Uint64
+	buckets    [BucketCount]bucket
+	domains    atomic.Pointer[[]*domain] // sorted by region, then name
+	services   sync.Map                  // service name to *list
 
 	mu         sync.Mutex        // serializes writers
 	interned   map[string]string // interned failure domain, region and service names
@@ -222,15 +221,19 @@
 		return
 	}
 	if r.ID == d.Self().ID {
-		d.notePreviousProcess(r)
+		d.adoptDeparture(r, cs)
 		d.refute(r, cs)
 		return
 	}
 	old := d.Lookup(r.ID)
 	if old != nil && !r.Supersedes(old) {
+		d.keepDeparture(old, r, cs)
 		return
 	}
 	next := *r
+	if old != nil {
+		next.TargetDeparture = laterDeparture(old.TargetDeparture, r.TargetDeparture)
+	}
 	if !next.Departed() {
 		next.DepartedMs = 0
 	} else {
@@ -259,22 +262,6 @@
 	return d.opts.Clock.Now().UnixMilli()-r.DepartedMs >= d.opts.TombstoneTTL.Milliseconds()
 }
 
-// notePreviousProcess keeps the latest record of an earlier process of this
-// node.
-func (d *Directory) notePreviousProcess(r *Record) {
-	if r.Incarnation >= d.Self().Incarnation || r.Service == "" && r.PeerAddr == "" {
-		return // about this process, or without content
-	}
-	if old := d.previousProcess.Load(); old == nil || r.Supersedes(old) {
-		next := *r
-		d.previousProcess.Store(&next)
-	}
-}
-
-// PreviousProcess returns the latest record of an earlier process of this node
-// that another node still knew, or nil.
-func (d *Directory) PreviousProcess() *Record { return d.previousProcess.Load() }
-
 // refute raises the local record above a record that supersedes it. Left takes
 // precedence over every other state, so a process that has left only refutes
 // records with a higher sequence or incarnation than its final one.
--- a/member/directory_test.go
+++ b/member/directory_test.go
@@ -22,6 +22,9 @@
 	// publishes two contents under the same pair.
 	r.FailureDomain = fmt.Sprintf("fd%d", (r.Incarnation+r.Sequence)%2)
 	r.Service = fmt.Sprintf("svc%d", r.Sequence%2)
+	if r.Sequence > 1 {
+		r.TargetDeparture = &TargetDeparture{Target: "t", StartedMs: int64(r.Incarnation), AcknowledgedMs: int64(r.Incarnation*10 + r.Sequence)}
+	}
 	return r
 }
 
@@ -36,13 +39,27 @@
 	return out
 }
 
+// departures returns the departure that the directory holds for each live node.
+// Digests do not cover departures: a node may hold that of an earlier process in
+// the record of a later one.
+func departures(d *Directory) []string {
+	var out []string
+	for _, r := range d.All() {
+		if r.Live() {
+			out = append(out, fmt.Sprintf("%s/%+v", r.ID, r.TargetDeparture))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 func newTestDirectory() *Directory {
 	return NewDirectory(Record{ID: "self", Incarnation: 1, Sequence: 1, FailureDomain: "fd0"},
 		DirectoryOptions{Clock: clockwork.NewFakeClock()})
 }
 
 // Guards against replicas that depend on the order, grouping or repetition of
-// merges, and against digests that differ for equal sets or are equal for
+// merges, also in the departures that outdated records hold, and against digests that differ for equal sets or are equal for
 // different ones.
 func TestMergeConverges(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -66,6 +83,9 @@
 			if !slices.Equal(contents(a), contents(d)) || a.RootDigest() != d.RootDigest() {
 				t.Fatalf("%v and %v differ", contents(a), contents(d))
 			}
+			if !slices.Equal(departures(a), departures(d)) {
+				t.Fatalf("%v and %v differ", departures(a), departures(d))
+			}
 		}
 		checkLists(t, a)
 	})
--- a/member/record.go
+++ b/member/record.go
@@ -57,6 +57,11 @@
 	Service       string // announced service name, empty for a node without a target
 	Slots         uint32 // number of calls that the target runs concurrently
 
+	// TargetDeparture is the last departure of a target that this node or an
+	// earlier process of it has acknowledged; nil for none. Nodes keep it when a
+	// record of a later process replaces this one.
+	TargetDeparture *TargetDeparture
+
 	// DepartedMs is when this node learned that the member was Dead or Left,
 	// minus the age reported by the sender, in ms since 1970. It is 0 for live
 	// members and has no part in the order of records or in the digests.
--- a/member/service.go
+++ b/member/service.go
@@ -240,6 +240,7 @@
 		}
 	}
 	s.disseminate(changedRemote, o)
+	s.returnDepartures(records)
 	return changed
 }
 
--- /dev/null
+++ b/node/confirm.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"siskingw/errdefs"
+	"siskingw/member"
+	"siskingw/object"
+	"siskingw/platform"
+	"siskingw/targets"
+	"siskingw/telemetry"
+)
+
+const (
+	// joinWait is how long a starting node waits for the records of other nodes
+	// before it checks its target without them.
+	joinWait = time.Second
+	// healthAttempts, healthPause and healthTimeout limit the health checks after
+	// one request. The target's next announcement requests further ones.
+	healthAttempts = 3
+	healthPause    = 200 * time.Millisecond
+	healthTimeout  = 300 * time.Millisecond
+	// healthHeaderBytes bounds the header, in bytes, of a health check's response.
+	healthHeaderBytes = 64 << 10
+)
+
+// targetConfirmations are the requests to check the target of this instance.
+type targetConfirmations struct {
+	requested chan struct{}
+	departure chan struct{} // signals that a departure may have been given back
+	client    *http.Client
+}
+
+func newTargetConfirmations() targetConfirmations {
+	return targetConfirmations{
+		requested: make(chan struct{}, 1), departure: make(chan struct{}, 1),
+		client: &http.Client{Timeout: healthTimeout,
+			Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: healthHeaderBytes}},
+	}
+}
+
+// request requests a check of a candidate. It never blocks.
+func (c *targetConfirmations) request() { wake(c.requested) }
+
+// wake sends a signal unless one is pending.
+func wake(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// confirmTargets checks the target of this instance when this process has started
+// and when a target from before its start announces itself. An earlier process may
+// have acknowledged that target's departure. The other nodes know that, unless
+// they have lost it as well; and a target that leaves fails its health check.
+func (s *targetService) confirmTargets(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-s.member.service.Joined():
+	case <-time.After(joinWait):
+	}
+	s.adoptDeparture()
+	s.checkRepeatedly(ctx, s.checkTarget)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.confirmations.departure:
+			s.adoptDeparture()
+		case <-s.confirmations.requested:
+			s.checkRepeatedly(ctx, func(ctx context.Context) bool {
+				return s.registry.Candidate(time.Now()) == nil || s.checkTarget(ctx)
+			})
+		}
+	}
+}
+
+// checkRepeatedly calls check until it reports that no further one is needed, at
+// most healthAttempts times.
+func (s *targetService) checkRepeatedly(ctx context.Context, check func(context.Context) bool) {
+	for range healthAttempts {
+		if check(ctx) {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(healthPause):
+		}
+	}
+}
+
+// checkTarget runs a health check of the candidate or, without one, of the target
+// that the settings name. It reports whether no further check is needed.
+func (s *targetService) checkTarget(ctx context.Context) bool {
+	p := s.node.liveSettings.Load().Platform
+	service, addr := p.Service, p.TargetAddress
+	candidate := s.registry.Candidate(time.Now())
+	if candidate != nil {
+		service, addr = candidate.Service, candidate.Address
+	}
+	path := s.healthPath(service)
+	if path == "" || addr == "" {
+		return false
+	}
+	t, err := platform.FindTarget(ctx, s.confirmations.client, addr, path)
+	if err == nil && candidate != nil && t.ID != candidate.ID {
+		err = errdefs.Unhealthy.New("target %q responds instead of %q", t.ID, candidate.ID)
+	}
+	if err != nil {
+		s.logUnconfirmed(candidate, err)
+		return false
+	}
+	s.adoptDeparture()
+	now := time.Now()
+	if candidate != nil {
+		s.registry.Confirm(t.ID, now)
+		return true
+	}
+	t.Service = service
+	if err := s.registry.AddProbed(t, now); err == nil {
+		s.node.log.Info(telemetry.EventTargetFound, "target", t.ID, "slots", t.Slots)
+	}
+	return true
+}
+
+// logUnconfirmed logs that the health check did not confirm the candidate, which
+// may be nil.
+func (s *targetService) logUnconfirmed(candidate *targets.Target, err error) {
+	if candidate == nil {
+		s.node.log.V(1).Info("target not found", "error", err.Error())
+		return
+	}
+	s.node.log.Info(telemetry.EventTargetUnconfirmed, "target", candidate.ID, "service", candidate.Service,
+		"startedMs", candidate.Started.UnixMilli(), "error", err.Error())
+}
+
+// onMemberChange requests the adoption of a departure that another node has given
+// back.
+func (s *targetService) onMemberChange(changed []*member.Record) {
+	for _, r := range changed {
+		if r.ID == s.node.settings.ID && r.TargetDeparture != nil {
+			wake(s.confirmations.departure)
+		}
+	}
+}
+
+// adoptDeparture takes over the departure in this node's record.
+func (s *targetService) adoptDeparture() {
+	if t := s.node.dir.Self().TargetDeparture; t != nil {
+		s.registry.AddDeparture(t.Target, time.UnixMilli(t.StartedMs), time.Now())
+	}
+}
+
+// healthPath returns the path of the health check of a service, or "" when the
+// configuration in force defines none.
+func (s *targetService) healthPath(service string) string {
+	snap := s.node.current.Load()
+	if snap == nil {
+		return ""
+	}
+	o := snap.Get(object.Key{Kind: object.KindService, Name: service})
+	if o == nil {
+		return ""
+	}
+	return o.Service.HealthPath
+}
--- a/node/platform.go
+++ b/node/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"siskingw/object"
 	"siskingw/platform"
 	"siskingw/proxy"
+	"siskingw/snapshot"
 	"siskingw/targets"
 	"siskingw/telemetry"
 )
@@ -43,7 +43,8 @@
 	member   *memberService
 	// invalidLog limits the lines about announcements that name no target: a
 	// faulty writer may repeat them at any rate.
-	invalidLog rate.Sometimes
+	invalidLog    rate.Sometimes
+	confirmations targetConfirmations
 }
 
 // invalidLogInterval is the minimum time between two lines about invalid
@@ -60,9 +61,13 @@
 func newTargetService(n *Node) *targetService {
 	s := &targetService{
 		node: n, registry: targets.NewRegistry(maxMissedHeartbeats * n.settings.Platform.Heartbeat()),
-		invalidLog: rate.Sometimes{Interval: invalidLogInterval},
+		invalidLog:    rate.Sometimes{Interval: invalidLogInterval},
+		confirmations: newTargetConfirmations(),
 	}
 	s.registry.OnChange(s.onTargetChange)
+	if !n.settings.Platform.FirstStart {
+		s.registry.RequireConfirmation(time.Now())
+	}
 	return s
 }
 
@@ -74,74 +79,16 @@
 	if s.member, err = kernel.Lookup[*memberService](k, nameMember); err != nil {
 		return err
 	}
+	s.node.current.OnAdvance(func(*snapshot.Snapshot) { s.confirmations.request() }) // its health check may be known now
+	s.node.dir.OnChange(s.onMemberChange)
 	return s.listen(nameTarget, s.node.settings.Platform.Control,
 		proxy.NewServer(platform.NewControl(s, s.logInvalid), proxy.ServerOptions{}))
 }
 
-const (
-	// probeDelay is how long a starting node waits for the records of other nodes
-	// before it probes for its target without them.
-	probeDelay = time.Second
-	// probeAttempts, probePause and probeTimeout limit the probing: the target
-	// announces itself in any case.
-	probeAttempts = 3
-	probePause    = 200 * time.Millisecond
-	probeTimeout  = 300 * time.Millisecond
-)
-
-// probeTarget probes the address of the target by a health check, so that a
-// target that has been running since before this process started receives calls
-// before its next announcement.
-func (s *targetService) probeTarget(ctx context.Context) {
-	select {
-	case <-ctx.Done():
-		return
-	case <-s.member.service.Joined():
-	case <-time.After(probeDelay):
-	}
-	if previous := s.node.dir.PreviousProcess(); previous != nil && previous.Service == "" {
-		return // the previous process had no target, or had acknowledged its departure
-	}
-	p := s.node.liveSettings.Load().Platform
-	client := &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
-	for range probeAttempts {
-		if path := s.healthPath(p.Service); path != "" && p.TargetAddress != "" {
-			t, err := platform.FindTarget(ctx, client, p.TargetAddress, path)
-			if err == nil {
-				t.Service = p.Service
-				if err = s.registry.AddProbed(t, time.Now()); err == nil {
-					s.node.log.Info(telemetry.EventTargetFound, "target", t.ID, "slots", t.Slots)
-				}
-				return
-			}
-			s.node.log.V(1).Info("target not found", "error", err.Error())
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(probePause):
-		}
-	}
-}
-
-// healthPath returns the path of the health check of a service, or "" when the
-// configuration in force defines none.
-func (s *targetService) healthPath(service string) string {
-	snap := s.node.current.Load()
-	if snap == nil {
-		return ""
-	}
-	o := snap.Get(object.Key{Kind: object.KindService, Name: service})
-	if o == nil {
-		return ""
-	}
-	return o.Service.HealthPath
-}
-
 // Run serves announcements and expires targets that have stopped announcing
 // themselves.
 func (s *targetService) Run(ctx context.Context) error {
-	go s.probeTarget(ctx)
+	go s.confirmTargets(ctx)
 	go func() {
 		tick := time.NewTicker(s.node.settings.Platform.Heartbeat() / 2)
 		defer tick.Stop()
@@ -166,10 +113,16 @@
 	if !s.knowsService(a.Service) {
 		return errdefs.Invalid.New("announcement of %q: service %q is not in the configuration", a.ID, a.Service)
 	}
-	err := s.registry.Announce(a, time.Now())
+	now := time.Now()
+	err := s.registry.Announce(a, now)
 	if errorx.IsOfType(err, errdefs.Stale) {
 		return nil
 	}
+	if err == nil && a.Leaving {
+		s.keepDeparture(a.ID, a.Started)
+	} else if err == nil && s.registry.Candidate(now) != nil {
+		s.confirmations.request()
+	}
 	return err
 }
 
@@ -188,10 +141,26 @@
 
 // Leave implements platform.TargetSink.
 func (s *targetService) Leave(id string, started time.Time) error {
-	s.registry.Leave(id, started, time.Now())
+	now := time.Now()
+	s.registry.Leave(id, started, now)
+	if started.IsZero() {
+		started = now
+	}
+	s.keepDeparture(id, started)
 	return nil
 }
 
+// keepDeparture hands the departure of a target to other nodes before it is
+// acknowledged: a later process of this node gets it back from them.
+func (s *targetService) keepDeparture(id string, started time.Time) {
+	if !s.node.dir.RecordTargetDeparture(id, started.UnixMilli()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	s.member.service.AnnounceTargetDeparture(ctx)
+}
+
 // onTargetChange replaces the current backend when the target changes, and
 // announces the target's service and slots in the membership record. t is nil
 // when no target may receive calls; loss tells why the previous one may not.
--- a/node/platform_test.go
+++ b/node/platform_test.go
@@ -96,11 +96,21 @@
 
 // start starts the node of the instance with the number.
 func (s *testPlatform) start(number int) *instance {
+	s.t.Helper()
+	return s.startBeside(number, nil)
+}
+
+// startBeside is start for an instance whose target may be running already; its
+// settings name the address of that target.
+func (s *testPlatform) startBeside(number int, target *standin.Target) *instance {
 	s.t.Helper()
 	conf, err := settings.Parse([]byte(s.settingsJSON(number)))
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	if target != nil {
+		conf.Platform.TargetAddress = target.Addr()
+	}
 	in := &instance{platform: s, ip: fmt.Sprintf("127.0.0.%d", number), log: new(syncBuffer),
 		signal: make(chan os.Signal, 2), done: make(chan error, 1)}
 	if in.node, err = New(conf, telemetry.NewLogger(in.log, 0)); err != nil {
@@ -112,6 +122,13 @@
 	return in
 }
 
+// kill ends the node and cuts its graceful stop short. Its target runs on.
+func (in *instance) kill() {
+	in.signal <- syscall.SIGTERM
+	in.signal <- syscall.SIGTERM
+	<-in.done
+}
+
 // startTarget starts the target of the instance, whose calls take work.
 func (in *instance) startTarget(work time.Duration) {
 	in.startTargetWithBeat(work, 200*time.Millisecond)
--- a/node/target_test.go
+++ b/node/target_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -91,30 +90,88 @@
 	is.True(strings.Contains(first.log.String(), "silent")) // the target expired while its calls ran
 }
 
+// departureCase is one way in which a node restarts after it has acknowledged the
+// departure of its target, which still runs.
+type departureCase struct {
+	name        string
+	lyingHealth bool // the target passes its health check after its departure
+	restartAll  bool // every node restarts, so that none remembers the departure
+	draining    bool // the target reports that it is draining instead of its departure
+	delayed     bool // an announcement from before the departure arrives after the restart
+}
+
 // Guards against a restarted node that uses a target whose departure its previous
-// process acknowledged: the target still runs and passes its health check.
+// process acknowledged: because the target passes its health check, or because of
+// an announcement that was delayed.
 func TestRestartedNodeDoesNotUseDepartedTarget(t *testing.T) {
+	for _, c := range []departureCase{
+		{name: "found by its health check", lyingHealth: true},
+		{name: "delayed announcement", delayed: true},
+		{name: "delayed announcement and lying health", delayed: true, lyingHealth: true},
+		{name: "delayed announcement after draining", delayed: true, lyingHealth: true, draining: true},
+		{name: "delayed announcement, all nodes restarted", delayed: true, restartAll: true},
+	} {
+		t.Run(c.name, c.run)
+	}
+}
+
+func (c departureCase) run(t *testing.T) {
 	is := is.New(t)
 	s := newTestPlatform(t)
 	s.publish(1)
 	first, second := s.start(1), s.start(2)
 	eventually(t, "readiness", func() bool { return first.ready() == 200 && second.ready() == 200 })
 	first.startTargetWithBeat(time.Millisecond, time.Hour) // sends nothing after its departure
-	first.target.SetLyingHealth()
+	target := first.target
+	if c.lyingHealth {
+		target.SetLyingHealth()
+	}
 	eventually(t, "an answer", func() bool { status, _, _ := second.call("GET", "/lots/1", "a"); return status == 200 })
-	is.NoErr(first.target.Leave(t.Context()))
-	eventually(t, "the departure at the other node", func() bool {
-		r := second.node.dir.Lookup("n-1")
-		return r != nil && r.Service == ""
-	})
-	first.signal <- syscall.SIGTERM
-	first.signal <- syscall.SIGTERM // cuts the graceful stop short
-	<-first.done
-	first = s.start(1)
-	eventually(t, "readiness after the restart", func() bool { return first.ready() == 200 })
+	delayed := target.DelayedAnnouncement()
+	if c.draining {
+		target.SetLeaving()
+		is.NoErr(target.Announce(t.Context()))
+	} else {
+		is.NoErr(target.Leave(t.Context()))
+	}
+	first.kill()
+	if c.restartAll {
+		second.kill()
+		second = s.start(2)
+	}
+	first = s.startBeside(1, target)
+	eventually(t, "readiness after the restart", func() bool { return first.ready() == 200 && second.ready() == 200 })
+	if c.delayed {
+		is.NoErr(delayed(t.Context()))
+	}
 	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		status, _, _ := second.call("POST", "/bids/1", "b"+strconv.FormatInt(time.Now().UnixNano(), 10))
 		is.Equal(status, 503)
 	}
 	is.True(first.node.target.currentBackend() == nil)
 }
+
+// Guards against a restarted node that never uses the target that has been running
+// since before: with a health check that succeeds, or that fails although the
+// target goes on announcing itself.
+func TestRestartedNodeUsesRunningTarget(t *testing.T) {
+	for _, failing := range []bool{false, true} {
+		t.Run(fmt.Sprint("failing health check ", failing), func(t *testing.T) {
+			is := is.New(t)
+			s := newTestPlatform(t)
+			s.publish(1)
+			first, second := s.start(1), s.start(2)
+			eventually(t, "readiness", func() bool { return first.ready() == 200 && second.ready() == 200 })
+			first.startTarget(time.Millisecond)
+			eventually(t, "an answer", func() bool { status, _, _ := second.call("GET", "/lots/1", "a"); return status == 200 })
+			first.target.SetFailingHealth(failing)
+			first.kill()
+			first = s.start(1)
+			eventually(t, "an answer after the restart", func() bool {
+				status, _, _ := second.call("GET", "/lots/1", "b"+strconv.FormatInt(time.Now().UnixNano(), 10))
+				return status == 200
+			})
+			is.Equal(strings.Contains(first.log.String(), telemetry.EventTargetUnconfirmed), failing)
+		})
+	}
+}
--- a/targets/registry.go
+++ b/targets/registry.go
@@ -5,6 +5,11 @@
 // Guarantee: once a departure is acknowledged, that start of the target never
 // becomes current again. A delayed announcement of an earlier start at the same
 // address does not replace the current one.
+//
+// A registry that may have had a predecessor, in an earlier process of the node,
+// does not know which departures that one has acknowledged. It takes the
+// announcement of a start from before its own time only as a candidate, until the
+// start is confirmed; see RequireConfirmation.
 package targets
 
 import (
@@ -82,7 +87,15 @@
 	sequence  uint64
 	leaving   bool
 	probed    bool // responded to a health check, but has not announced itself yet
+	candidate bool // may have left before this registry existed, see RequireConfirmation
 	lastHeard time.Time
+	steady    time.Time // since when it has announced itself without a gap
+}
+
+// departure is a departure that covers all starts of a target up to one.
+type departure struct {
+	until    time.Time // start time of the latest start that has left
+	recorded time.Time
 }
 
 const (
@@ -100,7 +113,8 @@
 
 	mu           sync.Mutex
 	entries      map[startKey]*entry
-	departures   map[string]time.Time // last departure without a start time, by target ID
+	departures   map[string]departure // departures of starts that may be unknown, by target ID
+	createdAt    time.Time            // earlier starts need a confirmation; zero for none
 	current      *entry
 	lastReported *Target // as last passed to onChange
 	onChange     func(*Target, Loss)
@@ -124,7 +138,7 @@
 // NewRegistry returns an empty registry. A target that is silent for longer than
 // expiry counts as gone.
 func NewRegistry(expiry time.Duration) *Registry {
-	return &Registry{expiry: expiry, entries: make(map[startKey]*entry), departures: make(map[string]time.Time)}
+	return &Registry{expiry: expiry, entries: make(map[startKey]*entry), departures: make(map[string]departure)}
 }
 
 // OnChange registers f, which is called after each change of the current target
@@ -133,6 +147,46 @@
 // other methods.
 func (r *Registry) OnChange(f func(*Target, Loss)) { r.onChange = f }
 
+// RequireConfirmation makes starts from before the given time candidates: a
+// predecessor of this registry may have acknowledged their departure, and their
+// announcements may be delayed ones. A candidate becomes usable when Confirm is
+// called, or when it has announced itself without a gap for longer than the
+// expiry: no target announces itself after its departure, and an announcement is
+// not delayed for so long. RequireConfirmation must be called before all other
+// methods.
+func (r *Registry) RequireConfirmation(createdAt time.Time) { r.createdAt = createdAt }
+
+// Candidate returns the latest start that needs a confirmation, or nil.
+func (r *Registry) Candidate(now time.Time) *Target {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var best *entry
+	for _, e := range r.entries {
+		if e.candidate && !e.leaving && now.Sub(e.lastHeard) <= r.expiry && !r.superseded(e) &&
+			(best == nil || e.target.Started.After(best.target.Started)) {
+			best = e
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	t := best.target
+	return &t
+}
+
+// Confirm makes the candidates with the ID usable: their target has passed a
+// health check, which it fails once it leaves.
+func (r *Registry) Confirm(id string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, e := range r.entries {
+		if k.id == id {
+			e.candidate = false
+		}
+	}
+	r.selectCurrent(now)
+}
+
 // Announce handles an announcement. It returns a Stale error if one of the same
 // start with the same or a higher sequence number has been handled, and an
 // Invalid error if it holds a value that no target can have.
@@ -143,17 +197,22 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	k := startKey{a.ID, a.Started.UnixMilli()}
-	r.removeProbed()
+	confirmed := r.removeProbed(a.ID)
 	e := r.entries[k]
 	if e != nil && a.Sequence <= e.sequence {
 		return errdefs.Stale.New("announcement %d of %q is not newer than %d", a.Sequence, a.ID, e.sequence)
 	}
 	if e == nil {
-		e = &entry{}
+		e = &entry{candidate: !confirmed && a.Started.Before(r.createdAt), steady: now}
 		r.addEntry(k, e, now)
 	}
+	if now.Sub(e.lastHeard) > r.expiry {
+		e.steady = now
+	}
+	e.candidate = e.candidate && now.Sub(e.steady) <= r.expiry
 	e.sequence, e.lastHeard = a.Sequence, now
-	e.leaving = e.leaving || a.Leaving || !a.Started.After(r.departures[a.ID])
+	left, known := r.departures[a.ID]
+	e.leaving = e.leaving || a.Leaving || known && !a.Started.After(left.until)
 	warmupEnd := e.target.WarmupEnd
 	if warmupEnd.IsZero() && a.WarmupLeft > 0 {
 		warmupEnd = now.Add(a.WarmupLeft)
@@ -179,13 +238,16 @@
 	return nil
 }
 
-// removeProbed removes a target added by AddProbed. r.mu must be held.
-func (r *Registry) removeProbed() {
+// removeProbed removes a target added by AddProbed and reports whether it had the
+// given ID. r.mu must be held.
+func (r *Registry) removeProbed(id string) (found bool) {
 	for k, e := range r.entries {
 		if e.probed {
+			found = found || k.id == id
 			delete(r.entries, k)
 		}
 	}
+	return found
 }
 
 // Leave records the permanent departure of a target. A zero started means every
@@ -200,7 +262,7 @@
 		}
 	}
 	if started.IsZero() {
-		r.addDeparture(id, now)
+		r.addDeparture(id, departure{until: now, recorded: now})
 	} else {
 		k := startKey{id, started.UnixMilli()}
 		if r.entries[k] == nil {
@@ -210,6 +272,20 @@
 	r.selectCurrent(now)
 }
 
+// AddDeparture records a departure that another registry has acknowledged. It
+// covers the starts of the target up to the given start time.
+func (r *Registry) AddDeparture(id string, until, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k, e := range r.entries {
+		if k.id == id && (e.probed || k.started <= until.UnixMilli()) {
+			e.leaving = true
+		}
+	}
+	r.addDeparture(id, departure{until: until, recorded: now})
+	r.selectCurrent(now)
+}
+
 // RecordGone records that a target no longer exists, because another one responds
 // at its address.
 func (r *Registry) RecordGone(t *Target, now time.Time) {
@@ -245,7 +321,7 @@
 func (r *Registry) selectCurrent(now time.Time) {
 	var best *entry
 	for _, e := range r.entries {
-		if e.leaving || now.Sub(e.lastHeard) > r.expiry {
+		if e.leaving || e.candidate || now.Sub(e.lastHeard) > r.expiry {
 			continue
 		}
 		if best == nil || e.target.Started.After(best.target.Started) ||
@@ -324,16 +400,19 @@
 
 // addDeparture records the departure of starts that may be unknown. r.mu
 // must be held.
-func (r *Registry) addDeparture(id string, now time.Time) {
-	for old, at := range r.departures {
-		if now.Sub(at) > retention {
+func (r *Registry) addDeparture(id string, added departure) {
+	for old, d := range r.departures {
+		if added.recorded.Sub(d.recorded) > retention {
 			delete(r.departures, old)
 		}
 	}
 	if len(r.departures) >= maxEntries {
 		clear(r.departures) // more departures than one instance can produce
 	}
-	r.departures[id] = now
+	if known, ok := r.departures[id]; ok && known.until.After(added.until) {
+		added.until = known.until
+	}
+	r.departures[id] = added
 }
 
 // removeOldest removes the entry that was silent for the longest time, except the
--- a/targets/registry_test.go
+++ b/targets/registry_test.go
@@ -158,3 +158,60 @@
 	r.Expire(now.Add(expiry))
 	is.Equal(currentID(r), "a")
 }
+
+// Guards against a registry that uses a target from before its own time because of
+// announcements that were delayed: a predecessor may have acknowledged its
+// departure.
+func TestStartFromBeforeTheRegistryNeedsConfirmation(t *testing.T) {
+	is := is.New(t)
+	const expiry = 5 * time.Second
+	now := epoch.Add(time.Minute)
+	r := NewRegistry(expiry)
+	r.RequireConfirmation(now)
+	is.NoErr(r.Announce(announcement("a", 0, 4), now))
+	is.Equal(currentID(r), "")
+	is.Equal(r.Candidate(now).ID, "a")
+	is.NoErr(r.Announce(announcement("a", 0, 5), now.Add(expiry)))
+	is.Equal(currentID(r), "")
+	r.Confirm("b", now.Add(expiry))
+	is.Equal(currentID(r), "")
+	r.Confirm("a", now.Add(expiry))
+	is.Equal(currentID(r), "a")
+	is.True(r.Candidate(now.Add(expiry)) == nil)
+
+	is.NoErr(r.Announce(announcement("b", time.Minute, 1), now.Add(expiry))) // started after the registry
+	is.Equal(currentID(r), "b")
+}
+
+// Guards against a target that is never used because its health check fails for
+// another reason than its departure: it goes on announcing itself.
+func TestSteadyAnnouncementsConfirm(t *testing.T) {
+	is := is.New(t)
+	const expiry, beat = 5 * time.Second, 1500 * time.Millisecond
+	now := epoch.Add(time.Minute)
+	r := NewRegistry(expiry)
+	r.RequireConfirmation(now)
+	is.NoErr(r.Announce(announcement("a", 0, 1), now))
+	now = now.Add(expiry + beat) // a gap, after which the time counts anew
+	for i := range uint64(4) {
+		is.NoErr(r.Announce(announcement("a", 0, 2+i), now.Add(time.Duration(i)*beat)))
+		is.Equal(currentID(r), "")
+	}
+	is.NoErr(r.Announce(announcement("a", 0, 6), now.Add(4*beat)))
+	is.Equal(currentID(r), "a")
+}
+
+// Guards against using a target whose departure another registry has acknowledged,
+// and against refusing its next start.
+func TestAdoptedDeparture(t *testing.T) {
+	is := is.New(t)
+	r := NewRegistry(5 * time.Second)
+	is.NoErr(r.AddProbed(Target{ID: "a", Address: "10.0.0.1:80", Slots: 9}, epoch))
+	is.Equal(currentID(r), "a")
+	r.AddDeparture("a", epoch, epoch)
+	is.Equal(currentID(r), "")
+	is.NoErr(r.Announce(announcement("a", 0, 7), epoch))
+	is.Equal(currentID(r), "")
+	is.NoErr(r.Announce(announcement("a", time.Second, 1), epoch))
+	is.Equal(currentID(r), "a")
+}
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -11,12 +11,13 @@
 	EventCallLost    = "call failed at its target"  // the target's response was lost or is invalid
 
 	// Observed state of the node's own target, of other nodes and of their targets.
-	EventTargetInUse   = "target in use"
-	EventTargetLost    = "target lost"
-	EventTargetInvalid = "announcement names no target to use"
-	EventTargetFound   = "target found by its health check"
-	EventTargetJudged  = "target judged"
-	EventMemberChanged = "member changed"
+	EventTargetInUse       = "target in use"
+	EventTargetLost        = "target lost"
+	EventTargetInvalid     = "announcement names no target to use"
+	EventTargetFound       = "target found by its health check"
+	EventTargetUnconfirmed = "target not confirmed by its health check"
+	EventTargetJudged      = "target judged"
+	EventMemberChanged     = "member changed"
 
 	// Configuration and the store.
 	EventVersion    = "version in force"
