platform: bound what a health check keeps of a faulty target's bytes

What happened: a faulty target that sends a status line, a header or interim responses without end made one health check allocate 52 to 118 MB within its timeout of 300 ms, on instances with 112 MB and up; a starting node runs up to three checks. The process would run out of memory, and the calls of every caller on the instance would end with it.

The path of calls has a limit of 64 KB for each header and was not affected (TestEndlessBytesAreNotKept).

Ruled out: the body of a health check (it is not read, 25 KB allocated).

--- a/node/confirm.go
+++ b/node/confirm.go
@@ -22,8 +22,6 @@
 	healthAttempts = 3
 	healthPause    = 200 * time.Millisecond
 	healthTimeout  = 300 * time.Millisecond
-	// healthHeaderBytes bounds the header, in bytes, of a health check's response.
-	healthHeaderBytes = 64 << 10
 )
 
 // targetConfirmations are the requests to check the target of this instance.
@@ -36,8 +34,7 @@
 func newTargetConfirmations() targetConfirmations {
 	return targetConfirmations{
 		requested: make(chan struct{}, 1), departure: make(chan struct{}, 1),
-		client: &http.Client{Timeout: healthTimeout,
-			Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: healthHeaderBytes}},
+		client: platform.NewHealthClient(healthTimeout),
 	}
 }
 
