proxy: buffer response bodies in pooled blocks

Looked for: a target that sends a body without end on as many calls as it has slots (13) and makes the node that calls it run out of memory. It cannot: within the limit of 256 KB a node buffers, above it the body is streamed at the pace of the caller, and the call ends at its deadline.

What grew was the buffer of each response: it doubled, left the halves as garbage, ended at up to twice the limit and was held until the end of the call, long after it had been sent.

Change: bodyBuffer takes 32 KB blocks from the pool that copying uses already, holds no more than has arrived, and returns the blocks once they are written.

The stand-in of these tests converted its bytes for each write, which counted as growth of the node's heap; it converts them once. The bounds are unchanged.

--- a/proxy/connserver.go
+++ b/proxy/connserver.go
@@ -364,8 +364,8 @@
 func (c *serverConn) lingerBeforeClose() {
 	if tc, ok := c.Conn.(*net.TCPConn); ok && tc.CloseWrite() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout))
-		buf := copyBuffers.Get().(*copyBuffer)
-		defer copyBuffers.Put(buf)
+		buf := bodyBlocks.Get().(*bodyBlock)
+		defer bodyBlocks.Put(buf)
 		for {
 			if _, err := c.Conn.Read(buf[:]); err != nil {
 				return
--- a/proxy/endless_test.go
+++ b/proxy/endless_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -130,8 +131,9 @@
 	if pace == 0 {
 		repeat = strings.Repeat(repeat, 1+4096/len(repeat))
 	}
+	again := []byte(repeat) // converted once: the heap is measured
 	for {
-		if _, err := io.WriteString(nc, repeat); err != nil {
+		if _, err := nc.Write(again); err != nil {
 			return
 		}
 		time.Sleep(pace)
@@ -194,3 +196,44 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// Guards against a target whose bytes without end, on as many calls as it has slots,
+// grow the memory of the node with the platform's limit on buffered responses.
+func TestEndlessBytesOnEverySlotAreNotKept(t *testing.T) {
+	const calls, buffered = 13, 256 << 10
+	for _, e := range endlessBytes {
+		rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool {
+			sendEndlessly(nc, e.first, e.repeat, 0)
+			return false
+		})
+		r := newCallIDRig(t, &object.PolicySpec{TimeoutMs: 300}, rt)
+		r.out.opts.Responses.BufferBytes = buffered
+		for _, in := range r.inbounds {
+			in.opts.Responses.BufferBytes = buffered
+		}
+		runtime.GC()
+		before := heapBytes()
+		var waiting sync.WaitGroup
+		for range calls {
+			waiting.Go(func() { r.outcomeOf(t, "/endless") })
+		}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			waiting.Wait()
+		}()
+		peak := before
+		for done := false; !done; {
+			select {
+			case <-ended:
+				done = true
+			case <-time.After(10 * time.Millisecond):
+				peak = max(peak, heapBytes())
+			}
+		}
+		t.Logf("%s: %d KB", e.name, (peak-before)>>10)
+		if peak-before > endlessMemory {
+			t.Errorf("%s: the heap grew by %d bytes", e.name, peak-before)
+		}
+	}
+}
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -41,7 +40,7 @@
 	upload         *upload                            // nil unless a separate goroutine sends the request
 	stopWatch      func() bool                        // stops watching ctx; false when ctx has already closed conn
 	callerGone     bool                               // writing to the caller's connection failed
-	bodyPrefix     []byte                             // part of the response body that was read already
+	bodyPrefix     bodyBuffer                         // part of the response body that was read already
 	bodyComplete   bool                               // bodyPrefix is the whole response body
 	classify       func(*http.Response) responseClass // classifies the response of a target; nil between nodes
 	closeDelimited bool                               // a response may be delimited by closing the connection
@@ -223,17 +222,12 @@
 	if limit == 0 || c.r.Method == http.MethodHead || x.resp.Body == http.NoBody {
 		return nil
 	}
-	size := int64(bytes.MinRead)
-	if n := x.resp.ContentLength; n > 0 {
-		size += min(n, int64(limit))
-	}
-	buf := bytes.NewBuffer(make([]byte, 0, size))
-	_, err := buf.ReadFrom(io.LimitReader(x.resp.Body, int64(limit)+1))
+	complete, err := x.bodyPrefix.readFrom(x.resp.Body, limit)
 	if err != nil {
+		x.bodyPrefix.release()
 		return x.fail(causeAnswerCut, "the answer broke off", err)
 	}
-	x.bodyPrefix = buf.Bytes()
-	x.bodyComplete = len(x.bodyPrefix) <= limit
+	x.bodyComplete = complete
 	return nil
 }
 
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -1,8 +1,8 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 
@@ -103,15 +103,17 @@
 	h := make(http.Header)
 	x.copyResponseHeader(h)
 	delete(h, "Trailer") // trailers are not stored
-	prefix, err := io.ReadAll(io.LimitReader(x.resp.Body, maxStoredBodyBytes+1))
+	complete, err := x.bodyPrefix.readFrom(x.resp.Body, maxStoredBodyBytes)
 	if err != nil {
+		x.bodyPrefix.release()
 		return nil, err
 	}
-	if len(prefix) > maxStoredBodyBytes {
-		x.bodyPrefix = prefix
+	if !complete {
 		return nil, nil
 	}
-	return &idem.Response{Status: x.resp.StatusCode, Header: h, Body: prefix}, nil
+	stored := bytes.NewBuffer(make([]byte, 0, x.bodyPrefix.size))
+	_ = x.bodyPrefix.writeTo(stored) // writing to a buffer does not fail
+	return &idem.Response{Status: x.resp.StatusCode, Header: h, Body: stored.Bytes()}, nil
 }
 
 // replay sends the stored response to a retry.
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -226,7 +226,7 @@
 		return f
 	}
 	if x.bodyComplete {
-		o.responseSizeOf(c.work.class).observe(len(x.bodyPrefix))
+		o.responseSizeOf(c.work.class).observe(x.bodyPrefix.size)
 	}
 	return x.relay(c)
 }
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
@@ -29,7 +28,7 @@
 		c.addHeaders(h)
 	}
 	if x.bodyComplete && len(x.resp.Trailer) == 0 && x.resp.ContentLength < 0 {
-		h["Content-Length"] = []string{strconv.Itoa(len(x.bodyPrefix))}
+		h["Content-Length"] = []string{strconv.Itoa(x.bodyPrefix.size)}
 	}
 	c.responseStarted = true
 	c.w.WriteHeader(x.resp.StatusCode)
@@ -68,30 +67,24 @@
 	}
 }
 
-type copyBuffer [32 << 10]byte
-
-var copyBuffers = sync.Pool{New: func() any { return new(copyBuffer) }}
-
 // relayBody copies the response body to the caller. It returns nil only when
 // the body was complete and was written in full.
 func (x *exchange) relayBody(c *call) error {
 	if x.resp.Body == http.NoBody || x.resp.ContentLength == 0 {
 		return nil
 	}
-	if len(x.bodyPrefix) > 0 {
-		if _, err := c.w.Write(x.bodyPrefix); err != nil {
-			x.callerGone = true
-			return err
-		}
+	if err := x.bodyPrefix.writeTo(c.w); err != nil {
+		x.callerGone = true
+		return err
 	}
 	if x.bodyComplete {
 		return nil
 	}
-	buf := copyBuffers.Get().(*copyBuffer)
-	defer copyBuffers.Put(buf)
+	buf := bodyBlocks.Get().(*bodyBlock)
+	defer bodyBlocks.Put(buf)
 	rc := http.NewResponseController(c.w)
 	extendedAt := c.start
-	left := x.resp.ContentLength - int64(len(x.bodyPrefix)) // negative for a chunked body
+	left := x.resp.ContentLength - int64(x.bodyPrefix.size) // negative for a chunked body
 	for {
 		if now := time.Now(); now.Sub(extendedAt) > deadlineExtendInterval {
 			extendedAt = now
