node: a planned stop refuses the calls that it would cut

Callers saw: 502 with an unknown outcome, during the planned stop of a node in calm, for calls that the node had accepted and passed on and whose target was running them, bids among them.

Cause: the node accepted calls for 3 s and aborted them 0.9 s before the end of the grace period, whatever that is. With 4 s, calls that took 1.25 s and arrived 1.85 to 2.1 s after the signal were aborted.

Ruled out: calls after the accept time (refused as not run), pipelined calls, the order of the stop.

Change: the steps are shares of the grace period, with the former values as upper limits; with 6 s only the abort moves, from 5.1 to 5.14 s. From the signal on the deadline of a new call ends with the abort, at the caller's node and at the target's, and a call that will probably not end by then is refused at once as not run. The balancer reports the probability of a missed deadline, which it already computed, with its choice.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -87,6 +87,7 @@
 type Picked struct {
 	Record   *member.Record // record of the target's node
 	Late     float64        // probability, 0..1, that the call misses its target latency; 0 for Pick
+	Missed   float64        // probability, 0..1, that the call misses its deadline; 0 for Pick
 	balancer *Balancer
 	endpoint *endpoint
 	ejection ejectionConfig
--- a/balance/loss.go
+++ b/balance/loss.go
@@ -153,7 +153,7 @@
 	if c.panicMode != s.panicMode.Load() {
 		s.panicMode.Store(c.panicMode)
 	}
-	e, late := c.leastLoss(t, d, s.classRatios.of(d.Class))
+	e, late, missed := c.leastLoss(t, d, s.classRatios.of(d.Class))
 	if e == nil {
 		e = c.lastResort(t)
 	}
@@ -161,12 +161,12 @@
 		return nil, errdefs.NotRun.New("service %q has no endpoint left", set.Announce)
 	}
 	e.inFlight.Add(1)
-	return &Picked{Record: e.record.Load(), Late: late, balancer: b, endpoint: e, ejection: ej}, nil
+	return &Picked{Record: e.record.Load(), Late: late, Missed: missed, balancer: b, endpoint: e, ejection: ej}, nil
 }
 
 // leastLoss returns the usable endpoint with the least expected loss, or nil, and
-// the probability that the call misses its target latency there.
-func (c *choice) leastLoss(t *table, d Demand, ratio float64) (best *endpoint, late float64) {
+// the probabilities that the call misses its target latency and its deadline there.
+func (c *choice) leastLoss(t *table, d Demand, ratio float64) (best *endpoint, late, missed float64) {
 	mean := c.meanGateState(t)
 	self := c.b.view.Self()
 	minLoss := math.Inf(1)
@@ -174,18 +174,19 @@
 		if !c.usable(e) {
 			continue
 		}
-		loss, share := c.loss(e, self, mean, d, ratio)
+		loss, lateHere, missedHere := c.loss(e, self, mean, d, ratio)
 		if loss += lossJitter * c.float(); loss < minLoss {
-			best, minLoss, late = e, loss, share
+			best, minLoss, late, missed = e, loss, lateHere, missedHere
 		}
 	}
-	return best, late
+	return best, late, missed
 }
 
 // loss estimates the expected loss at the endpoint as a share of the call's
-// value, and the probability that the call misses its target latency there. ratio
-// is the service time of the call's class relative to that of all calls.
-func (c *choice) loss(e *endpoint, self *member.Record, mean gateState, d Demand, ratio float64) (loss, late float64) {
+// value, and the probabilities that the call misses its target latency and its
+// deadline there. ratio is the service time of the call's class relative to that of
+// all calls.
+func (c *choice) loss(e *endpoint, self *member.Record, mean gateState, d Demand, ratio float64) (loss, late, missed float64) {
 	r := e.record.Load()
 	dist := distance(self, r)
 	expected := c.b.networkLatencies.of(dist) + c.expectedTime(e, mean, d.priorityIndex(), ratio)
@@ -193,10 +194,10 @@
 		expected += c.transferTime(e, d.BodyBytes)
 	}
 	late = lateness.Probability(expected, d.TargetLeft)
-	missed := lateness.Probability(expected, d.DeadlineLeft)
+	missed = lateness.Probability(expected, d.DeadlineLeft)
 	loss = lateLoss*late + (1-lateLoss)*missed
 	loss += (1 - loss) * failLoss * e.failed.value(c.now)
-	return loss + trafficCost(dist, d.Bytes), late
+	return loss + trafficCost(dist, d.Bytes), late, missed
 }
 
 // expectedTime returns the expected time that a call waits and runs at the
--- a/node/node.go
+++ b/node/node.go
@@ -115,7 +115,7 @@
 // stopTimeout returns the time limit of the graceful stop.
 func (n *Node) stopTimeout() time.Duration {
 	if p := n.settings.Platform; p != nil {
-		return p.Grace() - closeReserve
+		return newStopSchedule(p.Grace()).end
 	}
 	return n.settings.Stop.DrainTimeout() + stopMargin
 }
--- a/node/platform_test.go
+++ b/node/platform_test.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -136,13 +137,19 @@
 
 // startTargetWithBeat is startTarget with an interval between announcements.
 func (in *instance) startTargetWithBeat(work, beat time.Duration) {
+	in.platform.t.Helper()
+	in.startTargetWithSlots(work, beat, 4)
+}
+
+// startTargetWithSlots is startTargetWithBeat with a number of concurrent calls.
+func (in *instance) startTargetWithSlots(work, beat time.Duration, slots int) {
 	in.platform.t.Helper()
 	l, err := net.Listen("tcp", in.ip+":0")
 	if err != nil {
 		in.platform.t.Fatal(err)
 	}
 	in.target = standin.NewTarget(standin.TargetOptions{
-		ID: "i-" + in.ip, Service: testService, Addr: l.Addr().String(), Slots: 4, Work: work,
+		ID: "i-" + in.ip, Service: testService, Addr: l.Addr().String(), Slots: slots, Work: work,
 		Control: fmt.Sprintf("%s:%d", in.ip, in.platform.ports[4]), Beat: beat,
 	})
 	srv := &http.Server{Handler: in.target}
@@ -302,6 +309,61 @@
 	is.True(strings.Contains(in.log.String(), `"msg":"stopped"`))
 }
 
+// Pattern: planned stop in calm with a short grace period, callers that keep sending.
+// Guards against a stopping node that passes on calls and cuts them at the end of the
+// grace period, among them calls that must not run twice.
+func TestStoppingNodeCutsNoCall(t *testing.T) {
+	is := is.New(t)
+	s := newTestPlatform(t)
+	s.publish(1)
+	first, second := s.start(1), s.start(2)
+	eventually(t, "readiness", func() bool { return first.ready() == 200 && second.ready() == 200 })
+	second.startTargetWithSlots(1250*time.Millisecond, 200*time.Millisecond, 64) // of 1,500 ms that a call may take
+	eventually(t, "an answer", func() bool { status, _, _ := first.call("GET", "/lots/1", "a"); return status == 200 })
+	var callers sync.WaitGroup
+	var complete, refused atomic.Int32
+	stopped := make(chan struct{})
+	for i := range 60 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				id := fmt.Sprintf("b%d-%d", i, n)
+				status, _, body := first.call("POST", "/bids/1", id)
+				switch runs := second.target.Runs()[id]; {
+				case status == 200 && runs == 1:
+					complete.Add(1)
+				case runs == 0:
+					refused.Add(1)
+				default:
+					t.Errorf("%s ran %d times, status %d: %s", id, runs, status, body)
+				}
+				select {
+				case <-stopped:
+					return
+				case <-time.After(time.Duration(1+i) * 5 * time.Millisecond):
+				}
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	first.signal <- syscall.SIGTERM
+	is.NoErr(<-first.done)
+	close(stopped)
+	callers.Wait()
+	is.True(complete.Load() > 0)
+	is.True(refused.Load() > 0) // calls kept coming until the node was gone
+}
+
+// Guards against a stop whose steps are out of order or outlast the grace period.
+func TestStopSchedule(t *testing.T) {
+	is := is.New(t)
+	for _, grace := range []time.Duration{time.Second, 4 * time.Second, 6 * time.Second, 10 * time.Second, time.Minute} {
+		s := newStopSchedule(grace)
+		is.True(0 < s.linger && s.linger < s.refuse && s.refuse < s.abort && s.abort < s.end && s.end < grace)
+		is.True(s.abort >= grace*5/6) // a call in flight gets five sixths of the grace period at least
+		is.True(s.refuse <= 3*time.Second)
+	}
+}
+
 // Guards against a reload that requires a restart, is not logged, or replaces
 // the current settings by those of an invalid file.
 func TestNodeReloadsSettings(t *testing.T) {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -36,6 +36,7 @@
 	expectsContinue bool              // the caller sent Expect: 100-continue
 	addHeaders      func(http.Header) // adds this node's headers to the response; may be nil
 	headerFormat    HeaderFormat      // header format of the caller; set if fromCaller is
+	endsWithNode    bool              // the deadline is the time at which the stopping node aborts the call
 	responseStarted bool              // the response header was written to the caller
 	refused         *refusal          // result of the call; nil if it got a response
 	status          int               // HTTP status of the last attempt's response
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -8,6 +8,7 @@
 
 	"siskingw/admit"
 	"siskingw/idem"
+	"siskingw/lateness"
 )
 
 // InboundOptions configures an Inbound.
@@ -152,6 +153,7 @@
 	if f := c.setDeadline(maxDeadline, callerInfo); f != nil {
 		return f
 	}
+	in.limitDeadline(c)
 	if s, err := in.opts.HeaderFormat.ReadRequest(c.r.Header); err == nil {
 		c.id = s.ID
 	}
@@ -253,6 +255,9 @@
 
 // admit acquires a slot from the gate, waiting in its queue if necessary.
 func (in *Inbound) admit(c *call, b *Backend) (*admit.Ticket, *refusal) {
+	if f := c.refuseIfCut(lateness.Probability(b.Gate.ClassServiceTime(c.work.class), c.timeLeft())); f != nil {
+		return nil, f
+	}
 	c.gateCtx = deadlineContext{Context: c.ctx, deadline: c.deadline}
 	var ticket *admit.Ticket
 	var err error
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -119,6 +119,7 @@
 	if f := c.setDeadline(timeoutOf(res.Policy, c.kind), callerInfo); f != nil {
 		return f
 	}
+	o.limitDeadline(c)
 	c.work = c.newWork(res.Name, res.Policy)
 	c.work.caller = o.opts.Caller()
 	c.maxBodyBytes = maxBodyOf(res.Policy)
@@ -148,11 +149,11 @@
 		freeLeft: o.opts.Retries.FreeRetries, freeEnabled: o.opts.Retries.FreeRetries > 0}
 	for {
 		picked, err := o.pick(c, res, &t)
-		if err == nil && t.likelyRefused(picked, rand.Float64()) {
-			picked.Done(balance.Report{})
-			f := notRun(causeAllFull, "every endpoint is full", nil)
-			f.overloaded = true
-			return t.result(f)
+		if err == nil {
+			if f := t.refuseBeforeSending(c, picked); f != nil {
+				picked.Done(balance.Report{})
+				return t.result(f)
+			}
 		}
 		if err != nil {
 			if res.Fallback != nil {
@@ -177,6 +178,17 @@
 	}
 }
 
+// refuseBeforeSending returns a refusal if an attempt at the picked endpoint would
+// probably be in vain, or nil.
+func (t *retryState) refuseBeforeSending(c *call, picked *balance.Picked) *refusal {
+	if t.likelyRefused(picked, rand.Float64()) {
+		f := notRun(causeAllFull, "every endpoint is full", nil)
+		f.overloaded = true
+		return f
+	}
+	return c.refuseIfCut(picked.Missed)
+}
+
 // pick selects the endpoint for the next attempt.
 func (o *Outbound) pick(c *call, res *snapshot.ResolvedRoute, t *retryState) (*balance.Picked, error) {
 	if c.work.targetTime.IsZero() {
