proxy: drain the gate of a target that announces itself during a drain

Callers saw: calls passed on late in the grace period of a stopping node, to a target that had just announced itself there; they would be aborted at its end.

Cause: Drain closed the gate of the target in use. A target that announces itself later, or again after a silence, gets a new gate, which admitted calls.

Change: a draining node drains the gate of the target of each call.

Evidence: TestTargetAnnouncedDuringDrainGetsNoCalls got 200 instead of 503 on the old code and passes now.

--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -255,6 +255,9 @@
 
 // admit acquires a slot from the gate, waiting in its queue if necessary.
 func (in *Inbound) admit(c *call, b *Backend) (*admit.Ticket, *refusal) {
+	if in.draining.Load() {
+		b.Gate.Drain() // the target may have announced itself after the drain began
+	}
 	if f := c.refuseIfCut(lateness.Probability(b.Gate.ClassServiceTime(c.work.class), c.timeLeft())); f != nil {
 		return nil, f
 	}
--- a/proxy/shutdown_test.go
+++ b/proxy/shutdown_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"siskingw/admit"
 	"siskingw/object"
 )
 
@@ -51,3 +52,26 @@
 		})
 	}
 }
+
+// Pattern: planned stop, a target that starts meanwhile. Guards against a draining
+// node that passes calls to a target which has announced itself after the drain
+// began: they would be aborted at the end of the stop.
+func TestTargetAnnouncedDuringDrainGetsNoCalls(t *testing.T) {
+	is := is.New(t)
+	rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool {
+		io.WriteString(nc, okAnswer)
+		return true
+	})
+	r := newRig(t, nil, rt.addr)
+	in := r.inbounds[0]
+	backend := &Backend{Addr: rt.addr, Gate: admit.New(admit.Options{Slots: 4})}
+	in.opts.Backend = func() *Backend { return backend }
+	resp, _ := r.do(t, "POST", "/bids", "bid")
+	is.Equal(resp.StatusCode, 200)
+	in.Drain()
+	backend = &Backend{Addr: rt.addr, Gate: admit.New(admit.Options{Slots: 4})}
+	resp, _ = r.do(t, "POST", "/bids", "bid")
+	is.Equal(resp.StatusCode, 503)
+	is.Equal(resp.Header.Get(HeaderOutcome), OutcomeNotRun)
+	is.Equal(rt.runs.Load(), int32(1))
+}
