proxy: take a refusal as "not run" only with the ID of the call

Callers saw: 503 "not run" for a call that its target was running, and the node sent such a call, which must not run twice, to a second target.

Cause: a response without a call ID counted as the response to the call in progress. A target that writes an earlier refusal without an ID once more on a kept connection, such as that of a health check, is enough.

Change: a refusal without the ID of the call is no response of the target. The outcome is unknown, and the call is repeated only if it is idempotent. Targets echo the ID in all their responses, so sound ones are not affected.

--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -312,6 +312,10 @@
 			return responseToOtherCall
 		case !info.FromTarget:
 			return responseNotFromTarget
+		case info.NotRun && info.ID != c.id:
+			// Without the ID it may be a copy of an earlier refusal, sent while
+			// this call runs.
+			return responseNotFromTarget
 		}
 		return responseToCall
 	}
--- a/proxy/responses_test.go
+++ b/proxy/responses_test.go
@@ -125,6 +125,52 @@
 	is.Equal(resp.Header.Get(HeaderOutcome), OutcomeNotRun)
 }
 
+// Guards against a refusal that belongs to no known call, such as one that a target
+// writes once more on a kept connection, and that is taken as proof that this call
+// did not run: it is running.
+func TestRefusalWithoutCallIDIsNoProof(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 503 Busy\r\nSigned: 1\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 Misdirected\r\nSigned: 1\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		is := is.New(t)
+		rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool {
+			io.WriteString(nc, answer)
+			return true
+		})
+		r := newCallIDRig(t, &object.PolicySpec{Repeat: object.RepeatNever, MaxAttempts: 3}, rt)
+		resp, _ := r.do(t, "POST", "/", "bid", "Call", "c")
+		is.Equal(resp.StatusCode, 502)
+		is.Equal(resp.Header.Get(HeaderOutcome), OutcomeUnknown)
+		is.Equal(rt.runs.Load(), int32(1)) // not sent to a second target
+	}
+}
+
+// Guards against a refusal of an earlier call that a target writes once more, before
+// its response or alone, and that is taken as the response to this call.
+func TestRepeatedRefusalOfEarlierCall(t *testing.T) {
+	is := is.New(t)
+	const again = "HTTP/1.1 503 Busy\r\nSigned: 1\r\nRefused: 1\r\nCall: old\r\nContent-Length: 0\r\n\r\n"
+	rt := newRawTarget(t, func(nc net.Conn, r *http.Request, n int32) bool {
+		io.WriteString(nc, again)
+		if r.URL.Path == "/lost" {
+			return false
+		}
+		fmt.Fprintf(nc, "HTTP/1.1 200 OK\r\nSigned: 1\r\nCall: %s\r\nContent-Length: 2\r\n\r\nok", r.Header.Get("Call"))
+		return true
+	})
+	r := newCallIDRig(t, &object.PolicySpec{Repeat: object.RepeatNever, MaxAttempts: 3}, rt)
+	for i := range 5 {
+		resp, body := r.do(t, "POST", "/", "bid", "Call", fmt.Sprint("c", i))
+		is.Equal(resp.StatusCode, 200)
+		is.Equal(body, "ok")
+	}
+	resp, _ := r.do(t, "POST", "/lost", "bid", "Call", "d")
+	is.Equal(resp.StatusCode, 502)
+	is.Equal(resp.Header.Get(HeaderOutcome), OutcomeUnknown)
+	is.Equal(rt.runs.Load(), int32(6))
+}
+
 // Guards against calls that keep going to an address which another target has
 // taken over: the node must be notified of the first such response.
 func TestOtherTargetAtTheAddressIsReported(t *testing.T) {
