proxy: never send a call again to a target that refused it

Callers could see: 503 "not run" for a call that its target was running.

Cause: a call that a target had refused, and then the gate of another node, was sent once more to run late, with no node excluded. Back at the first target, a copy of the first refusal on another connection has the ID of the call and counts as the response to the second attempt.

Ruled out: the other retries, which exclude every node tried.

Change: nodes whose target itself refused the call stay excluded.

--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -61,6 +61,7 @@
 	freeEnabled    bool     // retries after refusals before the target saw the call are not charged
 	chargedRetries int      // retries charged to the budget
 	excluded       []string // IDs of nodes to exclude from the next pick
+	refusedBy      []string // IDs of nodes whose target itself refused the call
 	nextCharged    bool     // the next attempt is charged to the budget
 	allowLate      bool     // the next attempt may run late, see work.allowLate
 	lastRefusal    *refusal
@@ -92,7 +93,10 @@
 		}
 	}
 	t.lastRefusal = mergeRefusals(t.lastRefusal, f)
-	if !t.allowLate {
+	if f.reachedTarget {
+		t.refusedBy = append(t.refusedBy, node)
+	}
+	if !t.allowLate || f.reachedTarget {
 		t.excluded = append(t.excluded, node)
 	}
 	return t.noRetry == ""
@@ -131,12 +135,14 @@
 }
 
 // retryLate reports whether a call that was refused by a gate and has missed its
-// target latency is retried once more, to run late but before its deadline.
+// target latency is retried once more, to run late but before its deadline. It may
+// go to any node but those whose target refused it: a copy of that refusal could be
+// taken as the response to the second attempt.
 func (t *retryState) retryLate(c *call, f *refusal) bool {
 	if t.allowLate || !f.overloaded || c.work.targetTime.IsZero() || time.Until(c.work.targetTime) > 0 {
 		return false
 	}
-	t.allowLate, t.excluded = true, nil
+	t.allowLate, t.excluded = true, slices.Clone(t.refusedBy)
 	return true
 }
 
--- a/proxy/retry_test.go
+++ b/proxy/retry_test.go
@@ -80,3 +80,25 @@
 	is.True(state.shouldRetry(c, notRun("late", "", nil), "n-2"))              // free: the charged one was sent
 	is.True(state.result(noEndpoint()).retried)
 }
+
+// Guards against a call that is sent once more to a target which has refused it: a
+// copy of that refusal on another connection would be taken as the response to the
+// second attempt while that one runs.
+func TestTargetThatRefusedIsNotAskedAgain(t *testing.T) {
+	is := is.New(t)
+	state := retryState{policy: &object.PolicySpec{Repeat: object.RepeatNever, MaxAttempts: 4}, budget: newRetryBudget(10),
+		freeLeft: 3, freeEnabled: true}
+	c := &call{r: &http.Request{Method: http.MethodPost}, ctx: t.Context(), deadline: time.Now().Add(time.Second),
+		work: work{targetTime: time.Now().Add(-time.Millisecond)}}
+	byTarget, byGate := notRun(causeTarget, "", nil), notRun("late", "", nil)
+	byTarget.reachedTarget, byGate.overloaded = true, true
+	is.True(state.shouldRetry(c, byTarget, "n-1"))
+	state.freeLeft = 0
+	is.True(state.shouldRetry(c, byGate, "n-2")) // once more, late: gates may be asked again
+	is.True(state.allowLate)
+	is.Equal(state.excluded, []string{"n-1"})
+	late := notRun(causeTarget, "", nil)
+	late.reachedTarget = true
+	is.True(state.shouldRetry(c, late, "n-3"))
+	is.Equal(state.excluded, []string{"n-1", "n-3"})
+}
