node: confirm targets that do not report their load

A restarted node used such a target only after it had announced itself without a gap for longer than the expiry, 6 s on the platform, as the health check that confirms a target asked for its slots. They are needed only for a target that has not announced itself; the announcement states them otherwise.

Also: explain names a target that is not confirmed as the cause of a refusal.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -107,7 +107,8 @@
 // events. A later event supersedes earlier ones with the same topic.
 func topicOf(event string) string {
 	switch event {
-	case telemetry.EventTargetInUse, telemetry.EventTargetLost, telemetry.EventTargetFound:
+	case telemetry.EventTargetInUse, telemetry.EventTargetLost, telemetry.EventTargetFound,
+		telemetry.EventTargetUnconfirmed:
 		return "target"
 	case telemetry.EventStoreLost, telemetry.EventStoreBack:
 		return "store"
@@ -269,6 +270,9 @@
 	switch l.Event {
 	case telemetry.EventTargetLost:
 		return fmt.Sprintf("%s had no target since %s (%s).", l.Node, age, l.stringField("reason"))
+	case telemetry.EventTargetUnconfirmed:
+		return fmt.Sprintf("%s did not use its target %s: it is older than the process and its health check failed (%s).",
+			l.Node, age, quoteUnprintable(l.stringField("error")))
 	case telemetry.EventStoreLost:
 		return fmt.Sprintf("%s had lost the store %s.", l.Node, age)
 	case telemetry.EventStarting:
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -110,3 +110,13 @@
 		GroupRows(g.Groups(Query{}))
 	})
 }
+
+// Guards against an explanation that blames a missing target without telling that
+// the node did not use it yet after a restart.
+func TestUnconfirmedTargetIsExplained(t *testing.T) {
+	is := is.New(t)
+	c := read(t, strings.Replace(sample, `"msg":"target lost","node":"node-c","reason":"silent"`,
+		`"msg":"target not confirmed by its health check","node":"node-c","error":"status 503"`, 1)).Call("c1")
+	is.True(strings.Contains(c.Cause, `node-c did not use its target 1.5 s before`))
+	is.True(strings.Contains(c.Cause, "status 503"))
+}
--- a/node/confirm.go
+++ b/node/confirm.go
@@ -105,7 +105,11 @@
 		return false
 	}
 	t, err := platform.FindTarget(ctx, s.confirmations.client, addr, path)
-	if err == nil && candidate != nil && t.ID != candidate.ID {
+	switch {
+	case err != nil:
+	case candidate == nil && t.Slots == 0:
+		err = errdefs.Unhealthy.New("target %q does not state its slots", t.ID)
+	case candidate != nil && t.ID != candidate.ID:
 		err = errdefs.Unhealthy.New("target %q responds instead of %q", t.ID, candidate.ID)
 	}
 	if err != nil {
