node: confirm the target as soon as another node has answered

After a restart of all nodes, targets were in use again 0.76 to 1.0 s after the start of the node, before the confirmation 0.04 to 0.4 s: the health check waited for the end of the join, which takes 0.8 to 1.4 s when nobody has a full set.

Ruled out: the health check itself (4 to 7 ms) and the start of the configuration (same times in both logs).

Change: the node waits for the first answer of any node, which holds the departure if that node knows it, and for 0.5 s at most; then it checks at each new version, announcement and retry. A departure that arrives later ends the use of the target.

The soak has two more kinds of faults: a node is killed after it has acknowledged the departure of its target, with an announcement that is delayed until after the restart; and refusals without an ID that come while the request runs.

--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -61,6 +61,10 @@
 		j.onTarget("repeated responses", d, func(t *target, on bool) { t.repeats.Store(on) })
 	}},
 	{"odd announcements", false, (*injector).announceOddly},
+	{"departure before a kill", false, (*injector).killNodeAfterDeparture},
+	{"stray refusals", false, func(j *injector, d time.Duration) {
+		j.onTarget("stray refusals", d, func(t *target, on bool) { t.strayRefusals.Store(on) })
+	}},
 }
 
 const (
@@ -162,6 +166,33 @@
 	})
 }
 
+// killNodeAfterDeparture kills a node that has acknowledged the departure of its
+// target, and restarts it. An announcement from before the departure arrives only
+// when the target must not get requests any more.
+func (j *injector) killNodeAfterDeparture(d time.Duration) {
+	j.onInstance("kill", false, func(in *instance) {
+		leaving := in.target
+		delayed := leaving.standin.DelayedAnnouncement()
+		acknowledged := leaving.leave()
+		if acknowledged {
+			ackedAt := time.Now()
+			time.Sleep(d / 10)
+			in.node.Kill()
+			time.Sleep(restartPause)
+			j.startNode(in)
+			time.Sleep(time.Until(ackedAt.Add(drainTimeout)))
+			if err := delayed(context.Background()); err != nil {
+				j.log("%v", err)
+			}
+			time.Sleep(lateRequestTime)
+		}
+		_ = leaving.server.Close()
+		if err := j.cluster.startTarget(in); err != nil {
+			j.log("%v", err)
+		}
+	})
+}
+
 // killMostNodes kills up to 60% of the nodes at the same time.
 func (j *injector) killMostNodes(d time.Duration) {
 	const share = 0.6
--- a/bench/soak/target.go
+++ b/bench/soak/target.go
@@ -39,6 +39,7 @@
 	fails          atomic.Bool // every other response has status 500
 	endless        atomic.Bool // every fourth request runs and gets bytes without end
 	repeats        atomic.Bool // some responses are sent a second time
+	strayRefusals  atomic.Bool // every fourth request runs and gets a refusal without an ID
 	requests       atomic.Int64
 }
 
@@ -84,8 +85,20 @@
 }
 
 // deregister deregisters the target, serves requests until after drainTimeout, and
-// ends the target. It retries the deregistration up to 40 times.
+// ends the target.
 func (t *target) deregister() {
+	t.leave()
+	time.Sleep(drainTimeout + lateRequestTime)
+	_ = t.server.Close()
+}
+
+// lateRequestTime is how long a deregistered target goes on serving after
+// drainTimeout, to record requests that arrive too late.
+const lateRequestTime = time.Second
+
+// leave deregisters the target and reports whether that was acknowledged. It tries
+// up to 40 times.
+func (t *target) leave() (acknowledged bool) {
 	t.stop()
 	<-t.done
 	const tries, pause = 40, 50 * time.Millisecond
@@ -94,12 +107,11 @@
 			t.history.mu.Lock()
 			t.history.deregistrations = append(t.history.deregistrations, deregistration{t.id, time.Now()})
 			t.history.mu.Unlock()
-			break
+			return true
 		}
 		time.Sleep(pause)
 	}
-	time.Sleep(drainTimeout + time.Second) // to record requests that arrive too late
-	_ = t.server.Close()
+	return false
 }
 
 // ServeHTTP records the request and passes it to the standin.Target. If a fault is
@@ -129,6 +141,9 @@
 	case t.losesResponses.Load() && n%lostPeriod == lostRemainder:
 		t.standin.ServeHTTP(httptest.NewRecorder(), r)
 		panic(http.ErrAbortHandler)
+	case t.strayRefusals.Load() && n%lostPeriod == lostRemainder && !a.misdirected:
+		t.standin.ServeHTTP(httptest.NewRecorder(), r)
+		standin.WriteStrayRefusal(w)
 	case t.endless.Load() && n%lostPeriod == lostRemainder && !a.misdirected:
 		t.standin.ServeHTTP(httptest.NewRecorder(), r)
 		t.respondEndlessly(w, a.id, n)
--- a/member/join.go
+++ b/member/join.go
@@ -221,6 +221,7 @@
 	for {
 		chunk, err := stream.Recv()
 		if errors.Is(err, io.EOF) {
+			s.answeredOnce.Do(func() { close(s.answered) })
 			return complete && !domainOnly, nil
 		}
 		if err != nil {
--- a/member/service.go
+++ b/member/service.go
@@ -121,6 +121,7 @@
 	changes     *queue.Queue[[]*Record]
 	activeJoins atomic.Int64  // joins being served
 	joined      chan struct{} // closed when a full set of records was received
+	answered    chan struct{} // closed when another node has answered a join
 
 	syncLimiter *rate.Limiter
 
@@ -131,6 +132,7 @@
 	lastChange       time.Time
 	lastSync         time.Time
 	joinedOnce       sync.Once
+	answeredOnce     sync.Once
 	wake             chan struct{} // signals the dissemination loop that records are queued
 	wakeUrgent       chan struct{} // signals that some of them are urgent
 }
@@ -143,6 +145,7 @@
 		detector:         newDetector(dir, opts.Heartbeat, opts.SuspectTimeout, newRand()),
 		changes:          queue.New[[]*Record](changeQueueLength, queue.DropOldest),
 		joined:           make(chan struct{}),
+		answered:         make(chan struct{}),
 		sendQueue:        newSendQueue(dir, opts.ByteRate, opts.ByteBurst),
 		downgradedDeaths: make(map[string]downgradedDeath),
 		wake:             make(chan struct{}, 1),
@@ -174,9 +177,9 @@
 	return g.Wait()
 }
 
-// Joined returns a channel that is closed when this node has received a full
-// set of records.
-func (s *Service) Joined() <-chan struct{} { return s.joined }
+// Answered returns a channel that is closed when the first other node has answered
+// a join. This node then knows what that node knew about its earlier processes.
+func (s *Service) Answered() <-chan struct{} { return s.answered }
 
 // Drain announces that this node's target takes no new calls. It returns when
 // the relays of its failure domain have received that or ctx ends.
--- a/node/confirm.go
+++ b/node/confirm.go
@@ -14,9 +14,10 @@
 )
 
 const (
-	// joinWait is how long a starting node waits for the records of other nodes
-	// before it checks its target without them.
-	joinWait = time.Second
+	// answerWait is how long a starting node waits for the records of another node,
+	// which may hold a departure, before it checks its target without them. A
+	// departure that arrives later still ends the use of the target.
+	answerWait = 500 * time.Millisecond
 	// healthAttempts, healthPause and healthTimeout limit the health checks after
 	// one request. The target's next announcement requests further ones.
 	healthAttempts = 3
@@ -57,48 +58,40 @@
 	select {
 	case <-ctx.Done():
 		return
-	case <-s.member.service.Joined():
-	case <-time.After(joinWait):
+	case <-s.member.service.Answered():
+	case <-time.After(answerWait):
 	}
 	s.adoptDeparture()
-	s.checkRepeatedly(ctx, s.checkTarget)
-	for {
+	retry := time.NewTimer(0)
+	for attempts := 0; ; {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.confirmations.departure:
 			s.adoptDeparture()
+			continue
 		case <-s.confirmations.requested:
-			s.checkRepeatedly(ctx, func(ctx context.Context) bool {
-				return s.registry.Candidate(time.Now()) == nil || s.checkTarget(ctx)
-			})
+			attempts = 0
+		case <-retry.C:
 		}
-	}
-}
-
-// checkRepeatedly calls check until it reports that no further one is needed, at
-// most healthAttempts times.
-func (s *targetService) checkRepeatedly(ctx context.Context, check func(context.Context) bool) {
-	for range healthAttempts {
-		if check(ctx) {
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(healthPause):
+		if attempts++; !s.checkTarget(ctx) && attempts < healthAttempts {
+			retry.Reset(healthPause)
 		}
 	}
 }
 
-// checkTarget runs a health check of the candidate or, without one, of the target
-// that the settings name. It reports whether no further check is needed.
+// checkTarget runs a health check of the candidate or, if no target has announced
+// itself yet, of the one that the settings name. It reports whether no further check
+// is needed.
 func (s *targetService) checkTarget(ctx context.Context) bool {
 	p := s.node.liveSettings.Load().Platform
 	service, addr := p.Service, p.TargetAddress
 	candidate := s.registry.Candidate(time.Now())
-	if candidate != nil {
+	switch {
+	case candidate != nil:
 		service, addr = candidate.Service, candidate.Address
+	case s.registry.Heard():
+		return true
 	}
 	path := s.healthPath(service)
 	if path == "" || addr == "" {
--- a/node/target_test.go
+++ b/node/target_test.go
@@ -142,6 +142,9 @@
 	}
 	first = s.startBeside(1, target)
 	eventually(t, "readiness after the restart", func() bool { return first.ready() == 200 && second.ready() == 200 })
+	if !c.restartAll {
+		eventually(t, "the departure at the restarted node", func() bool { return first.node.dir.Self().TargetDeparture != nil })
+	}
 	if c.delayed {
 		is.NoErr(delayed(t.Context()))
 	}
--- a/targets/registry.go
+++ b/targets/registry.go
@@ -156,6 +156,13 @@
 // methods.
 func (r *Registry) RequireConfirmation(createdAt time.Time) { r.createdAt = createdAt }
 
+// Heard reports whether the registry knows a target or the departure of one.
+func (r *Registry) Heard() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.entries) > 0 || len(r.departures) > 0
+}
+
 // Candidate returns the latest start that needs a confirmation, or nil.
 func (r *Registry) Candidate(now time.Time) *Target {
 	r.mu.Lock()
