node: keep only departures of the instance's own target

Any DELETE at the control address became the departure in the membership record, which goes to every node. Another program that writes there, or a long id, could replace the departure of the instance's own target, grow the record, and push a new one for each request.

Change: a departure is kept if its target is known, or if nothing has been heard of any target yet, and if its id has 256 bytes at most. The record decides about announcements directly, so the registry may forget a departure.

--- a/node/platform.go
+++ b/node/platform.go
@@ -111,6 +111,8 @@
 		return errdefs.Invalid.New("announcement of %q: service %q is not in the configuration", a.ID, a.Service)
 	}
 	now := time.Now()
+	left := s.node.dir.Self().TargetDeparture
+	a.Leaving = a.Leaving || left.Covers(a.ID, a.Started.UnixMilli())
 	err := s.registry.Announce(a, now)
 	if errorx.IsOfType(err, errdefs.Stale) {
 		return nil
@@ -139,7 +141,11 @@
 // Leave implements platform.TargetSink.
 func (s *targetService) Leave(id string, started time.Time) error {
 	now := time.Now()
+	foreign := s.registry.Heard() && !s.registry.Knows(id) // not the target of this instance
 	s.registry.Leave(id, started, now)
+	if foreign {
+		return nil
+	}
 	if started.IsZero() {
 		started = now
 	}
@@ -147,10 +153,14 @@
 	return nil
 }
 
+// maxTargetIDBytes bounds the ID of a target, in bytes, whose departure the
+// membership record of this node holds: the record goes to every node.
+const maxTargetIDBytes = 256
+
 // keepDeparture hands the departure of a target to other nodes before it is
 // acknowledged: a later process of this node gets it back from them.
 func (s *targetService) keepDeparture(id string, started time.Time) {
-	if !s.node.dir.RecordTargetDeparture(id, started.UnixMilli()) {
+	if len(id) > maxTargetIDBytes || !s.node.dir.RecordTargetDeparture(id, started.UnixMilli()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
--- a/node/target_test.go
+++ b/node/target_test.go
@@ -91,6 +91,42 @@
 	is.True(strings.Contains(first.log.String(), "silent")) // the target expired while its calls ran
 }
 
+// Guards against departures of other targets, sent by another program, that replace
+// the one of the instance's own target or grow the record that every node keeps.
+func TestForeignDeparturesAreNotKept(t *testing.T) {
+	is := is.New(t)
+	s := newTestPlatform(t)
+	s.publish(1)
+	in := s.start(1)
+	eventually(t, "readiness", func() bool { return in.ready() == 200 })
+	in.startTargetWithBeat(time.Millisecond, time.Hour)
+	eventually(t, "an answer", func() bool { status, _, _ := in.call("GET", "/lots/1", "a"); return status == 200 })
+	leave := func(id string) {
+		req, err := http.NewRequest("DELETE", fmt.Sprintf("http://%s:%d/endpoints/%s", in.ip, s.ports[4], id), nil)
+		is.NoErr(err)
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+	delayed := in.target.DelayedAnnouncement()
+	for i := range 3 {
+		leave(fmt.Sprint("other-", i))
+	}
+	is.True(in.node.dir.Self().TargetDeparture == nil)
+	leave("i-" + in.ip)
+	kept := in.node.dir.Self().TargetDeparture
+	is.Equal(kept.Target, "i-"+in.ip)
+	leave(strings.Repeat("x", 4*maxTargetIDBytes))
+	is.Equal(in.node.dir.Self().TargetDeparture, kept)
+	for i := range 200 { // more than the registry keeps
+		leave(fmt.Sprint("more-", i%100))
+	}
+	is.Equal(in.node.dir.Self().TargetDeparture, kept)
+	is.NoErr(delayed(t.Context()))
+	is.True(in.node.target.currentBackend() == nil)
+}
+
 // departureCase is one way in which a node restarts after it has acknowledged the
 // departure of its target, which still runs.
 type departureCase struct {
--- a/targets/registry.go
+++ b/targets/registry.go
@@ -156,6 +156,18 @@
 // methods.
 func (r *Registry) RequireConfirmation(createdAt time.Time) { r.createdAt = createdAt }
 
+// Knows reports whether a start of the target with the ID is known.
+func (r *Registry) Knows(id string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k := range r.entries {
+		if k.id == id {
+			return true
+		}
+	}
+	return false
+}
+
 // Heard reports whether the registry knows a target or the departure of one.
 func (r *Registry) Heard() bool {
 	r.mu.Lock()
