node: use a target at once that started just before the node

They had started together with the nodes, so that no earlier process can have acknowledged their departure, and cold targets answer a health check slowly.

Change: a target that started within 2 s before the process needs no confirmation: targets run for longer before they leave. Its departure is still known to the other nodes.

--- a/node/confirm.go
+++ b/node/confirm.go
@@ -14,6 +14,10 @@
 )
 
 const (
+	// shortestLife is how long a target runs at least before it leaves. A target
+	// that started within that time before this process, as when a whole instance
+	// starts, cannot have left to an earlier one.
+	shortestLife = 2 * time.Second
 	// answerWait is how long a starting node waits for the records of another node,
 	// which may hold a departure, before it checks its target without them. A
 	// departure that arrives later still ends the use of the target.
--- a/node/platform.go
+++ b/node/platform.go
@@ -62,9 +62,7 @@
 		confirmations: newTargetConfirmations(),
 	}
 	s.registry.OnChange(s.onTargetChange)
-	if !n.settings.Platform.FirstStart {
-		s.registry.RequireConfirmation(time.Now())
-	}
+	s.registry.RequireConfirmation(time.Now().Add(-shortestLife))
 	return s
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -82,9 +82,6 @@
 	// TargetAddress is the address at which a starting node health-checks the
 	// target of this instance; empty on an instance without a target.
 	TargetAddress string `json:"targetAddress,omitempty"`
-	// FirstStart is true while the fleet starts for the first time. No earlier
-	// process can have acknowledged a target's departure then.
-	FirstStart bool `json:"firstStart,omitempty"`
 	// SeedHosts are addresses of other nodes that serve as seeds. Their ports are
 	// ignored: all nodes have the same peer port.
 	SeedHosts []string `json:"seedHosts,omitempty"`
--- a/targets/registry.go
+++ b/targets/registry.go
@@ -6,10 +6,10 @@
 // becomes current again. A delayed announcement of an earlier start at the same
 // address does not replace the current one.
 //
-// A registry that may have had a predecessor, in an earlier process of the node,
-// does not know which departures that one has acknowledged. It takes the
-// announcement of a start from before its own time only as a candidate, until the
-// start is confirmed; see RequireConfirmation.
+// The registry of a process does not know which departures an earlier process of
+// the node has acknowledged. It takes the announcement of a start from before its
+// own time only as a candidate, until the start is confirmed; see
+// RequireConfirmation.
 package targets
 
 import (
@@ -111,13 +111,13 @@
 type Registry struct {
 	expiry time.Duration // a target silent for longer counts as gone
 
-	mu           sync.Mutex
-	entries      map[startKey]*entry
-	departures   map[string]departure // departures of starts that may be unknown, by target ID
-	createdAt    time.Time            // earlier starts need a confirmation; zero for none
-	current      *entry
-	lastReported *Target // as last passed to onChange
-	onChange     func(*Target, Loss)
+	mu            sync.Mutex
+	entries       map[startKey]*entry
+	departures    map[string]departure // departures of starts that may be unknown, by target ID
+	confirmBefore time.Time            // starts before it need a confirmation; zero for none
+	current       *entry
+	lastReported  *Target // as last passed to onChange
+	onChange      func(*Target, Loss)
 }
 
 // Loss describes why the current target was lost. The zero Loss means that none
@@ -147,14 +147,14 @@
 // other methods.
 func (r *Registry) OnChange(f func(*Target, Loss)) { r.onChange = f }
 
-// RequireConfirmation makes starts from before the given time candidates: a
-// predecessor of this registry may have acknowledged their departure, and their
-// announcements may be delayed ones. A candidate becomes usable when Confirm is
+// RequireConfirmation makes starts from before the given time candidates: an earlier
+// process may have acknowledged their departure, and their announcements may be
+// delayed ones. A candidate becomes usable when Confirm is
 // called, or when it has announced itself without a gap for longer than the
 // expiry: no target announces itself after its departure, and an announcement is
 // not delayed for so long. RequireConfirmation must be called before all other
 // methods.
-func (r *Registry) RequireConfirmation(createdAt time.Time) { r.createdAt = createdAt }
+func (r *Registry) RequireConfirmation(before time.Time) { r.confirmBefore = before }
 
 // Knows reports whether a start of the target with the ID is known.
 func (r *Registry) Knows(id string) bool {
@@ -222,7 +222,7 @@
 		return errdefs.Stale.New("announcement %d of %q is not newer than %d", a.Sequence, a.ID, e.sequence)
 	}
 	if e == nil {
-		e = &entry{candidate: !confirmed && a.Started.Before(r.createdAt), steady: now}
+		e = &entry{candidate: !confirmed && a.Started.Before(r.confirmBefore), steady: now}
 		r.addEntry(k, e, now)
 	}
 	if now.Sub(e.lastHeard) > r.expiry {
