--- a/node/confirm.go
+++ b/node/departure.go
@@ -137,6 +137,21 @@
 		"startedMs", candidate.Started.UnixMilli(), "error", err.Error())
 }
 
+// maxTargetIDBytes bounds the ID of a target, in bytes, whose departure the
+// membership record of this node holds: the record goes to every node.
+const maxTargetIDBytes = 256
+
+// keepDeparture hands the departure of a target to other nodes before it is
+// acknowledged: a later process of this node gets it back from them.
+func (s *targetService) keepDeparture(id string, started time.Time) {
+	if len(id) > maxTargetIDBytes || !s.node.dir.RecordTargetDeparture(id, started.UnixMilli()) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+	defer cancel()
+	s.member.service.AnnounceTargetDeparture(ctx)
+}
+
 // onMemberChange requests the adoption of a departure that another node has given
 // back.
 func (s *targetService) onMemberChange(changed []*member.Record) {
--- a/proxy/endless_test.go
+++ b/proxy/endless_test.go
@@ -163,77 +163,69 @@
 // Guards against a target whose bytes without end grow the memory of the node.
 func TestEndlessBytesAreNotKept(t *testing.T) {
 	for _, e := range endlessBytes {
-		rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool {
-			sendEndlessly(nc, e.first, e.repeat, 0)
-			return false
-		})
-		r := newCallIDRig(t, &object.PolicySpec{TimeoutMs: 300}, rt)
-		runtime.GC()
-		before := heapBytes()
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			r.outcomeOf(t, "/endless")
-		}()
-		peak := before
-		for done := false; !done; {
-			select {
-			case <-ended:
-				done = true
-			case <-time.After(10 * time.Millisecond):
-				peak = max(peak, heapBytes())
-			}
-		}
-		if peak-before > endlessMemory {
-			t.Errorf("%s: the heap grew by %d bytes", e.name, peak-before)
-		}
+		r := newEndlessRig(t, e.first, e.repeat)
+		checkHeapGrowth(t, e.name, func() { r.outcomeOf(t, "/endless") })
 	}
 }
 
-// heapBytes returns the bytes of the heap in use, garbage included.
-func heapBytes() int64 {
-	var m runtime.MemStats
-	runtime.ReadMemStats(&m)
-	return int64(m.HeapAlloc)
-}
-
 // Guards against a target whose bytes without end, on as many calls as it has slots,
 // grow the memory of the node with the platform's limit on buffered responses.
 func TestEndlessBytesOnEverySlotAreNotKept(t *testing.T) {
 	const calls, buffered = 13, 256 << 10
 	for _, e := range endlessBytes {
-		rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool {
-			sendEndlessly(nc, e.first, e.repeat, 0)
-			return false
-		})
-		r := newCallIDRig(t, &object.PolicySpec{TimeoutMs: 300}, rt)
+		r := newEndlessRig(t, e.first, e.repeat)
 		r.out.opts.Responses.BufferBytes = buffered
 		for _, in := range r.inbounds {
 			in.opts.Responses.BufferBytes = buffered
 		}
-		runtime.GC()
-		before := heapBytes()
-		var waiting sync.WaitGroup
-		for range calls {
-			waiting.Go(func() { r.outcomeOf(t, "/endless") })
-		}
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			waiting.Wait()
-		}()
-		peak := before
-		for done := false; !done; {
-			select {
-			case <-ended:
-				done = true
-			case <-time.After(10 * time.Millisecond):
-				peak = max(peak, heapBytes())
+		checkHeapGrowth(t, e.name, func() {
+			var waiting sync.WaitGroup
+			for range calls {
+				waiting.Go(func() { r.outcomeOf(t, "/endless") })
 			}
-		}
-		t.Logf("%s: %d KB", e.name, (peak-before)>>10)
-		if peak-before > endlessMemory {
-			t.Errorf("%s: the heap grew by %d bytes", e.name, peak-before)
+			waiting.Wait()
+		})
+	}
+}
+
+// newEndlessRig returns a rig in front of a target that sends bytes without end.
+func newEndlessRig(t *testing.T, first, repeat string) *rig {
+	rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool {
+		sendEndlessly(nc, first, repeat, 0)
+		return false
+	})
+	return newCallIDRig(t, &object.PolicySpec{TimeoutMs: 300}, rt)
+}
+
+// checkHeapGrowth runs f and checks that the heap grows by less than endlessMemory
+// meanwhile.
+func checkHeapGrowth(t *testing.T, name string, f func()) {
+	t.Helper()
+	runtime.GC()
+	before := heapBytes()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		f()
+	}()
+	peak := before
+	for done := false; !done; {
+		select {
+		case <-ended:
+			done = true
+		case <-time.After(10 * time.Millisecond):
+			peak = max(peak, heapBytes())
 		}
 	}
+	t.Logf("%s: %d KB", name, (peak-before)>>10)
+	if peak-before > endlessMemory {
+		t.Errorf("%s: the heap grew by %d bytes", name, peak-before)
+	}
+}
+
+// heapBytes returns the bytes of the heap in use, garbage included.
+func heapBytes() int64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
 }
