soak: a refusal of a starting node does not show that it served a version

Trace: the process of node 1 started at 21.794 s and answered three calls at 21.800 to 21.804 with 503, cause no_configuration; it put version 1 in force at 21.806 and answered 404, as version 1 has no such route, until it put version 2 in force at 22.217 s. No node had version 2 in force before 22.216 s. The check took each status but 404 for a sign that the route was known, also these refusals. Going from no configuration to the older of two versions within the convergence time is allowed.

Ruled out: an older version put in force after a newer one (each process logs rising versions only).

Change: a node's own 503 counts no longer; instead each call that reached a target counts, also if its response was lost or was a refusal, which the check left out before. All other responses count as before.

Evidence: TestVersionServedByNode, which has both directions, fails on the old check and passes.

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -106,18 +106,29 @@
 	}
 }
 
+// hasRoute reports whether the attempt shows that the node had its route: a target
+// received it, or the response can only come after the route was found. A refusal of
+// the node itself can also come from a process without a configuration.
+func (a *attempt) hasRoute(arrived bool) bool {
+	refused := a.fromNode && a.status == http.StatusServiceUnavailable
+	return arrived || a.status != 0 && a.status != http.StatusNotFound && !refused
+}
+
 // checkVersions checks that every version is in force within convergeTimeout of
 // its publication, and that no node process returns to an older version.
 func (r *runHistory) checkVersions(add func(guarantee, format string, args ...any)) {
 	type nodeProcess struct{ node, restarts int }
 	served := make(map[nodeProcess][]*attempt)
+	arrived := make(map[string]bool)
+	for _, a := range r.arrivals {
+		arrived[a.id] = true
+	}
 	for _, a := range r.attempts {
-		if a.version == 0 || a.status == 0 {
-			continue
-		}
-		if a.status != http.StatusNotFound {
+		if a.version != 0 && a.hasRoute(arrived[a.id]) {
 			k := nodeProcess{a.node, a.restarts}
 			served[k] = append(served[k], a)
+		}
+		if a.version == 0 || a.status != http.StatusNotFound {
 			continue
 		}
 		i := slices.IndexFunc(r.publications, func(p publication) bool { return p.version == a.version })
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -116,3 +116,33 @@
 	r.faults = nil
 	is.Equal(len(countByGuarantee(r)), 2)
 }
+
+// Guards against a refusal of a starting node, which has no configuration yet, that
+// counts as serving the version of the requested route (seed 1796492645), and against
+// a call that reached a target and does not count because its response was lost or
+// was a refusal.
+func TestVersionServedByNode(t *testing.T) {
+	for _, c := range []struct {
+		status            int
+		fromNode, arrived bool
+		violations        int
+	}{
+		{503, true, false, 0},
+		{503, true, true, 1},
+		{503, false, false, 1},
+		{502, true, false, 1},
+		{0, false, false, 0},
+		{0, false, true, 1},
+	} {
+		is := is.New(t)
+		r := newRunHistory()
+		a, b := finishedAttempt("a", c.status), finishedAttempt("b", 404)
+		a.version, b.version, a.fromNode = 7, 7, c.fromNode
+		b.sentAt = after(11 * time.Second)
+		r.attempts["a"], r.attempts["b"] = a, b
+		if c.arrived {
+			r.arrivals = []arrival{{id: "a", arrivedAt: after(10 * time.Second)}}
+		}
+		is.Equal(countByGuarantee(r)["no way back"], c.violations)
+	}
+}
