node: the test of a running target checks the reason of a refused health check

It asserted that no health check fails, which a busy machine can break: the check has 300 ms. It now asserts what it guards against, that a response with status 200 confirms the target, with and without the target's load.

--- a/node/target_test.go
+++ b/node/target_test.go
@@ -197,13 +197,12 @@
 // itself.
 func TestRestartedNodeUsesRunningTarget(t *testing.T) {
 	for _, c := range []struct {
-		name      string
-		change    func(*standin.Target)
-		confirmed bool // by the health check
+		name   string
+		change func(*standin.Target)
 	}{
-		{"health check succeeds", func(*standin.Target) {}, true},
-		{"health check without load", (*standin.Target).HideLoad, true},
-		{"health check fails", (*standin.Target).SetFailingHealth, false},
+		{"health check succeeds", func(*standin.Target) {}},
+		{"health check without load", (*standin.Target).HideLoad},
+		{"health check fails", (*standin.Target).SetFailingHealth},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
@@ -220,9 +219,10 @@
 				status, _, _ := second.call("GET", "/lots/1", "b"+strconv.FormatInt(time.Now().UnixNano(), 10))
 				return status == 200
 			})
-			// A failed check is not always logged: the target may have announced
-			// itself for long enough before the first one.
-			is.True(!c.confirmed || !strings.Contains(first.log.String(), telemetry.EventTargetUnconfirmed))
+			// A response with status 200 must confirm the target. On a busy machine a
+			// check may also time out, or the target may have announced itself for
+			// long enough before the first one.
+			is.True(!strings.Contains(first.log.String(), "status 200, target"))
 		})
 	}
 }
