--- a/targets/registry.go
+++ b/targets/registry.go
@@ -89,7 +89,7 @@
 	probed    bool // responded to a health check, but has not announced itself yet
 	candidate bool // may have left before this registry existed, see RequireConfirmation
 	lastHeard time.Time
-	steady    time.Time // since when it has announced itself without a gap
+	steady    time.Time // since when it has announced itself without a gap above the expiry
 }
 
 // departure is a departure that covers all starts of a target up to one.
@@ -149,11 +149,10 @@
 
 // RequireConfirmation makes starts from before the given time candidates: an earlier
 // process may have acknowledged their departure, and their announcements may be
-// delayed ones. A candidate becomes usable when Confirm is
-// called, or when it has announced itself without a gap for longer than the
-// expiry: no target announces itself after its departure, and an announcement is
-// not delayed for so long. RequireConfirmation must be called before all other
-// methods.
+// delayed ones. A candidate becomes usable when Confirm is called, or when it has
+// announced itself without a gap for longer than the expiry: no target announces
+// itself after its departure, and an announcement is not delayed for so long.
+// RequireConfirmation must be called before all other methods.
 func (r *Registry) RequireConfirmation(before time.Time) { r.confirmBefore = before }
 
 // Knows reports whether a start of the target with the ID is known.
