--- a/admit/target.go
+++ b/admit/target.go
@@ -17,6 +17,14 @@
 	// Late marks a call that is wanted although it is expected to miss its
 	// target latency. It runs only when no call that can meet its own is queued.
 	Late bool
+	// Tenant is the organisation on whose behalf the call is made; empty for none.
+	Tenant string
+	// Weight is the tenant's share of the slots relative to other tenants of the
+	// same priority; 0 counts as 1.
+	Weight float64
+	// Nested marks a call that a target makes while it runs another call. Refusing
+	// it wastes the work already done for that one.
+	Nested bool
 }
 
 const (
--- a/member/record.go
+++ b/member/record.go
@@ -57,6 +57,11 @@
 	Service       string // announced service name, empty for a node without a target
 	Slots         uint32 // number of calls that the target runs concurrently
 
+	TargetVersion string // version of the target's software; empty if not stated
+	// TargetNote is what the node states about its target to other packages, in
+	// their encoding; at most MaxTargetNoteBytes.
+	TargetNote []byte
+
 	// TargetDeparture is the last departure of a target that this node or an
 	// earlier process of it has acknowledged; nil for none. Nodes keep it when a
 	// record of a later process replaces this one.
@@ -68,6 +73,9 @@
 	DepartedMs int64
 }
 
+// MaxTargetNoteBytes bounds TargetNote: every node holds the records of all.
+const MaxTargetNoteBytes = 512
+
 // Supersedes reports whether r replaces old. It compares the incarnation first,
 // then the sequence, then the precedence of the state.
 func (r *Record) Supersedes(old *Record) bool {
--- a/node/platform.go
+++ b/node/platform.go
@@ -178,9 +178,9 @@
 		old.Gate.Drain()
 	}
 	s.node.dir.UpdateSelf(func(r *member.Record) {
-		r.Service, r.Slots = "", 0
+		r.Service, r.Slots, r.TargetVersion = "", 0, ""
 		if t != nil {
-			r.Service, r.Slots = t.Service, uint32(t.Slots)
+			r.Service, r.Slots, r.TargetVersion = t.Service, uint32(t.Slots), t.Version
 		}
 	})
 }
--- a/object/object.go
+++ b/object/object.go
@@ -72,9 +72,10 @@
 
 // The kinds of work, the most important first.
 const (
-	WorkBid    WorkKind = "bid"
-	WorkUpload WorkKind = "upload"
-	WorkPage   WorkKind = "page"
+	WorkBid      WorkKind = "bid"
+	WorkUpload   WorkKind = "upload"
+	WorkPage     WorkKind = "page"
+	WorkDownload WorkKind = "download" // a page with a large response
 )
 
 // RouteSpec routes requests to one service, or to several by weight.
--- a/object/validate.go
+++ b/object/validate.go
@@ -125,7 +125,7 @@
 			"%q must begin with / and hold at most %d printable characters other than space, ? and #",
 			r.PathPrefix, maxPathLength)
 	}
-	if !slices.Contains([]WorkKind{"", WorkBid, WorkUpload, WorkPage}, r.Kind) {
+	if !slices.Contains([]WorkKind{"", WorkBid, WorkUpload, WorkPage, WorkDownload}, r.Kind) {
 		v.report(o, "spec.kind", "%q is not a kind of work; want bid, upload or page", r.Kind)
 	}
 }
--- a/proxy/headerformat.go
+++ b/proxy/headerformat.go
@@ -56,6 +56,9 @@
 	Running int  // calls that the target is running
 	Waiting int  // calls that wait in the target's queue
 	Slots   int  // calls that the target runs concurrently at most
+	// Slowness is how long work takes on the target's machine at this moment,
+	// relative to the usual time; 0 if the target does not state it.
+	Slowness float64
 }
 
 // nativeFormat is the HeaderFormat of callers and targets that use the Siskingw-
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -86,6 +86,7 @@
 	noUserAgent     = []string{""} // keeps Request.Write from adding its own
 	kindValues      = map[object.WorkKind][]string{
 		object.WorkBid: {"bid"}, object.WorkUpload: {"upload"}, object.WorkPage: {"page"},
+		object.WorkDownload: {"download"},
 	}
 	loadValues = newLoadValues()
 )
@@ -151,7 +152,7 @@
 // that is shed first under overload.
 func ParseKind(v string) object.WorkKind {
 	switch k := object.WorkKind(v); k {
-	case object.WorkBid, object.WorkUpload:
+	case object.WorkBid, object.WorkUpload, object.WorkDownload:
 		return k
 	}
 	return object.WorkPage
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -187,7 +187,8 @@
 
 // admissionWork returns the description of the call for admission control.
 func (c *call) admissionWork() admit.Work {
-	return admit.Work{Class: c.work.class, Priority: c.work.priority, TargetTime: c.work.targetTime, Late: c.work.allowLate}
+	return admit.Work{Class: c.work.class, Priority: c.work.priority, TargetTime: c.work.targetTime, Late: c.work.allowLate,
+		Tenant: c.work.tenant, Weight: c.work.weight, Nested: c.work.nested}
 }
 
 // forward forwards the call to the target unless the gate or the ledger of
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -31,7 +31,7 @@
 
 var callResultNames = [callResultCount]string{"answered", OutcomeNotRun, OutcomeUnknown, "aborted"}
 
-var kinds = [...]object.WorkKind{object.WorkBid, object.WorkUpload, object.WorkPage}
+var kinds = [...]object.WorkKind{object.WorkBid, object.WorkUpload, object.WorkPage, object.WorkDownload}
 
 // Metrics holds the metrics of both handlers. A nil *Metrics records nothing.
 type Metrics struct {
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -19,6 +19,9 @@
 	idempotent bool      // the call is idempotent
 	allowLate  bool      // admit the call even if it will probably miss its target latency
 	caller     string    // name of the calling service
+	tenant     string    // organisation on whose behalf the call is made; empty for none
+	weight     float64   // share of the tenant relative to others, see admit.Work
+	nested     bool      // made by a target while it runs another call
 }
 
 // workFieldCount is the number of fields in a HeaderWork value. The last one may
--- a/settings/platform_test.go
+++ b/settings/platform_test.go
@@ -66,8 +66,13 @@
 		"{{listen.ready}}", "10.0.0.1:7", "{{ip}}", "10.0.0.1", "{{port_range.0}}", "3", "{{port_range.1}}", "4",
 		"{{platform.address}}", "10.0.9.9:6", `{{#seeds}}"{{.}}"{{,}}{{/seeds}}`, `"10.0.0.2:5", "10.0.0.3:5"`,
 	).Replace(string(b))
-	values = regexp.MustCompile(`\{\{[a-z_.]+\}\}`).ReplaceAllString(values, "1")
-	s, err := Parse([]byte(values))
-	is.NoErr(err)
-	is.Equal(len(s.Seeds), 2)
+	optional := regexp.MustCompile(`\{\{#bounds\.[a-z_]+\}\}(.*?)\{\{/bounds\.[a-z_]+\}\}`)
+	for _, content := range []string{"", "$1"} { // deployments without and with the optional bounds
+		filled := optional.ReplaceAllString(values, content)
+		filled = regexp.MustCompile(`\{\{[a-z_.]+\}\}`).ReplaceAllString(filled, "1")
+		s, err := Parse([]byte(filled))
+		is.NoErr(err)
+		is.Equal(len(s.Seeds), 2)
+		is.Equal(s.Platform.QuotaSlack > 0, content != "")
+	}
 }
--- a/targets/registry.go
+++ b/targets/registry.go
@@ -29,6 +29,7 @@
 	Slots      int           // maximum of concurrent calls
 	Leaving    bool          // it accepts no new calls
 	WarmupLeft time.Duration // rest of its warm-up
+	Version    string        // version of its software; may be empty
 }
 
 const (
@@ -37,6 +38,9 @@
 	MaxSlots = 1<<16 - 1
 	// maxWarmup is the longest credible warm-up.
 	maxWarmup = time.Hour
+	// maxVersionBytes bounds a version, which becomes part of the membership
+	// record that every node holds.
+	maxVersionBytes = 128
 	// maxClockDifference is how far ahead of this node's clock a start time may
 	// be. A start time in the far future would outrank every later start.
 	maxClockDifference = time.Hour
@@ -55,6 +59,8 @@
 		return errdefs.Invalid.New("announcement of %q: %d slots are not in the range 1 to %d", a.ID, a.Slots, MaxSlots)
 	case a.WarmupLeft < 0 || a.WarmupLeft > maxWarmup:
 		return errdefs.Invalid.New("announcement of %q: warm-up of %v is not in the range 0 to %v", a.ID, a.WarmupLeft, maxWarmup)
+	case len(a.Version) > maxVersionBytes:
+		return errdefs.Invalid.New("announcement of %q: version of %d bytes is longer than %d", a.ID, len(a.Version), maxVersionBytes)
 	case a.Started.Sub(now) > maxClockDifference:
 		return errdefs.Invalid.New("announcement of %q: start time %v is in the future", a.ID, a.Started.UTC())
 	}
@@ -73,6 +79,7 @@
 	Started   time.Time
 	Slots     int       // maximum of concurrent calls
 	WarmupEnd time.Time // end of its warm-up, during which it is slow
+	Version   string    // version of its software; empty if not stated
 }
 
 // startKey identifies one start of a target.
@@ -236,7 +243,7 @@
 		warmupEnd = now.Add(a.WarmupLeft)
 	}
 	e.target = Target{ID: a.ID, Service: a.Service, Address: a.Address, Started: a.Started,
-		Slots: a.Slots, WarmupEnd: warmupEnd}
+		Slots: a.Slots, WarmupEnd: warmupEnd, Version: a.Version}
 	r.selectCurrent(now)
 	return nil
 }
