--- a/object/validate.go
+++ b/object/validate.go
@@ -120,13 +120,16 @@
 	if r.Host != "" && (len(r.Host) > maxHostLength || !isHostName(r.Host)) {
 		v.report(o, "spec.host", "%q is not a host name in lower case without port", r.Host)
 	}
+	if _, ok := NormalizePath(r.PathPrefix); !ok {
+		v.report(o, "spec.pathPrefix", "%q holds an invalid escape", r.PathPrefix)
+	}
 	if len(r.PathPrefix) > maxPathLength || !isPathPrefix(r.PathPrefix) {
 		v.report(o, "spec.pathPrefix",
 			"%q must begin with / and hold at most %d printable characters other than space, ? and #",
 			r.PathPrefix, maxPathLength)
 	}
 	if !slices.Contains([]WorkKind{"", WorkBid, WorkUpload, WorkPage, WorkDownload}, r.Kind) {
-		v.report(o, "spec.kind", "%q is not a kind of work; want bid, upload or page", r.Kind)
+		v.report(o, "spec.kind", "%q is not a kind of work; want bid, upload, page or download", r.Kind)
 	}
 }
 
@@ -268,6 +271,9 @@
 			continue
 		}
 		m := match{o.Route.Host, o.Route.PathPrefix}
+		if normalized, ok := NormalizePath(m.prefix); ok {
+			m.prefix = normalized
+		}
 		other, ok := first[m]
 		switch {
 		case !ok:
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -152,7 +152,7 @@
 	c.tracer.inject(c)
 	c.outReq = http.Request{
 		Method:     c.r.Method,
-		URL:        c.r.URL,
+		URL:        nextHopURL(c.r),
 		Host:       c.r.Host,
 		Header:     c.outHeader,
 		Proto:      "HTTP/1.1",
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -107,7 +107,11 @@
 		}
 		return notRun(causeNoConfig, "no configuration is in force yet", nil)
 	}
-	res := snap.Match(hostName(c.r.Host), c.r.URL.Path)
+	path, f := routePath(c.r)
+	if f != nil {
+		return f
+	}
+	res := snap.Match(hostName(c.r.Host), path)
 	if res == nil {
 		return &refusal{status: http.StatusNotFound, outcome: OutcomeNotRun, cause: causeNoRoute, reason: "no route matches"}
 	}
--- a/snapshot/index.go
+++ b/snapshot/index.go
@@ -56,7 +56,10 @@
 	slices.SortFunc(routes, func(a, b *ResolvedRoute) int { return strings.Compare(a.Name, b.Name) })
 	h := &hostRoutes{routes: routes, byPrefix: make(map[string]*ResolvedRoute, len(routes))}
 	for _, r := range routes {
-		prefix := r.Route.PathPrefix
+		prefix, ok := object.NormalizePath(r.Route.PathPrefix)
+		if !ok {
+			continue // rejected by validation
+		}
 		if _, ok := h.byPrefix[prefix]; ok {
 			continue
 		}
@@ -299,7 +302,8 @@
 	return nil
 }
 
-// Match returns the route for a host and path, or nil. Routes with exactly this
+// Match returns the route for a host and a path in the form of
+// object.NormalizePath, or nil. Routes with exactly this
 // host take precedence over routes without a host; among them the longest path
 // prefix wins.
 func (s *Snapshot) Match(host, path string) *ResolvedRoute {
