member, spread: an instance cut off from all others watches the store itself

Cause: only two nodes watch the store. The others took over when the last news of the readers' contact was 2.2 to 6.6 s old, and a node that is no relay never did, so that an instance which reaches the store but no other instance kept an old configuration beyond the time that it may take.

Ruled out: the store and the load from it, which take under 50 ms; a watch on every node, which costs a call for each change and node.

Result: TestCutOffNodeFollowsTheStore failed before ("not at version 2 after 2.5s") and passes.

--- a/member/probe.go
+++ b/member/probe.go
@@ -30,6 +30,7 @@
 			s.detector.trackSuspicions(s.clock.Now(), changed)
 		case o := <-results:
 			running = false
+			s.contact.observe(o)
 			s.apply(s.detector.observe(s.clock.Now(), o), origin{local: true})
 		case <-ticker.Chan():
 			now := s.clock.Now()
@@ -234,6 +235,7 @@
 	if req.From == nil {
 		return reply, nil
 	}
+	s.contact.heard(s.clock.Now())
 	from := s.dir.Lookup(req.From.Id)
 	switch {
 	case from == nil:
--- a/member/service.go
+++ b/member/service.go
@@ -118,6 +118,7 @@
 	opts        Options
 	clock       clockwork.Clock
 	detector    *detector // used only by the goroutine of probeLoop
+	contact     contact
 	changes     *queue.Queue[[]*Record]
 	activeJoins atomic.Int64  // joins being served
 	joined      chan struct{} // closed when a full set of records was received
--- a/node/services.go
+++ b/node/services.go
@@ -211,13 +211,13 @@
 }
 
 // readerOptions returns the options for the nodes that watch the store.
-func (n *Node) readerOptions() spread.ReaderOptions {
+func (n *Node) readerOptions(m *memberService) spread.ReaderOptions {
 	if n.settings.Platform == nil {
 		return spread.ReaderOptions{}
 	}
 	return spread.ReaderOptions{
 		Count: platformReaders, ContactTimeout: contactTimeout, PushGracePeriod: -1,
-		SettleTime: readerSettleTime, IsolatedJitter: isolatedJitter,
+		SettleTime: readerSettleTime, IsolatedJitter: isolatedJitter, CutOff: m.service.CutOff,
 	}
 }
 
@@ -362,7 +362,7 @@
 	}
 	s.spread = spread.New(spread.Options{
 		View: s.node.dir, Current: s.node.current, Transport: spread.NewTransport(peers.pool, s.node.place()),
-		Source: st.source(), StoreRegion: s.node.settings.Store.Region, Readers: s.node.readerOptions(),
+		Source: st.source(), StoreRegion: s.node.settings.Store.Region, Readers: s.node.readerOptions(m),
 		CrossStep: s.node.crossStep(),
 		Seeds:     settingsSeeds(s.node.settings), SeedHints: m.readHints,
 		Log: s.node.log, Metrics: s.node.metrics,
--- a/spread/fake_test.go
+++ b/spread/fake_test.go
@@ -39,6 +39,7 @@
 	joinDelay time.Duration // how long a started node sees only itself
 	seeds     []Peer
 	readers   ReaderOptions
+	cutOff    func(id string) bool          // whether a node's last probe found no other node; nil for never
 	sourceFor func(r *member.Record) Source // nil for the fleet's source
 
 	published  map[uint64]*snapshot.Snapshot
@@ -130,6 +131,9 @@
 	opts := Options{View: joiningView{fakeView{f, r}, time.Now().Add(f.joinDelay)}, Seeds: f.seeds, Current: p.current,
 		Transport: fakeTransport{f, PeerOf(r)},
 		Source:    f.source, StoreRegion: "r0", Readers: f.readers}
+	if f.cutOff != nil {
+		opts.Readers.CutOff = func() bool { return f.cutOff(r.ID) }
+	}
 	if f.sourceFor != nil {
 		opts.Source = f.sourceFor(r)
 	}
--- a/spread/readers.go
+++ b/spread/readers.go
@@ -59,6 +59,11 @@
 	// member. The defaults are 3 s and 10 s.
 	SettleTime     time.Duration
 	IsolatedJitter time.Duration
+	// CutOff reports whether this node reaches no other node. Such a node watches
+	// the store itself if a Count is set: waiting until the contact of the readers
+	// is too old would take longer than a version may take to be in force. It may
+	// be nil.
+	CutOff func() bool
 }
 
 func (o ReaderOptions) withDefaults() ReaderOptions {
@@ -105,6 +110,9 @@
 // store's region do, and the other relays while there is no contact with that
 // region. If ReaderOptions.Count is set, the first of all relays do instead.
 func (n *Node) isReader() bool {
+	if r := n.opts.Readers; r.Count > 0 && r.CutOff != nil && r.CutOff() {
+		return true
+	}
 	t := n.topology()
 	if !t.isRelay() {
 		return false
--- a/spread/readers_test.go
+++ b/spread/readers_test.go
@@ -165,3 +165,37 @@
 		}
 	})
 }
+
+// Guards against an instance that reaches the store but no other instance and
+// keeps an old configuration: it waited until the contact of the readers was too
+// old, and as the fourth or later of its failure domain it never read the store.
+func TestCutOffNodeFollowsTheStore(t *testing.T) {
+	f, sourceOf := newFixedReaderFleet(23)
+	for i := range 5 { // nodes that are no relays
+		id := "r2-d1-n" + string(rune('3'+i))
+		f.records = append(f.records, &member.Record{ID: id, Incarnation: 1, State: member.Alive,
+			Region: "r2", FailureDomain: "r2-d1", PeerAddr: id + ":1"})
+	}
+	var cut atomic.Pointer[string] // the node that is cut off
+	var cutAt atomic.Pointer[time.Time]
+	f.isCut = func(a, b Peer) bool { id := cut.Load(); return id != nil && (a.ID == *id || b.ID == *id) }
+	f.cutOff = func(id string) bool { // as a probe each second with a timeout of 0.9 s shows it
+		cutID, at := cut.Load(), cutAt.Load()
+		return cutID != nil && *cutID == id && time.Since(*at) >= 1900*time.Millisecond
+	}
+	f.run(t, func(t *testing.T) {
+		elapse(10 * time.Second)
+		for _, r := range f.records[len(f.records)-5:] {
+			now := time.Now()
+			cutAt.Store(&now)
+			cut.Store(&r.ID)
+			next, _ := f.publishChange()
+			f.converge(t, next.Version(), 2500*time.Millisecond)
+			cut.Store(nil)
+			elapse(5 * time.Second)
+			if ids := f.watchers(sourceOf); len(ids) != 2 {
+				t.Errorf("%v watch the store after the cut, want two nodes", ids)
+			}
+		}
+	})
+}
