proxy: on the platform, a caller's Idempotency-Key and paths below /siskingw/ are its own

Cause: the outbound listener gave a meaning to the header Idempotency-Key and to paths below /siskingw/ also on the platform, where keys are not used: such a call was refused with 400 or 404.

Ruled out: dropping the header, which changes the request of the caller.

Change: option NoKeys of both handlers, set on the platform.

--- a/node/calls.go
+++ b/node/calls.go
@@ -111,7 +111,7 @@
 	}
 	server := proxy.ServerOptions{Log: s.node.log}
 	if s.node.settings.Platform != nil {
-		opts.HeaderFormat = platform.HeaderFormat{}
+		opts.HeaderFormat, opts.NoKeys = platform.HeaderFormat{}, true
 		opts.Caller = func() string { return s.node.liveSettings.Load().Platform.Service }
 		opts.Responses, opts.Bodies = platformResponses, platformBodies
 		opts.Retries = proxy.RetryOptions{BudgetPercent: 15, BudgetCapacity: 4, FreeRetries: 3}
@@ -203,7 +203,7 @@
 		DecisionLog:  s.node.callDecisionLog(),
 		HeaderFormat: platform.HeaderFormat{},
 		Responses:    platformResponses, Bodies: platformBodies, CloseDelimited: true,
-		OnWrongTarget: s.node.target.onWrongTarget,
+		OnWrongTarget: s.node.target.onWrongTarget, NoKeys: true,
 		Link:          admit.NewLink(s.node.settings.Platform.LinkMbps * bodyShareOfLink * bytesPerMbit),
 	})
 }
--- a/proxy/headers.go
+++ b/proxy/headers.go
@@ -224,15 +224,16 @@
 }
 
 // checkRequest returns the status and reason to refuse a request that the proxy
-// does not forward, or status 0 if it is acceptable.
-func checkRequest(r *http.Request) (status int, reason string) {
+// does not forward, or status 0 if it is acceptable. With noKeys, the header of
+// idempotency keys may have any value.
+func checkRequest(r *http.Request, noKeys bool) (status int, reason string) {
 	if r.Method == http.MethodConnect {
 		return http.StatusNotImplemented, "method CONNECT is not supported"
 	}
 	if _, ok := r.Header["Upgrade"]; ok {
 		return http.StatusNotImplemented, "upgrades are not supported"
 	}
-	if v, ok := r.Header[HeaderKey]; ok && (len(v) != 1 || v[0] == "") {
+	if v, ok := r.Header[HeaderKey]; ok && !noKeys && (len(v) != 1 || v[0] == "") {
 		return http.StatusBadRequest, "header " + HeaderKey + " needs exactly one value"
 	}
 	if len(r.Header["Connection"]) == 0 {
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -25,6 +25,9 @@
 	Bodies       BodyOptions
 	DecisionLog  *DecisionLog // nil disables the log of decisions
 	Link         *admit.Link  // network link of this instance; nil means unlimited bandwidth
+	// NoKeys passes the header of idempotency keys on to the target; see
+	// OutboundOptions.
+	NoKeys bool
 	// CloseDelimited accepts responses of the target that are delimited only by
 	// closing the connection.
 	CloseDelimited bool
@@ -134,8 +137,10 @@
 
 // serve reads the headers of the caller's node and handles the call.
 func (in *Inbound) serve(c *call) *refusal {
-	c.readKey()
-	c.voucher = c.r.Header.Get(HeaderVoucher)
+	if !in.opts.NoKeys {
+		c.readKey()
+		c.voucher = c.r.Header.Get(HeaderVoucher)
+	}
 	c.kind = ParseKind(c.r.Header.Get(HeaderKind))
 	c.expectsContinue = len(c.r.Header[HeaderExpect]) > 0
 	c.work = parseWork(c.r.Header.Get(HeaderWork), c.start, c.kind)
@@ -143,7 +148,7 @@
 }
 
 func (in *Inbound) validateAndForward(c *call) *refusal {
-	if status, reason := checkRequest(c.r); status != 0 {
+	if status, reason := checkRequest(c.r, in.opts.NoKeys); status != 0 {
 		return &refusal{status: status, outcome: OutcomeNotRun, cause: causeBadRequest, reason: reason, closeConn: true}
 	}
 	callerInfo, f := c.readCaller(nativeFormat{})
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -29,6 +29,9 @@
 	Bodies       BodyOptions
 	Retries      RetryOptions
 	DecisionLog  *DecisionLog // nil logs nothing
+	// NoKeys leaves the header of idempotency keys and the paths of the node's own
+	// interface to the callers: they are passed on to targets like any others.
+	NoKeys bool
 }
 
 // Outbound is the HTTP handler that routes the calls of this instance's callers.
@@ -61,7 +64,7 @@
 
 // ServeHTTP routes one call.
 func (o *Outbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if strings.HasPrefix(r.URL.Path, reservedPrefix) {
+	if !o.opts.NoKeys && strings.HasPrefix(r.URL.Path, reservedPrefix) {
 		o.serveNodeAPI(w, r)
 		return
 	}
@@ -70,7 +73,9 @@
 	defer c.release()
 	defer o.cancelOnAbort(c)()
 	defer o.opts.Tracer.startSpan(c, "outbound")()
-	c.readKey()
+	if !o.opts.NoKeys {
+		c.readKey()
+	}
 	f := c.correctKeyedRefusal(o.serve(c))
 	c.refused = f
 	o.opts.Metrics.observe(sideOutbound, c, f)
@@ -87,7 +92,7 @@
 // serve matches the call to a route and sends it. It loads the current snapshot
 // once, so that the whole call uses one version.
 func (o *Outbound) serve(c *call) *refusal {
-	if status, reason := checkRequest(c.r); status != 0 {
+	if status, reason := checkRequest(c.r, o.opts.NoKeys); status != 0 {
 		return &refusal{status: status, outcome: OutcomeNotRun, cause: causeBadRequest, reason: reason, closeConn: true}
 	}
 	if c.r.Host == "" && c.r.ProtoAtLeast(1, 1) {
--- a/proxy/path_test.go
+++ b/proxy/path_test.go
@@ -63,3 +63,20 @@
 		}
 	}
 }
+
+// Guards against calls that fail because a caller uses a header or a path to which
+// the proxy gives a meaning of its own, where the proxy does not offer it.
+func TestCallersKeysAndPathsArePassedOn(t *testing.T) {
+	is := is.New(t)
+	rt := newRawTarget(t, func(nc net.Conn, r *http.Request, _ int32) bool {
+		io.WriteString(nc, "HTTP/1.1 200 OK\r\nX-Got: "+r.RequestURI+" "+r.Header.Get(HeaderKey)+"\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	r := newRig(t, nil, rt.addr)
+	r.out.opts.NoKeys, r.inbounds[0].opts.NoKeys = true, true
+	resp, _ := r.do(t, "POST", "/siskingw/keys", "x", HeaderKey, "order-7")
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(resp.Header.Get("X-Got"), "/siskingw/keys order-7")
+	resp, _ = r.do(t, "POST", "/bids/1", "x", HeaderKey, "")
+	is.Equal(resp.StatusCode, 200)
+}
