object, tenant, proxy, platform: tenants and their API keys

Cause: configurations with tenants were read without them: every call ran without a tenant, keys were passed on to targets as any other header, and calls with an unknown key ran.

Change: kind Tenant with digests of keys, priority, rate and burst, and requireKey of a Route, checked with the whole set; the adapter turns keys into digests when it decodes the configuration; the caller's node removes the key from the call, answers 401 where the route needs one and states the tenant and its weight to the target's node in a header of its own; the target gets the tenant's name. Configurations without tenants leave calls as they were.

Result: unit tests of object, platform, proxy and node, among them one that greps logs, objects, metrics and the headers at the next hop for a key.

--- a/explain/explain.go
+++ b/explain/explain.go
@@ -296,6 +296,8 @@
 	"caller_gone":      "the caller left before it was answered",
 	"no_configuration": "the instance had no configuration yet",
 	"no_route":         "no route of the version in force matches host and path",
+	"missing_key":      "the route needs an API key, and the call carried none",
+	"unknown_key":      "the version in force knows no tenant with the API key that the call carried",
 	"no_time":          "its stated deadline was over when it arrived",
 	"no_endpoint":      "no target of the service was left to try",
 	"all_full":         "every target was expected to answer too late",
--- a/object/object.go
+++ b/object/object.go
@@ -16,10 +16,11 @@
 	KindEndpointSet Kind = "EndpointSet"
 	KindPolicy      Kind = "Policy"
 	KindListener    Kind = "Listener"
+	KindTenant      Kind = "Tenant"
 )
 
 // Kinds lists every kind in alphabetical order.
-var Kinds = []Kind{KindEndpointSet, KindListener, KindPolicy, KindRoute, KindService}
+var Kinds = []Kind{KindEndpointSet, KindListener, KindPolicy, KindRoute, KindService, KindTenant}
 
 // Key identifies an object in a set.
 type Key struct {
@@ -52,6 +53,7 @@
 	EndpointSet *EndpointSetSpec
 	Policy      *PolicySpec
 	Listener    *ListenerSpec
+	Tenant      *TenantSpec
 }
 
 // Key returns the identity of the object.
@@ -85,8 +87,9 @@
 	Service    string            `json:"service,omitempty"` // empty if Split is set
 	Split      []WeightedService `json:"split,omitempty"`
 	Policy     string            `json:"policy,omitempty"`
-	Kind       WorkKind          `json:"kind,omitempty"`     // default page
-	Fallback   string            `json:"fallback,omitempty"` // route used when the service has no reachable endpoint
+	Kind       WorkKind          `json:"kind,omitempty"`       // default page
+	Fallback   string            `json:"fallback,omitempty"`   // route used when the service has no reachable endpoint
+	RequireKey bool              `json:"requireKey,omitempty"` // calls need the key of a Tenant
 }
 
 // WeightedService is a service that receives a share of a route's calls.
--- a/object/validate.go
+++ b/object/validate.go
@@ -55,6 +55,7 @@
 	}
 	v.checkDuplicateRoutes(set)
 	v.checkFallbackCycles(set)
+	v.checkKeys(set)
 	slices.SortStableFunc(v.faults, func(a, b Fault) int {
 		return strings.Compare(a.Object+"\x00"+a.Field, b.Object+"\x00"+b.Field)
 	})
@@ -76,7 +77,7 @@
 	v.checkLabel(o, "name", o.Name)
 	specs := 0
 	for _, isSet := range []bool{
-		o.Service != nil, o.Route != nil, o.EndpointSet != nil, o.Policy != nil, o.Listener != nil} {
+		o.Service != nil, o.Route != nil, o.EndpointSet != nil, o.Policy != nil, o.Listener != nil, o.Tenant != nil} {
 		if isSet {
 			specs++
 		}
@@ -97,6 +98,8 @@
 		v.checkPolicy(o, o.Policy)
 	case KindListener:
 		v.checkListener(o, o.Listener)
+	case KindTenant:
+		v.checkTenant(o, o.Tenant)
 	}
 }
 
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"siskingw/object"
+	"siskingw/tenant"
 )
 
 // call is the state of one request in a handler. Calls are pooled: nothing may
@@ -24,6 +25,7 @@
 	first    bool   // first attempt with the key, as stated by the caller; see HeaderFirst
 	id       string // the caller's ID of this attempt; may be empty
 	work     work
+	tenant   *tenant.Tenant // by the key of the caller; nil for none and on the target's node
 
 	body         body
 	maxBodyBytes int64        // bytes; 0 means no limit
@@ -167,6 +169,9 @@
 	c.outHeader[HeaderDeadline] = []string{formatMs(c.timeLeft())}
 	c.outHeader[HeaderKind] = kindValues[c.kind]
 	c.outHeader[HeaderWork] = []string{c.work.format()}
+	if c.work.tenant != "" {
+		c.outHeader[HeaderTenant] = []string{c.work.formatTenant()}
+	}
 	if c.voucher != "" {
 		c.outHeader[HeaderVoucher] = []string{c.voucher}
 	}
--- a/proxy/cause.go
+++ b/proxy/cause.go
@@ -14,7 +14,9 @@
 	causeCallerGone   cause = "caller_gone"      // the caller disconnected
 	causeNoConfig     cause = "no_configuration" // no configuration version has been applied yet
 	causeNoRoute      cause = "no_route"
-	causeNoTime       cause = "no_time" // less than 1 ms was left when the call arrived
+	causeMissingKey   cause = "missing_key" // the route needs an API key, and the call has none
+	causeUnknownKey   cause = "unknown_key" // the API key belongs to no tenant
+	causeNoTime       cause = "no_time"     // less than 1 ms was left when the call arrived
 	causeNoEndpoint   cause = "no_endpoint"
 	causeAllFull      cause = "all_full" // every endpoint would probably refuse the call
 	causeStopping     cause = "stopping"
@@ -31,7 +33,7 @@
 
 // allCauses lists all causes, to register their metrics.
 var allCauses = append([]cause{
-	causeBadRequest, causeBody, causeCallerGone, causeNoConfig, causeNoRoute, causeNoTime, causeNoEndpoint,
+	causeBadRequest, causeBody, causeCallerGone, causeNoConfig, causeNoRoute, causeMissingKey, causeUnknownKey, causeNoTime, causeNoEndpoint,
 	causeAllFull, causeStopping, causeNoTarget, causeOtherService, causeTarget, causeUnreachable, causeUnsent,
 	causeAnswerLost, causeAnswerCut, causeKey, causeOtherNode,
 }, gateCauses()...)
--- a/proxy/headerformat.go
+++ b/proxy/headerformat.go
@@ -12,6 +12,10 @@
 	// ReadRequest reads a caller's request headers. It returns an Invalid error
 	// for values that cannot be parsed.
 	ReadRequest(h http.Header) (CallerInfo, error)
+	// TakeKey removes from a caller's request the API key and any tenant that the
+	// caller states, and returns the key; "" for none or more than one. Nothing
+	// else may see the key.
+	TakeKey(h http.Header) (key string)
 	// WriteRefusal adds to the header of a refusal the fields for the caller.
 	WriteRefusal(h http.Header, s RefusalInfo)
 	// WriteRequest adds to the header of a request the fields for the target.
@@ -39,6 +43,7 @@
 	Deadline time.Duration // time left until the call's deadline
 	Instance string        // identity of the target that the call is meant for
 	Caller   string        // name of the calling service
+	Tenant   string        // organisation on whose behalf the call is made; empty for none
 }
 
 // ResponseInfo is the metadata in a target's response.
@@ -78,6 +83,9 @@
 
 func (nativeFormat) WriteRequest(h http.Header, s TargetInfo) {
 	h[HeaderDeadline] = []string{formatMs(s.Deadline)}
+	if s.Tenant != "" {
+		h[HeaderTenant] = []string{s.Tenant}
+	}
 }
 
 func (nativeFormat) ReadResponse(*http.Response) ResponseInfo { return ResponseInfo{FromTarget: true} }
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -139,6 +139,7 @@
 	c.kind = ParseKind(c.r.Header.Get(HeaderKind))
 	c.expectsContinue = len(c.r.Header[HeaderExpect]) > 0
 	c.work = parseWork(c.r.Header.Get(HeaderWork), c.start, c.kind)
+	c.work.parseTenant(c.r.Header.Get(HeaderTenant))
 	return c.correctKeyedRefusal(in.validateAndForward(c))
 }
 
@@ -303,7 +304,7 @@
 func (in *Inbound) sendToTarget(x *exchange, c *call, ctx context.Context, b *Backend) *refusal {
 	c.buildRequest()
 	in.opts.HeaderFormat.WriteRequest(c.outHeader, TargetInfo{ID: c.id, Deadline: c.timeLeft(),
-		Instance: b.Instance, Caller: c.work.caller})
+		Instance: b.Instance, Caller: c.work.caller, Tenant: c.work.tenant})
 	x.awaitContinue, x.closeDelimited = c.expectsContinue && c.body.streamed, in.opts.CloseDelimited
 	var info ResponseInfo
 	x.classify = func(resp *http.Response) responseClass {
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -11,6 +11,7 @@
 	"siskingw/member"
 	"siskingw/object"
 	"siskingw/snapshot"
+	"siskingw/tenant"
 )
 
 // OutboundOptions configures the handler on the caller's node.
@@ -37,6 +38,7 @@
 	opts         OutboundOptions
 	retryBudgets sync.Map // service name to *retryBudget
 
+	tenants       tenant.Cache
 	splitters     sync.Map // route name to *splitter
 	responseSizes sync.Map // route name to *responseSize
 }
@@ -108,6 +110,9 @@
 		return notRun(causeNoConfig, "no configuration is in force yet", nil)
 	}
 	res := snap.Match(hostName(c.r.Host), c.r.URL.Path)
+	if f := o.identify(c, snap, res); f != nil {
+		return f
+	}
 	if res == nil {
 		return &refusal{status: http.StatusNotFound, outcome: OutcomeNotRun, cause: causeNoRoute, reason: "no route matches"}
 	}
@@ -122,6 +127,7 @@
 	o.limitDeadline(c)
 	c.work = c.newWork(res.Name, res.Policy)
 	c.work.caller = o.opts.Caller()
+	c.work.setTenant(c.tenant)
 	c.maxBodyBytes = maxBodyOf(res.Policy)
 	if f := c.body.bufferOrStream(c.w, c.r, c.maxBodyBytes, o.opts.Bodies); f != nil {
 		return f
