spread: readers that lose the store hand its watch over at once

Cause: the nodes that watch the store were turned away by it and knew that at once, but others took over only when the age of their contact showed it, 2.2 s later and more.

Ruled out: distribution after the read; a shorter age, which would let standbys take over whenever a contact report is late.

Change: a reader that lost the store names itself in its version comparisons with the next nodes; lost readers come last in the order.

Result: TestReadersThatLoseTheStoreHandOver failed before ("not at version 2 after 1.5s") and passes; the spread tests pass.

--- a/spread/compare.go
+++ b/spread/compare.go
@@ -45,7 +45,7 @@
 func (n *Node) queryHead(ctx context.Context, p Peer, timeout time.Duration) (*peerpb.HeadReply, error) {
 	ctx, cancel := withLocalTimeout(ctx, timeout)
 	defer cancel()
-	r := &peerpb.HeadRequest{Sender: n.view.Self().ID, StoreAgeMs: n.storeContactAge()}
+	r := &peerpb.HeadRequest{Sender: n.view.Self().ID, StoreAgeMs: n.storeContactAge(), LostReaders: n.lostReaders()}
 	if s := n.current.Load(); s != nil {
 		d := s.Digest()
 		r.Version, r.Digest = s.Version(), d[:]
--- a/spread/node.go
+++ b/spread/node.go
@@ -91,6 +91,9 @@
 	started          time.Time
 	loadingVersion   atomic.Uint64 // highest version that is being loaded from the store; 0 for none
 	storeContactMs   atomic.Int64  // monotonicMs of the last known contact with the store's region; 0 for never
+	lost             lostReaders
+	storeLost        atomic.Bool  // this node watches the store and has lost it
+	ownContactMs     atomic.Int64 // monotonicMs of the last answer of the store to this node
 	cachedTopology   atomic.Pointer[cachedTopology]
 }
 
--- a/spread/readers.go
+++ b/spread/readers.go
@@ -156,10 +156,14 @@
 	for sleep(n.ctx, contactReportInterval) {
 		index := n.readerIndex()
 		age := time.Duration(n.storeContactAge()) * time.Millisecond
+		if n.storeLost.Load() {
+			n.reportToStandbys()
+			continue
+		}
 		if index >= n.opts.Readers.Count || age == 0 || age > n.opts.Readers.ContactTimeout {
 			continue
 		}
-		order := readerOrder(n.view)
+		order := n.readerOrder()
 		for _, id := range order[min(n.opts.Readers.Count, len(order)):min(n.opts.Readers.Count+standbyCount, len(order))] {
 			if p, ok := n.peerByID(id); ok {
 				n.tasks.spawn(func() { _, _ = n.compare(p, takeoverTimeout) }) // a standby that does not answer needs no retry
@@ -185,7 +189,7 @@
 	if n.opts.Readers.Count == 0 {
 		return max(0, n.topology().relayRank)
 	}
-	order := readerOrder(n.view)
+	order := n.readerOrder()
 	if i := slices.Index(order, n.view.Self().ID); i >= 0 {
 		return i
 	}
@@ -262,4 +266,6 @@
 	if n.opts.Readers.Count > 0 {
 		atomicMax(&n.storeContactMs, n.monotonicMs())
 	}
+	n.ownContactMs.Store(n.monotonicMs())
+	n.setStoreLost(false)
 }
--- a/spread/readers_test.go
+++ b/spread/readers_test.go
@@ -199,3 +199,53 @@
 		}
 	})
 }
+
+// Guards against a change that arrives late because the store turns away the
+// readers and the nodes after them, while the others wait until the contact of the
+// readers is too old.
+func TestReadersThatLoseTheStoreHandOver(t *testing.T) {
+	for _, tc := range []struct {
+		rejected int
+		lead     time.Duration // between the loss and the change
+	}{{2, 0}, {4, 0}, {6, 0}, {6, 1500 * time.Millisecond}} {
+		f, sourceOf := newFixedReaderFleet(24)
+		f.run(t, func(t *testing.T) {
+			elapse(10 * time.Second)
+			order := f.procs[f.records[0].PeerAddr].node.readerOrder()
+			for _, id := range order[:tc.rejected] {
+				sourceOf(id).rejecting.Store(true)
+			}
+			elapse(tc.lead)
+			next, _ := f.publishChange()
+			f.converge(t, next.Version(), 1500*time.Millisecond)
+			for _, id := range order[:tc.rejected] {
+				sourceOf(id).rejecting.Store(false)
+			}
+			elapse(10 * time.Second)
+			if ids := f.watchers(sourceOf); len(ids) != 2 {
+				t.Errorf("%v watch the store after it accepts all nodes again, want two nodes", ids)
+			}
+		})
+	}
+}
+
+// Guards against every relay calling a store that is down for all.
+func TestHandoverEndsWhenTheStoreIsDown(t *testing.T) {
+	f, sourceOf := newFixedReaderFleet(25)
+	f.run(t, func(t *testing.T) {
+		elapse(10 * time.Second)
+		for _, r := range f.records {
+			sourceOf(r.ID).rejecting.Store(true)
+		}
+		elapse(2 * time.Second) // the age of the contact lets no further node take over yet
+		tried := 0
+		for _, r := range f.records {
+			if f.procs[r.PeerAddr].node.storeLost.Load() {
+				tried++
+			}
+		}
+		if tried < 2 || tried > maxLostReaders+3 {
+			t.Errorf("%d nodes call the store, want 2 to %d", tried, maxLostReaders+3)
+		}
+	})
+}
--- a/spread/serve.go
+++ b/spread/serve.go
@@ -67,6 +67,7 @@
 			n.lastCompared.record(p.Region)
 		}
 		n.recordPeerContact(p, r.StoreAgeMs)
+		n.lost.note(r.Sender, r.LostReaders, n.monotonicMs())
 		n.compareSummary(p, r.Version, r.Digest)
 	}
 	reply := &peerpb.HeadReply{Id: n.view.Self().ID, StoreAgeMs: n.storeContactAge(), Undelivered: n.pending.names()}
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -77,11 +77,18 @@
 			lostAt, maxDelay = time.Time{}, storeRetryBase
 		}
 	}
+	defer n.setStoreLost(false)
 	for err := n.watchStore(onAnswer); err != nil && n.ctx.Err() == nil && n.isReader(); err = n.watchStore(onAnswer) {
 		n.stats.storeErrors.Inc()
 		if lostAt.IsZero() {
 			lostAt = time.Now()
 			n.log.Info(telemetry.EventStoreLost, "cause", cause(err), "error", err.Error())
+			if n.opts.Readers.Count > 0 {
+				sleep(n.ctx, rand.N(firstRetryMax))
+				continue
+			}
+		} else {
+			n.setStoreLost(true)
 		}
 		sleep(n.ctx, rand.N(maxDelay))
 		maxDelay = min(2*maxDelay, n.opts.Readers.retryMax())
@@ -160,6 +167,9 @@
 			if !n.isReader() {
 				return nil
 			}
+			if n.monotonicMs()-n.ownContactMs.Load() > readerSilence.Milliseconds() {
+				n.setStoreLost(true)
+			}
 		case <-poll.C:
 			h, err := n.readHead(ctx)
 			if err != nil {
