node: state version and warm-up of a target in the log

Cause: an operator could not see which version the target of an instance has. Ruled out: a metric label per version, whose values are unbounded. Change: two fields of the line about a target that comes into use.

--- a/node/platform.go
+++ b/node/platform.go
@@ -170,7 +170,8 @@
 			target: *t,
 		})
 		s.node.log.Info(telemetry.EventTargetInUse,
-			"target", t.ID, "service", t.Service, "address", t.Address, "slots", t.Slots)
+			"target", t.ID, "service", t.Service, "address", t.Address, "slots", t.Slots,
+			"version", t.Version, "warmUpMs", max(time.Until(t.WarmupEnd).Milliseconds(), 0))
 	} else {
 		return
 	}
