--- a/balance/choice.go
+++ b/balance/choice.go
@@ -11,6 +11,7 @@
 	now       int64    // ns of the balancer's clock
 	skip      []string // node ids
 	panicMode bool     // panic mode: ejections are ignored
+	versions  VersionRule
 }
 
 // maxDraws limits the random draws for each of the two candidates. After that a
@@ -157,7 +158,7 @@
 // usable reports whether the endpoint can be selected: it is neither skipped nor,
 // outside panic mode, ejected.
 func (c *choice) usable(e *endpoint) bool {
-	if !c.panicMode && e.ejected(c.now) {
+	if !c.panicMode && e.ejected(c.now) || !c.allowed(e) {
 		return false
 	}
 	return len(c.skip) == 0 || !slices.Contains(c.skip, e.record.Load().ID)
--- a/balance/loss.go
+++ b/balance/loss.go
@@ -25,6 +25,8 @@
 
 	Class    string // calls of one class have similar service times
 	Priority int    // 0 is the highest
+
+	Versions VersionRule // nil permits targets of every version
 }
 
 // priorityIndex returns the index of the priority in the report of a gate.
@@ -148,7 +150,7 @@
 	s := b.service(set.Announce, now)
 	t := s.currentTable(b, now)
 	ej := newEjectionConfig(spec)
-	c := choice{b: b, now: now, skip: skip}
+	c := choice{b: b, now: now, skip: skip, versions: d.Versions}
 	c.panicMode = now < s.ejectionsUntil.Load() && t.needsPanicMode(ej, set.MinReady, now)
 	if c.panicMode != s.panicMode.Load() {
 		s.panicMode.Store(c.panicMode)
--- a/node/calls.go
+++ b/node/calls.go
@@ -114,6 +114,9 @@
 		opts.HeaderFormat = platform.HeaderFormat{}
 		opts.Caller = func() string { return s.node.liveSettings.Load().Platform.Service }
 		opts.Responses, opts.Bodies = platformResponses, platformBodies
+		if s.node.rollouts != nil {
+			opts.Rollouts = s.node.rollouts.traffic
+		}
 		opts.Retries = proxy.RetryOptions{BudgetPercent: 15, BudgetCapacity: 4, FreeRetries: 3}
 		server.MaxPipelined, server.Bodies, server.Limits = maxPipelined, platformBodies, s.node.callerLimits
 	}
@@ -197,6 +200,7 @@
 // platformHandler creates the handler for a target that announces itself.
 func (s *inboundService) platformHandler() *proxy.Inbound {
 	return proxy.NewInbound(proxy.InboundOptions{
+		OnAnswer:     s.node.onAnswer(),
 		Backend:      s.node.target.currentBackend,
 		Metrics:      s.node.proxyMetrics(),
 		Tracer:       s.node.tracer(),
--- a/node/node.go
+++ b/node/node.go
@@ -37,7 +37,8 @@
 	callMetrics *proxy.Metrics
 	decisionLog *proxy.DecisionLog
 	stateLog    *stateLog
-	target      *targetService // on the platform only
+	target      *targetService  // on the platform only
+	rollouts    *rolloutService // nil without roll-outs
 	outbound    *proxy.Outbound
 	inbound     *proxy.Inbound
 }
@@ -87,6 +88,10 @@
 	}
 	if n.settings.Platform != nil {
 		n.target = newTargetService(n)
+		if n.settings.Platform.CanaryShare > 0 {
+			n.rollouts = newRolloutService(n)
+			list = append(list, n.rollouts)
+		}
 		list = append(list, n.target, &inboundService{node: n}, &readyService{node: n})
 	}
 	return list
--- a/node/services.go
+++ b/node/services.go
@@ -33,8 +33,9 @@
 	nameAdmin    = "admin"
 	nameOutbound = "outbound"
 	nameInbound  = "inbound"
-	nameTarget   = "target" // on the platform only
-	nameReady    = "ready"  // on the platform only
+	nameTarget   = "target"  // on the platform only
+	nameReady    = "ready"   // on the platform only
+	nameRollout  = "rollout" // on the platform, if it has roll-outs
 	nameMetrics  = "metrics"
 )
 
@@ -128,9 +129,13 @@
 	case s.store == nil:
 		return nil
 	case s.node.settings.Platform != nil:
-		return platform.NewSource(s.store, func(err error) {
+		src := platform.NewSource(s.store, func(err error) {
 			s.node.log.Error(err, "configuration refused")
 		})
+		if s.node.rollouts != nil {
+			src = src.WithOrders(s.node.rollouts.onOrder)
+		}
+		return src
 	}
 	return spread.NewSource(s.store, s.reader)
 }
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -31,6 +31,7 @@
 	// OnWrongTarget is called when another target than the expected one responds
 	// at the address of a backend. It may be nil.
 	OnWrongTarget func(*Backend)
+	OnAnswer      func(Answer) // called for each call that was sent to the target; may be nil
 }
 
 // Backend is a target that accepts calls.
@@ -241,10 +242,12 @@
 	}
 	defer ticket.Release()
 	x := exchange{pool: in.opts.Pool}
-	if f := in.sendToTarget(&x, c, c.ctx, b); f != nil {
-		return f
+	sentAt := time.Now()
+	if f = in.sendToTarget(&x, c, c.ctx, b); f == nil {
+		f = x.bufferResponse(c, in.opts.Responses.BufferBytes)
 	}
-	if f := x.bufferResponse(c, in.opts.Responses.BufferBytes); f != nil {
+	in.observeAnswer(c, b, f, time.Since(sentAt))
+	if f != nil {
 		return f
 	}
 	if x.bodyComplete {
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -10,6 +10,7 @@
 	"siskingw/balance"
 	"siskingw/member"
 	"siskingw/object"
+	"siskingw/rollout"
 	"siskingw/snapshot"
 )
 
@@ -29,6 +30,9 @@
 	Bodies       BodyOptions
 	Retries      RetryOptions
 	DecisionLog  *DecisionLog // nil logs nothing
+	// Rollouts restricts calls to versions of targets that are known to be good;
+	// nil permits every version.
+	Rollouts *rollout.Traffic
 }
 
 // Outbound is the HTTP handler that routes the calls of this instance's callers.
@@ -152,6 +156,7 @@
 		if err == nil {
 			if f := t.refuseBeforeSending(c, picked); f != nil {
 				picked.Done(balance.Report{})
+				t.plan.Sent(false)
 				return t.result(f)
 			}
 		}
@@ -164,6 +169,7 @@
 		}
 		c.work.service = res.EndpointSet.Announce
 		f := o.send(c, picked.Record)
+		t.plan.Sent(reachedService(f))
 		c.recordAttempt(picked.Record, picked.Late, f)
 		picked.Done(c.balancerReport(f))
 		if f == nil || f.aborted {
@@ -191,12 +197,24 @@
 
 // pick selects the endpoint for the next attempt.
 func (o *Outbound) pick(c *call, res *snapshot.ResolvedRoute, t *retryState) (*balance.Picked, error) {
-	if c.work.targetTime.IsZero() {
+	if o.opts.Rollouts != nil {
+		return o.pickVersion(c, res, t)
+	}
+	return o.pickAmong(c, res, t, rollout.Rule{})
+}
+
+// pickAmong selects the endpoint among those that the rule permits.
+func (o *Outbound) pickAmong(c *call, res *snapshot.ResolvedRoute, t *retryState, rule rollout.Rule) (*balance.Picked, error) {
+	if c.work.targetTime.IsZero() && !rule.Limited {
 		return o.opts.Balancer.Pick(res.EndpointSet, ejectionOf(res.Policy), t.excluded)
 	}
 	c.work.allowLate = t.allowLate
+	left := c.timeLeft()
+	if !c.work.targetTime.IsZero() {
+		left = time.Until(c.work.targetTime)
+	}
 	return o.opts.Balancer.PickFor(res.EndpointSet, ejectionOf(res.Policy), t.excluded, balance.Demand{
-		TargetLeft: time.Until(c.work.targetTime), DeadlineLeft: c.timeLeft(),
+		TargetLeft: left, DeadlineLeft: c.timeLeft(), Versions: versionRule(rule),
 		Bytes: o.responseSizeOf(res.Name).expectedBytes(c), BodyBytes: max(c.r.ContentLength, 0),
 		Class: c.work.class, Priority: c.work.priority,
 	})
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -8,6 +8,7 @@
 
 	"siskingw/balance"
 	"siskingw/object"
+	"siskingw/rollout"
 )
 
 const (
@@ -65,6 +66,7 @@
 	nextCharged    bool     // the next attempt is charged to the budget
 	allowLate      bool     // the next attempt may run late, see work.allowLate
 	lastRefusal    *refusal
+	plan           rollout.Plan  // versions that the current attempt may use
 	noRetry        noRetryReason // why the call is not retried
 }
 
--- /dev/null
+++ b/rollout/decide.go
@@ -0,0 +1,204 @@
+package rollout
+
+import (
+	"fmt"
+	"time"
+)
+
+// The time of a roll-out is divided by these shares of the order's duration, 0 to
+// 1. A version may become bad only after some seconds or under load, so it is
+// watched for half of the time; the traffic then needs time to move, and the calls
+// at the old targets need time to end.
+const (
+	earliestGood  = 0.5
+	latestVerdict = 0.65
+	latestDone    = 0.92
+	latestEnd     = 0.96
+)
+
+const (
+	// moveStep is the growth of the new version's share, in percent of the calls,
+	// and moveInterval the time between two steps: the nodes learn of a step within
+	// 0.3 s, and the targets' load follows within a second.
+	moveStep     = 25
+	moveInterval = 600 * time.Millisecond
+	// minMoveAnswers is the number of answers without a sign of a fault from which a
+	// version is accepted although the test has not decided.
+	minMoveAnswers = 20
+	// spareSlots is the share of the old version's slots, 0 to 1, that the new one
+	// must have to take all calls.
+	spareSlots = 0.8
+)
+
+// Input is what the decider knows.
+type Input struct {
+	Order     Order
+	Stored    *Status // status in the store, nil if there is none
+	Known     Directive
+	HasKnown  bool
+	Elapsed   time.Duration // since the order
+	SinceStep time.Duration // since the directive in force was made
+	Survey    Survey
+	BaseIdle  bool // all targets of the old version have no calls
+	Verdict   Verdict
+	InForce   string // version in force if no directive states it
+	Now       time.Time
+}
+
+// Decision is what the decider does next.
+type Decision struct {
+	Directive Directive
+	Write     *Status // status to be written, nil for none; its Revision is that of the status it replaces
+	// Announce reports whether the directive may be announced before Write has been
+	// stored. Done must not be: the old targets end at once when the store has it.
+	Announce bool
+}
+
+// Decide returns the next step of a roll-out. It depends only on its input, so that
+// every node that watches the store can decide; the compare-and-swap of the status
+// settles which of several takes effect.
+func Decide(in Input) Decision {
+	if s := in.Stored; s != nil && s.Order == in.Order.Revision && s.State != Running {
+		return Decision{Directive: in.final(*s), Announce: true}
+	}
+	d := in.next()
+	out := Decision{Directive: d, Announce: d.Phase != Done}
+	state := stateOf(d.Phase)
+	if in.Stored == nil || in.Stored.Order != in.Order.Revision || in.Stored.State != state {
+		out.Write = in.status(d, state)
+	}
+	return out
+}
+
+func stateOf(p Phase) State {
+	switch p {
+	case Reverted:
+		return RolledBack
+	case Done:
+		return Completed
+	}
+	return Running
+}
+
+// final returns the directive for a status that is final.
+func (in Input) final(s Status) Directive {
+	d := Directive{Service: s.Service, Revision: s.Order, Target: s.Version, Base: s.Base, Phase: Reverted, Reason: s.Reason}
+	if s.State == Completed {
+		d.Phase = Done
+	}
+	return d
+}
+
+// status returns the status to be written for a directive.
+func (in Input) status(d Directive, state State) *Status {
+	s := &Status{Service: d.Service, Version: d.Target, State: state, Order: d.Revision, Base: d.Base,
+		Reason: d.Reason, Started: in.Now.Add(-in.Elapsed)}
+	if in.Stored != nil {
+		s.Revision = in.Stored.Revision
+		if in.Stored.Order == d.Revision {
+			s.Started = in.Stored.Started
+		}
+	}
+	return s
+}
+
+// begin returns the first directive of the order. The version in force is the base,
+// unless a roll-out to another version has just begun: that version is unproven.
+func (in Input) begin() Directive {
+	d := Directive{Service: in.Order.Service, Revision: in.Order.Revision, Target: in.Order.Version, Phase: Canary, Base: in.InForce}
+	s := in.Stored
+	switch {
+	case in.HasKnown && in.Known.Phase == Done:
+		d.Base = in.Known.Target
+	case in.HasKnown:
+		d.Base = in.Known.Base
+	case s != nil && s.Order == in.Order.Revision:
+		d.Base = s.Base
+	case s != nil && s.State == Completed:
+		d.Base = s.Version
+	case s != nil && s.Base != "":
+		d.Base = s.Base
+	}
+	return d
+}
+
+// next returns the directive that follows.
+func (in Input) next() Directive {
+	d := in.Known
+	if !in.HasKnown || in.Known.Revision != in.Order.Revision {
+		return in.begin()
+	}
+	switch d.Phase {
+	case Canary:
+		return in.nextOfCanary(d)
+	case Moving:
+		return in.nextOfMoving(d)
+	}
+	return d
+}
+
+// at reports whether the share of the order's duration has passed.
+func (in Input) at(share float64) bool {
+	return in.Elapsed >= time.Duration(share*float64(in.Order.Duration))
+}
+
+func (in Input) nextOfCanary(d Directive) Directive {
+	v := in.Verdict
+	switch {
+	case d.Target == d.Base:
+		return moving(d, 100, "the version is in force already")
+	case v.Outcome == Bad:
+		return reverted(d, "bad on route "+v.Worst.String())
+	case v.Outcome == Good && in.at(earliestGood):
+		return moving(d, moveStep, fmt.Sprintf("%d answers, %d bad", v.Answers, v.Bad))
+	case !in.at(latestVerdict):
+		return d
+	case in.Survey.New == 0:
+		return reverted(d, "no target has the version")
+	case v.Answers >= minMoveAnswers && v.Worst.Ratio <= 0:
+		return moving(d, moveStep, fmt.Sprintf("little traffic: %d answers, %d bad", v.Answers, v.Bad))
+	}
+	return reverted(d, fmt.Sprintf("not decided: %d answers, %d bad", v.Answers, v.Bad))
+}
+
+func (in Input) nextOfMoving(d Directive) Directive {
+	v := in.Verdict
+	switch {
+	case v.Outcome == Bad:
+		return reverted(d, "bad on route "+v.Worst.String())
+	case in.Survey.New == 0:
+		return reverted(d, "no target has the version any more")
+	case d.SharePercent < 100:
+		if in.at(latestEnd) {
+			return reverted(d, "the new targets have too few slots")
+		}
+		if in.SinceStep < moveInterval || float64(in.Survey.NewSlots) < in.slotsFor(d.SharePercent+moveStep) {
+			return d
+		}
+		return moving(d, d.SharePercent+moveStep, d.Reason)
+	case in.BaseIdle || in.at(latestDone):
+		d.Phase = Done
+	}
+	return d
+}
+
+// slotsFor returns the slots that the new targets need for a share of the calls.
+func (in Input) slotsFor(percent int) float64 {
+	return spareSlots * float64(in.Survey.BaseSlots) * float64(percent) / 100
+}
+
+func moving(d Directive, percent int, reason string) Directive {
+	d.Phase, d.SharePercent, d.Reason = Moving, min(percent, 100), reason
+	return d
+}
+
+func reverted(d Directive, reason string) Directive {
+	d.Phase, d.SharePercent, d.Reason = Reverted, 0, reason
+	return d
+}
+
+// String describes the verdict for operators.
+func (v RouteVerdict) String() string {
+	return fmt.Sprintf("%08x: %d of %d answers bad, ratio %.1f, old version %.0f%% of %d",
+		v.Route, v.BadAnswers, v.Answers, v.Ratio, 100*v.ControlShare, v.Control)
+}
--- /dev/null
+++ b/rollout/evidence.go
@@ -0,0 +1,151 @@
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"math/bits"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is the number of buckets of answer times. Bucket i ends at 2^(i+2) ms,
+// the last one has no end.
+const Buckets = 14
+
+// bucketOf returns the bucket of a duration.
+func bucketOf(d time.Duration) int {
+	ms := max(d.Milliseconds(), 0)
+	return min(max(bits.Len64(uint64(ms))-2, 0), Buckets-1)
+}
+
+// Counts are the answers of one target to the calls of one route.
+type Counts struct {
+	Failed  uint32          // failures
+	Answers [Buckets]uint32 // other answers by duration
+}
+
+// Total returns the number of answers, failures included.
+func (c Counts) Total() int { return int(c.Failed) + c.answered() }
+
+func (c Counts) answered() int {
+	n := 0
+	for _, a := range c.Answers {
+		n += int(a)
+	}
+	return n
+}
+
+// slower returns the number of answers from a bucket on.
+func (c Counts) slower(from int) int {
+	n := 0
+	for _, a := range c.Answers[min(from, Buckets):] {
+		n += int(a)
+	}
+	return n
+}
+
+func (c *Counts) add(o Counts) {
+	c.Failed += o.Failed
+	for i, n := range o.Answers {
+		c.Answers[i] += n
+	}
+}
+
+// RouteHash returns the hash that stands for a route in the evidence.
+func RouteHash(route string) uint32 { return uint32(xxhash.Sum64String(route)) }
+
+// Evidence is what the node beside a target has seen of its answers since an order.
+type Evidence struct {
+	Revision int64  // of the order
+	Target   string // id of the target
+	Idle     bool   // the target runs no call and has got none for some time
+	Routes   map[uint32]Counts
+}
+
+// Total returns the number of answers and of failures.
+func (e Evidence) Total() (answers, failed int) {
+	for _, c := range e.Routes {
+		answers += c.Total()
+		failed += int(c.Failed)
+	}
+	return answers, failed
+}
+
+// busiest returns the n routes with the most answers.
+func (e Evidence) busiest(n int) []uint32 {
+	routes := slices.SortedFunc(maps.Keys(e.Routes), func(a, b uint32) int {
+		return cmp.Or(cmp.Compare(e.Routes[b].Total(), e.Routes[a].Total()), cmp.Compare(a, b))
+	})
+	return routes[:min(n, len(routes))]
+}
+
+// maxEvidenceRoutes bounds the memory of a recorder; a configuration may have
+// thousands of routes. Answers on further routes are not counted.
+const maxEvidenceRoutes = 256
+
+// Recorder counts the answers of the target beside a node. It is safe for
+// concurrent use.
+type Recorder struct {
+	mu       sync.Mutex
+	evidence Evidence
+	lastCall time.Time
+}
+
+// Start begins new counts if the order or the target differs from those of the
+// current counts.
+func (r *Recorder) Start(revision int64, target string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.evidence.Revision != revision || r.evidence.Target != target {
+		r.evidence = Evidence{Revision: revision, Target: target, Routes: make(map[uint32]Counts)}
+	}
+}
+
+// Answer is one answer of the target.
+type Answer struct {
+	Target   string // id of the target
+	Route    string
+	Failed   bool          // a failure of the target, not of the caller
+	Duration time.Duration // time at the target
+	Ignored  bool          // says nothing about the version: the call did not run or its caller left
+	WarmUp   bool          // the target is slow because it has just started
+}
+
+// Record counts an answer. Durations during warm-up do not count.
+func (r *Recorder) Record(a Answer, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastCall = now
+	if r.evidence.Revision == 0 || a.Target != r.evidence.Target || a.Ignored || a.WarmUp && !a.Failed {
+		return
+	}
+	route := RouteHash(a.Route)
+	c, known := r.evidence.Routes[route]
+	if !known && len(r.evidence.Routes) >= maxEvidenceRoutes {
+		return
+	}
+	if a.Failed {
+		c.Failed++
+	} else {
+		c.Answers[bucketOf(a.Duration)]++
+	}
+	r.evidence.Routes[route] = c
+}
+
+// idleTime is how long a target must have got no call to count as idle. It covers
+// calls of nodes that have not learned yet that the traffic has moved.
+const idleTime = 400 * time.Millisecond
+
+// Evidence returns a copy of the counts. inFlight is the number of calls at the
+// target.
+func (r *Recorder) Evidence(inFlight int, now time.Time) Evidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.evidence
+	e.Routes = maps.Clone(e.Routes)
+	e.Idle = inFlight == 0 && now.Sub(r.lastCall) >= idleTime
+	return e
+}
--- /dev/null
+++ b/rollout/history.go
@@ -0,0 +1,100 @@
+package rollout
+
+import "time"
+
+// Window is the time over which the latest answers are judged by themselves: a
+// version may become bad only after a while, and the good answers before would
+// hide it.
+const Window = 3 * time.Second
+
+// TargetEvidence is the evidence of one target with its version.
+type TargetEvidence struct {
+	Node string
+	New  bool
+	Evidence
+}
+
+// observation is the evidence of all targets at one time.
+type observation struct {
+	at      time.Time
+	targets []TargetEvidence
+}
+
+// History keeps the evidence of one order over the last Window. It is not safe for
+// concurrent use.
+type History struct {
+	revision     int64
+	observations []observation
+}
+
+// Add adds the evidence of all targets for the order at a time. Evidence of another
+// order starts a new history.
+func (h *History) Add(revision int64, targets []TargetEvidence, now time.Time) {
+	if h.revision != revision {
+		h.revision, h.observations = revision, nil
+	}
+	for len(h.observations) > 1 && now.Sub(h.observations[1].at) >= Window {
+		h.observations = h.observations[1:]
+	}
+	h.observations = append(h.observations, observation{at: now, targets: targets})
+}
+
+// Judge returns the verdict on the latest answers if they show that the version is
+// bad, and otherwise that on all answers since the order.
+func (h *History) Judge() Verdict {
+	if len(h.observations) == 0 {
+		return Verdict{}
+	}
+	latest := h.observations[len(h.observations)-1]
+	all := Judge(samples(latest.targets, nil))
+	recent := Judge(samples(latest.targets, h.observations[0].targets))
+	if recent.Outcome == Bad {
+		return recent
+	}
+	if all.Outcome == Good && recent.Worst.Ratio > 0 {
+		all.Outcome = Undecided // it may be about to become bad
+	}
+	return all
+}
+
+// samples returns the evidence without what it was before.
+func samples(now, before []TargetEvidence) []Sample {
+	type key struct{ node, target string }
+	earlier := make(map[key]Evidence, len(before))
+	for _, t := range before {
+		earlier[key{t.Node, t.Target}] = t.Evidence
+	}
+	list := make([]Sample, len(now))
+	for i, t := range now {
+		list[i] = Sample{New: t.New, Routes: t.Routes}
+		if old, ok := earlier[key{t.Node, t.Target}]; ok {
+			list[i].Routes = difference(t.Routes, old.Routes)
+		}
+	}
+	return list
+}
+
+// difference returns the answers in now that are not in before. Where counts have
+// begun anew, it returns those in now.
+func difference(now, before map[uint32]Counts) map[uint32]Counts {
+	out := make(map[uint32]Counts, len(now))
+	for r, c := range now {
+		out[r] = c.since(before[r])
+	}
+	return out
+}
+
+func (c Counts) since(old Counts) Counts {
+	d := c
+	if c.Failed < old.Failed {
+		return c
+	}
+	d.Failed -= old.Failed
+	for i := range d.Answers {
+		if c.Answers[i] < old.Answers[i] {
+			return c
+		}
+		d.Answers[i] -= old.Answers[i]
+	}
+	return d
+}
--- /dev/null
+++ b/rollout/judge.go
@@ -0,0 +1,229 @@
+package rollout
+
+import (
+	"math"
+	"slices"
+)
+
+// The verdict is a sequential probability ratio test (A. Wald, "Sequential Tests of
+// Statistical Hypotheses", Annals of Mathematical Statistics 16, 1945) for each
+// route: is an answer of the new version bad as often as one of the old version at
+// the same time, or by badExcess more often? An answer is bad if it failed or was
+// several times slower than usual for the route.
+const (
+	// falseBad is the probability that a good version is judged bad, falseGood that
+	// one that is worse by badExcess is judged good, each over all routes together.
+	falseBad  = 0.001
+	falseGood = 0.01
+	// badExcess is the additional share of bad answers, 0 to 1, that makes a version
+	// bad. Versions that fail less often than this are not reliably found.
+	badExcess = 0.15
+	// minBadShare is the least share of bad answers that the old version is assumed
+	// to have, and unknownBadShare that of a route without answers of the old version.
+	minBadShare     = 0.01
+	unknownBadShare = 0.05
+	maxBadShare     = 0.7 // leaves room for badExcess
+	// otherTargets is the evidence, as a log likelihood ratio, that a version must
+	// have against it without its worst target. A single target may fail for reasons
+	// of its own.
+	otherTargets = 1.5
+	// singleTarget is the factor of the evidence that is needed if only one target
+	// has answers.
+	singleTarget = 2.5
+	// slowBuckets is the distance in buckets between the median of the old version
+	// and an answer that counts as several times slower; a bucket is a factor of 2.
+	slowBuckets = 2
+	// maxSlowShare is the largest share of the old version's answers that may count
+	// as slow; routes whose times vary more have a higher limit.
+	maxSlowShare = 0.1
+	// minControl is the number of answers of the old version from which its times
+	// are compared.
+	minControl = 10
+)
+
+// Outcome is the result of a test.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Undecided Outcome = iota
+	Good
+	Bad
+)
+
+// String returns the name of the outcome.
+func (o Outcome) String() string { return [...]string{"undecided", "good", "bad"}[min(o, Bad)] }
+
+// Sample is the evidence of one target.
+type Sample struct {
+	New    bool // the target has the new version
+	Routes map[uint32]Counts
+}
+
+// RouteVerdict is the verdict on one route.
+type RouteVerdict struct {
+	Route        uint32
+	Outcome      Outcome
+	Answers      int     // of the new version
+	BadAnswers   int     // failed or slow ones of it
+	Control      int     // answers of the old version
+	ControlShare float64 // share of bad answers, 0 to 1, that the old version has or is assumed to have
+	Ratio        float64 // log likelihood ratio; positive values speak against the version
+}
+
+// Verdict is the verdict on a version.
+type Verdict struct {
+	Outcome Outcome
+	Answers int // of the new version
+	Bad     int // failed or slow ones of it
+	Routes  []RouteVerdict
+	Worst   RouteVerdict // the route with the highest ratio
+}
+
+// Judge compares the new version with the old one. It is bad if it is bad on any
+// route, and good if it is good on all routes with enough answers together.
+func Judge(samples []Sample) Verdict {
+	routes := routesOf(samples)
+	var v Verdict
+	tests := float64(max(len(routes), 1))
+	for _, r := range routes {
+		rv := judgeRoute(r, samples, tests)
+		if rv.Answers == 0 {
+			continue
+		}
+		v.Routes = append(v.Routes, rv)
+		v.Answers += rv.Answers
+		v.Bad += rv.BadAnswers
+		if len(v.Routes) == 1 || rv.Ratio > v.Worst.Ratio {
+			v.Worst = rv
+		}
+	}
+	v.Outcome = combine(v.Routes)
+	return v
+}
+
+// rareShare is the share of the answers, 0 to 1, below which a route need not be
+// judged good by itself for the version to be good.
+const rareShare = 0.03
+
+// combine returns the outcome for all routes together.
+func combine(routes []RouteVerdict) Outcome {
+	total, good, goodAnswers := 0, true, 0
+	for _, r := range routes {
+		total += r.Answers
+	}
+	for _, r := range routes {
+		switch {
+		case r.Outcome == Bad:
+			return Bad
+		case r.Outcome == Good:
+			goodAnswers += r.Answers
+		case float64(r.Answers) >= rareShare*float64(total):
+			good = false
+		case r.Ratio > 0:
+			good = false
+		}
+	}
+	if good && goodAnswers > 0 {
+		return Good
+	}
+	return Undecided
+}
+
+// judgeRoute tests one route. tests is the number of routes over which the error
+// rates are divided.
+func judgeRoute(route uint32, samples []Sample, tests float64) RouteVerdict {
+	var control Counts
+	for _, s := range samples {
+		if !s.New {
+			control.add(s.Routes[route])
+		}
+	}
+	slow := slowFrom(control)
+	v := RouteVerdict{Route: route, Control: control.Total()}
+	v.ControlShare = controlShare(control, slow)
+	badWeight, goodWeight := weights(v.ControlShare)
+	worst, targets := 0.0, 0
+	for _, s := range samples {
+		c := s.Routes[route]
+		if !s.New || c.Total() == 0 {
+			continue
+		}
+		bad := int(c.Failed) + c.slower(slow)
+		ratio := float64(bad)*badWeight + float64(c.Total()-bad)*goodWeight
+		v.Answers += c.Total()
+		v.BadAnswers += bad
+		v.Ratio += ratio
+		worst = max(worst, ratio)
+		targets++
+	}
+	v.Outcome = decide(v.Ratio, v.Ratio-worst, targets, tests)
+	return v
+}
+
+// weights returns what a bad and a good answer add to the log likelihood ratio.
+func weights(share float64) (bad, good float64) {
+	return math.Log((share + badExcess) / share), math.Log((1 - share - badExcess) / (1 - share))
+}
+
+// decide returns the outcome of one test. rest is the ratio without the target that
+// speaks most against the version.
+func decide(ratio, rest float64, targets int, tests float64) Outcome {
+	limit := math.Log(tests * (1 - falseGood) / falseBad)
+	switch {
+	case ratio >= limit && targets > 1 && rest >= otherTargets,
+		ratio >= singleTarget*limit && targets == 1:
+		return Bad
+	case ratio <= math.Log(falseGood/(1-falseBad)):
+		return Good
+	}
+	return Undecided
+}
+
+// slowFrom returns the bucket from which an answer counts as slow.
+func slowFrom(control Counts) int {
+	n := control.answered()
+	if n < minControl {
+		return Buckets
+	}
+	sum, median := 0, 0
+	for i, a := range control.Answers {
+		if sum += int(a); 2*sum >= n {
+			median = i
+			break
+		}
+	}
+	from := median + slowBuckets
+	for from < Buckets && float64(control.slower(from)) > maxSlowShare*float64(n) {
+		from++
+	}
+	return from
+}
+
+// controlShare returns the share of bad answers that the old version has, with two
+// standard errors added where it has few answers.
+func controlShare(control Counts, slow int) float64 {
+	n := float64(control.Total())
+	if n == 0 {
+		return unknownBadShare
+	}
+	bad := float64(int(control.Failed) + control.slower(slow))
+	p := (bad + 0.5) / (n + 1)
+	return min(max(p+2*math.Sqrt(p*(1-p)/n), minBadShare), maxBadShare)
+}
+
+// routesOf returns the routes in the samples in ascending order.
+func routesOf(samples []Sample) []uint32 {
+	seen := make(map[uint32]bool)
+	var routes []uint32
+	for _, s := range samples {
+		for r := range s.Routes {
+			if !seen[r] {
+				seen[r] = true
+				routes = append(routes, r)
+			}
+		}
+	}
+	slices.Sort(routes)
+	return routes
+}
--- /dev/null
+++ b/rollout/traffic.go
@@ -0,0 +1,188 @@
+package rollout
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+)
+
+// TrafficOptions configures a Traffic.
+type TrafficOptions struct {
+	Share float64 // share of a service's calls, 0 to 1, that an unproven version may get
+	// Targets returns the targets of a service in the same order on every node. The
+	// result may be kept until Generation changes.
+	Targets    func(service string) []Target
+	Generation func() uint64
+}
+
+// Traffic decides which versions the calls of this node may use. It is safe for
+// concurrent use.
+type Traffic struct {
+	book     *Book
+	opts     TrafficOptions
+	services sync.Map // service name to *serviceTraffic
+}
+
+// NewTraffic returns the traffic under the directives of a book.
+func NewTraffic(book *Book, opts TrafficOptions) *Traffic { return &Traffic{book: book, opts: opts} }
+
+// serviceTraffic is the state of one service.
+type serviceTraffic struct {
+	credit Credit
+	vetoed atomic.Int64 // order whose version this node has judged bad
+	state  atomic.Pointer[trafficState]
+	// newCalls counts the calls that tried the new version, calls all that reached
+	// the service, both since the order.
+	newCalls, calls atomic.Uint64
+
+	mu       sync.Mutex // held while the state is replaced
+	revision int64      // order that the credit and the counts belong to
+}
+
+// trafficState is what a plan depends on. It is immutable.
+type trafficState struct {
+	generation uint64
+	directive  Directive // zero for none
+	survey     Survey
+	base, new  Rule
+	tries      bool    // calls may try the new version
+	share      float64 // share of the calls that try it, 0 to 1
+	inForce    string  // version in force if there is no directive
+}
+
+// Plan states which versions one attempt of a call may use.
+type Plan struct {
+	Rule        Rule
+	Trial       bool // the attempt tries the new version
+	HasFallback bool // Fall may be called
+	fallback    Rule
+	service     *serviceTraffic
+	share       float64
+}
+
+// Plan returns the plan of an attempt. A retry never tries an unproven version.
+func (t *Traffic) Plan(service string, retry bool) Plan {
+	s := t.service(service)
+	st := t.current(service, s)
+	p := Plan{Rule: st.base, service: s, share: st.share}
+	switch {
+	case !st.tries:
+	case st.share >= 1:
+		p.Rule, p.fallback, p.HasFallback = st.new, st.base, true
+	case retry && st.directive.Phase == Moving:
+		p.Rule = Rule{}
+	case !retry && s.credit.Take():
+		p.Rule, p.Trial = st.new, true
+		p.fallback, p.HasFallback = st.base, true
+	case st.directive.Phase == Moving:
+		p.fallback, p.HasFallback = st.new, true
+	}
+	return p
+}
+
+// Fall returns the plan for when no target of the permitted versions can take the
+// call.
+func (p Plan) Fall() Plan {
+	if p.Trial {
+		p.service.credit.Return()
+	}
+	p.Rule, p.Trial, p.HasFallback = p.fallback, false, false
+	return p
+}
+
+// Sent records whether the attempt reached a target of the service.
+func (p Plan) Sent(reached bool) {
+	switch {
+	case p.service == nil:
+	case !reached && p.Trial:
+		p.service.credit.Return()
+	case reached:
+		p.service.calls.Add(1)
+		if p.Trial {
+			p.service.newCalls.Add(1)
+		}
+		if p.share > 0 && p.share < 1 {
+			p.service.credit.Add(p.share)
+		}
+	}
+}
+
+// Veto records that this node has judged the version of an order bad. It gets no
+// further calls of this node unless a later order names it.
+func (t *Traffic) Veto(service string, revision int64) {
+	s := t.service(service)
+	s.vetoed.Store(revision)
+	s.state.Store(nil)
+}
+
+// Counts returns the calls of this node that reached the service and those that
+// tried the new version, since the last order.
+func (t *Traffic) Counts(service string) (calls, tried uint64) {
+	s := t.service(service)
+	return s.calls.Load(), s.newCalls.Load()
+}
+
+// Survey returns the targets of a service by their part in its roll-out.
+func (t *Traffic) Survey(service string) Survey { return t.current(service, t.service(service)).survey }
+
+func (t *Traffic) service(name string) *serviceTraffic {
+	if s, ok := t.services.Load(name); ok {
+		return s.(*serviceTraffic)
+	}
+	s, _ := t.services.LoadOrStore(name, new(serviceTraffic))
+	return s.(*serviceTraffic)
+}
+
+// current returns the state for the current targets and directive.
+func (t *Traffic) current(name string, s *serviceTraffic) *trafficState {
+	generation := t.opts.Generation()
+	d, _ := t.book.Get(name)
+	if st := s.state.Load(); st != nil && st.generation == generation && st.directive == d {
+		return st
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := t.newState(name, s, d, generation)
+	s.state.Store(st)
+	return st
+}
+
+func (t *Traffic) newState(name string, s *serviceTraffic, d Directive, generation uint64) *trafficState {
+	old := s.state.Load()
+	st := &trafficState{generation: generation, directive: d}
+	targets := t.opts.Targets(name)
+	if d.Phase == 0 {
+		if old != nil {
+			st.inForce = old.inForce
+		}
+		st.inForce = InForce(targets, st.inForce)
+		st.base = ruleWithoutOrder(targets, st.inForce)
+		return st
+	}
+	if s.revision != d.Revision {
+		s.revision = d.Revision
+		s.credit.Reset()
+		s.calls.Store(0)
+		s.newCalls.Store(0)
+	}
+	effective := d
+	if s.vetoed.Load() == d.Revision && d.Active() {
+		effective.Phase = Reverted
+	}
+	st.survey = NewSurvey(effective, targets, t.opts.Share)
+	st.base = BaseRule(effective, st.survey)
+	st.share = effective.Share(t.opts.Share)
+	st.new, st.tries = NewRule(effective, st.survey)
+	return st
+}
+
+// ruleWithoutOrder permits only the version in force while it has a target: an order
+// for another one may exist that this node has not learned of.
+func ruleWithoutOrder(targets []Target, inForce string) Rule {
+	mixed := slices.ContainsFunc(targets, func(t Target) bool { return t.Usable && t.Version != inForce })
+	present := slices.ContainsFunc(targets, func(t Target) bool { return t.Usable && t.Version == inForce })
+	if !mixed || !present {
+		return Rule{}
+	}
+	return only(inForce)
+}
--- a/spread/readers.go
+++ b/spread/readers.go
@@ -123,6 +123,10 @@
 	return time.Duration(age)*time.Millisecond > n.opts.Readers.ContactTimeout
 }
 
+// Reader reports whether this node watches the store, and the number of nodes that
+// precede it in the order of readers.
+func (n *Node) Reader() (index int, ok bool) { return n.readerIndex(), n.isReader() }
+
 // isFixedCountReader reports whether this node is one of the first readers, or
 // one of the standbys after them while the contact with the store is lost.
 func (n *Node) isFixedCountReader() bool {
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -26,6 +26,14 @@
 	EventReload     = "settings reloaded"
 	EventReloadFail = "settings not reloaded, the old ones stay"
 
+	// Roll-outs of target versions.
+	EventRolloutOrdered  = "roll-out ordered"
+	EventRolloutDecided  = "roll-out decided" // at a node that watches the store
+	EventRolloutState    = "roll-out state"   // at every node
+	EventRolloutVetoed   = "version judged bad"
+	EventRolloutStore    = "roll-out status not accessible"
+	EventRolloutRecorded = "roll-out status recorded"
+
 	// The process.
 	EventStarting = "starting"
 	EventJoined   = "joined"
