--- a/node/rollout.go
+++ b/node/rollout.go
@@ -18,6 +18,9 @@
 	// rolloutTick is the interval at which a node judges evidence, decides and
 	// updates its note.
 	rolloutTick = 200 * time.Millisecond
+	// settleTime is how long a starting node learns of other nodes before it holds on
+	// to the version that it takes for the one in force.
+	settleTime = 2 * time.Second
 	// evidenceInterval is the minimum time between two statements of evidence by the
 	// node of a target. It bounds the bytes for records: a few dozen nodes state
 	// evidence while a roll-out runs.
@@ -35,12 +38,13 @@
 	store    store.Store  // nil without a store endpoint
 	spread   *spread.Node // set by Start
 
-	mu      sync.Mutex
-	orders  map[string]*orderState // by service
-	history map[string]*rollout.History
-	verdict map[string]rollout.Verdict
-	notes   noteCache
+	mu       sync.Mutex
+	orders   map[string]*orderState // by service
+	history  map[string]*rollout.History
+	verdicts map[string]rollout.Verdict
+	notes    noteCache
 
+	startedAt  time.Time // when a configuration was in force; zero before
 	stated     []byte    // last note
 	evidenceAt time.Time // when evidence was last stated
 }
@@ -49,7 +53,7 @@
 	s := &rolloutService{
 		node: n, book: rollout.NewBook(), recorder: new(rollout.Recorder),
 		orders: make(map[string]*orderState), history: make(map[string]*rollout.History),
-		verdict: make(map[string]rollout.Verdict),
+		verdicts: make(map[string]rollout.Verdict),
 	}
 	s.traffic = rollout.NewTraffic(s.book, rollout.TrafficOptions{
 		Share: n.settings.Platform.CanaryShare, Targets: s.targets, Generation: n.dir.Generation,
@@ -100,6 +104,12 @@
 			s.judge(service, d, now)
 		}
 	}
+	if s.startedAt.IsZero() && s.node.current.Load() != nil {
+		s.startedAt = now
+	}
+	if !s.startedAt.IsZero() && now.Sub(s.startedAt) >= settleTime {
+		s.traffic.Settle()
+	}
 	index, reader := s.spread.Reader()
 	if reader && s.store != nil {
 		for _, o := range s.orders {
@@ -154,8 +164,8 @@
 	}
 	h.Add(d.Revision, s.evidence(service, d), now)
 	v := h.Judge()
-	old := s.verdict[service]
-	s.verdict[service] = v
+	old := s.verdicts[service]
+	s.verdicts[service] = v
 	if v.Outcome == rollout.Bad && old.Outcome != rollout.Bad {
 		s.traffic.Veto(service, d.Revision)
 		s.node.log.Info(telemetry.EventRolloutVetoed, "service", service, "order", d.Revision, "version", d.Target,
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -48,7 +48,7 @@
 // Decision is what the decider does next.
 type Decision struct {
 	Directive Directive
-	Write     *Status // status to be written, nil for none; its Revision is that of the status it replaces
+	Write     *Status // status to be written, nil for none; the decider sets its Revision
 	// Announce reports whether the directive may be announced before Write has been
 	// stored. Done must not be: the old targets end at once when the store has it.
 	Announce bool
@@ -58,6 +58,9 @@
 // every node that watches the store can decide; the compare-and-swap of the status
 // settles which of several takes effect.
 func Decide(in Input) Decision {
+	if in.obsolete() {
+		return Decision{Directive: in.Known, Announce: in.HasKnown}
+	}
 	if s := in.Stored; s != nil && s.Order == in.Order.Revision && s.State != Running {
 		return Decision{Directive: in.final(*s), Announce: true}
 	}
@@ -70,6 +73,12 @@
 	return out
 }
 
+// obsolete reports whether a later order has replaced the order.
+func (in Input) obsolete() bool {
+	return in.HasKnown && in.Known.Revision > in.Order.Revision ||
+		in.Stored != nil && in.Stored.Order > in.Order.Revision
+}
+
 func stateOf(p Phase) State {
 	switch p {
 	case Reverted:
@@ -93,11 +102,8 @@
 func (in Input) status(d Directive, state State) *Status {
 	s := &Status{Service: d.Service, Version: d.Target, State: state, Order: d.Revision, Base: d.Base,
 		Reason: d.Reason, Started: in.Now.Add(-in.Elapsed)}
-	if in.Stored != nil {
-		s.Revision = in.Stored.Revision
-		if in.Stored.Order == d.Revision {
-			s.Started = in.Stored.Started
-		}
+	if in.Stored != nil && in.Stored.Order == d.Revision {
+		s.Started = in.Stored.Started
 	}
 	return s
 }
--- /dev/null
+++ b/rollout/judge_test.go
@@ -0,0 +1,149 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// load describes the answers of one target in a test.
+type load struct {
+	calls    int     // on each route
+	failing  float64 // share of failures, 0 to 1
+	slowing  float64 // share of answers that take 8 times as long
+	oneRoute bool    // only on the first route
+}
+
+// answers returns the evidence of a target for three routes of 50, 200 and 400 ms
+// whose times vary by a factor of 2.
+func answers(r *rand.Rand, isNew bool, l load) Sample {
+	s := Sample{New: isNew, Routes: make(map[uint32]Counts)}
+	for i, ms := range []float64{50, 200, 400} {
+		var c Counts
+		bad := !l.oneRoute || i == 0
+		for range l.calls {
+			d := ms * (0.7 + 1.4*r.Float64())
+			switch {
+			case bad && r.Float64() < l.failing:
+				c.Failed++
+				continue
+			case bad && r.Float64() < l.slowing:
+				d *= 8
+			}
+			c.Answers[bucketOf(time.Duration(d*float64(time.Millisecond)))]++
+		}
+		s.Routes[uint32(i+1)] = c
+	}
+	return s
+}
+
+func fleet(r *rand.Rand, old, canary load) []Sample {
+	var list []Sample
+	for range 6 {
+		list = append(list, answers(r, false, old))
+	}
+	for range 3 {
+		list = append(list, answers(r, true, canary))
+	}
+	return list
+}
+
+// Guards against a bad version that is taken for good, and a good one that is rolled
+// back, because of how the version is bad or how the service fares.
+func TestJudge(t *testing.T) {
+	for name, c := range map[string]struct {
+		old, canary load
+		want        Outcome
+	}{
+		"good":                      {load{calls: 100}, load{calls: 100}, Good},
+		"failures":                  {load{calls: 100}, load{calls: 12, failing: 0.5}, Bad},
+		"slow answers":              {load{calls: 100}, load{calls: 12, slowing: 0.5}, Bad},
+		"one route":                 {load{calls: 100}, load{calls: 25, failing: 0.5, oneRoute: true}, Bad},
+		"whole service fails":       {load{calls: 100, failing: 0.4}, load{calls: 100, failing: 0.4}, Good},
+		"whole service slow":        {load{calls: 100, slowing: 0.4}, load{calls: 100, slowing: 0.4}, Good},
+		"worse in a bad time":       {load{calls: 100, failing: 0.2}, load{calls: 60, failing: 0.7}, Bad},
+		"too little traffic":        {load{calls: 10}, load{calls: 2}, Undecided},
+		"no traffic":                {load{calls: 100}, load{}, Undecided},
+		"no answers of the old one": {load{}, load{calls: 100}, Good},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(20) {
+				v := Judge(fleet(rand.New(rand.NewPCG(seed, 1)), c.old, c.canary))
+				is.Equal(v.Outcome, c.want) // for every seed
+			}
+		})
+	}
+}
+
+// Guards against a version that is condemned for the fault of one instance.
+func TestJudgeOneFaultyTarget(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		list := fleet(r, load{calls: 100}, load{calls: 100})
+		list[8] = answers(r, true, load{calls: 100, failing: 0.9})
+		is.True(Judge(list).Outcome != Bad)
+	}
+}
+
+// Guards against an error rate above the stated one: good versions are judged after
+// every few answers, as on a node.
+func TestJudgeErrorRate(t *testing.T) {
+	is := is.New(t)
+	const trials = 2000
+	wrong := 0
+	for seed := range uint64(trials) {
+		r := rand.New(rand.NewPCG(seed, 3))
+		total := fleet(r, load{calls: 15, failing: 0.03}, load{})
+		for range 15 {
+			for i, s := range fleet(r, load{calls: 4, failing: 0.03}, load{calls: 4, failing: 0.03}) {
+				for route, c := range s.Routes {
+					sum := total[i].Routes[route]
+					sum.add(c)
+					total[i].Routes[route] = sum
+				}
+			}
+			if Judge(total).Outcome == Bad {
+				wrong++
+				break
+			}
+		}
+	}
+	t.Logf("%d of %d good versions judged bad", wrong, trials)
+	is.True(wrong <= 2*falseBad*trials)
+}
+
+// Guards against a version whose early good answers hide that it has become bad.
+func TestHistoryFindsLateFailures(t *testing.T) {
+	is := is.New(t)
+	r := rand.New(rand.NewPCG(1, 4))
+	var h History
+	list := fleet(r, load{calls: 400}, load{calls: 400})
+	start := time.Unix(1000, 0)
+	add := func(after time.Duration) Verdict {
+		var targets []TargetEvidence
+		for i, s := range list {
+			routes := make(map[uint32]Counts, len(s.Routes))
+			for k, c := range s.Routes {
+				routes[k] = c
+			}
+			targets = append(targets, TargetEvidence{Node: string(rune('a' + i)), New: s.New, Evidence: Evidence{Revision: 7, Routes: routes}})
+		}
+		h.Add(7, targets, start.Add(after))
+		return h.Judge()
+	}
+	is.Equal(add(0).Outcome, Good)
+	for i, s := range fleet(r, load{calls: 20}, load{calls: 20, failing: 0.5}) {
+		for route, c := range s.Routes {
+			sum := list[i].Routes[route]
+			sum.add(c)
+			list[i].Routes[route] = sum
+		}
+	}
+	is.Equal(add(time.Second).Outcome, Bad)
+	h.Add(8, nil, start) // another order: the counts before do not concern it
+	is.Equal(h.Judge().Outcome, Undecided)
+}
--- a/rollout/survey.go
+++ b/rollout/survey.go
@@ -23,9 +23,6 @@
 	// controls is the number of old targets that the canary targets are compared
 	// with.
 	controls = 8
-	// minorityFactor is how many times as many slots another version must have to
-	// replace the version that a node took for the one in force without an order.
-	minorityFactor = 3
 )
 
 // Survey groups the targets of a service by their part in a roll-out.
@@ -77,9 +74,7 @@
 }
 
 // InForce returns the version that a node without an order takes for the one in
-// force: the one with the most slots. The version taken before stays until it has
-// no target left or the other one has many times its slots; a node that starts
-// knows few targets at first.
+// force: before, while it has a target, and otherwise the one with the most slots.
 func InForce(targets []Target, before string) string {
 	slots := make(map[string]int)
 	for _, t := range targets {
@@ -87,14 +82,14 @@
 			slots[t.Version] += t.Slots
 		}
 	}
+	if slots[before] > 0 {
+		return before
+	}
 	best := before
 	for v, n := range slots {
 		if n > slots[best] || n == slots[best] && v < best {
 			best = v
 		}
 	}
-	if slots[before] > 0 && slots[best] < minorityFactor*slots[before] {
-		return before
-	}
 	return best
 }
--- a/rollout/traffic.go
+++ b/rollout/traffic.go
@@ -21,8 +21,14 @@
 	book     *Book
 	opts     TrafficOptions
 	services sync.Map // service name to *serviceTraffic
+	settled  atomic.Bool
 }
 
+// Settle states that this node knows the targets of the fleet. Until then the
+// version in force of a service without an order may change with the targets that
+// the node learns of; it knows few when it starts.
+func (t *Traffic) Settle() { t.settled.Store(true) }
+
 // NewTraffic returns the traffic under the directives of a book.
 func NewTraffic(book *Book, opts TrafficOptions) *Traffic { return &Traffic{book: book, opts: opts} }
 
@@ -152,7 +158,7 @@
 	st := &trafficState{generation: generation, directive: d}
 	targets := t.opts.Targets(name)
 	if d.Phase == 0 {
-		if old != nil {
+		if old != nil && t.settled.Load() {
 			st.inForce = old.inForce
 		}
 		st.inForce = InForce(targets, st.inForce)
--- /dev/null
+++ b/rollout/traffic_test.go
@@ -0,0 +1,198 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// versions returns usable targets: so many of each version, in the given order.
+func versions(counts ...any) []Target {
+	var list []Target
+	for i := 0; i < len(counts); i += 2 {
+		for j := range counts[i+1].(int) {
+			v := counts[i].(string)
+			list = append(list, Target{Node: fmt.Sprintf("%s-%d", v, j), Version: v, Slots: 10, Usable: true})
+		}
+	}
+	return list
+}
+
+// testNode is a node that calls one service.
+type testNode struct {
+	book       *Book
+	traffic    *Traffic
+	targets    []Target
+	generation uint64
+}
+
+func newTestNode(targets []Target) *testNode {
+	n := &testNode{book: NewBook(), targets: targets}
+	n.traffic = NewTraffic(n.book, TrafficOptions{
+		Share: 0.1, Targets: func(string) []Target { return n.targets }, Generation: func() uint64 { return n.generation },
+	})
+	n.traffic.Settle()
+	return n
+}
+
+func (n *testNode) set(targets []Target) { n.targets, n.generation = targets, n.generation+1 }
+
+// call sends one call and returns the version of its target, "" if it has none.
+func (n *testNode) call(retry bool) string {
+	p := n.traffic.Plan("s", retry)
+	v := n.choose(p.Rule)
+	if v == "" && p.HasFallback {
+		p = p.Fall()
+		v = n.choose(p.Rule)
+	}
+	p.Sent(v != "")
+	return v
+}
+
+func (n *testNode) choose(r Rule) string {
+	best := ""
+	for _, t := range n.targets {
+		if t.Usable && r.Allows(t.Node, t.Version) && t.Version > best {
+			best = t.Version // the new one, if the rule permits it
+		}
+	}
+	return best
+}
+
+var canary = Directive{Service: "s", Revision: 5, Target: "v2", Base: "v1", Phase: Canary}
+
+// Guards against calls to a version that no node has judged: with an order, without
+// one, at a node that starts, and where the old targets are gone.
+func TestVersionOfCalls(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(versions("v1", 6))
+	is.Equal(n.call(false), "v1")
+	n.set(versions("v1", 6, "v2", 6))
+	for range 100 {
+		is.Equal(n.call(false), "v1") // the order is not known yet
+	}
+	n.set(versions("v2", 6))
+	is.Equal(n.call(false), "v2") // nothing else is left
+
+	n.set(versions("v1", 6, "v2", 6))
+	n.book.Learn(canary)
+	for range 100 {
+		is.Equal(n.call(true), "v1") // a retry leaves the new version
+	}
+	n.traffic.Veto("s", 5)
+	for range 100 {
+		is.Equal(n.call(false), "v1")
+	}
+	n.book.Learn(reverted(canary, ""))
+	is.Equal(n.call(false), "v1")
+
+	n = newTestNode(versions("v2", 6)) // a new process knows few targets
+	n.traffic.settled.Store(false)
+	is.Equal(n.call(false), "v2")
+	n.set(versions("v1", 24, "v2", 6))
+	is.Equal(n.call(false), "v1")
+}
+
+// Guards against calls to the old targets after the roll-out: they end at once.
+func TestVersionAfterRollout(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(versions("v1", 6, "v2", 6))
+	n.book.Learn(moving(canary, 100, ""))
+	is.Equal(n.call(false), "v2")
+	done := canary
+	done.Phase = Done
+	n.book.Learn(done)
+	for range 50 {
+		is.Equal(n.call(false), "v2")
+	}
+	is.True(!n.book.Learn(canary)) // no way back
+	n.set(versions("v1", 6))
+	is.Equal(n.call(false), "v1") // rather than no answer
+}
+
+// Guards against more calls to an unproven version than are permitted over the whole
+// fleet, with nodes that restart, are cut off and learn of the order at any time.
+func TestExposure(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		targets := versions("v1", rapid.IntRange(1, 30).Draw(t, "old"), "v2", rapid.IntRange(1, 30).Draw(t, "new"))
+		nodes := make([]*testNode, rapid.IntRange(1, 12).Draw(t, "nodes"))
+		for i := range nodes {
+			nodes[i] = newTestNode(versions("v1", 1))
+			nodes[i].call(false)
+			nodes[i].set(targets)
+		}
+		all, tried := 0, 0
+		for _, draw := range rapid.SliceOfN(rapid.IntRange(0, 9999), 200, 1500).Draw(t, "steps") {
+			step, i := draw%100, draw/100%len(nodes)
+			switch {
+			case step < 2: // a node restarts after it has learned of the order from its peers
+				nodes[i] = newTestNode(targets)
+				nodes[i].book.Learn(canary)
+			case step < 5:
+				nodes[i].book.Learn(canary)
+			default:
+				all++
+				if nodes[i].call(step > 90) == "v2" {
+					tried++
+				}
+			}
+		}
+		if float64(tried) > 0.1*float64(all) {
+			t.Fatalf("%d of %d calls tried the new version", tried, all)
+		}
+	})
+}
+
+// Guards against a canary that gets too few calls to be judged, or too many targets
+// to be loaded.
+func TestCanaryGetsItsShare(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(versions("v1", 57, "v2", 57))
+	n.book.Learn(canary)
+	tried := 0
+	for range 1000 {
+		if n.call(false) == "v2" {
+			tried++
+		}
+	}
+	is.True(tried >= 80 && tried <= 100)
+	s := n.traffic.Survey("s")
+	is.Equal(len(s.Canaries), 3)
+	is.Equal(len(s.Controls), controls)
+	is.True(s.Canaries["v2-0"] && !s.Canaries["v2-5"])
+	calls, counted := n.traffic.Counts("s")
+	is.Equal(calls, uint64(1000))
+	is.Equal(counted, uint64(tried))
+}
+
+// Guards against a note that does not fit into a record or loses what it states.
+func TestNoteFits(t *testing.T) {
+	is := is.New(t)
+	n := Note{Directives: []Directive{moving(canary, 50, "100 answers, 0 bad")},
+		Evidence: Evidence{Revision: 5, Target: "i-1", Routes: make(map[uint32]Counts)}}
+	for i := range uint32(100) {
+		n.Evidence.Routes[i] = Counts{Failed: i, Answers: [Buckets]uint32{100, 200, 300, 400}}
+	}
+	b, err := n.Encode(512)
+	is.NoErr(err)
+	is.True(len(b) <= 512)
+	got, err := DecodeNote(b)
+	is.NoErr(err)
+	is.Equal(got.Directives, n.Directives)
+	is.Equal(got.Evidence.Routes[99], n.Evidence.Routes[99]) // the routes with the most answers stay
+	for i := range 40 {
+		d := canary
+		d.Service, d.Revision = fmt.Sprintf("service-%d", i), int64(100+i)
+		n.Directives = append(n.Directives, d)
+	}
+	b, err = n.Encode(512)
+	is.NoErr(err)
+	got, err = DecodeNote(b)
+	is.NoErr(err)
+	is.Equal(got.Directives[0].Revision, int64(139)) // the latest orders stay
+	b, err = Note{}.Encode(512)
+	is.NoErr(err)
+	is.Equal(len(b), 0)
+}
