--- a/admin/server.go
+++ b/admin/server.go
@@ -34,6 +34,7 @@
 	publisher Publisher
 	current   *snapshot.Current
 	status    StatusSource
+	rollouts  func() Rollouts // nil without roll-outs
 	log       logr.Logger
 }
 
@@ -51,6 +52,7 @@
 	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.handle(s.remove))
 	mux.HandleFunc("GET /v1/history", s.handle(s.history))
 	mux.HandleFunc("GET /v1/status", s.handle(func(*http.Request) (any, error) { return s.status.Status(), nil }))
+	mux.HandleFunc("GET /v1/rollouts", s.handle(s.listRollouts))
 	mux.HandleFunc("GET /v1/version", s.handle(s.version))
 }
 
--- a/node/admin.go
+++ b/node/admin.go
@@ -93,7 +93,7 @@
 	}
 	mux := http.NewServeMux()
 	telemetry.Mount(mux, s.node.ready)
-	admin.NewServer(p.publisher(), s.node.current, st, s.node.log).Register(mux)
+	admin.NewServer(p.publisher(), s.node.current, st, s.node.log).WithRollouts(s.node.rolloutList).Register(mux)
 	return s.listen(nameAdmin, s.node.settings.Listen.Admin, proxy.NewServer(mux, proxy.ServerOptions{}))
 }
 
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -156,7 +156,7 @@
 		if err == nil {
 			if f := t.refuseBeforeSending(c, picked); f != nil {
 				picked.Done(balance.Report{})
-				t.plan.Sent(false)
+				t.plan.Sent(false, false)
 				return t.result(f)
 			}
 		}
@@ -169,7 +169,7 @@
 		}
 		c.work.service = res.EndpointSet.Announce
 		f := o.send(c, picked.Record)
-		t.plan.Sent(reachedService(f))
+		t.recordSent(f)
 		c.recordAttempt(picked.Record, picked.Late, f)
 		picked.Done(c.balancerReport(f))
 		if f == nil || f.aborted {
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -67,6 +67,7 @@
 	allowLate      bool     // the next attempt may run late, see work.allowLate
 	lastRefusal    *refusal
 	plan           rollout.Plan  // versions that the current attempt may use
+	reached        bool          // an attempt has reached a target
 	noRetry        noRetryReason // why the call is not retried
 }
 
--- a/proxy/versions.go
+++ b/proxy/versions.go
@@ -36,9 +36,12 @@
 	return r
 }
 
-// reachedService reports whether an attempt reached the target.
-func reachedService(f *refusal) bool {
-	return f == nil || f.outcome != OutcomeNotRun || f.reachedTarget
+// recordSent tells the plan whether the attempt reached a target, and whether it was
+// the first of the call to do so.
+func (t *retryState) recordSent(f *refusal) {
+	reached := f == nil || f.outcome != OutcomeNotRun || f.reachedTarget
+	t.plan.Sent(reached, reached && !t.reached)
+	t.reached = t.reached || reached
 }
 
 // Answer is the result of one call at the target of this instance.
--- a/rollout/traffic.go
+++ b/rollout/traffic.go
@@ -96,20 +96,23 @@
 	return p
 }
 
-// Sent records whether the attempt reached a target of the service.
-func (p Plan) Sent(reached bool) {
-	switch {
-	case p.service == nil:
-	case !reached && p.Trial:
+// Sent records whether the attempt reached a target of the service, and whether it is
+// the first of the call that did: a call counts once, however often it is sent.
+func (p Plan) Sent(reached, first bool) {
+	if p.service == nil {
+		return
+	}
+	if p.Trial && reached {
+		p.service.newCalls.Add(1)
+	} else if p.Trial {
 		p.service.credit.Return()
-	case reached:
-		p.service.calls.Add(1)
-		if p.Trial {
-			p.service.newCalls.Add(1)
-		}
-		if p.share > 0 && p.share < 1 {
-			p.service.credit.Add(p.share)
-		}
+	}
+	if !first {
+		return
+	}
+	p.service.calls.Add(1)
+	if p.share > 0 && p.share < 1 {
+		p.service.credit.Add(p.share)
 	}
 }
 
