--- a/node/platform_test.go
+++ b/node/platform_test.go
@@ -40,7 +40,9 @@
 	mem   *memstore.Store
 	store *standin.Store
 	addr  string // of the store
-	ports [6]int // outbound, inbound, peer, admin, control, ready
+	// moreSettings is added to the platform settings of each node, with a comma.
+	moreSettings string
+	ports        [6]int // outbound, inbound, peer, admin, control, ready
 }
 
 func newTestPlatform(t *testing.T) *testPlatform {
@@ -91,8 +93,8 @@
  "listen":{"outbound":"%[3]s:%[4]d","inbound":"%[3]s:%[5]d","peer":"%[3]s:%[6]d","admin":"%[3]s:%[7]d"},
  "store":{"endpoint":%[10]q},"seeds":[],
  "platform":{"control":"%[3]s:%[8]d","ready":"%[3]s:%[9]d","service":"floor","seedHosts":["127.0.0.1:1","127.0.0.2:1"],
-  "heartbeatMs":200,"drainMs":2000,"graceS":4,"retryRatio":0.1,"retrySlack":20,"retryWindowS":10,"memoryMB":128}}`,
-		number, number%2, ip, s.ports[0], s.ports[1], s.ports[2], s.ports[3], s.ports[4], s.ports[5], s.addr)
+  "heartbeatMs":200,"drainMs":2000,"graceS":4,"retryRatio":0.1,"retrySlack":20,"retryWindowS":10,"memoryMB":128%[11]s}}`,
+		number, number%2, ip, s.ports[0], s.ports[1], s.ports[2], s.ports[3], s.ports[4], s.ports[5], s.addr, s.moreSettings)
 }
 
 // start starts the node of the instance with the number.
@@ -144,15 +146,21 @@
 // startTargetWith is startTargetWithBeat with a number of concurrent calls, for a
 // target that has run for age already.
 func (in *instance) startTargetWith(work, beat time.Duration, slots int, age time.Duration) {
+	in.platform.t.Helper()
+	in.startTargetAs(standin.TargetOptions{Slots: slots, Work: work, Age: age, Beat: beat})
+}
+
+// startTargetAs starts the target of the instance with options, whose identity and
+// addresses it fills in.
+func (in *instance) startTargetAs(opts standin.TargetOptions) {
 	in.platform.t.Helper()
 	l, err := net.Listen("tcp", in.ip+":0")
 	if err != nil {
 		in.platform.t.Fatal(err)
 	}
-	in.target = standin.NewTarget(standin.TargetOptions{
-		ID: "i-" + in.ip, Service: testService, Addr: l.Addr().String(), Slots: slots, Work: work, Age: age,
-		Control: fmt.Sprintf("%s:%d", in.ip, in.platform.ports[4]), Beat: beat,
-	})
+	opts.ID, opts.Service, opts.Addr = "i-"+in.ip, testService, l.Addr().String()
+	opts.Control = fmt.Sprintf("%s:%d", in.ip, in.platform.ports[4])
+	in.target = standin.NewTarget(opts)
 	srv := &http.Server{Handler: in.target}
 	go srv.Serve(l)
 	in.platform.t.Cleanup(func() { srv.Close() })
--- /dev/null
+++ b/node/rollout_test.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"siskingw/admin"
+	"siskingw/platform/standin"
+)
+
+// rolloutFleet starts two instances with the old version and two with the new one,
+// which may be broken, orders the roll-out and sends calls until it has ended. It
+// returns the instances, the state in the store and the number of calls.
+func rolloutFleet(t *testing.T, broken bool) (fleet []*instance, state string, calls int) {
+	t.Helper()
+	s := newTestPlatform(t)
+	s.moreSettings = `,"canaryShare":0.4,"canarySlack":5,"rollbackMs":2000`
+	s.publish(1)
+	for i := range 4 {
+		in := s.start(i + 1)
+		opts := standin.TargetOptions{Slots: 16, Work: 2 * time.Millisecond, Beat: 200 * time.Millisecond, Version: "v1"}
+		if i >= 2 {
+			opts.Version, opts.Broken = "v2", broken
+		}
+		in.startTargetAs(opts)
+		fleet = append(fleet, in)
+	}
+	caller := fleet[0]
+	eventually(t, "the caller knows four targets", func() bool { return len(caller.node.dir.Endpoints(testService)) == 4 })
+	eventually(t, "the old version answers", func() bool {
+		code, _, _ := caller.call("POST", "/lots/1", "first")
+		return code == 200
+	})
+	if _, err := s.mem.Put(t.Context(), "op/rollout/"+testService,
+		[]byte(`{"service":"floor","target_version":"v2","duration_s":4}`), 0); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the roll-out ends", func() bool {
+		for range 10 {
+			caller.call("POST", "/lots/1", fmt.Sprintf("c-%d", calls))
+			calls++
+		}
+		kv, err := s.mem.Get(context.Background(), "status/rollout/"+testService)
+		var status struct{ State string }
+		if err == nil && json.Unmarshal(kv.Value, &status) == nil {
+			state = status.State
+		}
+		return state == "completed" || state == "rolled_back"
+	})
+	return fleet, state, calls
+}
+
+// Guards against a bad version that stays in use, and against one that gets more
+// than its share of the calls.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	is := is.New(t)
+	fleet, state, calls := rolloutFleet(t, true)
+	is.Equal(state, "rolled_back")
+	tried := len(fleet[2].target.Runs()) + len(fleet[3].target.Runs())
+	is.True(tried > 0 && float64(tried) <= 0.4*float64(calls)+1)
+	c := admin.NewClient(fmt.Sprintf("%s:%d", fleet[3].ip, fleet[3].platform.ports[3]))
+	defer c.Close()
+	eventually(t, "another node knows the outcome and who decided", func() bool {
+		list, err := c.Rollouts(t.Context())
+		return err == nil && len(list.Rollouts) == 1 && list.Rollouts[0].Phase == "reverted" && len(list.Rollouts[0].Deciders) > 0
+	})
+	code, _, _ := fleet[0].call("POST", "/lots/1", "last")
+	is.Equal(code, 200)
+}
+
+// Guards against a good version that does not get the traffic, and against old
+// targets that get calls after the store says that they may end.
+func TestGoodVersionIsCompleted(t *testing.T) {
+	is := is.New(t)
+	fleet, state, _ := rolloutFleet(t, false)
+	is.Equal(state, "completed")
+	before := len(fleet[0].target.Runs()) + len(fleet[1].target.Runs())
+	for i := range 30 {
+		code, _, _ := fleet[0].call("POST", "/lots/1", fmt.Sprintf("after-%d", i))
+		is.Equal(code, 200)
+	}
+	is.Equal(len(fleet[0].target.Runs())+len(fleet[1].target.Runs()), before)
+}
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -19,9 +19,11 @@
 const (
 	// moveStep is the growth of the new version's share, in percent of the calls,
 	// and moveInterval the time between two steps: the nodes learn of a step within
-	// 0.3 s, and the targets' load follows within a second.
+	// 0.3 s, and the targets' load follows within a second. In a short roll-out the
+	// interval is its duration divided by moveSteps.
 	moveStep     = 25
 	moveInterval = 600 * time.Millisecond
+	moveSteps    = 20
 	// minMoveAnswers is the number of answers without a sign of a fault from which a
 	// version is accepted although the test has not decided.
 	minMoveAnswers = 20
@@ -178,7 +180,7 @@
 		if in.at(latestEnd) {
 			return reverted(d, "the new targets have too few slots")
 		}
-		if in.SinceStep < moveInterval || float64(in.Survey.NewSlots) < in.slotsFor(d.SharePercent+moveStep) {
+		if in.SinceStep < min(moveInterval, in.Order.Duration/moveSteps) || float64(in.Survey.NewSlots) < in.slotsFor(d.SharePercent+moveStep) {
 			return d
 		}
 		return moving(d, d.SharePercent+moveStep, d.Reason)
