--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -207,6 +207,6 @@
 
 // String describes the verdict for operators.
 func (v RouteVerdict) String() string {
-	return fmt.Sprintf("%08x: %d of %d answers bad, ratio %.1f, old version %.0f%% of %d",
-		v.Route, v.BadAnswers, v.Answers, v.Ratio, 100*v.ControlShare, v.Control)
+	return fmt.Sprintf("%08x: %d of %d answers bad, %d failed, ratio %.1f, old version %.0f%% of %d",
+		v.Route, v.BadAnswers, v.Answers, v.Failed, v.Ratio, 100*v.ControlShare, v.Control)
 }
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -3,7 +3,7 @@
 import (
 	"cmp"
 	"maps"
-	"math/bits"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -11,14 +11,20 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Buckets is the number of buckets of answer times. Bucket i ends at 2^(i+2) ms,
-// the last one has no end.
-const Buckets = 14
+const (
+	// Buckets is the number of buckets of answer times. Bucket i ends at
+	// firstBucket x 2^(i/bucketsPerOctave), the last one has no end.
+	Buckets          = 28
+	firstBucket      = 4 * time.Millisecond
+	bucketsPerOctave = 2
+)
 
 // bucketOf returns the bucket of a duration.
 func bucketOf(d time.Duration) int {
-	ms := max(d.Milliseconds(), 0)
-	return min(max(bits.Len64(uint64(ms))-2, 0), Buckets-1)
+	if d <= firstBucket {
+		return 0
+	}
+	return min(int(math.Ceil(bucketsPerOctave*math.Log2(float64(d)/float64(firstBucket)))), Buckets-1)
 }
 
 // Counts are the answers of one target to the calls of one route.
--- a/rollout/note.go
+++ b/rollout/note.go
@@ -69,11 +69,15 @@
 	m.Evidence = &peerpb.RolloutEvidence{Revision: n.Evidence.Revision, Idle: n.Evidence.Idle, Target: n.Evidence.Target}
 	for _, r := range n.Evidence.busiest(routes) {
 		c := n.Evidence.Routes[r]
-		last := Buckets
+		first, last := 0, Buckets
 		for last > 0 && c.Answers[last-1] == 0 {
 			last--
 		}
-		m.Evidence.Routes = append(m.Evidence.Routes, &peerpb.RolloutRoute{Route: r, Failed: c.Failed, Buckets: c.Answers[:last]})
+		for first < last && c.Answers[first] == 0 {
+			first++
+		}
+		m.Evidence.Routes = append(m.Evidence.Routes, &peerpb.RolloutRoute{Route: r, Failed: c.Failed,
+			FirstBucket: uint32(first), Buckets: c.Answers[first:last]})
 	}
 	return m
 }
@@ -94,7 +98,7 @@
 		n.Evidence = Evidence{Revision: e.Revision, Idle: e.Idle, Target: e.Target, Routes: make(map[uint32]Counts, len(e.Routes))}
 		for _, r := range e.Routes {
 			c := Counts{Failed: r.Failed}
-			copy(c.Answers[:], r.Buckets)
+			copy(c.Answers[min(r.FirstBucket, Buckets):], r.Buckets)
 			n.Evidence.Routes[r.Route] = c
 		}
 	}
