rollout: eight new targets state their answers while the traffic moves

Cause: with 57 new targets each would state its answers 2.5 times a second, and each statement goes to all 129 nodes.

--- a/node/rolloutnote.go
+++ b/node/rolloutnote.go
@@ -77,7 +77,7 @@
 	switch {
 	case b.target.Version == d.Target:
 		e.Idle = false
-		return e, answers > 0
+		return e, answers > 0 && (d.Phase == rollout.Canary || survey.Witnesses[id])
 	case survey.Controls[id]:
 		return e, true
 	case d.Phase == rollout.Moving && d.SharePercent >= 100:
--- a/rollout/survey.go
+++ b/rollout/survey.go
@@ -21,7 +21,8 @@
 	minCanaries = 2
 	maxCanaries = 8
 	// controls is the number of old targets that the canary targets are compared
-	// with.
+	// with, and of new targets that state their answers while the traffic moves.
+	// Each statement goes to every node.
 	controls = 8
 )
 
@@ -29,6 +30,9 @@
 type Survey struct {
 	Canaries map[string]bool // nodes of the targets that get the canary's calls
 	Controls map[string]bool // nodes of the old targets that they are compared with
+	// Witnesses are nodes of new targets, the canaries among them, that state their
+	// answers while the traffic moves.
+	Witnesses map[string]bool
 	// Targets and slots of the new version, of the base version and of others.
 	New, Base, Others             int
 	NewSlots, BaseSlots, Excluded int // Excluded: slots of other versions
@@ -37,7 +41,7 @@
 // NewSurvey groups targets, which must be in the same order on every node, so that
 // all nodes select the same canary targets.
 func NewSurvey(d Directive, targets []Target, share float64) Survey {
-	s := Survey{Canaries: make(map[string]bool), Controls: make(map[string]bool)}
+	s := Survey{Canaries: make(map[string]bool), Controls: make(map[string]bool), Witnesses: make(map[string]bool)}
 	for _, t := range targets {
 		if !t.Usable {
 			continue
@@ -56,8 +60,13 @@
 	}
 	canaries := canaryCount(s.Base, share)
 	for _, t := range targets {
+		if !t.Usable {
+			continue
+		}
+		if t.Version == d.Target && len(s.Witnesses) < controls {
+			s.Witnesses[t.Node] = true
+		}
 		switch {
-		case !t.Usable:
 		case t.Version == d.Target && len(s.Canaries) < canaries:
 			s.Canaries[t.Node] = true
 		case t.Version == d.Base && t.Version != d.Target && len(s.Controls) < controls:
