--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -13,6 +13,7 @@
 	calls    int     // on each route
 	failing  float64 // share of failures, 0 to 1
 	slowing  float64 // share of answers that take 8 times as long
+	busy     float64 // share of answers that take 2.5 times as long, as at a nearly full target
 	oneRoute bool    // only on the first route
 }
 
@@ -31,6 +32,8 @@
 				continue
 			case bad && r.Float64() < l.slowing:
 				d *= 8
+			case r.Float64() < l.busy:
+				d *= 2.5
 			}
 			c.Answers[bucketOf(time.Duration(d*float64(time.Millisecond)))]++
 		}
@@ -63,6 +66,7 @@
 		"one route":                 {load{calls: 100}, load{calls: 25, failing: 0.5, oneRoute: true}, Bad},
 		"whole service fails":       {load{calls: 100, failing: 0.4}, load{calls: 100, failing: 0.4}, Good},
 		"whole service slow":        {load{calls: 100, slowing: 0.4}, load{calls: 100, slowing: 0.4}, Good},
+		"busy, but good":            {load{calls: 100}, load{calls: 100, busy: 0.3}, Good},
 		"worse in a bad time":       {load{calls: 100, failing: 0.2}, load{calls: 60, failing: 0.7}, Bad},
 		"too little traffic":        {load{calls: 10}, load{calls: 2}, Undecided},
 		"no traffic":                {load{calls: 100}, load{}, Undecided},
