--- a/node/rollout.go
+++ b/node/rollout.go
@@ -166,6 +166,9 @@
 	v := h.Judge()
 	old := s.verdicts[service]
 	s.verdicts[service] = v
+	if suspects := v.Suspects(); len(suspects) > 0 {
+		s.traffic.Suspect(service, suspects)
+	}
 	if v.Outcome == rollout.Bad && old.Outcome != rollout.Bad {
 		s.traffic.Veto(service, d.Revision)
 		s.node.log.Info(telemetry.EventRolloutVetoed, "service", service, "order", d.Revision, "version", d.Target,
--- a/rollout/history.go
+++ b/rollout/history.go
@@ -66,7 +66,7 @@
 	}
 	list := make([]Sample, len(now))
 	for i, t := range now {
-		list[i] = Sample{New: t.New, Routes: t.Routes}
+		list[i] = Sample{Node: t.Node, New: t.New, Routes: t.Routes}
 		if old, ok := earlier[key{t.Node, t.Target}]; ok {
 			list[i].Routes = difference(t.Routes, old.Routes)
 		}
--- a/rollout/survey.go
+++ b/rollout/survey.go
@@ -39,8 +39,9 @@
 }
 
 // NewSurvey groups targets, which must be in the same order on every node, so that
-// all nodes select the same canary targets.
-func NewSurvey(d Directive, targets []Target, share float64) Survey {
+// all nodes select the same canary targets. Those beside the suspect nodes are not
+// selected.
+func NewSurvey(d Directive, targets []Target, share float64, suspects map[string]bool) Survey {
 	s := Survey{Canaries: make(map[string]bool), Controls: make(map[string]bool), Witnesses: make(map[string]bool)}
 	for _, t := range targets {
 		if !t.Usable {
@@ -67,7 +68,7 @@
 			s.Witnesses[t.Node] = true
 		}
 		switch {
-		case t.Version == d.Target && len(s.Canaries) < canaries:
+		case t.Version == d.Target && len(s.Canaries) < canaries && !suspects[t.Node]:
 			s.Canaries[t.Node] = true
 		case t.Version == d.Base && t.Version != d.Target && len(s.Controls) < controls:
 			s.Controls[t.Node] = true
--- a/rollout/traffic.go
+++ b/rollout/traffic.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -36,7 +37,9 @@
 type serviceTraffic struct {
 	credit Credit
 	vetoed atomic.Int64 // order whose version this node has judged bad
-	state  atomic.Pointer[trafficState]
+	// suspects are nodes of new targets that seem faulty by themselves.
+	suspects atomic.Pointer[map[string]bool]
+	state    atomic.Pointer[trafficState]
 	// newCalls counts the calls that tried the new version, calls all that reached
 	// the service, both since the order.
 	newCalls, calls atomic.Uint64
@@ -124,6 +127,26 @@
 	s.state.Store(nil)
 }
 
+// Suspect records nodes of targets that seem faulty by themselves. They get no trial
+// calls until the next order.
+func (t *Traffic) Suspect(service string, nodes []string) {
+	s := t.service(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next, added := make(map[string]bool), false
+	if old := s.suspects.Load(); old != nil {
+		maps.Copy(next, *old)
+	}
+	for _, n := range nodes {
+		added = added || !next[n]
+		next[n] = true
+	}
+	if added {
+		s.suspects.Store(&next)
+		s.state.Store(nil)
+	}
+}
+
 // Counts returns the calls of this node that reached the service and those that
 // tried the new version, since the last order.
 func (t *Traffic) Counts(service string) (calls, tried uint64) {
@@ -173,12 +196,17 @@
 		s.credit.Reset()
 		s.calls.Store(0)
 		s.newCalls.Store(0)
+		s.suspects.Store(nil)
 	}
 	effective := d
 	if s.vetoed.Load() == d.Revision && d.Active() {
 		effective.Phase = Reverted
 	}
-	st.survey = NewSurvey(effective, targets, t.opts.Share)
+	var suspects map[string]bool
+	if p := s.suspects.Load(); p != nil {
+		suspects = *p
+	}
+	st.survey = NewSurvey(effective, targets, t.opts.Share, suspects)
 	st.base = BaseRule(effective, st.survey)
 	st.share = effective.Share(t.opts.Share)
 	st.new, st.tries = NewRule(effective, st.survey)
