rollout, node: a target whose version is not known yet does not define the one in force

Cause: a target that was found by its health check has an empty version; nodes that knew only it took that for the version in force, and its announcement did not update the record.

Ruled out: targets of another version; the gate.

Change: unknown versions do not count; the record follows the announcement.

Result: two tests that failed before.

--- a/node/platform.go
+++ b/node/platform.go
@@ -172,6 +172,12 @@
 		s.node.log.Info(telemetry.EventTargetInUse,
 			"target", t.ID, "service", t.Service, "address", t.Address, "slots", t.Slots,
 			"version", t.Version, "warmUpMs", max(time.Until(t.WarmupEnd).Milliseconds(), 0))
+	} else if old.target.Version != t.Version {
+		// A target that was found by its health check has announced its version.
+		next := *old
+		next.target = *t
+		s.backend.Store(&next)
+		old = nil // its gate is still in use
 	} else {
 		return
 	}
--- a/node/target_test.go
+++ b/node/target_test.go
@@ -219,6 +219,8 @@
 				status, _, _ := second.call("GET", "/lots/1", "b"+strconv.FormatInt(time.Now().UnixNano(), 10))
 				return status == 200
 			})
+			// Otherwise the fleet takes it for a target of another version than its peers.
+			eventually(t, "the version in the record", func() bool { return first.node.dir.Self().TargetVersion == "v1" })
 			// A response with status 200 must confirm the target. On a busy machine a
 			// check may also time out, or the target may have announced itself for
 			// long enough before the first one.
--- a/rollout/survey.go
+++ b/rollout/survey.go
@@ -85,10 +85,12 @@
 
 // InForce returns the version that a node without an order takes for the one in
 // force: before, while it has a target, and otherwise the one with the most slots.
+// Targets whose version is not known, because they have not announced themselves
+// yet, do not count.
 func InForce(targets []Target, before string) string {
 	slots := make(map[string]int)
 	for _, t := range targets {
-		if t.Usable {
+		if t.Usable && t.Version != "" {
 			slots[t.Version] += t.Slots
 		}
 	}
--- a/rollout/traffic_test.go
+++ b/rollout/traffic_test.go
@@ -113,6 +113,22 @@
 	is.Equal(n.call(false), "v1") // rather than no answer
 }
 
+// Guards against a service whose calls all go to one target: its version was not
+// known yet, as it was found by its health check, and that counted as the version in
+// force.
+func TestUnknownVersionIsNotInForce(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(versions("", 1))
+	is.Equal(n.traffic.Plan("s", false).Rule, Rule{}) // known so far: one target without a version
+	n.set(versions("", 1, "v1", 9))
+	is.Equal(n.traffic.Plan("s", false).Rule.Allows("v1-0", "v1"), true)
+	n.set(versions("", 1, "v1", 9, "v2", 2))
+	rule := n.traffic.Plan("s", false).Rule
+	is.True(rule.Allows("v1-0", "v1"))
+	is.Equal(rule.Allows("v2-0", "v2"), false)
+	is.Equal(InForce(versions("", 3), ""), "")
+}
+
 // Guards against more calls to an unproven version than are permitted over the whole
 // fleet, with nodes that restart, are cut off and learn of the order at any time.
 func TestExposure(t *testing.T) {
