admit: nested calls go before new work, and only their deadline refuses them

Cause: a call that a target makes while it runs another one was refused when it would miss its own target latency; its parent then failed after its run.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,21 +98,22 @@
 type Gate struct {
 	opts Options
 
-	mu             sync.Mutex
-	inFlight       int
-	queued         int
-	queues         [numPriorities]queue
-	lateQueues     [numPriorities]queue // calls expected to miss their target latency; served after all others
-	draining       bool
-	queuedSince    time.Time           // since when the queue is non-empty; zero when it is empty
-	serviceTimes   [numPriorities]ewma // ns, by priority
-	classTimes     classServiceTimes   // service times by class
-	admittedShares [numPriorities]ewma // share of the admitted calls, 0..1, by priority
-	lateRefusedAt  time.Time           // last refusal of a call because it would miss its target latency
-	startTimeSum   time.Duration       // sum over the calls in flight of their start times since epoch
-	epoch          time.Time
-	idle           chan struct{} // closed when inFlight and queued become zero; nil unless Wait is called
-	stats          Stats
+	mu            sync.Mutex
+	inFlight      int
+	queued        int
+	queues        [numPriorities]queue
+	lateQueues    [numPriorities]queue // calls expected to miss their target latency; served after all others
+	draining      bool
+	queuedSince   time.Time           // since when the queue is non-empty; zero when it is empty
+	serviceTimes  [numPriorities]ewma // ns, by priority
+	classTimes    classServiceTimes   // service times by class
+	workDone      [numPriorities]ewma // ns of service time per completed call of any priority, by priority
+	deadlines     []time.Time         // deadlines of the calls in flight that have one, in no order
+	lateRefusedAt time.Time           // last refusal of a call because it would miss its target latency
+	startTimeSum  time.Duration       // sum over the calls in flight of their start times since epoch
+	epoch         time.Time
+	idle          chan struct{} // closed when inFlight and queued become zero; nil unless Wait is called
+	stats         Stats
 
 	load atomic.Uint64 // float64 bits of the value that Load returns
 }
@@ -129,6 +131,7 @@
 	priority   int
 	class      string
 	admittedAt time.Time // when the call was admitted
+	deadline   time.Time // zero for none
 	released   atomic.Bool
 }
 
@@ -148,7 +151,7 @@
 		return nil, err
 	}
 	if g.inFlight < g.opts.Slots && g.queued == 0 {
-		t := g.admit(p, now)
+		t := g.admit(p, now, deadlineOf(ctx))
 		g.mu.Unlock()
 		return t, nil
 	}
@@ -209,20 +212,23 @@
 	return work / time.Duration(g.opts.Slots)
 }
 
-// admit takes a slot. g.mu must be held.
-func (g *Gate) admit(p int, now time.Time) *Ticket {
+// admit takes a slot for a call with the deadline, zero for none. g.mu must be
+// held.
+func (g *Gate) admit(p int, now, deadline time.Time) *Ticket {
 	g.inFlight++
 	g.startTimeSum += now.Sub(g.epoch)
 	g.stats.ByPriority[p].Admitted++
-	for i := range g.admittedShares {
-		share := 0.0
-		if i == p {
-			share = 1
-		}
-		g.admittedShares[i].add(share)
+	if !deadline.IsZero() {
+		g.deadlines = append(g.deadlines, deadline)
 	}
 	g.publish()
-	return &Ticket{gate: g, priority: p, admittedAt: now}
+	return &Ticket{gate: g, priority: p, admittedAt: now, deadline: deadline}
+}
+
+// deadlineOf returns the deadline of ctx, or the zero time.
+func deadlineOf(ctx context.Context) time.Time {
+	deadline, _ := ctx.Deadline()
+	return deadline
 }
 
 // Release frees the slot and admits queued calls. Only the first call has an
@@ -237,7 +243,11 @@
 	defer g.mu.Unlock()
 	g.inFlight--
 	g.startTimeSum -= t.admittedAt.Sub(g.epoch)
+	if i := slices.Index(g.deadlines, t.deadline); i >= 0 {
+		g.deadlines = slices.Delete(g.deadlines, i, i+1)
+	}
 	g.serviceTimes[t.priority].add(float64(now.Sub(t.admittedAt)))
+	g.addWorkDone(t.priority, now.Sub(t.admittedAt))
 	g.classTimes.add(t.class, now.Sub(t.admittedAt))
 	g.dispatch(now)
 	g.publish()
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -31,6 +31,7 @@
 	targetTime time.Time     // when its target latency is over; zero for none
 	class      string        // see Work.Class
 	late       bool          // the call is in one of the late queues
+	nested     bool          // see Work.Nested
 	ticket     *Ticket       // set when the call is admitted
 	err        error         // set when the call is refused
 	done       chan struct{} // closed after ticket or err is set
@@ -100,9 +101,12 @@
 	q.waiters = slices.Insert(q.waiters, i, w)
 }
 
-// before reports whether w must precede o: both have a target latency, and that
-// of w is over earlier.
+// before reports whether w must precede o: w is nested and o is not, or both have
+// a target latency, and that of w is over earlier.
 func (w *waiter) before(o *waiter) bool {
+	if w.nested != o.nested {
+		return w.nested
+	}
 	return !w.targetTime.IsZero() && !o.targetTime.IsZero() && w.targetTime.Before(o.targetTime)
 }
 
@@ -185,7 +189,7 @@
 		if w == nil {
 			return
 		}
-		w.ticket = g.admit(w.priority, now)
+		w.ticket = g.admit(w.priority, now, w.deadline)
 		w.ticket.class = w.class
 		g.wake(w)
 	}
--- a/admit/target.go
+++ b/admit/target.go
@@ -54,7 +54,11 @@
 // returned ticket.
 func (g *Gate) Admit(ctx context.Context, work Work) (*Ticket, error) {
 	now := g.opts.Now()
-	p := min(max(work.Priority, 0), numPriorities-1)
+	p := work.Rank()
+	deadline := deadlineOf(ctx)
+	if work.Nested && !deadline.IsZero() {
+		work.TargetTime = deadline // only the answer's absence costs the call that waits for it
+	}
 	g.mu.Lock()
 	if err := g.workRefusal(ctx, work, p, now); err != nil {
 		g.stats.ByPriority[p].Refused++
@@ -62,7 +66,7 @@
 		return nil, err
 	}
 	if g.inFlight < g.opts.Slots && g.queued == 0 {
-		t := g.admit(p, now)
+		t := g.admit(p, now, deadline)
 		t.class = work.Class
 		g.mu.Unlock()
 		return t, nil
@@ -73,8 +77,7 @@
 	}
 	w := &waiter{
 		priority: p, queuedAt: now, targetTime: work.TargetTime,
-		class: work.Class, late: work.Late, done: make(chan struct{})}
-	w.deadline, _ = ctx.Deadline()
+		class: work.Class, late: work.Late, nested: work.Nested, deadline: deadline, done: make(chan struct{})}
 	g.enqueue(w)
 	targetLeft := w.targetTime.Sub(now)
 	maxWait := targetLeft + g.opts.QueueTimeout // without a deadline
@@ -160,8 +163,7 @@
 	if !work.Late && lateness.Probability(arrival+serviceTime, work.TargetTime.Sub(now)) > maxMissProbability {
 		return errLate
 	}
-	p := min(max(work.Priority, 0), numPriorities-1)
-	return g.workRefusal(context.Background(), work, p, now)
+	return g.workRefusal(context.Background(), work, work.Rank(), now)
 }
 
 // workRefusal returns the reason to refuse a call before it is queued, or nil. As
@@ -177,12 +179,12 @@
 		return nil
 	}
 	serviceTime := g.classTimes.of(work.Class)
-	ahead := g.queuedAhead(p, work.TargetTime)
+	ahead := g.queuedAhead(p, &waiter{targetTime: work.TargetTime, nested: work.Nested})
 	wait := g.waitBehind(ahead, p, now)
 	if deadline, ok := ctx.Deadline(); ok && lateness.Probability(wait+serviceTime, deadline.Sub(now)) > maxMissProbability {
 		return errDeadline
 	}
-	if !g.overloaded(now) && g.cooledDown(now) {
+	if work.Nested || !g.overloaded(now) && g.cooledDown(now) {
 		return nil // without overload a late response is better than none
 	}
 	if work.Late {
@@ -198,14 +200,14 @@
 }
 
 // queuedAhead returns the number of queued calls that are served before a new
-// call of priority p with the given target time. g.mu must be held.
-func (g *Gate) queuedAhead(p int, target time.Time) int {
+// call of priority p. g.mu must be held.
+func (g *Gate) queuedAhead(p int, call *waiter) int {
 	n := 0
 	for i := range p {
 		n += g.queues[i].len()
 	}
 	for _, w := range g.queues[p].waiters {
-		if target.Before(w.targetTime) {
+		if call.before(w) {
 			break
 		}
 		n++
@@ -224,10 +226,7 @@
 	if g.inFlight < g.opts.Slots && g.queued == 0 {
 		return 0
 	}
-	higherPriorityShare := 0.0
-	for i := range p {
-		higherPriorityShare += g.admittedShares[i].value
-	}
+	higherPriorityShare := g.workShareAbove(p)
 	wait := float64(ahead+1) * float64(g.estimatedServiceTime(now)) / float64(g.opts.Slots)
 	return time.Duration(wait / (1 - min(higherPriorityShare, maxHigherPriorityShare)))
 }
@@ -306,7 +305,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := min(max(priority, 0), numPriorities-1)
-	return g.waitBehind(g.queuedAhead(p, farFuture), p, g.opts.Now())
+	return g.waitBehind(g.queuedAhead(p, &waiter{targetTime: farFuture}), p, g.opts.Now())
 }
 
 // farFuture is later than any target time.
--- a/node/calls.go
+++ b/node/calls.go
@@ -204,6 +204,7 @@
 		HeaderFormat: platform.HeaderFormat{},
 		Responses:    platformResponses, Bodies: platformBodies, CloseDelimited: true,
 		OnWrongTarget: s.node.target.onWrongTarget,
+		Nested:        new(admit.NestedRoutes),
 		Link:          admit.NewLink(s.node.settings.Platform.LinkMbps * bodyShareOfLink * bytesPerMbit),
 	})
 }
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -25,6 +25,9 @@
 	Bodies       BodyOptions
 	DecisionLog  *DecisionLog // nil disables the log of decisions
 	Link         *admit.Link  // network link of this instance; nil means unlimited bandwidth
+	// Nested recognises the calls that the target makes while it runs others; nil
+	// treats all calls of this instance alike.
+	Nested *admit.NestedRoutes
 	// CloseDelimited accepts responses of the target that are delimited only by
 	// closing the connection.
 	CloseDelimited bool
@@ -191,6 +194,19 @@
 		Tenant: c.work.tenant, Weight: c.work.weight, Nested: c.work.nested}
 }
 
+// makesCall reports whether the target of this instance makes the call while it
+// runs another one. A nil Inbound has no target.
+func (in *Inbound) makesCall(c *call, info CallerInfo) bool {
+	if in == nil || in.opts.Nested == nil || !info.HasDeadline {
+		return false
+	}
+	b := in.backend()
+	if b == nil {
+		return false
+	}
+	return in.opts.Nested.Observe(c.work.class, c.start.Add(info.Deadline), b.Gate.LatestDeadline())
+}
+
 // forward forwards the call to the target unless the gate or the ledger of
 // idempotency keys refuses it. It marks its refusals as made by the target's
 // node.
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -122,6 +122,7 @@
 	o.limitDeadline(c)
 	c.work = c.newWork(res.Name, res.Policy)
 	c.work.caller = o.opts.Caller()
+	c.work.nested = o.opts.Local.makesCall(c, callerInfo)
 	c.maxBodyBytes = maxBodyOf(res.Policy)
 	if f := c.body.bufferOrStream(c.w, c.r, c.maxBodyBytes, o.opts.Bodies); f != nil {
 		return f
@@ -181,7 +182,7 @@
 // refuseBeforeSending returns a refusal if an attempt at the picked endpoint would
 // probably be in vain, or nil.
 func (t *retryState) refuseBeforeSending(c *call, picked *balance.Picked) *refusal {
-	if t.likelyRefused(picked, rand.Float64()) {
+	if t.likelyRefused(picked, c.work.nested, rand.Float64()) {
 		f := notRun(causeAllFull, "every endpoint is full", nil)
 		f.overloaded = true
 		return f
@@ -198,7 +199,7 @@
 	return o.opts.Balancer.PickFor(res.EndpointSet, ejectionOf(res.Policy), t.excluded, balance.Demand{
 		TargetLeft: time.Until(c.work.targetTime), DeadlineLeft: c.timeLeft(),
 		Bytes: o.responseSizeOf(res.Name).expectedBytes(c), BodyBytes: max(c.r.ContentLength, 0),
-		Class: c.work.class, Priority: c.work.priority,
+		Class: c.work.class, Priority: c.admissionWork().Rank(),
 	})
 }
 
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -123,11 +123,14 @@
 }
 
 // likelyRefused reports whether the gate of the picked endpoint would probably
-// refuse the call. random is from 0 to 1.
-func (t *retryState) likelyRefused(p *balance.Picked, random float64) bool {
+// refuse the call. A nested call is refused only if it cannot be answered at all.
+// random is from 0 to 1.
+func (t *retryState) likelyRefused(p *balance.Picked, nested bool, random float64) bool {
 	switch {
 	case t.allowLate:
 		return false
+	case nested:
+		return p.Missed > maxLateFirstAttempt && random > probeShare
 	case t.lastRefusal != nil && t.lastRefusal.overloaded:
 		return p.Late > maxLateRetry
 	}
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -32,6 +32,7 @@
 const (
 	flagIdempotent = "r"
 	flagAllowLate  = "l"
+	flagNested     = "n"
 )
 
 // format returns the HeaderWork value, separated by semicolons: priority, time
@@ -49,6 +50,9 @@
 	if w.allowLate {
 		flags += flagAllowLate
 	}
+	if w.nested {
+		flags += flagNested
+	}
 	return strings.Join([]string{strconv.Itoa(w.priority), targetMs, flags, w.class, w.service, w.caller}, ";")
 }
 
@@ -68,6 +72,7 @@
 	}
 	w.idempotent = strings.Contains(fields[2], flagIdempotent)
 	w.allowLate = strings.Contains(fields[2], flagAllowLate)
+	w.nested = strings.Contains(fields[2], flagNested)
 	w.class, w.service, w.caller = fields[3], fields[4], fields[5]
 	return w
 }
