--- a/admit/cause.go
+++ b/admit/cause.go
@@ -11,6 +11,7 @@
 	errCallerGone:   "caller_gone",
 	errLate:         "late",
 	errLateNoChance: "late_no_chance",
+	errLinkBusy:     "link_busy",
 }
 
 // Cause returns the name, in metrics and logs, of a refusal by a gate, or "" for
--- a/balance/loss.go
+++ b/balance/loss.go
@@ -78,8 +78,9 @@
 	callsAhead  [admit.Priorities]float64 // calls ahead of a new call, by its priority
 	serviceTime float64                   // expected service time, ns
 	link        admit.LinkReport
-	reportedAt  int64 // time of the report, ns of the balancer's clock
-	ownInFlight int64 // calls of this node in flight at that time
+	sendBacklog time.Duration // see Report.SendBacklog
+	reportedAt  int64         // time of the report, ns of the balancer's clock
+	ownInFlight int64         // calls of this node in flight at that time
 }
 
 // networkLatencies are the moving averages of the time on the network in ns, by
@@ -192,6 +193,7 @@
 	expected := c.b.networkLatencies.of(dist) + c.expectedTime(e, mean, d.priorityIndex(), ratio)
 	if dist != sameNode {
 		expected += c.transferTime(e, d.BodyBytes)
+		expected += c.responseWait(e, d, expected)
 	}
 	late = lateness.Probability(expected, d.TargetLeft)
 	missed = lateness.Probability(expected, d.DeadlineLeft)
@@ -307,7 +309,7 @@
 	if r.ServiceTime <= 0 {
 		return
 	}
-	s := &gateState{serviceTime: float64(r.ServiceTime), link: r.Link, reportedAt: now, ownInFlight: e.inFlight.Load()}
+	s := &gateState{serviceTime: float64(r.ServiceTime), link: r.Link, sendBacklog: r.SendBacklog, reportedAt: now, ownInFlight: e.inFlight.Load()}
 	for i, n := range r.CallsAhead {
 		s.callsAhead[i] = float64(n)
 	}
--- a/node/calls.go
+++ b/node/calls.go
@@ -133,6 +133,9 @@
 	// bodyShareOfLink is the share of the link's rate, 0 to 1, that is available
 	// to the bodies of calls.
 	bodyShareOfLink = 0.8
+	// responseShareOfLink is the share of the link's rate, 0 to 1, that large
+	// responses may take; the rest is for headers, retransmissions and control.
+	responseShareOfLink = 0.9
 )
 
 // maxPipelined is the maximum number of pipelined requests of one caller
@@ -205,6 +208,7 @@
 		Responses:    platformResponses, Bodies: platformBodies, CloseDelimited: true,
 		OnWrongTarget: s.node.target.onWrongTarget,
 		Nested:        new(admit.NestedRoutes),
+		Sender:        admit.NewSender(s.node.settings.Platform.LinkMbps*responseShareOfLink*bytesPerMbit, nil),
 		Link:          admit.NewLink(s.node.settings.Platform.LinkMbps * bodyShareOfLink * bytesPerMbit),
 	})
 }
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -231,6 +231,11 @@
 	return nil
 }
 
+// responseBytes returns the size of the response body as far as it is known.
+func (x *exchange) responseBytes() int64 {
+	return max(x.resp.ContentLength, int64(x.bodyPrefix.size))
+}
+
 // startBody starts the transfer of a body that waits for 100 Continue.
 func (x *exchange) startBody() {
 	if x.awaitContinue && x.upload != nil {
--- a/proxy/gatestate.go
+++ b/proxy/gatestate.go
@@ -15,15 +15,17 @@
 	classServiceTime time.Duration // expected service time of the call's class; 0 if unknown
 	handlingTime     time.Duration // time that the call has spent in the target's node
 	link             admit.LinkReport
+	sendBacklog      time.Duration // until the link has sent the responses of the calls admitted so far
 }
 
 // gateFieldCount is the number of fields in a HeaderGate value.
-const gateFieldCount = admit.Priorities + 5
+const gateFieldCount = admit.Priorities + 6
 
 // format returns the HeaderGate value, separated by semicolons: for each priority
 // the number of calls ahead of a new one; the expected service time of all calls,
 // that of the call's class and the time spent in the node, each in microseconds;
-// the bytes still to arrive over the link and the link's rate in bytes per second.
+// the bytes still to arrive over the link, the link's rate in bytes per second and
+// its backlog of responses in microseconds.
 func (g gateState) format() string {
 	var b []byte
 	for _, n := range g.report.CallsAhead {
@@ -33,7 +35,8 @@
 	b = append(strconv.AppendInt(b, g.classServiceTime.Microseconds(), 10), ';')
 	b = append(strconv.AppendInt(b, g.handlingTime.Microseconds(), 10), ';')
 	b = append(strconv.AppendInt(b, g.link.PendingBytes, 10), ';')
-	return string(strconv.AppendInt(b, int64(g.link.Rate), 10))
+	b = append(strconv.AppendInt(b, int64(g.link.Rate), 10), ';')
+	return string(strconv.AppendInt(b, g.sendBacklog.Microseconds(), 10))
 }
 
 // parseGateState parses a HeaderGate value. It returns the zero value for a
@@ -51,10 +54,11 @@
 		}
 	}
 	g := gateState{
-		report:           admit.Report{ServiceTime: time.Duration(n[gateFieldCount-5]) * time.Microsecond},
-		classServiceTime: time.Duration(n[gateFieldCount-4]) * time.Microsecond,
-		handlingTime:     time.Duration(n[gateFieldCount-3]) * time.Microsecond,
-		link:             admit.LinkReport{PendingBytes: n[gateFieldCount-2], Rate: float64(n[gateFieldCount-1])},
+		report:           admit.Report{ServiceTime: time.Duration(n[gateFieldCount-6]) * time.Microsecond},
+		classServiceTime: time.Duration(n[gateFieldCount-5]) * time.Microsecond,
+		handlingTime:     time.Duration(n[gateFieldCount-4]) * time.Microsecond,
+		link:             admit.LinkReport{PendingBytes: n[gateFieldCount-3], Rate: float64(n[gateFieldCount-2])},
+		sendBacklog:      time.Duration(n[gateFieldCount-1]) * time.Microsecond,
 	}
 	for i := range g.report.CallsAhead {
 		g.report.CallsAhead[i] = int(n[i])
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -23,8 +23,9 @@
 	HeaderFormat HeaderFormat    // header format of the target and of callers' IDs; default: the Siskingw- headers
 	Responses    ResponseOptions
 	Bodies       BodyOptions
-	DecisionLog  *DecisionLog // nil disables the log of decisions
-	Link         *admit.Link  // network link of this instance; nil means unlimited bandwidth
+	DecisionLog  *DecisionLog  // nil disables the log of decisions
+	Link         *admit.Link   // network link of this instance; nil means unlimited bandwidth
+	Sender       *admit.Sender // the same link, for responses; nil means unlimited bandwidth
 	// Nested recognises the calls that the target makes while it runs others; nil
 	// treats all calls of this instance alike.
 	Nested *admit.NestedRoutes
@@ -251,6 +252,11 @@
 		f.status = http.StatusMisdirectedRequest
 		return f
 	}
+	promise, f := in.promise(c, b)
+	if f != nil {
+		return f
+	}
+	defer promise.Release()
 	ticket, f := in.admit(c, b)
 	if f != nil {
 		return f
@@ -266,10 +272,28 @@
 	if x.bodyComplete {
 		ticket.Release() // the target has responded in full; a slow caller must not hold the slot
 	}
+	if err := promise.Send(c.ctx, x.responseBytes(), c.deadline); err != nil {
+		return x.fail(causeAnswerCut, "the answer did not leave over the link", err)
+	}
 	in.addNodeResponseHeaders(c)
 	return x.relay(c)
 }
 
+// promise reserves the link for the response to a call of another node.
+func (in *Inbound) promise(c *call, b *Backend) (*admit.Promise, *refusal) {
+	if c.fromCaller || in.opts.Sender == nil {
+		return nil, nil
+	}
+	work := c.admissionWork()
+	p, err := in.opts.Sender.Promise(work, c.deadline, b.Gate.ExpectedWait(work.Rank())+b.Gate.ClassServiceTime(work.Class))
+	if err != nil {
+		f := in.gateRefusal(c, b, err)
+		f.retryAfter = max(f.retryAfter, in.opts.Sender.Backlog())
+		return nil, f
+	}
+	return p, nil
+}
+
 // admit acquires a slot from the gate, waiting in its queue if necessary.
 func (in *Inbound) admit(c *call, b *Backend) (*admit.Ticket, *refusal) {
 	if in.draining.Load() {
@@ -304,7 +328,7 @@
 
 // gateState returns the current state of the gate for a response header.
 func (in *Inbound) gateState(c *call) gateState {
-	s := gateState{handlingTime: time.Since(c.start), link: in.opts.Link.Report()}
+	s := gateState{handlingTime: time.Since(c.start), link: in.opts.Link.Report(), sendBacklog: in.opts.Sender.Backlog()}
 	if b := in.backend(); b != nil {
 		s.report, s.classServiceTime = b.Gate.Report(), b.Gate.ClassServiceTime(c.work.class)
 	}
