--- a/admit/cause.go
+++ b/admit/cause.go
@@ -2,16 +2,17 @@
 
 // causeOf maps each refusal to its name in metrics and logs.
 var causeOf = map[error]string{
-	errDraining:     "draining",
-	errQueueFull:    "queue_full",
-	errQueueTooLong: "queue_long",
-	errDeadline:     "deadline",
-	errQueueTimeout: "queue_timeout",
-	errDisplaced:    "displaced",
-	errCallerGone:   "caller_gone",
-	errLate:         "late",
-	errLateNoChance: "late_no_chance",
-	errLinkBusy:     "link_busy",
+	errDraining:      "draining",
+	errQueueFull:     "queue_full",
+	errQueueTooLong:  "queue_long",
+	errDeadline:      "deadline",
+	errQueueTimeout:  "queue_timeout",
+	errDisplaced:     "displaced",
+	errCallerGone:    "caller_gone",
+	errLate:          "late",
+	errLateNoChance:  "late_no_chance",
+	errParentRefused: "parent",
+	errLinkBusy:      "link_busy",
 }
 
 // Cause returns the name, in metrics and logs, of a refusal by a gate, or "" for
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -104,13 +104,14 @@
 	queues        [numPriorities]queue
 	lateQueues    [numPriorities]queue // calls expected to miss their target latency; served after all others
 	draining      bool
-	queuedSince   time.Time           // since when the queue is non-empty; zero when it is empty
-	serviceTimes  [numPriorities]ewma // ns, by priority
-	classTimes    classServiceTimes   // service times by class
-	workDone      [numPriorities]ewma // ns of service time per completed call of any priority, by priority
-	deadlines     []time.Time         // deadlines of the calls in flight that have one, in no order
-	lateRefusedAt time.Time           // last refusal of a call because it would miss its target latency
-	startTimeSum  time.Duration       // sum over the calls in flight of their start times since epoch
+	queuedSince   time.Time              // since when the queue is non-empty; zero when it is empty
+	serviceTimes  [numPriorities]ewma    // ns, by priority
+	classTimes    classServiceTimes      // service times by class
+	workDone      [numPriorities]ewma    // ns of service time per completed call of any priority, by priority
+	newWork       [numPriorities]newWork // of each priority and the higher ones
+	deadlines     []time.Time            // deadlines of the calls in flight that have one, in no order
+	lateRefusedAt time.Time              // last refusal of a call because it would miss its target latency
+	startTimeSum  time.Duration          // sum over the calls in flight of their start times since epoch
 	epoch         time.Time
 	idle          chan struct{} // closed when inFlight and queued become zero; nil unless Wait is called
 	stats         Stats
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -167,6 +167,9 @@
 func (g *Gate) refuse(w *waiter, reason error) {
 	w.err = reason
 	g.stats.ByPriority[w.priority].Refused++
+	if !w.nested {
+		g.countNew(w.priority, true, g.opts.Now())
+	}
 	g.wake(w)
 }
 
@@ -191,6 +194,9 @@
 		}
 		w.ticket = g.admit(w.priority, now, w.deadline)
 		w.ticket.class = w.class
+		if !w.nested {
+			g.countNew(w.priority, false, now)
+		}
 		g.wake(w)
 	}
 }
--- a/admit/target.go
+++ b/admit/target.go
@@ -62,12 +62,18 @@
 	g.mu.Lock()
 	if err := g.workRefusal(ctx, work, p, now); err != nil {
 		g.stats.ByPriority[p].Refused++
+		if !work.Nested {
+			g.countNew(p, true, now)
+		}
 		g.mu.Unlock()
 		return nil, err
 	}
 	if g.inFlight < g.opts.Slots && g.queued == 0 {
 		t := g.admit(p, now, deadline)
 		t.class = work.Class
+		if !work.Nested {
+			g.countNew(p, false, now)
+		}
 		g.mu.Unlock()
 		return t, nil
 	}
@@ -269,6 +275,9 @@
 	// flight, and those queued with its priority or a higher one.
 	CallsAhead  [Priorities]int
 	ServiceTime time.Duration // expected service time of all calls
+	// RefusedShare is, by priority, the share 0..1 of the new work of that
+	// priority and the higher ones that the gate has refused lately.
+	RefusedShare [Priorities]float64
 }
 
 // Priorities is the number of priorities that a gate distinguishes; calls of
@@ -290,7 +299,11 @@
 func (g *Gate) Report() Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := Report{ServiceTime: g.estimatedServiceTime(g.opts.Now())}
+	now := g.opts.Now()
+	r := Report{ServiceTime: g.estimatedServiceTime(now)}
+	for i, n := range g.newWork {
+		r.RefusedShare[i] = n.shareAt(now)
+	}
 	calls := g.inFlight
 	for i := range numPriorities {
 		calls += g.queues[i].len()
--- a/node/calls.go
+++ b/node/calls.go
@@ -208,6 +208,7 @@
 		Responses:    platformResponses, Bodies: platformBodies, CloseDelimited: true,
 		OnWrongTarget: s.node.target.onWrongTarget,
 		Nested:        new(admit.NestedRoutes),
+		Parents:       new(admit.Parents),
 		Sender:        admit.NewSender(s.node.settings.Platform.LinkMbps*responseShareOfLink*bytesPerMbit, nil),
 		Link:          admit.NewLink(s.node.settings.Platform.LinkMbps * bodyShareOfLink * bytesPerMbit),
 	})
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -28,7 +28,8 @@
 	Sender       *admit.Sender // the same link, for responses; nil means unlimited bandwidth
 	// Nested recognises the calls that the target makes while it runs others; nil
 	// treats all calls of this instance alike.
-	Nested *admit.NestedRoutes
+	Nested  *admit.NestedRoutes
+	Parents *admit.Parents // limits the calls during which the target makes others; nil for no limit
 	// CloseDelimited accepts responses of the target that are delimited only by
 	// closing the connection.
 	CloseDelimited bool
@@ -208,6 +209,14 @@
 	return in.opts.Nested.Observe(c.work.class, c.start.Add(info.Deadline), b.Gate.LatestDeadline())
 }
 
+// observeNested records how a call ended that the target of this instance made; f
+// is nil if it was answered.
+func (in *Inbound) observeNested(c *call, f *refusal) {
+	if in.opts.Parents != nil {
+		in.opts.Parents.Observe(f != nil && f.overloaded && f.outcome == OutcomeNotRun, c.gate.report, time.Now())
+	}
+}
+
 // forward forwards the call to the target unless the gate or the ledger of
 // idempotency keys refuses it. It marks its refusals as made by the target's
 // node.
@@ -252,6 +261,11 @@
 		f.status = http.StatusMisdirectedRequest
 		return f
 	}
+	if err := in.opts.Parents.Admit(c.admissionWork(), time.Now()); err != nil {
+		f := in.gateRefusal(c, b, err)
+		f.retried = true // the other instances need the same services
+		return f
+	}
 	promise, f := in.promise(c, b)
 	if f != nil {
 		return f
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -74,6 +74,9 @@
 	f := c.correctKeyedRefusal(o.serve(c))
 	c.refused = f
 	o.opts.Metrics.observe(sideOutbound, c, f)
+	if c.work.nested {
+		o.opts.Local.observeNested(c, f)
+	}
 	if f != nil {
 		f.retryAfter = retryAfter(c, f, rand.Float64())
 	}
