--- a/admit/parents.go
+++ b/admit/parents.go
@@ -45,14 +45,9 @@
 	// adjustInterval is the time between two adjustments of the share of the
 	// parents that are admitted.
 	adjustInterval = 100 * time.Millisecond
-	// toleratedRefusals is the share of refusals, 0..1, of nested calls, or of
-	// more urgent work at the services that they call, that limits no parents.
-	// The calls that one instance refuses are mostly taken by another.
-	toleratedRefusals = 0.2
-	// adjustGain is the change of the admitted share per adjustInterval and
-	// share of refusals above the tolerated one. At half refused it takes a
-	// second to halve what is admitted, which is longer than a report takes to
-	// follow the change.
+	// adjustGain is the share of the difference, 0..1, by which the limit follows
+	// what the last nested calls have shown. The limit then changes within about
+	// half a second, which is longer than a report takes to follow the change.
 	adjustGain = 0.15
 	// minParentShare is the lowest share of the parents, 0..1, that are admitted,
 	// so that reports keep arriving.
@@ -62,9 +57,11 @@
 var errParentRefused = errdefs.NotRun.New("services that this call needs are full")
 
 // Parents limits the new calls that a target takes while the calls that it makes
-// during them cannot be served, or are served in the place of more urgent work.
-// A parent that is refused early costs nothing, one whose nested call fails has
-// cost its whole run. It is safe for concurrent use.
+// during them cannot be served, or are served in the place of more urgent work. A
+// parent that is refused early costs nothing, one whose nested call fails has cost
+// its whole run. Parents are refused as often as their nested calls, and no less
+// often than the more urgent work at the services that these call. It is safe for
+// concurrent use.
 type Parents struct {
 	mu         sync.Mutex
 	byPriority [numPriorities]parentShare
@@ -77,12 +74,12 @@
 type parentShare struct {
 	limited float64 // share of the calls, 0..1, that is refused
 	carry   float64 // fraction of a call that remains to be refused
-	crowded float64 // sum of the refused shares of more urgent work since adjustedAt
+	crowded float64 // sum since adjustedAt of how much more often more urgent work was refused
 }
 
-// Observe records a nested call: whether it was refused for want of room, and the
-// state of the gate that it met last.
-func (p *Parents) Observe(refused bool, r Report, now time.Time) {
+// Observe records a nested call: whether it was refused for want of room, the state
+// of the gate that it met last, and that of the gate of the target that made it.
+func (p *Parents) Observe(refused bool, met, own Report, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.adjust(now)
@@ -91,7 +88,7 @@
 		p.refused++
 	}
 	for i := 1; i < numPriorities; i++ {
-		p.byPriority[i].crowded += r.RefusedShare[i-1]
+		p.byPriority[i].crowded += met.RefusedShare[i-1] - own.RefusedShare[i]
 	}
 }
 
@@ -100,17 +97,13 @@
 	if now.Sub(p.adjustedAt) < adjustInterval {
 		return
 	}
-	intervals := min(now.Sub(p.adjustedAt).Seconds()/adjustInterval.Seconds(), 10)
-	if p.nested > 0 {
-		intervals = 1
-	}
 	for i := range p.byPriority {
 		s := &p.byPriority[i]
 		refusals := 0.0
 		if p.nested > 0 {
 			refusals = max(s.crowded, float64(p.refused)) / float64(p.nested)
 		}
-		s.limited = min(max(s.limited+intervals*adjustGain*(refusals-toleratedRefusals), 0), 1-minParentShare)
+		s.limited += adjustGain * (min(max(refusals, 0), 1-minParentShare) - s.limited)
 		s.crowded = 0
 	}
 	p.adjustedAt, p.nested, p.refused = now, 0, 0
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -212,8 +212,9 @@
 // observeNested records how a call ended that the target of this instance made; f
 // is nil if it was answered.
 func (in *Inbound) observeNested(c *call, f *refusal) {
-	if in.opts.Parents != nil {
-		in.opts.Parents.Observe(f != nil && f.overloaded && f.outcome == OutcomeNotRun, c.gate.report, time.Now())
+	if b := in.backend(); b != nil && in.opts.Parents != nil {
+		refused := f != nil && f.overloaded && f.outcome == OutcomeNotRun
+		in.opts.Parents.Observe(refused, c.gate.report, b.Gate.Report(), time.Now())
 	}
 }
 
