--- a/admit/gate.go
+++ b/admit/gate.go
@@ -106,7 +106,8 @@
 	draining      bool
 	queuedSince   time.Time              // since when the queue is non-empty; zero when it is empty
 	serviceTimes  [numPriorities]ewma    // ns, by priority
-	classTimes    classServiceTimes      // service times by class
+	classTimes    classServiceTimes      // service times by class on the machine as usual
+	slowness      slowness               // of the target's machine
 	workDone      [numPriorities]ewma    // ns of service time per completed call of any priority, by priority
 	newWork       [numPriorities]newWork // of each priority and the higher ones
 	deadlines     []time.Time            // deadlines of the calls in flight that have one, in no order
@@ -133,6 +134,7 @@
 	class      string
 	admittedAt time.Time // when the call was admitted
 	deadline   time.Time // zero for none
+	slowness   float64   // of the target's machine when the call was admitted
 	released   atomic.Bool
 }
 
@@ -184,6 +186,7 @@
 	}
 	wait := g.expectedWait(p)
 	if wait > g.allowedWait(now) {
+		g.refuseBelow(p) // they would wait longer still
 		return errQueueTooLong
 	}
 	if deadline, ok := ctx.Deadline(); ok && deadline.Sub(now.Add(wait)) < g.serviceTimes[p].duration() {
@@ -197,7 +200,7 @@
 func (g *Gate) missesDeadline(w *waiter, now time.Time) bool {
 	serviceTime := g.serviceTimes[w.priority].duration()
 	if !w.targetTime.IsZero() {
-		serviceTime = g.classTimes.of(w.class)
+		serviceTime = g.classTime(w.class, now)
 	}
 	return w.deadline.Sub(now) < serviceTime
 }
@@ -223,7 +226,7 @@
 		g.deadlines = append(g.deadlines, deadline)
 	}
 	g.publish()
-	return &Ticket{gate: g, priority: p, admittedAt: now, deadline: deadline}
+	return &Ticket{gate: g, priority: p, admittedAt: now, deadline: deadline, slowness: g.slowness.factor(now)}
 }
 
 // deadlineOf returns the deadline of ctx, or the zero time.
@@ -247,9 +250,10 @@
 	if i := slices.Index(g.deadlines, t.deadline); i >= 0 {
 		g.deadlines = slices.Delete(g.deadlines, i, i+1)
 	}
-	g.serviceTimes[t.priority].add(float64(now.Sub(t.admittedAt)))
+	serviceTime := g.usualTime(t, now)
+	g.serviceTimes[t.priority].add(float64(serviceTime))
 	g.addWorkDone(t.priority, now.Sub(t.admittedAt))
-	g.classTimes.add(t.class, now.Sub(t.admittedAt))
+	g.classTimes.add(t.class, serviceTime)
 	g.dispatch(now)
 	g.publish()
 }
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -173,6 +173,17 @@
 	g.wake(w)
 }
 
+// refuseBelow refuses the queued calls of a lower priority than p. g.mu must be
+// held.
+func (g *Gate) refuseBelow(p int) {
+	for i := p + 1; i < numPriorities; i++ {
+		for w := g.queues[i].popLast(); w != nil; w = g.queues[i].popLast() {
+			g.refuse(w, errQueueTooLong)
+		}
+	}
+	g.publish()
+}
+
 // wake wakes a waiter that was removed from its queue and whose ticket or err
 // is set. g.mu must be held.
 func (g *Gate) wake(w *waiter) {
--- a/admit/target.go
+++ b/admit/target.go
@@ -88,7 +88,7 @@
 	targetLeft := w.targetTime.Sub(now)
 	maxWait := targetLeft + g.opts.QueueTimeout // without a deadline
 	if !w.deadline.IsZero() {
-		maxWait = w.deadline.Sub(now) - g.classTimes.of(w.class)
+		maxWait = w.deadline.Sub(now) - g.classTime(w.class, now)
 	}
 	late := w.late
 	g.publish()
@@ -162,7 +162,7 @@
 	if g.draining {
 		return errDraining
 	}
-	serviceTime := g.classTimes.of(work.Class)
+	serviceTime := g.classTime(work.Class, now)
 	if lateness.Probability(arrival+serviceTime, deadline.Sub(now)) > maxMissProbability {
 		return errDeadline
 	}
@@ -184,7 +184,7 @@
 	case g.inFlight < g.opts.Slots && g.queued == 0:
 		return nil
 	}
-	serviceTime := g.classTimes.of(work.Class)
+	serviceTime := g.classTime(work.Class, now)
 	ahead := g.queuedAhead(p, &waiter{targetTime: work.TargetTime, nested: work.Nested})
 	wait := g.waitBehind(ahead, p, now)
 	if deadline, ok := ctx.Deadline(); ok && lateness.Probability(wait+serviceTime, deadline.Sub(now)) > maxMissProbability {
@@ -233,7 +233,8 @@
 		return 0
 	}
 	higherPriorityShare := g.workShareAbove(p)
-	wait := float64(ahead+1) * float64(g.estimatedServiceTime(now)) / float64(g.opts.Slots)
+	serviceTime := float64(g.estimatedServiceTime(now)) * g.slowness.factor(now)
+	wait := float64(ahead+1) * serviceTime / float64(g.opts.Slots)
 	return time.Duration(wait / (1 - min(higherPriorityShare, maxHigherPriorityShare)))
 }
 
@@ -251,7 +252,7 @@
 		return mean
 	}
 	age := now.Sub(g.epoch) - g.startTimeSum/time.Duration(g.inFlight)
-	return max(mean, time.Duration(inFlightAgeFactor*float64(age)))
+	return max(mean, time.Duration(inFlightAgeFactor*float64(age)/g.slowness.factor(now)))
 }
 
 // expireLate removes the queued calls that are expected to miss their target
@@ -261,7 +262,7 @@
 		q := &g.queues[i]
 		for q.len() > 0 {
 			w := q.waiters[0]
-			if w.targetTime.IsZero() || lateness.Probability(g.classTimes.of(w.class), w.targetTime.Sub(now)) <= maxMissProbability {
+			if w.targetTime.IsZero() || lateness.Probability(g.classTime(w.class, now), w.targetTime.Sub(now)) <= maxMissProbability {
 				break
 			}
 			g.requeueOrRefuse(q.popFirst(), now)
@@ -274,7 +275,8 @@
 	// CallsAhead is, by priority, the number of calls ahead of a new call: those in
 	// flight, and those queued with its priority or a higher one.
 	CallsAhead  [Priorities]int
-	ServiceTime time.Duration // expected service time of all calls
+	ServiceTime time.Duration // expected service time of all calls on the machine as usual
+	Slowness    float64       // how long work takes there now, relative to that; at least 1
 	// RefusedShare is, by priority, the share 0..1 of the new work of that
 	// priority and the higher ones that the gate has refused lately.
 	RefusedShare [Priorities]float64
@@ -300,7 +302,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.opts.Now()
-	r := Report{ServiceTime: g.estimatedServiceTime(now)}
+	r := Report{ServiceTime: g.estimatedServiceTime(now), Slowness: g.slowness.factor(now)}
 	for i, n := range g.newWork {
 		r.RefusedShare[i] = n.shareAt(now)
 	}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -111,6 +111,7 @@
 	ClassServiceTime time.Duration         // expected service time of the class at the endpoint; 0 for unknown
 	HandlingTime     time.Duration         // time that the call spent at the endpoint's node
 	Link             admit.LinkReport      // link of the endpoint's instance
+	Slowness         float64               // how long work takes there now relative to ServiceTime; 0 for unknown
 	SendBacklog      time.Duration         // until that link has sent the responses of the calls admitted so far
 }
 
--- a/balance/loss.go
+++ b/balance/loss.go
@@ -78,6 +78,7 @@
 	callsAhead  [admit.Priorities]float64 // calls ahead of a new call, by its priority
 	serviceTime float64                   // expected service time, ns
 	link        admit.LinkReport
+	slowness    float64       // see Report.Slowness; at least 1
 	sendBacklog time.Duration // see Report.SendBacklog
 	reportedAt  int64         // time of the report, ns of the balancer's clock
 	ownInFlight int64         // calls of this node in flight at that time
@@ -217,7 +218,7 @@
 	calls = max(calls, ownInFlight)
 	deviation := 1 + driftDeviation*math.Sqrt(min(float64(age)/float64(driftTime), 1))
 	ahead := meanPositivePart(calls-slots+1, deviation)
-	return time.Duration(serviceTime * (ratio + ahead/slots))
+	return time.Duration(serviceTime * c.slowness(e) * (ratio + ahead/slots))
 }
 
 // classRatios are the service times of the classes of one service relative to that
@@ -309,7 +310,7 @@
 	if r.ServiceTime <= 0 {
 		return
 	}
-	s := &gateState{serviceTime: float64(r.ServiceTime), link: r.Link, sendBacklog: r.SendBacklog, reportedAt: now, ownInFlight: e.inFlight.Load()}
+	s := &gateState{serviceTime: float64(r.ServiceTime), link: r.Link, sendBacklog: r.SendBacklog, slowness: max(r.Slowness, 1), reportedAt: now, ownInFlight: e.inFlight.Load()}
 	for i, n := range r.CallsAhead {
 		s.callsAhead[i] = float64(n)
 	}
--- a/proxy/gatestate.go
+++ b/proxy/gatestate.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -19,14 +20,14 @@
 }
 
 // gateFieldCount is the number of fields in a HeaderGate value.
-const gateFieldCount = 2*admit.Priorities + 6
+const gateFieldCount = 2*admit.Priorities + 7
 
 // format returns the HeaderGate value, separated by semicolons: for each priority
 // the number of calls ahead of a new one; the expected service time of all calls,
 // that of the call's class and the time spent in the node, each in microseconds;
 // the bytes still to arrive over the link, the link's rate in bytes per second and
-// its backlog of responses in microseconds; for each priority the share of new work
-// that was refused, in thousandths.
+// its backlog of responses in microseconds; the slowness of the target's machine in
+// percent; for each priority the share of new work that was refused, in thousandths.
 func (g gateState) format() string {
 	var b []byte
 	for _, n := range g.report.CallsAhead {
@@ -37,7 +38,8 @@
 	b = append(strconv.AppendInt(b, g.handlingTime.Microseconds(), 10), ';')
 	b = append(strconv.AppendInt(b, g.link.PendingBytes, 10), ';')
 	b = append(strconv.AppendInt(b, int64(g.link.Rate), 10), ';')
-	b = strconv.AppendInt(b, g.sendBacklog.Microseconds(), 10)
+	b = append(strconv.AppendInt(b, g.sendBacklog.Microseconds(), 10), ';')
+	b = strconv.AppendInt(b, int64(math.Round(100*g.report.Slowness)), 10)
 	for _, share := range g.report.RefusedShare {
 		b = strconv.AppendInt(append(b, ';'), int64(1000*share), 10)
 	}
@@ -59,7 +61,7 @@
 		}
 	}
 	g := gateState{
-		report:           admit.Report{ServiceTime: time.Duration(n[admit.Priorities+0]) * time.Microsecond},
+		report:           admit.Report{ServiceTime: time.Duration(n[admit.Priorities]) * time.Microsecond, Slowness: float64(n[admit.Priorities+6]) / 100},
 		classServiceTime: time.Duration(n[admit.Priorities+1]) * time.Microsecond,
 		handlingTime:     time.Duration(n[admit.Priorities+2]) * time.Microsecond,
 		link:             admit.LinkReport{PendingBytes: n[admit.Priorities+3], Rate: float64(n[admit.Priorities+4])},
@@ -67,7 +69,7 @@
 	}
 	for i := range g.report.CallsAhead {
 		g.report.CallsAhead[i] = int(n[i])
-		g.report.RefusedShare[i] = float64(min(n[admit.Priorities+6+i], 1000)) / 1000
+		g.report.RefusedShare[i] = float64(min(n[admit.Priorities+7+i], 1000)) / 1000
 	}
 	return g
 }
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -378,6 +378,7 @@
 	if f := x.start(ctx, c, b.Addr); f != nil {
 		return f
 	}
+	b.Gate.ObserveSlowness(info.Load.Slowness)
 	if !info.NotRun {
 		return nil
 	}
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -261,7 +261,7 @@
 	r := balance.Report{
 		Load: c.load, Duration: time.Since(c.sentAt),
 		CallsAhead: c.gate.report.CallsAhead, ServiceTime: c.gate.report.ServiceTime,
-		Class: c.work.class, ClassServiceTime: c.gate.classServiceTime, HandlingTime: c.gate.handlingTime, Link: c.gate.link, SendBacklog: c.gate.sendBacklog,
+		Class: c.work.class, ClassServiceTime: c.gate.classServiceTime, HandlingTime: c.gate.handlingTime, Link: c.gate.link, SendBacklog: c.gate.sendBacklog, Slowness: c.gate.report.Slowness,
 	}
 	switch {
 	case f == nil:
--- a/proxy/work_test.go
+++ b/proxy/work_test.go
@@ -32,13 +32,13 @@
 func TestGateStatePassesBetweenNodes(t *testing.T) {
 	is := is.New(t)
 	g := gateState{
-		report: admit.Report{CallsAhead: [admit.Priorities]int{9, 12, 40}, ServiceTime: 250 * time.Millisecond,
+		report: admit.Report{CallsAhead: [admit.Priorities]int{9, 12, 40}, ServiceTime: 250 * time.Millisecond, Slowness: 2.5,
 			RefusedShare: [admit.Priorities]float64{0, 0.25, 0.5}},
 		classServiceTime: 80 * time.Millisecond, handlingTime: 312 * time.Microsecond,
 		link: admit.LinkReport{PendingBytes: 3 << 20, Rate: 2.5e6}, sendBacklog: 90 * time.Millisecond,
 	}
 	is.Equal(parseGateState(g.format()), g)
-	for _, bad := range []string{"", "1;2", "1;2;3;4;5;6;7;8;9;10;11;x", "-1;2;3;4;5;6;7;8;9;10;11;12", "1;2;3;4;5;6;7;8;9;10;11;12;13"} {
+	for _, bad := range []string{"", "1;2", "1;2;3;4;5;6;7;8;9;10;11;12;x", "-1;2;3;4;5;6;7;8;9;10;11;12;13", "1;2;3;4;5;6;7;8;9;10;11;12;13;14"} {
 		is.Equal(parseGateState(bad), gateState{})
 	}
 }
@@ -46,8 +46,8 @@
 // Guards against header values from other nodes that cause a panic, give a call a
 // negative priority or add a metric label.
 func FuzzNodeHeaders(f *testing.F) {
-	f.Add("1;800;rl;bids;floor;house", "9;12;40;250000;80000;312;3145728;2500000;90000;0;250;500")
-	f.Add(";;;;;", ";;;;;;;;;;;")
+	f.Add("1;800;rl;bids;floor;house", "9;12;40;250000;80000;312;3145728;2500000;90000;100;0;250;500")
+	f.Add(";;;;;", ";;;;;;;;;;;;")
 	f.Fuzz(func(t *testing.T, w, g string) {
 		if got := parseWork(w, time.Now(), object.WorkBid); got.priority < 0 {
 			t.Errorf("%q has priority %d", w, got.priority)
