balance, admit: service times by class and endpoint

Cause: the expected time of a call was the endpoint's mean service time, scaled by a ratio of the class that was averaged over the endpoints. The mean depends on the mix: an instance that got mostly short nested calls looked fast and got still more of them, up to 759 in 3 s beside 30 to 150 at its neighbours, and refused 565 checkouts while half of the slots of the service were idle.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -113,6 +113,7 @@
 	deadlines     []time.Time            // deadlines of the calls in flight that have one, in no order
 	lateRefusedAt time.Time              // last refusal of a call because it would miss its target latency
 	startTimeSum  time.Duration          // sum over the calls in flight of their start times since epoch
+	expectedSum   time.Duration          // sum over the calls in flight of the service times expected of them
 	epoch         time.Time
 	idle          chan struct{} // closed when inFlight and queued become zero; nil unless Wait is called
 	stats         Stats
@@ -132,9 +133,10 @@
 	gate       *Gate
 	priority   int
 	class      string
-	admittedAt time.Time // when the call was admitted
-	deadline   time.Time // zero for none
-	slowness   float64   // of the target's machine when the call was admitted
+	admittedAt time.Time     // when the call was admitted
+	deadline   time.Time     // zero for none
+	slowness   float64       // of the target's machine when the call was admitted
+	expected   time.Duration // service time expected of the call when it was admitted
 	released   atomic.Bool
 }
 
@@ -154,7 +156,7 @@
 		return nil, err
 	}
 	if g.inFlight < g.opts.Slots && g.queued == 0 {
-		t := g.admit(p, now, deadlineOf(ctx))
+		t := g.admit(p, "", now, deadlineOf(ctx))
 		g.mu.Unlock()
 		return t, nil
 	}
@@ -216,17 +218,20 @@
 	return work / time.Duration(g.opts.Slots)
 }
 
-// admit takes a slot for a call with the deadline, zero for none. g.mu must be
+// admit takes a slot for a call of the class with the deadline, zero for none. g.mu must be
 // held.
-func (g *Gate) admit(p int, now, deadline time.Time) *Ticket {
+func (g *Gate) admit(p int, class string, now, deadline time.Time) *Ticket {
+	expected := g.classTimes.of(class)
 	g.inFlight++
+	g.expectedSum += expected
 	g.startTimeSum += now.Sub(g.epoch)
 	g.stats.ByPriority[p].Admitted++
 	if !deadline.IsZero() {
 		g.deadlines = append(g.deadlines, deadline)
 	}
 	g.publish()
-	return &Ticket{gate: g, priority: p, admittedAt: now, deadline: deadline, slowness: g.slowness.factor(now)}
+	return &Ticket{gate: g, priority: p, class: class, admittedAt: now, deadline: deadline,
+		slowness: g.slowness.factor(now), expected: expected}
 }
 
 // deadlineOf returns the deadline of ctx, or the zero time.
@@ -247,6 +252,7 @@
 	defer g.mu.Unlock()
 	g.inFlight--
 	g.startTimeSum -= t.admittedAt.Sub(g.epoch)
+	g.expectedSum -= t.expected
 	if i := slices.Index(g.deadlines, t.deadline); i >= 0 {
 		g.deadlines = slices.Delete(g.deadlines, i, i+1)
 	}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -203,8 +203,7 @@
 		if w == nil {
 			return
 		}
-		w.ticket = g.admit(w.priority, now, w.deadline)
-		w.ticket.class = w.class
+		w.ticket = g.admit(w.priority, w.class, now, w.deadline)
 		if !w.nested {
 			g.countNew(w.priority, false, now)
 		}
--- a/admit/target.go
+++ b/admit/target.go
@@ -69,8 +69,7 @@
 		return nil, err
 	}
 	if g.inFlight < g.opts.Slots && g.queued == 0 {
-		t := g.admit(p, now, deadline)
-		t.class = work.Class
+		t := g.admit(p, work.Class, now, deadline)
 		if !work.Nested {
 			g.countNew(p, false, now)
 		}
@@ -243,16 +242,33 @@
 // calls are more often in flight than short ones.
 const inFlightAgeFactor = 1.3
 
-// estimatedServiceTime estimates the service time from the completed calls and
-// from the age of those in flight, so that a target that becomes slow is detected
-// before its calls end. g.mu must be held.
+// estimatedServiceTime estimates the service time on the machine as usual from the
+// completed calls and from the age of those in flight, so that a target that
+// becomes slow is detected before its calls end. g.mu must be held.
 func (g *Gate) estimatedServiceTime(now time.Time) time.Duration {
 	mean := g.classTimes.all.duration()
-	if g.inFlight == 0 {
-		return mean
+	if g.inFlight > 0 && g.expectedSum <= 0 {
+		return max(mean, time.Duration(inFlightAgeFactor*float64(g.ageSum(now))/float64(g.inFlight)))
 	}
-	age := now.Sub(g.epoch) - g.startTimeSum/time.Duration(g.inFlight)
-	return max(mean, time.Duration(inFlightAgeFactor*float64(age)/g.slowness.factor(now)))
+	return time.Duration(float64(mean) * g.overrun(now))
+}
+
+// ageSum returns the sum of the ages of the calls in flight. g.mu must be held.
+func (g *Gate) ageSum(now time.Time) time.Duration {
+	return time.Duration(g.inFlight)*now.Sub(g.epoch) - g.startTimeSum
+}
+
+// overrun returns by what factor, at least 1, the calls in flight exceed the
+// service times expected of them, beyond the slowness that the target states. It
+// compares each call with its own class, because the calls in flight are mostly of
+// the long ones. g.mu must be held.
+func (g *Gate) overrun(now time.Time) float64 {
+	if g.expectedSum <= 0 {
+		return 1
+	}
+	usual := float64(g.classTimes.all.duration()) // one more call as usual: a single long one proves little
+	ratio := (inFlightAgeFactor*float64(g.ageSum(now)) + usual) / (float64(g.expectedSum) + usual)
+	return max(ratio/g.slowness.factor(now), 1)
 }
 
 // expireLate removes the queued calls that are expected to miss their target
@@ -292,7 +308,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if e := g.classTimes.byClass[class]; e != nil {
-		return e.duration()
+		return time.Duration(float64(e.duration()) * g.overrun(g.opts.Now()))
 	}
 	return 0
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -153,7 +153,8 @@
 	now := p.balancer.now()
 	p.endpoint.observe(r, p.ejection, now, p.balancer.opts.Rand)
 	p.endpoint.observeGateState(r, now)
-	p.endpoint.service.classRatios.add(r)
+	p.endpoint.service.classTimes.add(r, now)
+	p.endpoint.classTimes.add(r, now)
 	if r.HandlingTime > 0 {
 		p.balancer.networkLatencies.add(distance(p.balancer.view.Self(), p.Record), r.Duration-r.HandlingTime)
 	}
--- a/balance/endpoint.go
+++ b/balance/endpoint.go
@@ -63,6 +63,8 @@
 
 	gateState atomic.Pointer[gateState] // last reported state of the gate; nil before the first report
 
+	classTimes classTimes // last reported service times by class
+
 	failedOrRefused badShare // share of calls that failed or were refused
 	failed          badShare // share of calls that failed
 
--- a/balance/loss.go
+++ b/balance/loss.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -155,7 +154,7 @@
 	if c.panicMode != s.panicMode.Load() {
 		s.panicMode.Store(c.panicMode)
 	}
-	e, late, missed := c.leastLoss(t, d, s.classRatios.of(d.Class))
+	e, late, missed := c.leastLoss(t, d)
 	if e == nil {
 		e = c.lastResort(t)
 	}
@@ -168,7 +167,7 @@
 
 // leastLoss returns the usable endpoint with the least expected loss, or nil, and
 // the probabilities that the call misses its target latency and its deadline there.
-func (c *choice) leastLoss(t *table, d Demand, ratio float64) (best *endpoint, late, missed float64) {
+func (c *choice) leastLoss(t *table, d Demand) (best *endpoint, late, missed float64) {
 	mean := c.meanGateState(t)
 	self := c.b.view.Self()
 	minLoss := math.Inf(1)
@@ -176,7 +175,7 @@
 		if !c.usable(e) {
 			continue
 		}
-		loss, lateHere, missedHere := c.loss(e, self, mean, d, ratio)
+		loss, lateHere, missedHere := c.loss(e, self, mean, d)
 		if loss += lossJitter * c.float(); loss < minLoss {
 			best, minLoss, late, missed = e, loss, lateHere, missedHere
 		}
@@ -186,12 +185,11 @@
 
 // loss estimates the expected loss at the endpoint as a share of the call's
 // value, and the probabilities that the call misses its target latency and its
-// deadline there. ratio is the service time of the call's class relative to that of
-// all calls.
-func (c *choice) loss(e *endpoint, self *member.Record, mean gateState, d Demand, ratio float64) (loss, late, missed float64) {
+// deadline there.
+func (c *choice) loss(e *endpoint, self *member.Record, mean gateState, d Demand) (loss, late, missed float64) {
 	r := e.record.Load()
 	dist := distance(self, r)
-	expected := c.b.networkLatencies.of(dist) + c.expectedTime(e, mean, d.priorityIndex(), ratio)
+	expected := c.b.networkLatencies.of(dist) + c.expectedTime(e, mean, d)
 	if dist != sameNode {
 		expected += c.transferTime(e, d.BodyBytes)
 		expected += c.responseWait(e, d, expected)
@@ -204,8 +202,9 @@
 }
 
 // expectedTime returns the expected time that a call waits and runs at the
-// endpoint: the queueing delay of the calls ahead plus the service time.
-func (c *choice) expectedTime(e *endpoint, mean gateState, priority int, ratio float64) time.Duration {
+// endpoint: the queueing delay of the calls ahead plus the service time of its class.
+func (c *choice) expectedTime(e *endpoint, mean gateState, d Demand) time.Duration {
+	priority := d.priorityIndex()
 	slots := e.slots()
 	calls, serviceTime, age := mean.callsAhead[priority]*slots, mean.serviceTime, gateStateMaxAge
 	ownInFlight := float64(e.inFlight.Load())
@@ -218,50 +217,8 @@
 	calls = max(calls, ownInFlight)
 	deviation := 1 + driftDeviation*math.Sqrt(min(float64(age)/float64(driftTime), 1))
 	ahead := meanPositivePart(calls-slots+1, deviation)
-	return time.Duration(serviceTime * c.slowness(e) * (ratio + ahead/slots))
-}
-
-// classRatios are the service times of the classes of one service relative to that
-// of all its calls. Endpoints differ in speed, but hardly in these ratios, so they
-// are kept per service.
-type classRatios struct {
-	mu      sync.Mutex
-	byClass map[string]float64
-}
-
-const (
-	// ratioWeight is the weight of a new sample in the moving average.
-	ratioWeight = 0.1
-	// maxRatios limits the number of classes with a ratio; all are dropped when
-	// it is reached.
-	maxRatios = 1024
-)
-
-func (r *classRatios) add(report Report) {
-	if report.ClassServiceTime <= 0 || report.ServiceTime <= 0 {
-		return
-	}
-	v := float64(report.ClassServiceTime) / float64(report.ServiceTime)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	old, ok := r.byClass[report.Class]
-	if !ok {
-		if r.byClass == nil || len(r.byClass) >= maxRatios {
-			r.byClass = make(map[string]float64)
-		}
-		old = v
-	}
-	r.byClass[report.Class] = old + ratioWeight*(v-old)
-}
-
-// of returns the ratio of a class; 1 while it is unknown.
-func (r *classRatios) of(class string) float64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if v, ok := r.byClass[class]; ok {
-		return v
-	}
-	return 1
+	own := c.classTime(e, d.Class, serviceTime)
+	return time.Duration(c.slowness(e) * (own + serviceTime*ahead/slots))
 }
 
 // transferTime returns the expected time until a body of size bytes has arrived
--- a/balance/service.go
+++ b/balance/service.go
@@ -23,7 +23,7 @@
 	ejectionsUntil atomic.Int64 // end of the ejection that ends last, ns
 	panicMode      atomic.Bool  // panic mode: ejections are ignored
 	table          atomic.Pointer[table]
-	classRatios    classRatios
+	classTimes     classTimes   // mean of the endpoints
 	refreshAt      atomic.Int64 // next refresh of the table, ns
 	mu             sync.Mutex   // held while the table is rebuilt or refreshed
 	endpoints      map[processIdentity]*endpoint
