--- a/explain/explain.go
+++ b/explain/explain.go
@@ -317,4 +317,6 @@
 	"displaced":        "more important work took its place in the queue",
 	"late":             "it would have missed its target latency at a busy target",
 	"late_no_chance":   "it was late already and other calls could still be in time",
+	"link_busy":        "the responses ahead of its own would have kept the instance's link busy for too long",
+	"parent":           "the target could not have made the calls that it needs: their services are full, or refuse more urgent work",
 }
--- a/node/calls.go
+++ b/node/calls.go
@@ -199,6 +199,9 @@
 
 // platformHandler creates the handler for a target that announces itself.
 func (s *inboundService) platformHandler() *proxy.Inbound {
+	parents := new(admit.Parents)
+	sender := admit.NewSender(s.node.settings.Platform.LinkMbps*responseShareOfLink*bytesPerMbit, nil)
+	exportAdmission(s.node.metrics, parents, sender)
 	return proxy.NewInbound(proxy.InboundOptions{
 		Backend:      s.node.target.currentBackend,
 		Metrics:      s.node.proxyMetrics(),
@@ -208,8 +211,8 @@
 		Responses:    platformResponses, Bodies: platformBodies, CloseDelimited: true,
 		OnWrongTarget: s.node.target.onWrongTarget,
 		Nested:        new(admit.NestedRoutes),
-		Parents:       new(admit.Parents),
-		Sender:        admit.NewSender(s.node.settings.Platform.LinkMbps*responseShareOfLink*bytesPerMbit, nil),
+		Parents:       parents,
+		Sender:        sender,
 		Link:          admit.NewLink(s.node.settings.Platform.LinkMbps * bodyShareOfLink * bytesPerMbit),
 	})
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"siskingw/admit"
 	"siskingw/kernel"
 	"siskingw/member"
 	"siskingw/peer"
@@ -61,6 +62,16 @@
 	}
 }
 
+// exportAdmission exports the share of the target's new calls that is refused for
+// want of room for the calls that they lead to, by priority, and the time until the
+// link has sent the responses of the calls admitted so far.
+func exportAdmission(set *metrics.Set, parents *admit.Parents, sender *admit.Sender) {
+	for p := range admit.Priorities {
+		set.NewGauge(fmt.Sprintf(`siskingw_parents_refused_share{priority="%d"}`, p), func() float64 { return parents.Limited(p) })
+	}
+	set.NewGauge("siskingw_link_backlog_seconds", func() float64 { return sender.Backlog().Seconds() })
+}
+
 // countMembers returns the number of known members in the state.
 func countMembers(dir *member.Directory, state member.State) int {
 	count := 0
--- a/proxy/decisions.go
+++ b/proxy/decisions.go
@@ -109,6 +109,9 @@
 			fields = append(fields, "target", b.Instance)
 			fields = append(fields, gateLogFields(b.Gate)...)
 		}
+		if c.work.nested {
+			fields = append(fields, "nested", true)
+		}
 		return fields
 	})
 }
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -214,6 +214,7 @@
 func (in *Inbound) observeNested(c *call, f *refusal) {
 	if b := in.backend(); b != nil && in.opts.Parents != nil {
 		refused := f != nil && f.overloaded && f.outcome == OutcomeNotRun
+		in.opts.Metrics.countNested()
 		in.opts.Parents.Observe(refused, c.gate.report, b.Gate.Report(), time.Now())
 	}
 }
@@ -287,9 +288,13 @@
 	if x.bodyComplete {
 		ticket.Release() // the target has responded in full; a slow caller must not hold the slot
 	}
+	completeAt := time.Now()
 	if err := promise.Send(c.ctx, x.responseBytes(), c.deadline); err != nil {
 		return x.fail(causeAnswerCut, "the answer did not leave over the link", err)
 	}
+	if promise != nil {
+		in.opts.Metrics.observeLinkWait(time.Since(completeAt))
+	}
 	in.addNodeResponseHeaders(c)
 	return x.relay(c)
 }
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -40,6 +40,8 @@
 	overhead  [sideCount]*metrics.Histogram
 	refusals  [sideCount]map[cause]*metrics.Counter
 	gateWaits *metrics.Histogram
+	linkWaits *metrics.Histogram
+	nested    *metrics.Counter
 	retries   [retryResultCount]*metrics.Counter
 }
 
@@ -56,7 +58,11 @@
 // NewMetrics registers the proxy's metrics in set. It panics if set already holds
 // them.
 func NewMetrics(set *metrics.Set) *Metrics {
-	m := &Metrics{gateWaits: set.NewHistogram("siskingw_gate_wait_seconds")}
+	m := &Metrics{
+		gateWaits: set.NewHistogram("siskingw_gate_wait_seconds"),
+		linkWaits: set.NewHistogram("siskingw_link_wait_seconds"),
+		nested:    set.NewCounter("siskingw_nested_calls_total"),
+	}
 	for i, name := range retryResultNames {
 		m.retries[i] = set.NewCounter(fmt.Sprintf(`siskingw_call_retries_total{result=%q}`, name))
 	}
@@ -121,6 +127,22 @@
 	}
 }
 
+// observeLinkWait records the time that a response waited for its turn on the
+// instance's link.
+func (m *Metrics) observeLinkWait(d time.Duration) {
+	if m != nil {
+		m.linkWaits.Update(d.Seconds())
+	}
+}
+
+// countNested counts a call that the target of this instance made while it ran
+// another one.
+func (m *Metrics) countNested() {
+	if m != nil {
+		m.nested.Inc()
+	}
+}
+
 // observeGateWait records the time that a call waited for admission by the
 // target's gate.
 func (m *Metrics) observeGateWait(d time.Duration) {
