balance: nested calls also go by their expected time

Cause: a nested call that waits without being late counted as free, but its parent holds a slot meanwhile.

--- a/balance/loss.go
+++ b/balance/loss.go
@@ -24,6 +24,7 @@
 
 	Class    string // calls of one class have similar service times
 	Priority int    // 0 is the highest
+	Nested   bool   // see admit.Work.Nested
 }
 
 // priorityIndex returns the index of the priority in the report of a gate.
@@ -198,6 +199,7 @@
 	missed = lateness.Probability(expected, d.DeadlineLeft)
 	loss = lateLoss*late + (1-lateLoss)*missed
 	loss += (1 - loss) * failLoss * e.failed.value(c.now)
+	loss += d.waitCost(expected)
 	return loss + trafficCost(dist, d.Bytes), late, missed
 }
 
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -202,7 +202,7 @@
 	return o.opts.Balancer.PickFor(res.EndpointSet, ejectionOf(res.Policy), t.excluded, balance.Demand{
 		TargetLeft: time.Until(c.work.targetTime), DeadlineLeft: c.timeLeft(),
 		Bytes: o.responseSizeOf(res.Name).expectedBytes(c), BodyBytes: max(c.r.ContentLength, 0),
-		Class: c.work.class, Priority: c.admissionWork().Rank(),
+		Class: c.work.class, Priority: c.admissionWork().Rank(), Nested: c.work.nested,
 	})
 }
 
