--- a/admit/gate.go
+++ b/admit/gate.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -97,21 +98,25 @@
 type Gate struct {
 	opts Options
 
-	mu             sync.Mutex
-	inFlight       int
-	queued         int
-	queues         [numPriorities]queue
-	lateQueues     [numPriorities]queue // calls expected to miss their target latency; served after all others
-	draining       bool
-	queuedSince    time.Time           // since when the queue is non-empty; zero when it is empty
-	serviceTimes   [numPriorities]ewma // ns, by priority
-	classTimes     classServiceTimes   // service times by class
-	admittedShares [numPriorities]ewma // share of the admitted calls, 0..1, by priority
-	lateRefusedAt  time.Time           // last refusal of a call because it would miss its target latency
-	startTimeSum   time.Duration       // sum over the calls in flight of their start times since epoch
-	epoch          time.Time
-	idle           chan struct{} // closed when inFlight and queued become zero; nil unless Wait is called
-	stats          Stats
+	mu            sync.Mutex
+	inFlight      int
+	queued        int
+	queues        [numPriorities]queue
+	lateQueues    [numPriorities]queue // calls expected to miss their target latency; served after all others
+	draining      bool
+	queuedSince   time.Time              // since when the queue is non-empty; zero when it is empty
+	serviceTimes  [numPriorities]ewma    // ns, by priority
+	classTimes    classServiceTimes      // service times by class on the machine as usual
+	slowness      slowness               // of the target's machine
+	workDone      [numPriorities]ewma    // ns of service time per completed call of any priority, by priority
+	newWork       [numPriorities]newWork // of each priority and the higher ones
+	deadlines     []time.Time            // deadlines of the calls in flight that have one, in no order
+	lateRefusedAt time.Time              // last refusal of a call because it would miss its target latency
+	startTimeSum  time.Duration          // sum over the calls in flight of their start times since epoch
+	expectedSum   time.Duration          // sum over the calls in flight of the service times expected of them
+	epoch         time.Time
+	idle          chan struct{} // closed when inFlight and queued become zero; nil unless Wait is called
+	stats         Stats
 
 	load atomic.Uint64 // float64 bits of the value that Load returns
 }
@@ -128,7 +133,10 @@
 	gate       *Gate
 	priority   int
 	class      string
-	admittedAt time.Time // when the call was admitted
+	admittedAt time.Time     // when the call was admitted
+	deadline   time.Time     // zero for none
+	slowness   float64       // of the target's machine when the call was admitted
+	expected   time.Duration // service time expected of the call when it was admitted
 	released   atomic.Bool
 }
 
@@ -148,7 +156,7 @@
 		return nil, err
 	}
 	if g.inFlight < g.opts.Slots && g.queued == 0 {
-		t := g.admit(p, now)
+		t := g.admit(p, "", now, deadlineOf(ctx))
 		g.mu.Unlock()
 		return t, nil
 	}
@@ -180,6 +188,7 @@
 	}
 	wait := g.expectedWait(p)
 	if wait > g.allowedWait(now) {
+		g.refuseBelow(p) // they would wait longer still
 		return errQueueTooLong
 	}
 	if deadline, ok := ctx.Deadline(); ok && deadline.Sub(now.Add(wait)) < g.serviceTimes[p].duration() {
@@ -193,7 +202,7 @@
 func (g *Gate) missesDeadline(w *waiter, now time.Time) bool {
 	serviceTime := g.serviceTimes[w.priority].duration()
 	if !w.targetTime.IsZero() {
-		serviceTime = g.classTimes.of(w.class)
+		serviceTime = g.classTime(w.class, now)
 	}
 	return w.deadline.Sub(now) < serviceTime
 }
@@ -209,20 +218,26 @@
 	return work / time.Duration(g.opts.Slots)
 }
 
-// admit takes a slot. g.mu must be held.
-func (g *Gate) admit(p int, now time.Time) *Ticket {
+// admit takes a slot for a call of the class with the deadline, zero for none. g.mu must be
+// held.
+func (g *Gate) admit(p int, class string, now, deadline time.Time) *Ticket {
+	expected := g.classTimes.of(class)
 	g.inFlight++
+	g.expectedSum += expected
 	g.startTimeSum += now.Sub(g.epoch)
 	g.stats.ByPriority[p].Admitted++
-	for i := range g.admittedShares {
-		share := 0.0
-		if i == p {
-			share = 1
-		}
-		g.admittedShares[i].add(share)
+	if !deadline.IsZero() {
+		g.deadlines = append(g.deadlines, deadline)
 	}
 	g.publish()
-	return &Ticket{gate: g, priority: p, admittedAt: now}
+	return &Ticket{gate: g, priority: p, class: class, admittedAt: now, deadline: deadline,
+		slowness: g.slowness.factor(now), expected: expected}
+}
+
+// deadlineOf returns the deadline of ctx, or the zero time.
+func deadlineOf(ctx context.Context) time.Time {
+	deadline, _ := ctx.Deadline()
+	return deadline
 }
 
 // Release frees the slot and admits queued calls. Only the first call has an
@@ -237,8 +252,14 @@
 	defer g.mu.Unlock()
 	g.inFlight--
 	g.startTimeSum -= t.admittedAt.Sub(g.epoch)
-	g.serviceTimes[t.priority].add(float64(now.Sub(t.admittedAt)))
-	g.classTimes.add(t.class, now.Sub(t.admittedAt))
+	g.expectedSum -= t.expected
+	if i := slices.Index(g.deadlines, t.deadline); i >= 0 {
+		g.deadlines = slices.Delete(g.deadlines, i, i+1)
+	}
+	serviceTime := g.usualTime(t, now)
+	g.serviceTimes[t.priority].add(float64(serviceTime))
+	g.addWorkDone(t.priority, now.Sub(t.admittedAt))
+	g.classTimes.add(t.class, serviceTime)
 	g.dispatch(now)
 	g.publish()
 }
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -31,6 +31,7 @@
 	targetTime time.Time     // when its target latency is over; zero for none
 	class      string        // see Work.Class
 	late       bool          // the call is in one of the late queues
+	nested     bool          // see Work.Nested
 	ticket     *Ticket       // set when the call is admitted
 	err        error         // set when the call is refused
 	done       chan struct{} // closed after ticket or err is set
@@ -100,9 +101,12 @@
 	q.waiters = slices.Insert(q.waiters, i, w)
 }
 
-// before reports whether w must precede o: both have a target latency, and that
-// of w is over earlier.
+// before reports whether w must precede o: w is nested and o is not, or both have
+// a target latency, and that of w is over earlier.
 func (w *waiter) before(o *waiter) bool {
+	if w.nested != o.nested {
+		return w.nested
+	}
 	return !w.targetTime.IsZero() && !o.targetTime.IsZero() && w.targetTime.Before(o.targetTime)
 }
 
@@ -163,9 +167,23 @@
 func (g *Gate) refuse(w *waiter, reason error) {
 	w.err = reason
 	g.stats.ByPriority[w.priority].Refused++
+	if !w.nested {
+		g.countNew(w.priority, true, g.opts.Now())
+	}
 	g.wake(w)
 }
 
+// refuseBelow refuses the queued calls of a lower priority than p. g.mu must be
+// held.
+func (g *Gate) refuseBelow(p int) {
+	for i := p + 1; i < numPriorities; i++ {
+		for w := g.queues[i].popLast(); w != nil; w = g.queues[i].popLast() {
+			g.refuse(w, errQueueTooLong)
+		}
+	}
+	g.publish()
+}
+
 // wake wakes a waiter that was removed from its queue and whose ticket or err
 // is set. g.mu must be held.
 func (g *Gate) wake(w *waiter) {
@@ -185,8 +203,10 @@
 		if w == nil {
 			return
 		}
-		w.ticket = g.admit(w.priority, now)
-		w.ticket.class = w.class
+		w.ticket = g.admit(w.priority, w.class, now, w.deadline)
+		if !w.nested {
+			g.countNew(w.priority, false, now)
+		}
 		g.wake(w)
 	}
 }
--- a/admit/target.go
+++ b/admit/target.go
@@ -54,16 +54,25 @@
 // returned ticket.
 func (g *Gate) Admit(ctx context.Context, work Work) (*Ticket, error) {
 	now := g.opts.Now()
-	p := min(max(work.Priority, 0), numPriorities-1)
+	p := work.Rank()
+	deadline := deadlineOf(ctx)
+	if work.Nested && !deadline.IsZero() {
+		work.TargetTime = deadline // only the answer's absence costs the call that waits for it
+	}
 	g.mu.Lock()
 	if err := g.workRefusal(ctx, work, p, now); err != nil {
 		g.stats.ByPriority[p].Refused++
+		if !work.Nested {
+			g.countNew(p, true, now)
+		}
 		g.mu.Unlock()
 		return nil, err
 	}
 	if g.inFlight < g.opts.Slots && g.queued == 0 {
-		t := g.admit(p, now)
-		t.class = work.Class
+		t := g.admit(p, work.Class, now, deadline)
+		if !work.Nested {
+			g.countNew(p, false, now)
+		}
 		g.mu.Unlock()
 		return t, nil
 	}
@@ -73,13 +82,12 @@
 	}
 	w := &waiter{
 		priority: p, queuedAt: now, targetTime: work.TargetTime,
-		class: work.Class, late: work.Late, done: make(chan struct{})}
-	w.deadline, _ = ctx.Deadline()
+		class: work.Class, late: work.Late, nested: work.Nested, deadline: deadline, done: make(chan struct{})}
 	g.enqueue(w)
 	targetLeft := w.targetTime.Sub(now)
 	maxWait := targetLeft + g.opts.QueueTimeout // without a deadline
 	if !w.deadline.IsZero() {
-		maxWait = w.deadline.Sub(now) - g.classTimes.of(w.class)
+		maxWait = w.deadline.Sub(now) - g.classTime(w.class, now)
 	}
 	late := w.late
 	g.publish()
@@ -153,15 +161,14 @@
 	if g.draining {
 		return errDraining
 	}
-	serviceTime := g.classTimes.of(work.Class)
+	serviceTime := g.classTime(work.Class, now)
 	if lateness.Probability(arrival+serviceTime, deadline.Sub(now)) > maxMissProbability {
 		return errDeadline
 	}
 	if !work.Late && lateness.Probability(arrival+serviceTime, work.TargetTime.Sub(now)) > maxMissProbability {
 		return errLate
 	}
-	p := min(max(work.Priority, 0), numPriorities-1)
-	return g.workRefusal(context.Background(), work, p, now)
+	return g.workRefusal(context.Background(), work, work.Rank(), now)
 }
 
 // workRefusal returns the reason to refuse a call before it is queued, or nil. As
@@ -176,13 +183,13 @@
 	case g.inFlight < g.opts.Slots && g.queued == 0:
 		return nil
 	}
-	serviceTime := g.classTimes.of(work.Class)
-	ahead := g.queuedAhead(p, work.TargetTime)
+	serviceTime := g.classTime(work.Class, now)
+	ahead := g.queuedAhead(p, &waiter{targetTime: work.TargetTime, nested: work.Nested})
 	wait := g.waitBehind(ahead, p, now)
 	if deadline, ok := ctx.Deadline(); ok && lateness.Probability(wait+serviceTime, deadline.Sub(now)) > maxMissProbability {
 		return errDeadline
 	}
-	if !g.overloaded(now) && g.cooledDown(now) {
+	if work.Nested || !g.overloaded(now) && g.cooledDown(now) {
 		return nil // without overload a late response is better than none
 	}
 	if work.Late {
@@ -198,14 +205,14 @@
 }
 
 // queuedAhead returns the number of queued calls that are served before a new
-// call of priority p with the given target time. g.mu must be held.
-func (g *Gate) queuedAhead(p int, target time.Time) int {
+// call of priority p. g.mu must be held.
+func (g *Gate) queuedAhead(p int, call *waiter) int {
 	n := 0
 	for i := range p {
 		n += g.queues[i].len()
 	}
 	for _, w := range g.queues[p].waiters {
-		if target.Before(w.targetTime) {
+		if call.before(w) {
 			break
 		}
 		n++
@@ -224,11 +231,9 @@
 	if g.inFlight < g.opts.Slots && g.queued == 0 {
 		return 0
 	}
-	higherPriorityShare := 0.0
-	for i := range p {
-		higherPriorityShare += g.admittedShares[i].value
-	}
-	wait := float64(ahead+1) * float64(g.estimatedServiceTime(now)) / float64(g.opts.Slots)
+	higherPriorityShare := g.workShareAbove(p)
+	serviceTime := float64(g.estimatedServiceTime(now)) * g.slowness.factor(now)
+	wait := float64(ahead+1) * serviceTime / float64(g.opts.Slots)
 	return time.Duration(wait / (1 - min(higherPriorityShare, maxHigherPriorityShare)))
 }
 
@@ -237,16 +242,33 @@
 // calls are more often in flight than short ones.
 const inFlightAgeFactor = 1.3
 
-// estimatedServiceTime estimates the service time from the completed calls and
-// from the age of those in flight, so that a target that becomes slow is detected
-// before its calls end. g.mu must be held.
+// estimatedServiceTime estimates the service time on the machine as usual from the
+// completed calls and from the age of those in flight, so that a target that
+// becomes slow is detected before its calls end. g.mu must be held.
 func (g *Gate) estimatedServiceTime(now time.Time) time.Duration {
 	mean := g.classTimes.all.duration()
-	if g.inFlight == 0 {
-		return mean
+	if g.inFlight > 0 && g.expectedSum <= 0 {
+		return max(mean, time.Duration(inFlightAgeFactor*float64(g.ageSum(now))/float64(g.inFlight)))
 	}
-	age := now.Sub(g.epoch) - g.startTimeSum/time.Duration(g.inFlight)
-	return max(mean, time.Duration(inFlightAgeFactor*float64(age)))
+	return time.Duration(float64(mean) * g.overrun(now))
+}
+
+// ageSum returns the sum of the ages of the calls in flight. g.mu must be held.
+func (g *Gate) ageSum(now time.Time) time.Duration {
+	return time.Duration(g.inFlight)*now.Sub(g.epoch) - g.startTimeSum
+}
+
+// overrun returns by what factor, at least 1, the calls in flight exceed the
+// service times expected of them, beyond the slowness that the target states. It
+// compares each call with its own class, because the calls in flight are mostly of
+// the long ones. g.mu must be held.
+func (g *Gate) overrun(now time.Time) float64 {
+	if g.expectedSum <= 0 {
+		return 1
+	}
+	usual := float64(g.classTimes.all.duration()) // one more call as usual: a single long one proves little
+	ratio := (inFlightAgeFactor*float64(g.ageSum(now)) + usual) / (float64(g.expectedSum) + usual)
+	return max(ratio/g.slowness.factor(now), 1)
 }
 
 // expireLate removes the queued calls that are expected to miss their target
@@ -256,7 +278,7 @@
 		q := &g.queues[i]
 		for q.len() > 0 {
 			w := q.waiters[0]
-			if w.targetTime.IsZero() || lateness.Probability(g.classTimes.of(w.class), w.targetTime.Sub(now)) <= maxMissProbability {
+			if w.targetTime.IsZero() || lateness.Probability(g.classTime(w.class, now), w.targetTime.Sub(now)) <= maxMissProbability {
 				break
 			}
 			g.requeueOrRefuse(q.popFirst(), now)
@@ -269,7 +291,11 @@
 	// CallsAhead is, by priority, the number of calls ahead of a new call: those in
 	// flight, and those queued with its priority or a higher one.
 	CallsAhead  [Priorities]int
-	ServiceTime time.Duration // expected service time of all calls
+	ServiceTime time.Duration // expected service time of all calls on the machine as usual
+	Slowness    float64       // how long work takes there now, relative to that; at least 1
+	// RefusedShare is, by priority, the share 0..1 of the new work of that
+	// priority and the higher ones that the gate has refused lately.
+	RefusedShare [Priorities]float64
 }
 
 // Priorities is the number of priorities that a gate distinguishes; calls of
@@ -282,7 +308,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if e := g.classTimes.byClass[class]; e != nil {
-		return e.duration()
+		return time.Duration(float64(e.duration()) * g.overrun(g.opts.Now()))
 	}
 	return 0
 }
@@ -291,7 +317,11 @@
 func (g *Gate) Report() Report {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	r := Report{ServiceTime: g.estimatedServiceTime(g.opts.Now())}
+	now := g.opts.Now()
+	r := Report{ServiceTime: g.estimatedServiceTime(now), Slowness: g.slowness.factor(now)}
+	for i, n := range g.newWork {
+		r.RefusedShare[i] = n.shareAt(now)
+	}
 	calls := g.inFlight
 	for i := range numPriorities {
 		calls += g.queues[i].len()
@@ -306,7 +336,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	p := min(max(priority, 0), numPriorities-1)
-	return g.waitBehind(g.queuedAhead(p, farFuture), p, g.opts.Now())
+	return g.waitBehind(g.queuedAhead(p, &waiter{targetTime: farFuture}), p, g.opts.Now())
 }
 
 // farFuture is later than any target time.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -111,6 +111,8 @@
 	ClassServiceTime time.Duration         // expected service time of the class at the endpoint; 0 for unknown
 	HandlingTime     time.Duration         // time that the call spent at the endpoint's node
 	Link             admit.LinkReport      // link of the endpoint's instance
+	Slowness         float64               // how long work takes there now relative to ServiceTime; 0 for unknown
+	SendBacklog      time.Duration         // until that link has sent the responses of the calls admitted so far
 }
 
 // now returns the ns since the balancer was created.
@@ -151,7 +153,8 @@
 	now := p.balancer.now()
 	p.endpoint.observe(r, p.ejection, now, p.balancer.opts.Rand)
 	p.endpoint.observeGateState(r, now)
-	p.endpoint.service.classRatios.add(r)
+	p.endpoint.service.classTimes.add(r, now)
+	p.endpoint.classTimes.add(r, now)
 	if r.HandlingTime > 0 {
 		p.balancer.networkLatencies.add(distance(p.balancer.view.Self(), p.Record), r.Duration-r.HandlingTime)
 	}
--- a/node/calls.go
+++ b/node/calls.go
@@ -136,6 +136,9 @@
 	// bodyShareOfLink is the share of the link's rate, 0 to 1, that is available
 	// to the bodies of calls.
 	bodyShareOfLink = 0.8
+	// responseShareOfLink is the share of the link's rate, 0 to 1, that large
+	// responses may take; the rest is for headers, retransmissions and control.
+	responseShareOfLink = 0.9
 )
 
 // maxPipelined is the maximum number of pipelined requests of one caller
@@ -199,6 +202,9 @@
 
 // platformHandler creates the handler for a target that announces itself.
 func (s *inboundService) platformHandler() *proxy.Inbound {
+	parents := new(admit.Parents)
+	sender := admit.NewSender(s.node.settings.Platform.LinkMbps*responseShareOfLink*bytesPerMbit, nil)
+	exportAdmission(s.node.metrics, parents, sender)
 	return proxy.NewInbound(proxy.InboundOptions{
 		OnAnswer:     s.node.onAnswer(),
 		Backend:      s.node.target.currentBackend,
@@ -208,7 +214,10 @@
 		HeaderFormat: platform.HeaderFormat{},
 		Responses:    platformResponses, Bodies: platformBodies, CloseDelimited: true,
 		OnWrongTarget: s.node.target.onWrongTarget, NoKeys: true,
-		Link: admit.NewLink(s.node.settings.Platform.LinkMbps * bodyShareOfLink * bytesPerMbit),
+		Nested:  new(admit.NestedRoutes),
+		Parents: parents,
+		Sender:  sender,
+		Link:    admit.NewLink(s.node.settings.Platform.LinkMbps * bodyShareOfLink * bytesPerMbit),
 	})
 }
 
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -23,8 +23,13 @@
 	HeaderFormat HeaderFormat    // header format of the target and of callers' IDs; default: the Siskingw- headers
 	Responses    ResponseOptions
 	Bodies       BodyOptions
-	DecisionLog  *DecisionLog // nil disables the log of decisions
-	Link         *admit.Link  // network link of this instance; nil means unlimited bandwidth
+	DecisionLog  *DecisionLog  // nil disables the log of decisions
+	Link         *admit.Link   // network link of this instance; nil means unlimited bandwidth
+	Sender       *admit.Sender // the same link, for responses; nil means unlimited bandwidth
+	// Nested recognises the calls that the target makes while it runs others; nil
+	// treats all calls of this instance alike.
+	Nested  *admit.NestedRoutes
+	Parents *admit.Parents // limits the calls during which the target makes others; nil for no limit
 	// NoKeys passes the header of idempotency keys on to the target; see
 	// OutboundOptions.
 	NoKeys bool
@@ -198,6 +203,29 @@
 		Tenant: c.work.tenant, Weight: c.work.weight, Nested: c.work.nested}
 }
 
+// makesCall reports whether the target of this instance makes the call while it
+// runs another one. A nil Inbound has no target.
+func (in *Inbound) makesCall(c *call, info CallerInfo) bool {
+	if in == nil || in.opts.Nested == nil || !info.HasDeadline {
+		return false
+	}
+	b := in.backend()
+	if b == nil {
+		return false
+	}
+	return in.opts.Nested.Observe(c.work.class, c.start.Add(info.Deadline), b.Gate.LatestDeadline())
+}
+
+// observeNested records how a call ended that the target of this instance made; f
+// is nil if it was answered.
+func (in *Inbound) observeNested(c *call, f *refusal) {
+	if b := in.backend(); b != nil && in.opts.Parents != nil {
+		refused := f != nil && f.overloaded && f.outcome == OutcomeNotRun
+		in.opts.Metrics.countNested()
+		in.opts.Parents.Observe(refused, c.gate.report, b.Gate.Report(), time.Now())
+	}
+}
+
 // forward forwards the call to the target unless the gate or the ledger of
 // idempotency keys refuses it. It marks its refusals as made by the target's
 // node.
@@ -242,6 +270,16 @@
 		f.status = http.StatusMisdirectedRequest
 		return f
 	}
+	if err := in.opts.Parents.Admit(c.admissionWork(), time.Now()); err != nil {
+		f := in.gateRefusal(c, b, err)
+		f.retried = true // the other instances need the same services
+		return f
+	}
+	promise, f := in.promise(c, b)
+	if f != nil {
+		return f
+	}
+	defer promise.Release()
 	ticket, f := in.admit(c, b)
 	if f != nil {
 		return f
@@ -259,10 +297,32 @@
 	if x.bodyComplete {
 		ticket.Release() // the target has responded in full; a slow caller must not hold the slot
 	}
+	completeAt := time.Now()
+	if err := promise.Send(c.ctx, x.responseBytes(), c.deadline); err != nil {
+		return x.fail(causeAnswerCut, "the answer did not leave over the link", err)
+	}
+	if promise != nil {
+		in.opts.Metrics.observeLinkWait(time.Since(completeAt))
+	}
 	in.addNodeResponseHeaders(c)
 	return x.relay(c)
 }
 
+// promise reserves the link for the response to a call of another node.
+func (in *Inbound) promise(c *call, b *Backend) (*admit.Promise, *refusal) {
+	if c.fromCaller || in.opts.Sender == nil {
+		return nil, nil
+	}
+	work := c.admissionWork()
+	p, err := in.opts.Sender.Promise(work, c.deadline, b.Gate.ExpectedWait(work.Rank())+b.Gate.ClassServiceTime(work.Class))
+	if err != nil {
+		f := in.gateRefusal(c, b, err)
+		f.retryAfter = max(f.retryAfter, in.opts.Sender.Backlog())
+		return nil, f
+	}
+	return p, nil
+}
+
 // admit acquires a slot from the gate, waiting in its queue if necessary.
 func (in *Inbound) admit(c *call, b *Backend) (*admit.Ticket, *refusal) {
 	if in.draining.Load() {
@@ -297,7 +357,7 @@
 
 // gateState returns the current state of the gate for a response header.
 func (in *Inbound) gateState(c *call) gateState {
-	s := gateState{handlingTime: time.Since(c.start), link: in.opts.Link.Report()}
+	s := gateState{handlingTime: time.Since(c.start), link: in.opts.Link.Report(), sendBacklog: in.opts.Sender.Backlog()}
 	if b := in.backend(); b != nil {
 		s.report, s.classServiceTime = b.Gate.Report(), b.Gate.ClassServiceTime(c.work.class)
 	}
@@ -332,6 +392,7 @@
 	if f := x.start(ctx, c, b.Addr); f != nil {
 		return f
 	}
+	b.Gate.ObserveSlowness(info.Load.Slowness)
 	if !info.NotRun {
 		return nil
 	}
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -85,6 +85,9 @@
 	f := c.correctKeyedRefusal(o.serve(c))
 	c.refused = f
 	o.opts.Metrics.observe(sideOutbound, c, f)
+	if c.work.nested {
+		o.opts.Local.observeNested(c, f)
+	}
 	if f != nil {
 		f.retryAfter = retryAfter(c, f, rand.Float64())
 	}
@@ -141,6 +144,7 @@
 	c.work = c.newWork(res.Name, res.Policy)
 	c.work.caller = o.opts.Caller()
 	c.work.setTenant(c.tenant)
+	c.work.nested = o.opts.Local.makesCall(c, callerInfo)
 	c.maxBodyBytes = maxBodyOf(res.Policy)
 	if f := c.body.bufferOrStream(c.w, c.r, c.maxBodyBytes, o.opts.Bodies); f != nil {
 		return f
@@ -202,7 +206,7 @@
 // refuseBeforeSending returns a refusal if an attempt at the picked endpoint would
 // probably be in vain, or nil.
 func (t *retryState) refuseBeforeSending(c *call, picked *balance.Picked) *refusal {
-	if t.likelyRefused(picked, rand.Float64()) {
+	if t.likelyRefused(picked, c.work.nested, rand.Float64()) {
 		f := notRun(causeAllFull, "every endpoint is full", nil)
 		f.overloaded = true
 		return f
@@ -231,7 +235,7 @@
 	return o.opts.Balancer.PickFor(res.EndpointSet, ejectionOf(res.Policy), t.excluded, balance.Demand{
 		TargetLeft: left, DeadlineLeft: c.timeLeft(), Versions: versionRule(rule),
 		Bytes: o.responseSizeOf(res.Name).expectedBytes(c), BodyBytes: max(c.r.ContentLength, 0),
-		Class: c.work.class, Priority: c.work.priority,
+		Class: c.work.class, Priority: c.admissionWork().Rank(), Nested: c.work.nested,
 	})
 }
 
@@ -290,7 +294,7 @@
 	r := balance.Report{
 		Load: c.load, Duration: time.Since(c.sentAt),
 		CallsAhead: c.gate.report.CallsAhead, ServiceTime: c.gate.report.ServiceTime,
-		Class: c.work.class, ClassServiceTime: c.gate.classServiceTime, HandlingTime: c.gate.handlingTime, Link: c.gate.link,
+		Class: c.work.class, ClassServiceTime: c.gate.classServiceTime, HandlingTime: c.gate.handlingTime, Link: c.gate.link, SendBacklog: c.gate.sendBacklog, Slowness: c.gate.report.Slowness,
 	}
 	switch {
 	case f == nil:
