--- a/node/rolloutadmin.go
+++ b/node/rolloutadmin.go
@@ -50,7 +50,7 @@
 
 // routeNames returns the names of the routes in force by their hash.
 func (s *rolloutService) routeNames() map[uint32]string {
-	names := make(map[uint32]string)
+	names := map[uint32]string{rollout.OtherRoutes: "(all others)"}
 	if snap := s.node.current.Load(); snap != nil {
 		for o := range snap.All() {
 			if o.Kind == object.KindRoute {
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -7,9 +7,10 @@
 
 // The time of a roll-out is divided by these shares of the order's duration, 0 to
 // 1. A version may become bad only after some seconds or under load, so it is
-// watched for half of the time; the traffic then needs time to move, and the calls
+// watched for half of the time. The traffic then needs time to move, and the calls
 // at the old targets need time to end.
 const (
+	latestBase    = 0.1
 	earliestGood  = 0.5
 	latestVerdict = 0.65
 	latestDone    = 0.92
@@ -67,6 +68,9 @@
 		return Decision{Directive: in.final(*s), Announce: true}
 	}
 	d := in.next()
+	if d.Base == "" && !in.at(latestBase) {
+		return Decision{Directive: d} // no target of another version has stated it yet
+	}
 	out := Decision{Directive: d, Announce: d.Phase != Done}
 	state := stateOf(d.Phase)
 	if in.Stored == nil || in.Stored.Order != in.Order.Revision || in.Stored.State != state {
--- a/rollout/decide_test.go
+++ b/rollout/decide_test.go
@@ -24,6 +24,7 @@
 		share int
 	}{
 		"order":                      {Input{InForce: "v1"}, Canary, 0},
+		"order without a base":       {Input{Elapsed: at(0.2)}, Canary, 0},
 		"good, but early":            {Input{HasKnown: true, Known: canary, Verdict: good, Elapsed: at(0.3)}, Canary, 0},
 		"good":                       {Input{HasKnown: true, Known: canary, Verdict: good, Elapsed: at(0.5)}, Moving, 25},
 		"bad":                        {Input{HasKnown: true, Known: canary, Verdict: bad, Elapsed: at(0.1)}, Reverted, 0},
@@ -47,6 +48,9 @@
 		})
 	}
 	is := is.New(t)
+	unknown := Decide(Input{Order: order}) // no target has stated its version
+	is.True(!unknown.Announce && unknown.Write == nil)
+	is.True(Decide(Input{Order: order, Elapsed: at(0.1)}).Announce)
 	none := Decide(Input{Order: order, HasKnown: true, Known: canary, Verdict: little, Elapsed: at(0.65)})
 	is.Equal(none.Directive.Reason, "no target has the version")
 	few := Input{Order: order, HasKnown: true, Known: moving(canary, 25, ""), SinceStep: time.Second,
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -144,6 +144,28 @@
 	is.True(wrong <= 2*falseBad*trials)
 }
 
+// Guards against a good version that is rolled back for a route that always fails:
+// once the traffic has moved, the old targets have no answers to compare with.
+func TestHistoryRouteThatAlwaysFails(t *testing.T) {
+	is := is.New(t)
+	broken := func(node string, isNew bool, failed uint32, answers uint32) TargetEvidence {
+		routes := map[uint32]Counts{1: {Answers: [Buckets]uint32{10: answers}}, 2: {Failed: failed}}
+		return TargetEvidence{Node: node, New: isNew, Evidence: Evidence{Revision: 7, Routes: routes}}
+	}
+	start := time.Unix(1000, 0)
+	for _, oldFailures := range []uint32{0, 3, 60} {
+		var h History
+		for i := range uint32(40) {
+			h.Add(7, []TargetEvidence{
+				broken("a", false, oldFailures/2, 100), broken("b", false, oldFailures/2, 100),
+				broken("c", true, i/10, 10*i), broken("d", true, i/10, 10*i), broken("e", true, i/12, 10*i),
+			}, start.Add(time.Duration(i)*300*time.Millisecond))
+			is.True(h.Judge().Outcome != Bad)
+		}
+		is.True(oldFailures == 0 || h.Judge().Outcome == Good)
+	}
+}
+
 // Guards against a version whose early good answers hide that it has become bad.
 func TestHistoryFindsLateFailures(t *testing.T) {
 	is := is.New(t)
--- a/rollout/rule.go
+++ b/rollout/rule.go
@@ -5,20 +5,20 @@
 // Rule states which targets of a service one call may use. The zero Rule allows
 // every target.
 type Rule struct {
-	Version  string // the only permitted version, unless Any or Not is set
-	Not      string // with Exclude: the version that is not permitted
+	Limited  bool   // the rule restricts the versions at all
+	Version  string // the permitted version; with Exclude, the only one not permitted
 	Exclude  bool
-	Limited  bool            // the rule restricts the versions at all
+	Unknown  bool            // targets whose version is not known are permitted as well
 	Canaries map[string]bool // permitted nodes of the new version; nil for all
 }
 
 // Allows reports whether the rule permits a target of the version at the node.
 func (r Rule) Allows(node, version string) bool {
 	switch {
-	case !r.Limited:
+	case !r.Limited || r.Unknown && version == "":
 		return true
 	case r.Exclude:
-		return version != r.Not
+		return version != r.Version
 	}
 	return version == r.Version && (r.Canaries == nil || r.Canaries[node])
 }
@@ -26,19 +26,30 @@
 // only returns the rule that permits one version.
 func only(version string) Rule { return Rule{Limited: true, Version: version} }
 
+// orUnknown returns the rule with targets whose version is not known permitted.
+func (r Rule) orUnknown() Rule {
+	r.Unknown = true
+	return r
+}
+
 // except returns the rule that permits all versions but one.
-func except(version string) Rule { return Rule{Limited: true, Exclude: true, Not: version} }
+func except(version string) Rule { return Rule{Limited: true, Exclude: true, Version: version} }
 
 // BaseRule returns the rule for calls that must not use an unproven version. It
 // permits what is left where no target of the version in force is left: an
-// unproven version is better than no answer.
+// unproven version is better than no answer. A target whose version is not known may
+// have the unproven one. It is permitted when the roll-out has ended and when there
+// are more of them: after a restart of many nodes the few targets that have announced
+// themselves could not take all calls.
 func BaseRule(d Directive, s Survey) Rule {
 	switch {
 	case d.Phase == Done && s.New > 0:
-		return only(d.Target)
+		return only(d.Target).orUnknown()
+	case s.Base > 0 && (d.Phase == Reverted || s.Unknown > s.Base):
+		return only(d.Base).orUnknown()
 	case s.Base > 0:
 		return only(d.Base)
-	case s.Others > 0:
+	case s.Others+s.Unknown > 0:
 		return except(d.Target)
 	}
 	return Rule{}
--- a/rollout/survey.go
+++ b/rollout/survey.go
@@ -3,7 +3,7 @@
 // Target is a target of a service as a node knows it.
 type Target struct {
 	Node    string // id of the node beside it
-	Version string
+	Version string // empty while it is not known
 	Slots   int
 	Usable  bool // its node is alive and takes calls
 }
@@ -34,7 +34,7 @@
 	// answers while the traffic moves.
 	Witnesses map[string]bool
 	// Targets and slots of the new version, of the base version and of others.
-	New, Base, Others             int
+	New, Base, Others, Unknown    int // Unknown: targets whose version is not known
 	NewSlots, BaseSlots, Excluded int // Excluded: slots of other versions
 }
 
@@ -48,6 +48,8 @@
 			continue
 		}
 		switch t.Version {
+		case "":
+			s.Unknown++
 		case d.Target:
 			s.New++
 			s.NewSlots += t.Slots
@@ -70,7 +72,7 @@
 		switch {
 		case t.Version == d.Target && len(s.Canaries) < canaries && !suspects[t.Node]:
 			s.Canaries[t.Node] = true
-		case t.Version == d.Base && t.Version != d.Target && len(s.Controls) < controls:
+		case t.Version == d.Base && t.Version != "" && t.Version != d.Target && len(s.Controls) < controls:
 			s.Controls[t.Node] = true
 		}
 	}
@@ -84,11 +86,12 @@
 }
 
 // InForce returns the version that a node without an order takes for the one in
-// force: before, while it has a target, and otherwise the one with the most slots.
+// force: before, while it has a target, and otherwise the one with the most slots. It
+// is empty if no target has stated its version.
 func InForce(targets []Target, before string) string {
 	slots := make(map[string]int)
 	for _, t := range targets {
-		if t.Usable {
+		if t.Usable && t.Version != "" {
 			slots[t.Version] += t.Slots
 		}
 	}
--- a/rollout/traffic.go
+++ b/rollout/traffic.go
@@ -216,10 +216,10 @@
 // ruleWithoutOrder permits only the version in force while it has a target: an order
 // for another one may exist that this node has not learned of.
 func ruleWithoutOrder(targets []Target, inForce string) Rule {
-	mixed := slices.ContainsFunc(targets, func(t Target) bool { return t.Usable && t.Version != inForce })
+	mixed := slices.ContainsFunc(targets, func(t Target) bool { return t.Usable && t.Version != "" && t.Version != inForce })
 	present := slices.ContainsFunc(targets, func(t Target) bool { return t.Usable && t.Version == inForce })
 	if !mixed || !present {
 		return Rule{}
 	}
-	return only(inForce)
+	return only(inForce).orUnknown()
 }
--- a/rollout/traffic_test.go
+++ b/rollout/traffic_test.go
@@ -96,6 +96,34 @@
 	is.Equal(n.call(false), "v1")
 }
 
+// Guards against a service whose calls all go to the few targets that have not stated
+// their version yet, as after the start of their nodes, or to the few that have.
+func TestVersionNotStated(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(versions("", 3))
+	is.Equal(n.call(false), "")
+	n.set(versions("", 3, "v1", 6))
+	is.Equal(n.call(false), "v1")
+	is.True(n.traffic.Plan("s", false).Rule.Allows("x", "")) // there is no sign of a roll-out
+	n.set(versions("", 3, "v1", 6, "v2", 6))
+	r := n.traffic.Plan("s", false).Rule
+	is.True(r.Allows("x", "v1") && r.Allows("x", "") && !r.Allows("x", "v2"))
+	n.book.Learn(canary)
+	r = n.traffic.Plan("s", false).Rule
+	is.True(r.Allows("x", "v1") && !r.Allows("x", "")) // it may be the new version
+	unstated := canary
+	unstated.Revision, unstated.Base = 6, ""
+	n.book.Learn(unstated) // by a node that knew no version
+	r = n.traffic.Plan("s", false).Rule
+	is.True(r.Allows("x", "v1") && r.Allows("x", "") && !r.Allows("x", "v2"))
+	back := reverted(canary, "")
+	back.Revision = 7
+	n.book.Learn(back)
+	n.set(versions("", 57, "v1", 1)) // all nodes have started, and one target has announced itself
+	is.True(n.traffic.Plan("s", false).Rule.Allows("x", ""))
+	is.Equal(InForce(versions("", 9, "v1", 1), ""), "v1")
+}
+
 // Guards against calls to the old targets after the roll-out: they end at once.
 func TestVersionAfterRollout(t *testing.T) {
 	is := is.New(t)
