rollout: targets without a stated version are permitted at the end of a move, too, while they are the majority

Cause: a property test found all calls sent to the only target of the new version that had stated it, with five others just started. Change: the rule for calls that try the new version while the traffic moves. Result: TestNoServiceIsStarved failed after 363 checks and passes 20,000.

--- a/rollout/rule.go
+++ b/rollout/rule.go
@@ -63,6 +63,8 @@
 		r := only(d.Target)
 		r.Canaries = s.Canaries
 		return r, true
+	case d.Phase == Moving && s.Unknown > s.New:
+		return only(d.Target).orUnknown(), true
 	case d.Phase == Moving && s.New > 0:
 		return only(d.Target), true
 	}
--- a/rollout/traffic_test.go
+++ b/rollout/traffic_test.go
@@ -176,6 +176,49 @@
 	})
 }
 
+// Guards against a call without any target, and against few targets for all calls
+// when most nodes have just started, whatever versions the targets have or state.
+func TestNoServiceIsStarved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"", "v1", "v2", "v3"}
+		n := newTestNode(nil)
+		n.traffic.settled.Store(rapid.Bool().Draw(t, "settled"))
+		for range rapid.IntRange(1, 6).Draw(t, "changes") {
+			var targets []Target
+			for _, v := range names {
+				targets = append(targets, versions(v, rapid.IntRange(0, 5).Draw(t, "targets"))...)
+			}
+			n.set(targets)
+			if rapid.Bool().Draw(t, "learn") {
+				n.book.Learn(Directive{Service: "s", Revision: int64(rapid.IntRange(1, 3).Draw(t, "order")), Target: "v2",
+					Base:  rapid.SampledFrom([]string{"", "v1", "v2", "v9"}).Draw(t, "base"),
+					Phase: Phase(rapid.IntRange(1, 4).Draw(t, "phase")), SharePercent: 25 * rapid.IntRange(1, 4).Draw(t, "share")})
+			}
+			p := n.traffic.Plan("s", rapid.Bool().Draw(t, "retry"))
+			if p.HasFallback && n.choose(p.Rule) == "" {
+				p = p.Fall()
+			}
+			permitted, unstated, stated := 0, 0, 0
+			for _, target := range targets {
+				if p.Rule.Allows(target.Node, target.Version) {
+					permitted++
+				}
+				if target.Version == "" {
+					unstated++
+				} else {
+					stated++
+				}
+			}
+			if len(targets) > 0 && permitted == 0 {
+				t.Fatalf("none of %d targets is permitted by %+v", len(targets), p.Rule)
+			}
+			if unstated > stated && permitted < unstated && !p.Trial {
+				t.Fatalf("%d targets are permitted, %d have not stated a version: %+v", permitted, unstated, p.Rule)
+			}
+		}
+	})
+}
+
 // Guards against a canary that gets too few calls to be judged, or too many targets
 // to be loaded.
 func TestCanaryGetsItsShare(t *testing.T) {
