--- a/rollout/traffic.go
+++ b/rollout/traffic.go
@@ -217,10 +217,10 @@
 // for another one may exist that this node has not learned of. Targets whose version
 // is not known yet get no calls meanwhile.
 func ruleWithoutOrder(targets []Target, inForce string) Rule {
-	mixed := slices.ContainsFunc(targets, func(t Target) bool { return t.Usable && t.Version != inForce && t.Version != "" })
+	mixed := slices.ContainsFunc(targets, func(t Target) bool { return t.Usable && t.Version != "" && t.Version != inForce })
 	present := slices.ContainsFunc(targets, func(t Target) bool { return t.Usable && t.Version == inForce })
 	if !mixed || !present {
 		return Rule{}
 	}
-	return only(inForce)
+	return only(inForce).orUnknown()
 }
--- a/rollout/traffic_test.go
+++ b/rollout/traffic_test.go
@@ -96,6 +96,34 @@
 	is.Equal(n.call(false), "v1")
 }
 
+// Guards against a service whose calls all go to the few targets that have not stated
+// their version yet, as after the start of their nodes, or to the few that have.
+func TestVersionNotStated(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(versions("", 3))
+	is.Equal(n.call(false), "")
+	n.set(versions("", 3, "v1", 6))
+	is.Equal(n.call(false), "v1")
+	is.True(n.traffic.Plan("s", false).Rule.Allows("x", "")) // there is no sign of a roll-out
+	n.set(versions("", 3, "v1", 6, "v2", 6))
+	r := n.traffic.Plan("s", false).Rule
+	is.True(r.Allows("x", "v1") && r.Allows("x", "") && !r.Allows("x", "v2"))
+	n.book.Learn(canary)
+	r = n.traffic.Plan("s", false).Rule
+	is.True(r.Allows("x", "v1") && !r.Allows("x", "")) // it may be the new version
+	unstated := canary
+	unstated.Revision, unstated.Base = 6, ""
+	n.book.Learn(unstated) // by a node that knew no version
+	r = n.traffic.Plan("s", false).Rule
+	is.True(r.Allows("x", "v1") && r.Allows("x", "") && !r.Allows("x", "v2"))
+	back := reverted(canary, "")
+	back.Revision = 7
+	n.book.Learn(back)
+	n.set(versions("", 57, "v1", 1)) // all nodes have started, and one target has announced itself
+	is.True(n.traffic.Plan("s", false).Rule.Allows("x", ""))
+	is.Equal(InForce(versions("", 9, "v1", 1), ""), "v1")
+}
+
 // Guards against calls to the old targets after the roll-out: they end at once.
 func TestVersionAfterRollout(t *testing.T) {
 	is := is.New(t)
@@ -164,6 +192,49 @@
 	})
 }
 
+// Guards against a call without any target, and against few targets for all calls
+// when most nodes have just started, whatever versions the targets have or state.
+func TestNoServiceIsStarved(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"", "v1", "v2", "v3"}
+		n := newTestNode(nil)
+		n.traffic.settled.Store(rapid.Bool().Draw(t, "settled"))
+		for range rapid.IntRange(1, 6).Draw(t, "changes") {
+			var targets []Target
+			for _, v := range names {
+				targets = append(targets, versions(v, rapid.IntRange(0, 5).Draw(t, "targets"))...)
+			}
+			n.set(targets)
+			if rapid.Bool().Draw(t, "learn") {
+				n.book.Learn(Directive{Service: "s", Revision: int64(rapid.IntRange(1, 3).Draw(t, "order")), Target: "v2",
+					Base:  rapid.SampledFrom([]string{"", "v1", "v2", "v9"}).Draw(t, "base"),
+					Phase: Phase(rapid.IntRange(1, 4).Draw(t, "phase")), SharePercent: 25 * rapid.IntRange(1, 4).Draw(t, "share")})
+			}
+			p := n.traffic.Plan("s", rapid.Bool().Draw(t, "retry"))
+			if p.HasFallback && n.choose(p.Rule) == "" {
+				p = p.Fall()
+			}
+			permitted, unstated, stated := 0, 0, 0
+			for _, target := range targets {
+				if p.Rule.Allows(target.Node, target.Version) {
+					permitted++
+				}
+				if target.Version == "" {
+					unstated++
+				} else {
+					stated++
+				}
+			}
+			if len(targets) > 0 && permitted == 0 {
+				t.Fatalf("none of %d targets is permitted by %+v", len(targets), p.Rule)
+			}
+			if unstated > stated && permitted < unstated && !p.Trial {
+				t.Fatalf("%d targets are permitted, %d have not stated a version: %+v", permitted, unstated, p.Rule)
+			}
+		}
+	})
+}
+
 // Guards against a canary that gets too few calls to be judged, or too many targets
 // to be loaded.
 func TestCanaryGetsItsShare(t *testing.T) {
