--- a/explain/explain.go
+++ b/explain/explain.go
@@ -298,6 +298,7 @@
 	"no_route":         "no route of the version in force matches host and path",
 	"missing_key":      "the route needs an API key, and the call carried none",
 	"unknown_key":      "the version in force knows no tenant with the API key that the call carried",
+	"quota":            "its tenant had no credit left at this instance",
 	"no_time":          "its stated deadline was over when it arrived",
 	"no_endpoint":      "no target of the service was left to try",
 	"all_full":         "every target was expected to answer too late",
--- a/node/calls.go
+++ b/node/calls.go
@@ -87,9 +87,13 @@
 }
 
 func (s *outboundService) Name() string    { return nameOutbound }
-func (s *outboundService) Needs() []string { return []string{nameSpread} }
+func (s *outboundService) Needs() []string { return []string{nameSpread, nameQuota} }
 
 func (s *outboundService) Start(_ context.Context, k *kernel.Kernel) error {
+	quotas, err := kernel.Lookup[*quotaService](k, nameQuota)
+	if err != nil {
+		return err
+	}
 	var local *proxy.Inbound
 	if s.node.settings.Target != nil || s.node.settings.Platform != nil {
 		in, err := kernel.Lookup[*inboundService](k, nameInbound)
@@ -108,6 +112,7 @@
 		Metrics:     s.node.proxyMetrics(),
 		Tracer:      s.node.tracer(),
 		DecisionLog: s.node.callDecisionLog(),
+		Quota:       quotas.service,
 	}
 	server := proxy.ServerOptions{Log: s.node.log}
 	if s.node.settings.Platform != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -77,6 +77,7 @@
 		&publishService{node: n},
 		&statusService{node: n},
 		&adminService{node: n},
+		&quotaService{node: n},
 		&outboundService{node: n},
 	}
 	if n.settings.Listen.Metrics != "" {
--- a/node/services.go
+++ b/node/services.go
@@ -30,6 +30,7 @@
 	nameSpread   = "spread"
 	namePublish  = "publish"
 	nameStatus   = "status"
+	nameQuota    = "quota"
 	nameAdmin    = "admin"
 	nameOutbound = "outbound"
 	nameInbound  = "inbound"
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"siskingw/object"
+	"siskingw/quota"
 	"siskingw/tenant"
 )
 
@@ -25,6 +26,7 @@
 	first    bool   // first attempt with the key, as stated by the caller; see HeaderFirst
 	id       string // the caller's ID of this attempt; may be empty
 	work     work
+	credit   quota.Credit   // spent for the call
 	tenant   *tenant.Tenant // by the key of the caller; nil for none and on the target's node
 
 	body         body
--- a/proxy/cause.go
+++ b/proxy/cause.go
@@ -16,6 +16,7 @@
 	causeNoRoute      cause = "no_route"
 	causeMissingKey   cause = "missing_key" // the route needs an API key, and the call has none
 	causeUnknownKey   cause = "unknown_key" // the API key belongs to no tenant
+	causeQuota        cause = "quota"       // the tenant of the call has no credit left
 	causeNoTime       cause = "no_time"     // less than 1 ms was left when the call arrived
 	causeNoEndpoint   cause = "no_endpoint"
 	causeAllFull      cause = "all_full" // every endpoint would probably refuse the call
@@ -33,7 +34,7 @@
 
 // allCauses lists all causes, to register their metrics.
 var allCauses = append([]cause{
-	causeBadRequest, causeBody, causeCallerGone, causeNoConfig, causeNoRoute, causeMissingKey, causeUnknownKey, causeNoTime, causeNoEndpoint,
+	causeBadRequest, causeBody, causeCallerGone, causeNoConfig, causeNoRoute, causeMissingKey, causeUnknownKey, causeQuota, causeNoTime, causeNoEndpoint,
 	causeAllFull, causeStopping, causeNoTarget, causeOtherService, causeTarget, causeUnreachable, causeUnsent,
 	causeAnswerLost, causeAnswerCut, causeKey, causeOtherNode,
 }, gateCauses()...)
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -30,6 +30,7 @@
 	Bodies       BodyOptions
 	Retries      RetryOptions
 	DecisionLog  *DecisionLog // nil logs nothing
+	Quota        Quota        // nil keeps no quotas
 }
 
 // Outbound is the HTTP handler that routes the calls of this instance's callers.
@@ -75,6 +76,7 @@
 	c.readKey()
 	f := c.correctKeyedRefusal(o.serve(c))
 	c.refused = f
+	o.returnQuota(c, f)
 	o.opts.Metrics.observe(sideOutbound, c, f)
 	if f != nil {
 		f.retryAfter = retryAfter(c, f, rand.Float64())
@@ -128,6 +130,9 @@
 	c.work = c.newWork(res.Name, res.Policy)
 	c.work.caller = o.opts.Caller()
 	c.work.setTenant(c.tenant)
+	if f := o.spendQuota(c); f != nil {
+		return f
+	}
 	c.maxBodyBytes = maxBodyOf(res.Policy)
 	if f := c.body.bufferOrStream(c.w, c.r, c.maxBodyBytes, o.opts.Bodies); f != nil {
 		return f
--- a/proxy/retryafter.go
+++ b/proxy/retryafter.go
@@ -35,6 +35,9 @@
 // retryAfter returns the delay after which the caller of a refused call should
 // retry, or 0 for no advice. random is from 0 to 1.
 func retryAfter(c *call, f *refusal, random float64) time.Duration {
+	if f.cause == causeQuota {
+		return min(f.retryAfter, time.Duration(maxLateRetryShare*float64(max(c.timeLeft(), 0))))
+	}
 	if f.outcome != OutcomeNotRun || f.status != http.StatusServiceUnavailable {
 		return 0
 	}
--- a/proxy/tenant.go
+++ b/proxy/tenant.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"context"
 	"math"
 	"net/http"
 	"strconv"
 	"strings"
 
+	"siskingw/quota"
 	"siskingw/snapshot"
 	"siskingw/tenant"
 )
@@ -42,6 +44,37 @@
 	return f
 }
 
+// Quota keeps the calls of tenants within their quotas.
+type Quota interface {
+	// Acquire takes the credit for one call of a tenant with a quota.
+	Acquire(ctx context.Context, t *tenant.Tenant) quota.Decision
+	// Return gives back the credit of a call that has not run.
+	Return(quota.Credit)
+}
+
+// spendQuota takes the credit for the call if its tenant has a quota. It returns a
+// refusal with status 429 if there is none.
+func (o *Outbound) spendQuota(c *call) *refusal {
+	if o.opts.Quota == nil || c.tenant == nil || !c.tenant.Limited() {
+		return nil
+	}
+	d := o.opts.Quota.Acquire(c.ctx, c.tenant)
+	if d.Verdict == quota.Allowed {
+		c.credit = d.Credit
+		return nil
+	}
+	return &refusal{status: http.StatusTooManyRequests, outcome: OutcomeNotRun, cause: causeQuota,
+		reason: d.Cause, retryAfter: d.After}
+}
+
+// returnQuota gives back the credit of a call that has not run. Calls that are
+// retried spend one credit, as a quota counts calls and not attempts.
+func (o *Outbound) returnQuota(c *call, f *refusal) {
+	if f != nil && f.outcome == OutcomeNotRun && c.credit != (quota.Credit{}) {
+		o.opts.Quota.Return(c.credit)
+	}
+}
+
 // setTenant adds the tenant of the call to its attributes; t may be nil. The
 // priority of a tenant takes precedence over that of the route.
 func (w *work) setTenant(t *tenant.Tenant) {
--- /dev/null
+++ b/quota/ledger.go
@@ -0,0 +1,351 @@
+package quota
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"siskingw/tenant"
+)
+
+const (
+	// demandTime is the time constant of the estimated demand. It is also how long
+	// the credit that an instance holds would last.
+	demandTime = time.Second
+	// spare is the credit, in calls, that an instance holds beyond its demand for a
+	// tenant that calls there: callers send in clumps.
+	spare = 2
+	// activeTime is how long after its last call a tenant still counts as active.
+	activeTime = 5 * time.Second
+	// contactTime is the age up to which an answer of a pool shows contact to it.
+	contactTime = PledgeTime
+	// minReturn and maxReturn bound the time after which a refused caller is told to
+	// come back. Callers ignore longer ones, and credit cannot come sooner than a
+	// pool is asked.
+	minReturn = 100 * time.Millisecond
+	maxReturn = 1500 * time.Millisecond
+)
+
+// Verdict is the decision about one call.
+type Verdict int
+
+// The decisions.
+const (
+	Allowed Verdict = iota
+	Pending         // no credit is here, but a pool is being asked
+	Refused
+)
+
+// Credit is what one call has spent; it can be returned if the call has not run.
+// The zero value is no credit.
+type Credit struct {
+	tenant string
+	until  time.Time
+}
+
+// Ledger holds the credit of one instance. Its methods are safe for concurrent use.
+// Times are those of a steady clock.
+type Ledger struct {
+	bounds      Bounds
+	node        string
+	incarnation uint64
+	random      func() float64 // from 0 to 1
+
+	mu       sync.Mutex
+	fraction float64   // of the credit that the instance may create, see SetInstances
+	promised Stamp     // pool that the fraction is pledged to; At is not used
+	until    time.Time // end of the pledge, or of the one that an earlier process may have made
+	number   uint64
+	echo     Stamp // of the last answer
+	answered time.Time
+	accounts map[string]*account
+}
+
+// account is the credit of one tenant.
+type account struct {
+	lots     []lot // granted credit, by the end of its life
+	own      float64
+	ownTo    time.Time // moment up to which own holds
+	demand   float64   // calls per second, decaying
+	demandAt time.Time
+	supply   float64 // granted credit per second, decaying
+	supplyAt time.Time
+	asked    bool // a pool has answered about the tenant since it became active
+	scarce   bool // the last grant was scarce
+	nextFree time.Time
+}
+
+// lot is credit for whole calls with the same end.
+type lot struct {
+	tokens int
+	until  time.Time
+}
+
+// NewLedger returns the ledger of a process that starts now. It has no credit: an
+// earlier process may have spent it.
+func NewLedger(node string, incarnation uint64, b Bounds, now time.Time, random func() float64) *Ledger {
+	return &Ledger{bounds: b, node: node, incarnation: incarnation, random: random,
+		until: now.Add(PledgeTime), accounts: make(map[string]*account)}
+}
+
+// SetInstances sets the number of instances among which quotas are divided; 0 if it
+// is not known, so that the instance creates no credit.
+func (l *Ledger) SetInstances(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fraction = 0
+	if n > 0 {
+		l.fraction = 1 / float64(n)
+	}
+}
+
+// Decision is the decision about one call.
+type Decision struct {
+	Verdict Verdict
+	Credit  Credit        // spent by an allowed call
+	After   time.Duration // time after which a refused caller should come back
+	Low     bool          // little credit is left, so that the pool should be asked soon
+	Cause   string        // of a refusal, one of the constants below
+}
+
+// Causes of refusals.
+const (
+	CauseOver      = "over the quota"         // the tenant asks for more than its quota
+	CauseNoCredit  = "no credit here"         // the pool had none for this instance in time
+	CauseNoContact = "no pool can be reached" // and the instance's own credit is used up
+)
+
+// Take decides about one call of a tenant and takes its credit. first is false for
+// a call that was Pending before.
+func (l *Ledger) Take(t *tenant.Tenant, first bool, now time.Time) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accountOf(t.Name, now)
+	if first {
+		a.demand = decayed(a.demand, now.Sub(a.demandAt)) + 1/demandTime.Seconds()
+		a.demandAt = now
+	}
+	if until, ok := a.takeLot(now); ok {
+		low := !a.scarce && float64(a.held(now)) <= a.rate(now)*demandTime.Seconds()/4
+		return Decision{Credit: Credit{tenant: t.Name, until: until}, Low: low}
+	}
+	if l.takeOwn(a, t, now) {
+		return Decision{Credit: Credit{tenant: t.Name, until: now.Add(l.bounds.grantLife(t))}}
+	}
+	contact := now.Sub(l.answered) < contactTime
+	scarce := a.asked && a.scarce
+	if first && contact && !scarce {
+		return Decision{Verdict: Pending}
+	}
+	d := Decision{Verdict: Refused, After: l.returnTime(a, contact, now), Cause: CauseNoCredit}
+	switch {
+	case !contact:
+		d.Cause = CauseNoContact
+	case scarce:
+		d.Cause = CauseOver
+	}
+	return d
+}
+
+// Return gives back the credit of a call that has not run.
+func (l *Ledger) Return(c Credit, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.accounts[c.tenant]; a != nil && now.Before(c.until) {
+		a.addLot(lot{tokens: 1, until: c.until})
+	}
+}
+
+// NewAsk returns the next question to a pool and makes the pledge that it states.
+// A pledge to another pool is withdrawn first, by a question with no pledge to
+// that pool: see Pledged.
+func (l *Ledger) NewAsk(pool string, set *tenant.Set, now time.Time) Ask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.number++
+	a := Ask{Node: l.node, Incarnation: l.incarnation, Number: l.number}
+	if l.echo.Pool == pool {
+		a.Echo = l.echo
+		if !now.Before(l.until) || l.promised.samePool(l.echo) {
+			l.dropOwn()
+			a.Pledge, l.promised, l.until = l.fraction, l.echo, now.Add(PledgeTime)
+		}
+	}
+	a.Wants = l.wants(set, now)
+	return a
+}
+
+// NewWithdrawal returns the question that withdraws the pledge to the pool that
+// holds it.
+func (l *Ledger) NewWithdrawal() Ask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.number++
+	return Ask{Node: l.node, Incarnation: l.incarnation, Number: l.number}
+}
+
+// Pledged returns the node of the pool to which the fraction is pledged, or "".
+func (l *Ledger) Pledged(now time.Time) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Before(l.until) {
+		return l.promised.Pool
+	}
+	return ""
+}
+
+// Apply records the answer to an Ask that was made at the time asked.
+func (l *Ledger) Apply(a Ask, r Answer, asked, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.promised.samePool(r.Stamp) && (r.Closed || a.Pledge == 0) && a.Number == l.number && now.Before(l.until) {
+		// The pool holds no pledge any more, and the answer is to the last question.
+		l.promised, l.until = Stamp{}, now
+	}
+	if r.Closed {
+		l.echo = Stamp{}
+		return
+	}
+	l.echo, l.answered = r.Stamp, now
+	for _, g := range r.Grants {
+		l.applyGrant(g, asked, now)
+	}
+}
+
+func (l *Ledger) applyGrant(g Grant, asked, now time.Time) {
+	a := l.accounts[g.Tenant]
+	if a == nil {
+		return
+	}
+	a.asked, a.scarce = true, g.Scarce
+	a.supply = decayed(a.supply, now.Sub(a.supplyAt)) + float64(max(g.Tokens, 0))/demandTime.Seconds()
+	a.supplyAt = now
+	if until := asked.Add(min(g.Life, maxLife)); g.Tokens > 0 && now.Before(until) {
+		a.addLot(lot{tokens: g.Tokens, until: until})
+	}
+}
+
+// wants returns what the instance would like to have: for each active tenant the
+// credit for its demand of one demandTime and some spare.
+func (l *Ledger) wants(set *tenant.Set, now time.Time) []Want {
+	var out []Want
+	for name, a := range l.accounts {
+		t := set.Get(name)
+		if t == nil || !t.Limited() || now.Sub(a.demandAt) > activeTime {
+			delete(l.accounts, name)
+			continue
+		}
+		want := a.rate(now)*demandTime.Seconds() + spare - float64(a.held(now))
+		if want >= 1 && len(out) < maxWants {
+			out = append(out, Want{Tenant: name, Tokens: want})
+		}
+	}
+	return out
+}
+
+// takeOwn takes credit that the instance has created itself while its fraction was
+// not pledged.
+func (l *Ledger) takeOwn(a *account, t *tenant.Tenant, now time.Time) bool {
+	if now.Before(l.until) {
+		return false
+	}
+	from := a.ownTo
+	if from.Before(l.until) {
+		from = l.until
+	}
+	rate := t.RatePerS * l.fraction
+	a.own = min(a.own+rate*now.Sub(from).Seconds(), rate*l.bounds.poolLife(t).Seconds())
+	a.ownTo = now
+	if a.own < 1 {
+		return false
+	}
+	a.own--
+	return true
+}
+
+// dropOwn drops the credit that the instance has created but not spent: it is
+// about to pledge its fraction.
+func (l *Ledger) dropOwn() {
+	for _, a := range l.accounts {
+		a.own = 0
+	}
+}
+
+// returnTime returns when a refused caller should come back. Each caller gets a
+// later time, as credit comes at the rate of the supply here.
+func (l *Ledger) returnTime(a *account, contact bool, now time.Time) time.Duration {
+	supply := decayed(a.supply, now.Sub(a.supplyAt))
+	if !contact || supply < 1/maxReturn.Seconds() {
+		return minReturn + time.Duration(l.random()*float64(maxReturn-minReturn))
+	}
+	if a.nextFree.Before(now) {
+		a.nextFree = now
+	}
+	a.nextFree = a.nextFree.Add(time.Duration(float64(time.Second) / supply))
+	if a.nextFree.Sub(now) > maxReturn {
+		a.nextFree = now // the calls beyond are not within the quota; spread them over the same time
+		return minReturn + time.Duration(l.random()*float64(maxReturn-minReturn))
+	}
+	return max(a.nextFree.Sub(now), minReturn) + time.Duration(l.random()*float64(minReturn))
+}
+
+// accountOf returns the account of a tenant; the first use creates it.
+func (l *Ledger) accountOf(name string, now time.Time) *account {
+	a := l.accounts[name]
+	if a == nil {
+		a = &account{ownTo: now, demandAt: now, supplyAt: now}
+		l.accounts[name] = a
+	}
+	return a
+}
+
+// takeLot takes credit for one call, of those that are valid the one that ends
+// first, and returns its end.
+func (a *account) takeLot(now time.Time) (until time.Time, ok bool) {
+	a.dropEnded(now)
+	if len(a.lots) == 0 {
+		return time.Time{}, false
+	}
+	until = a.lots[0].until
+	if a.lots[0].tokens--; a.lots[0].tokens == 0 {
+		a.lots = a.lots[1:]
+	}
+	return until, true
+}
+
+// dropEnded drops the credit whose life has ended.
+func (a *account) dropEnded(now time.Time) {
+	for len(a.lots) > 0 && !now.Before(a.lots[0].until) {
+		a.lots = a.lots[1:]
+	}
+}
+
+// addLot adds credit in the order of its end.
+func (a *account) addLot(n lot) {
+	i := len(a.lots)
+	for i > 0 && n.until.Before(a.lots[i-1].until) {
+		i--
+	}
+	if i > 0 && a.lots[i-1].until.Equal(n.until) {
+		a.lots[i-1].tokens += n.tokens
+		return
+	}
+	a.lots = append(a.lots[:i], append([]lot{n}, a.lots[i:]...)...)
+}
+
+// held returns the valid credit, in calls.
+func (a *account) held(now time.Time) (sum int) {
+	a.dropEnded(now)
+	for _, n := range a.lots {
+		sum += n.tokens
+	}
+	return sum
+}
+
+// rate returns the demand in calls per second.
+func (a *account) rate(now time.Time) float64 { return decayed(a.demand, now.Sub(a.demandAt)) }
+
+// decayed returns a value after it has decayed for d.
+func decayed(v float64, d time.Duration) float64 {
+	return v * math.Exp(-d.Seconds()/demandTime.Seconds())
+}
--- /dev/null
+++ b/quota/members.go
@@ -0,0 +1,122 @@
+package quota
+
+import (
+	"sync"
+	"time"
+
+	"siskingw/member"
+)
+
+const (
+	// settleTime is how long a process must be known before it is preferred as a
+	// pool: by then all nodes know it and turn to it at the same time.
+	settleTime = 2 * time.Second
+	// failedTime is how long a pool that did not answer is not asked again.
+	failedTime = time.Second
+	// goneTime is how long an instance that vanished without leaving still counts:
+	// it may be cut off and use its own fraction.
+	goneTime = 10 * time.Minute
+	// aloneTime is how long a process that knows no other waits until it takes
+	// itself for the only one: it may not have joined yet.
+	aloneTime = 5 * time.Second
+	// maxGone bounds the memory for vanished instances.
+	maxGone = 20_000
+)
+
+// members tells which instances share the quotas and which of them is the pool.
+type members struct {
+	view    member.View
+	started time.Time
+
+	mu     sync.Mutex
+	known  map[string]process   // latest process of each live node
+	gone   map[string]time.Time // nodes that vanished without leaving
+	failed map[string]time.Time // pools that did not answer
+}
+
+type process struct {
+	incarnation uint64
+	since       time.Time
+}
+
+func newMembers(v member.View, now time.Time) *members {
+	self := v.Self()
+	return &members{view: v, started: now, known: map[string]process{self.ID: {incarnation: self.Incarnation, since: now}},
+		gone: make(map[string]time.Time), failed: make(map[string]time.Time)}
+}
+
+// update records changed members.
+func (m *members) update(changed []*member.Record) {
+	now := time.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range changed {
+		switch {
+		case r.Live():
+			delete(m.gone, r.ID)
+			if p, ok := m.known[r.ID]; !ok || p.incarnation != r.Incarnation {
+				m.known[r.ID] = process{incarnation: r.Incarnation, since: now}
+			}
+		case r.State == member.Dead && len(m.gone) < maxGone:
+			delete(m.known, r.ID)
+			m.gone[r.ID] = now
+		default:
+			delete(m.known, r.ID)
+			delete(m.gone, r.ID)
+		}
+	}
+}
+
+// instances returns the number of instances that may use a fraction, or 0 while it
+// is not known.
+func (m *members) instances(now time.Time) int {
+	n := 0
+	for _, d := range m.view.FailureDomains() {
+		n += d.Live
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for id, at := range m.gone {
+		if now.Sub(at) > goneTime {
+			delete(m.gone, id)
+		}
+	}
+	if n += len(m.gone); n == 1 && now.Sub(m.started) < aloneTime {
+		return 0
+	}
+	return n
+}
+
+// pool returns the node whose pool is to be asked: the first relay, by region and
+// rank, that is settled and answers; or nil.
+func (m *members) pool(now time.Time) *member.Record {
+	var unsettled *member.Record
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, region := range member.Regions(m.view) {
+		for _, r := range member.RegionRelays(m.view, region) {
+			if r.State != member.Alive || now.Sub(m.failed[r.ID]) < failedTime {
+				continue
+			}
+			if p, ok := m.known[r.ID]; ok && now.Sub(p.since) >= settleTime {
+				return r
+			}
+			if unsettled == nil {
+				unsettled = r
+			}
+		}
+	}
+	return unsettled
+}
+
+// markFailed records that the pool of a node did not answer.
+func (m *members) markFailed(id string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for other, at := range m.failed {
+		if now.Sub(at) > failedTime {
+			delete(m.failed, other)
+		}
+	}
+	m.failed[id] = now
+}
--- /dev/null
+++ b/quota/pool.go
@@ -0,0 +1,225 @@
+package quota
+
+import (
+	"math"
+	"sort"
+	"sync"
+	"time"
+
+	"siskingw/tenant"
+)
+
+const (
+	// wantAge is the age up to which a node's want counts as demand.
+	wantAge = time.Second
+	// scarceShare is the share of a want, 0 to 1, below which credit is scarce.
+	scarceShare = 0.5
+	// maxPledgers bounds the memory of a pool to some MB.
+	maxPledgers = 50_000
+)
+
+// Pool creates the credit of the pledges that it holds and grants it. Its methods
+// are safe for concurrent use. Times are those of a steady clock.
+type Pool struct {
+	bounds  Bounds
+	self    Stamp // of the process; At is not used
+	started time.Time
+	random  func() float64 // from 0 to 1
+
+	mu        sync.Mutex
+	closed    bool
+	pledges   map[string]pledge
+	accrued   float64   // integral of the pledged fractions, in seconds
+	accruedTo time.Time // moment up to which accrued holds
+	history   []sample  // of accrued, ascending
+	stocks    map[string]*stock
+}
+
+// pledge is the fraction that one node has given to the pool.
+type pledge struct {
+	incarnation, number uint64
+	fraction            float64
+	until               time.Time
+}
+
+// stock is the credit of one tenant that is not granted yet.
+type stock struct {
+	tokens  float64
+	accrued float64 // value of Pool.accrued that tokens include
+	wants   map[string]nodeWant
+}
+
+// nodeWant is the last want of one node.
+type nodeWant struct {
+	tokens float64
+	at     time.Time
+}
+
+// NewPool returns the pool of one process, which starts now. random returns numbers
+// from 0 to 1.
+func NewPool(node string, incarnation uint64, b Bounds, now time.Time, random func() float64) *Pool {
+	return &Pool{bounds: b, self: Stamp{Pool: node, Incarnation: incarnation}, started: now, random: random,
+		pledges: make(map[string]pledge), accruedTo: now, stocks: make(map[string]*stock)}
+}
+
+// Close makes the pool give up all pledges and grant nothing more.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	clear(p.pledges)
+	clear(p.stocks)
+}
+
+// Pledged returns the sum of the pledged fractions.
+func (p *Pool) Pledged(now time.Time) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.accrue(now)
+}
+
+// Answer records the pledge of an Ask and grants credit under the given tenants.
+func (p *Pool) Answer(a Ask, set *tenant.Set, now time.Time) Answer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := Answer{Stamp: p.self, Closed: p.closed}
+	out.Stamp.At = now.Sub(p.started)
+	if p.closed || !p.record(a, now) {
+		return out
+	}
+	p.accrue(now)
+	p.forgetTenants(set)
+	for _, w := range a.Wants {
+		if t := set.Get(w.Tenant); t != nil && t.Limited() && w.Tokens > 0 {
+			out.Grants = append(out.Grants, p.grant(a.Node, t, w.Tokens, now))
+		}
+	}
+	return out
+}
+
+// record replaces the pledge of the node. It returns false for an Ask that a later
+// one has overtaken: its pledge may have been withdrawn since.
+func (p *Pool) record(a Ask, now time.Time) bool {
+	old, known := p.pledges[a.Node]
+	if known && (a.Incarnation < old.incarnation || a.Incarnation == old.incarnation && a.Number <= old.number) ||
+		!known && len(p.pledges) >= maxPledgers {
+		return false
+	}
+	p.accrue(now)
+	next := pledge{incarnation: a.Incarnation, number: a.Number, until: now.Add(PledgeTime)}
+	if a.Pledge > 0 && a.Pledge <= 1 && a.Echo.samePool(p.self) {
+		// The node made the pledge after it got the stamp, so that it binds it for
+		// this long at least.
+		next.fraction = a.Pledge
+		if until := p.started.Add(a.Echo.At + PledgeTime); until.Before(next.until) {
+			next.until = until
+		}
+	}
+	p.pledges[a.Node] = next
+	return true
+}
+
+// accrue adds the credit of the time since the last call and returns the sum of
+// the fractions that are pledged now.
+func (p *Pool) accrue(now time.Time) (sum float64) {
+	for node, g := range p.pledges {
+		end := now
+		if g.until.Before(now) {
+			end = g.until
+		} else {
+			sum += g.fraction
+		}
+		if end.After(p.accruedTo) {
+			p.accrued += g.fraction * end.Sub(p.accruedTo).Seconds()
+		}
+		if now.Sub(g.until) > forgetTime {
+			delete(p.pledges, node)
+		}
+	}
+	p.accruedTo = now
+	if n := len(p.history); n == 0 || now.Sub(p.history[n-1].at) >= historyStep {
+		p.history = append(p.history, sample{at: now, accrued: p.accrued})
+	}
+	for len(p.history) > 1 && now.Sub(p.history[1].at) > maxLife {
+		p.history = p.history[1:]
+	}
+	return sum
+}
+
+// historyStep is the time between two samples of the accrued credit. Up to a step
+// of credit is lost by it, out of the time for which credit is valid in the pool.
+const historyStep = 20 * time.Millisecond
+
+// sample is the value of Pool.accrued at a time.
+type sample struct {
+	at      time.Time
+	accrued float64
+}
+
+// accruedAt returns the value of accrued at a time, or at the next sample after it.
+func (p *Pool) accruedAt(at time.Time) float64 {
+	i := sort.Search(len(p.history), func(i int) bool { return !p.history[i].at.Before(at) })
+	if i == len(p.history) {
+		return p.accrued
+	}
+	return p.history[i].accrued
+}
+
+// forgetTenants drops the stocks of tenants that the configuration has no more.
+func (p *Pool) forgetTenants(set *tenant.Set) {
+	if len(p.stocks) <= set.Len() {
+		return
+	}
+	for name := range p.stocks {
+		if set.Get(name) == nil {
+			delete(p.stocks, name)
+		}
+	}
+}
+
+// forgetTime is how long after its end a pledge is kept, so that a delayed Ask
+// cannot renew one that was withdrawn: an Ask whose echo is older adds nothing.
+const forgetTime = 10 * PledgeTime
+
+// grant takes credit for one node from the stock of the tenant.
+func (p *Pool) grant(node string, t *tenant.Tenant, want float64, now time.Time) Grant {
+	s := p.stocks[t.Name]
+	if s == nil {
+		s = &stock{wants: make(map[string]nodeWant)} // all that has accrued and is still valid
+		p.stocks[t.Name] = s
+	}
+	valid := p.accrued - p.accruedAt(now.Add(-p.bounds.poolLife(t)))
+	s.tokens = min(s.tokens+t.RatePerS*(p.accrued-s.accrued), t.RatePerS*valid)
+	s.accrued = p.accrued
+	s.wants[node] = nodeWant{tokens: want, at: now}
+	tokens, scarce := math.Ceil(want), false
+	if all := s.demand(now); all > s.tokens {
+		tokens = p.round(want * s.tokens / all)
+		scarce = tokens < scarceShare*want
+	}
+	tokens = max(min(tokens, math.Floor(s.tokens)), 0)
+	s.tokens -= tokens
+	return Grant{Tenant: t.Name, Tokens: int(tokens), Life: p.bounds.grantLife(t), Scarce: scarce}
+}
+
+// round rounds a share to a whole number with the share as its mean: a fraction of
+// a call cannot be made, and rounding down would starve nodes with a small share.
+func (p *Pool) round(share float64) float64 {
+	whole := math.Floor(share)
+	if p.random() < share-whole {
+		whole++
+	}
+	return whole
+}
+
+// demand returns the sum of the recent wants.
+func (s *stock) demand(now time.Time) (sum float64) {
+	for node, w := range s.wants {
+		if now.Sub(w.at) > wantAge {
+			delete(s.wants, node)
+			continue
+		}
+		sum += w.tokens
+	}
+	return sum
+}
--- /dev/null
+++ b/quota/quota.go
@@ -0,0 +1,103 @@
+// Package quota keeps the calls of each tenant within its quota, over all
+// instances together, whether they are in touch or not.
+//
+// Credit for one call (a token) comes into being at the tenant's rate. The right to
+// create it is divided among the instances: each has the fraction 1/instances. It
+// pledges the fraction to one pool, an instance that creates the credit of all
+// pledges and grants it to those that ask, by demand; while no pool answers, the
+// instance creates its own. A fraction is used by one party at a time, and credit
+// lapses a fixed time after it came into being. No interleaving of crashes, cuts and
+// delays therefore lets more calls pass than the quota and its tolerance allow.
+//
+// The Ledger (at the callers' nodes) and the Pool decide; they use neither the
+// network nor a clock. The Service connects them. docs/design/quota.md gives the
+// proof and the alternatives.
+package quota
+
+import (
+	"time"
+
+	"siskingw/tenant"
+)
+
+// Bounds is the tolerance of quotas: in no Window may more calls of a tenant be
+// made than (rate x Window + burst) x (1 + Over) + Slack.
+type Bounds struct {
+	Window time.Duration
+	Over   float64
+	Slack  float64 // calls
+}
+
+// DefaultBounds applies where the settings state none.
+var DefaultBounds = Bounds{Window: 5 * time.Second, Over: 0.1, Slack: 20}
+
+const (
+	// useOfTolerance is the part of the longest life of credit, 0 to 1, that is
+	// used. The rest covers instances whose views of the number of instances
+	// differ, and steady clocks that run at different rates.
+	useOfTolerance = 0.8
+	// poolPart is the part of the life of credit that it may spend in the pool;
+	// the rest it may spend at the instance that it was granted to.
+	poolPart = 0.3
+	// maxLife bounds the life of credit of tenants with a very low rate.
+	maxLife = time.Minute
+	// PledgeTime is how long a pledge binds an instance. It survives the loss of
+	// one message; the credit of a pool that dies is missing for that time.
+	PledgeTime = 1200 * time.Millisecond
+)
+
+// life returns how long credit of the tenant is valid. With credit that lives for
+// a time A, at most rate x (Window + A) calls are made in a window.
+func (b Bounds) life(t *tenant.Tenant) time.Duration {
+	seconds := b.Over*b.Window.Seconds() + (t.Burst*(1+b.Over)+b.Slack)/t.RatePerS
+	return time.Duration(useOfTolerance * min(seconds, maxLife.Seconds()) * float64(time.Second))
+}
+
+// poolLife returns the part of life that credit may spend in the pool.
+func (b Bounds) poolLife(t *tenant.Tenant) time.Duration {
+	return time.Duration(poolPart * float64(b.life(t)))
+}
+
+// grantLife returns the rest of life, from the moment of asking for the credit.
+func (b Bounds) grantLife(t *tenant.Tenant) time.Duration { return b.life(t) - b.poolLife(t) }
+
+// Stamp is a moment on the clock of one process of a pool.
+type Stamp struct {
+	Pool        string // ID of the node; empty for none
+	Incarnation uint64
+	At          time.Duration // since the start of the process
+}
+
+// samePool reports whether both stamps are of one process.
+func (s Stamp) samePool(o Stamp) bool { return s.Pool == o.Pool && s.Incarnation == o.Incarnation }
+
+// Ask is what an instance tells a pool.
+type Ask struct {
+	Node        string
+	Incarnation uint64
+	Number      uint64  // rises with each Ask of one incarnation
+	Echo        Stamp   // of the pool's last Answer; the pledge counts from it
+	Pledge      float64 // fraction that the instance does not use itself, 0 to 1
+	Wants       []Want
+}
+
+// Want is the credit that an instance would like to have for a tenant.
+type Want struct {
+	Tenant string
+	Tokens float64
+}
+
+// Answer is what a pool replies.
+type Answer struct {
+	Stamp  Stamp
+	Closed bool // the pool stops: it has given up the pledge and grants nothing more
+	Grants []Grant
+}
+
+// Grant is the credit of one tenant, valid for Life from the moment of the Ask.
+type Grant struct {
+	Tenant string
+	Tokens int
+	Life   time.Duration
+	Scarce bool // the tenant asks for more than its quota
+}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,297 @@
+package quota
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"siskingw/object"
+	"siskingw/snapshot"
+	"siskingw/tenant"
+)
+
+var testBounds = Bounds{Window: 5 * time.Second, Over: 0.1, Slack: 20}
+
+// testSet returns the set with one tenant, ann.
+func testSet(t interface{ Fatal(...any) }, version uint64, rate, burst float64) *tenant.Set {
+	s, err := snapshot.New(version, []*object.Object{
+		{Kind: object.KindTenant, Name: "ann", Tenant: &object.TenantSpec{RatePerS: rate, Burst: burst}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tenant.NewSet(s)
+}
+
+// fleet is a simulated fleet: each instance has a ledger and a pool.
+type fleet struct {
+	set     *tenant.Set
+	random  func() float64
+	now     time.Time
+	nodes   []*simNode
+	asks    []message // sent and not delivered
+	answers []message
+	allowed []time.Time
+}
+
+type simNode struct {
+	id          string
+	incarnation uint64
+	ledger      *Ledger
+	pool        *Pool
+}
+
+// message is an Ask or the answer to it. incarnation is of the process that asked.
+type message struct {
+	from, to    int
+	incarnation uint64
+	ask         Ask
+	answer      Answer
+	asked       time.Time
+}
+
+func newFleet(set *tenant.Set, n int, random func() float64) *fleet {
+	f := &fleet{set: set, random: random, now: time.Unix(0, 0)}
+	for i := range n {
+		f.nodes = append(f.nodes, &simNode{id: fmt.Sprint("n", i)})
+		f.restart(i)
+	}
+	return f
+}
+
+// restart replaces the process of a node. Its messages stay on their way.
+func (f *fleet) restart(i int) {
+	n := f.nodes[i]
+	n.incarnation++
+	n.ledger = NewLedger(n.id, n.incarnation, testBounds, f.now, f.random)
+	n.ledger.SetInstances(len(f.nodes))
+	n.pool = NewPool(n.id, n.incarnation, testBounds, f.now, f.random)
+}
+
+// call makes one call of the tenant at a node.
+func (f *fleet) call(i int, first bool) Verdict {
+	d := f.nodes[i].ledger.Take(f.set.Get("ann"), first, f.now)
+	if d.Verdict == Allowed {
+		f.allowed = append(f.allowed, f.now)
+	}
+	return d.Verdict
+}
+
+// ask sends a question of one node to the pool of another, after a withdrawal where
+// the Service would send one.
+func (f *fleet) ask(i, to int) {
+	n := f.nodes[i]
+	if old := n.ledger.Pledged(f.now); old != "" && old != f.nodes[to].id {
+		for j := range f.nodes {
+			if f.nodes[j].id == old {
+				f.asks = append(f.asks, message{from: i, to: j, incarnation: n.incarnation, ask: n.ledger.NewWithdrawal(), asked: f.now})
+				return
+			}
+		}
+	}
+	f.asks = append(f.asks, message{from: i, to: to, incarnation: n.incarnation,
+		ask: n.ledger.NewAsk(f.nodes[to].id, f.set, f.now), asked: f.now})
+}
+
+func (f *fleet) deliverAsk(k int, keep bool) {
+	m := f.asks[k]
+	if !keep {
+		f.asks = append(f.asks[:k], f.asks[k+1:]...)
+	}
+	m.answer = f.nodes[m.to].pool.Answer(m.ask, f.set, f.now)
+	f.answers = append(f.answers, m)
+}
+
+func (f *fleet) deliverAnswer(k int) {
+	m := f.answers[k]
+	f.answers = append(f.answers[:k], f.answers[k+1:]...)
+	if n := f.nodes[m.from]; n.incarnation == m.incarnation {
+		n.ledger.Apply(m.ask, m.answer, m.asked, f.now)
+	}
+}
+
+// exchange lets a node ask a pool without loss or delay.
+func (f *fleet) exchange(i, to int) {
+	f.ask(i, to)
+	f.deliverAsk(len(f.asks)-1, false)
+	f.deliverAnswer(len(f.answers) - 1)
+}
+
+// mostInWindow returns the highest number of allowed calls in any window.
+func (f *fleet) mostInWindow() (most int) {
+	for i, at := range f.allowed {
+		end := sort.Search(len(f.allowed), func(k int) bool { return f.allowed[k].Sub(at) > testBounds.Window })
+		most = max(most, end-i)
+	}
+	return most
+}
+
+// Guards against more calls of a tenant in a window than its quota and tolerance
+// allow, under any interleaving of calls, lost, delayed and repeated messages, killed
+// and restarted processes, pools that stop, and disagreement about which is the pool.
+func TestNoInterleavingExceedsQuota(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.SampledFrom([]float64{5, 40, 600}).Draw(t, "rate")
+		burst := rapid.SampledFrom([]float64{0, 1, 2}).Draw(t, "burst") * rate
+		n := rapid.IntRange(1, 6).Draw(t, "instances")
+		f := newFleet(testSet(t, 1, rate, burst), n, func() float64 { return rapid.Float64Range(0, 1).Draw(t, "random") })
+		node := rapid.IntRange(0, n-1)
+		t.Repeat(map[string]func(*rapid.T){
+			"advance": func(t *rapid.T) {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			},
+			"calls": func(t *rapid.T) {
+				i, first := node.Draw(t, "node"), rapid.Bool().Draw(t, "first")
+				for range rapid.IntRange(1, 300).Draw(t, "n") {
+					f.call(i, first)
+				}
+			},
+			"everyone": func(t *rapid.T) {
+				for i := range f.nodes {
+					f.exchange(i, 0)
+					f.exchange(i, 0)
+				}
+			},
+			"exchange": func(t *rapid.T) { f.exchange(node.Draw(t, "from"), node.Draw(t, "to")) },
+			"ask":      func(t *rapid.T) { f.ask(node.Draw(t, "from"), node.Draw(t, "to")) },
+			"deliver ask": func(t *rapid.T) {
+				if len(f.asks) > 0 {
+					f.deliverAsk(rapid.IntRange(0, len(f.asks)-1).Draw(t, "message"), rapid.Bool().Draw(t, "keep"))
+				}
+			},
+			"deliver answer": func(t *rapid.T) {
+				if len(f.answers) > 0 {
+					f.deliverAnswer(rapid.IntRange(0, len(f.answers)-1).Draw(t, "message"))
+				}
+			},
+			"restart": func(t *rapid.T) { f.restart(node.Draw(t, "node")) },
+			"close":   func(t *rapid.T) { f.nodes[node.Draw(t, "node")].pool.Close() },
+			"return": func(t *rapid.T) {
+				i := node.Draw(t, "node")
+				if d := f.nodes[i].ledger.Take(f.set.Get("ann"), true, f.now); d.Verdict == Allowed {
+					f.now = f.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+					f.nodes[i].ledger.Return(d.Credit, f.now)
+				}
+			},
+			"": func(t *rapid.T) {
+				limit := (rate*testBounds.Window.Seconds()+burst)*(1+testBounds.Over) + testBounds.Slack
+				if most := f.mostInWindow(); float64(most) > limit {
+					t.Fatalf("%d calls in a window, the limit is %v", most, limit)
+				}
+			},
+		})
+	})
+}
+
+// play lets every node make calls at its rate per second and ask the pool of node 0
+// every 0.4 s, for d, and returns the share of the calls that was allowed. Calls that
+// are pending wait for one more question.
+func (f *fleet) play(d time.Duration, rates func(i int) float64) float64 {
+	const step = 20 * time.Millisecond
+	made, allowed := 0, 0
+	due := make([]float64, len(f.nodes))
+	for k := 0; time.Duration(k)*step < d; k++ {
+		f.now = f.now.Add(step)
+		for i := range f.nodes {
+			if k%20 == i%20 {
+				f.exchange(i, 0)
+				f.exchange(i, 0)
+			}
+			for due[i] += rates(i) * step.Seconds() * 2 * f.random(); due[i] >= 1; due[i]-- {
+				made++
+				v := f.call(i, true)
+				if v == Pending {
+					f.exchange(i, 0)
+					v = f.call(i, false)
+				}
+				if v == Allowed {
+					allowed++
+				}
+			}
+		}
+	}
+	return float64(allowed) / math.Max(float64(made), 1)
+}
+
+// newRandom returns a fixed sequence of numbers from 0 to 1.
+func newRandom() func() float64 {
+	x := uint64(1)
+	return func() float64 {
+		x ^= x << 13
+		x ^= x >> 7
+		x ^= x << 17
+		return float64(x>>11) / (1 << 53)
+	}
+}
+
+// Guards against refusals of tenants within their quota: small and large ones, on
+// few and on many instances, also when their callers move.
+func TestCallsWithinQuotaAreAllowed(t *testing.T) {
+	for _, tc := range []struct {
+		rate    float64
+		callers int // instances with callers
+		usual   float64
+	}{{5, 2, 3}, {5, 5, 3}, {25, 10, 18}, {600, 83, 500}, {600, 20, 500}} {
+		t.Run(fmt.Sprint(tc), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(testSet(t, 1, tc.rate, tc.rate), 83, newRandom())
+			f.play(3*time.Second, func(int) float64 { return 0 })
+			share := f.play(10*time.Second, func(i int) float64 {
+				if i < tc.callers {
+					return tc.usual / float64(tc.callers)
+				}
+				return 0
+			})
+			moved := f.play(5*time.Second, func(i int) float64 { // to other instances
+				if i >= len(f.nodes)-tc.callers {
+					return tc.usual / float64(tc.callers)
+				}
+				return 0
+			})
+			t.Logf("allowed %.4f, after the move %.4f", share, moved)
+			is.True(share > 0.995)
+			is.True(moved > 0.98)
+		})
+	}
+}
+
+// Guards against a tenant that asks for a multiple of its quota and gets less than
+// the quota, and against instances that starve.
+func TestHotTenantGetsItsQuota(t *testing.T) {
+	for _, rate := range []float64{5, 60, 600} {
+		t.Run(fmt.Sprint(rate), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(testSet(t, 1, rate, rate), 40, newRandom())
+			f.play(3*time.Second, func(int) float64 { return 0 })
+			f.play(10*time.Second, func(int) float64 { return 7.5 * rate / 40 })
+			perSecond := float64(len(f.allowed)) / 10
+			t.Logf("%.1f calls/s of %v", perSecond, rate)
+			is.True(perSecond > 0.9*rate)
+			is.True(float64(f.mostInWindow()) <= (6*rate)*1.1+20)
+		})
+	}
+}
+
+// Guards against an instance that keeps less than its fraction when it is cut off, and
+// against a fleet that stays without credit when its pool dies.
+func TestCreditWithoutPool(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(testSet(t, 1, 600, 600), 10, newRandom())
+	f.play(3*time.Second, func(int) float64 { return 50 })
+	f.restart(0) // the pool
+	before := len(f.allowed)
+	f.play(5*time.Second, func(int) float64 { return 50 })
+	is.True(len(f.allowed)-before > 5*400)
+	before = len(f.allowed)
+	for range 500 { // 10 s without any message
+		f.now = f.now.Add(20 * time.Millisecond)
+		f.call(1, true)
+	}
+	t.Logf("%d calls of the instance that is cut off", len(f.allowed)-before)
+	is.True(len(f.allowed)-before > 400) // 50/s, of a tenth of 600/s
+}
--- /dev/null
+++ b/quota/service.go
@@ -0,0 +1,295 @@
+package quota
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"google.golang.org/grpc"
+
+	"siskingw/errdefs"
+	"siskingw/member"
+	"siskingw/peer"
+	"siskingw/peer/peerpb"
+	"siskingw/snapshot"
+	"siskingw/tenant"
+)
+
+const (
+	// askInterval is the time between two questions to the pool. A pledge outlives
+	// one lost question.
+	askInterval = 400 * time.Millisecond
+	// minAskInterval bounds the messages of an instance that runs out of credit.
+	minAskInterval = 60 * time.Millisecond
+	// askTimeout is two round trips between regions and a retransmission.
+	askTimeout = 400 * time.Millisecond
+	// maxWait is how long a call waits for the pool: the end of a question in
+	// flight and a question of its own.
+	maxWait = 250 * time.Millisecond
+	// idleInterval is the time after which a node without quotas looks again.
+	idleInterval = time.Second
+	// maxPooled is the number of instances up to which one pool serves all. It gets
+	// 2.5 messages per second from each.
+	maxPooled = 1_000
+)
+
+// Options configures a Service. Connect, View and Current are required.
+type Options struct {
+	// Connect returns a connection to the node with this peer address, like
+	// peer.Pool.Conn.
+	Connect func(addr string, place peer.Place) (grpc.ClientConnInterface, error)
+	View    member.View
+	Current *snapshot.Current
+	Bounds  Bounds       // zero selects DefaultBounds
+	Metrics *metrics.Set // nil records no metrics
+}
+
+// Service keeps the quotas on one node: it asks the pool for credit, and is a pool
+// for the nodes that ask it.
+type Service struct {
+	peerpb.UnimplementedQuotaServer
+
+	opts    Options
+	tenants tenant.Cache
+	ledger  *Ledger
+	pool    *Pool
+	members *members
+	metrics *serviceMetrics
+	wake    chan struct{} // capacity 1
+	limited atomic.Bool   // the version in force has a tenant with a quota
+
+	mu      sync.Mutex
+	begun   uint64        // questions that were begun
+	done    uint64        // questions that have ended
+	changed chan struct{} // closed when done rises
+}
+
+// NewService returns the service of a process that starts now.
+func NewService(opts Options) *Service {
+	if opts.Bounds.Window <= 0 {
+		opts.Bounds = DefaultBounds
+	}
+	now, self := time.Now(), opts.View.Self()
+	s := &Service{opts: opts, members: newMembers(opts.View, now), wake: make(chan struct{}, 1),
+		ledger:  NewLedger(self.ID, self.Incarnation, opts.Bounds, now, rand.Float64),
+		pool:    NewPool(self.ID, self.Incarnation, opts.Bounds, now, rand.Float64),
+		changed: make(chan struct{}),
+	}
+	s.metrics = newServiceMetrics(opts.Metrics, s.pool)
+	opts.View.OnChange(s.members.update)
+	opts.Current.OnAdvance(func(next *snapshot.Snapshot) {
+		s.limited.Store(hasLimit(next))
+		s.wakeUp()
+	})
+	return s
+}
+
+// hasLimit reports whether a tenant of the snapshot has a quota.
+func hasLimit(s *snapshot.Snapshot) bool {
+	for _, o := range s.Objects() {
+		if o.Tenant != nil && o.Tenant.RatePerS > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// Register registers the pool with the server for other nodes.
+func (s *Service) Register(srv *grpc.Server) { peerpb.RegisterQuotaServer(srv, s) }
+
+// Close gives up the pledges to this node's pool, which is about to stop.
+func (s *Service) Close() { s.pool.Close() }
+
+// Ask implements peerpb.QuotaServer.
+func (s *Service) Ask(_ context.Context, in *peerpb.QuotaAsk) (*peerpb.QuotaAnswer, error) {
+	return s.answer(askFromProto(in, s.opts.View.Self().ID)).toProto(), nil
+}
+
+func (s *Service) answer(a Ask) Answer { return s.pool.Answer(a, s.set(), time.Now()) }
+
+// set returns the tenants of the version in force.
+func (s *Service) set() *tenant.Set {
+	snap := s.opts.Current.Load()
+	if snap == nil {
+		return new(tenant.Set)
+	}
+	return s.tenants.Of(snap)
+}
+
+// Acquire takes the credit for one call of a tenant with a quota. It waits for the
+// pool for up to 250 ms if there is none here and may be some there. The decision is
+// Allowed or Refused.
+func (s *Service) Acquire(ctx context.Context, t *tenant.Tenant) Decision {
+	d := s.ledger.Take(t, true, time.Now())
+	if d.Low {
+		s.wakeUp()
+	}
+	if d.Verdict == Pending {
+		s.awaitAnswer(ctx)
+		d = s.ledger.Take(t, false, time.Now())
+	}
+	s.metrics.count(d)
+	return d
+}
+
+// Return gives back the credit of a call that has not run.
+func (s *Service) Return(c Credit) { s.ledger.Return(c, time.Now()) }
+
+// awaitAnswer waits for the end of a question that begins from now on.
+func (s *Service) awaitAnswer(ctx context.Context) {
+	timeout := time.NewTimer(maxWait)
+	defer timeout.Stop()
+	s.mu.Lock()
+	wanted := s.begun + 1
+	s.mu.Unlock()
+	for {
+		s.wakeUp()
+		s.mu.Lock()
+		done, changed := s.done, s.changed
+		s.mu.Unlock()
+		if done >= wanted {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// wakeUp makes Run ask the pool soon.
+func (s *Service) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run asks the pool until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	timer := time.NewTimer(idleInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-s.wake:
+		case <-timer.C:
+		}
+		next := idleInterval
+		if s.limited.Load() {
+			s.ask(ctx)
+			next = s.interval()
+			if !sleep(ctx, minAskInterval) {
+				return nil
+			}
+		}
+		timer.Reset(next)
+	}
+}
+
+// interval returns the time until the next question: credit must not lapse before
+// more is asked for. A random part keeps the questions of a fleet apart.
+func (s *Service) interval() time.Duration {
+	d := askInterval
+	s.set().All(func(t *tenant.Tenant) {
+		if t.Limited() {
+			d = min(d, s.opts.Bounds.grantLife(t)/2)
+		}
+	})
+	return max(time.Duration(float64(d)*(0.8+0.2*rand.Float64()))-minAskInterval, minAskInterval)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// ask asks the pool once.
+func (s *Service) ask(ctx context.Context) {
+	s.mu.Lock()
+	s.begun++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.done = s.begun
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}()
+	now := time.Now()
+	n := s.members.instances(now)
+	s.ledger.SetInstances(n)
+	if n > maxPooled {
+		return // each instance uses its own fraction
+	}
+	pool := s.members.pool(now)
+	if pool == nil {
+		return
+	}
+	if old := s.ledger.Pledged(now); old != "" && old != pool.ID {
+		s.withdraw(ctx, old)
+	}
+	asked := time.Now()
+	a := s.ledger.NewAsk(pool.ID, s.set(), asked)
+	s.send(ctx, pool, a, asked)
+	if a.Echo.Pool == "" {
+		asked = time.Now()
+		s.send(ctx, pool, s.ledger.NewAsk(pool.ID, s.set(), asked), asked) // the first question cannot pledge
+	}
+}
+
+// withdraw tells a pool that the pledge moves to another one. If it does not answer,
+// the pledge binds until it ends.
+func (s *Service) withdraw(ctx context.Context, id string) {
+	if r := s.opts.View.Lookup(id); r != nil && r.Live() {
+		s.send(ctx, r, s.ledger.NewWithdrawal(), time.Now())
+	}
+}
+
+// send sends one question, made at the time asked, and applies the answer.
+func (s *Service) send(ctx context.Context, to *member.Record, a Ask, asked time.Time) {
+	answer, err := s.call(ctx, to, a)
+	switch {
+	case err != nil:
+		s.members.markFailed(to.ID, time.Now())
+		s.metrics.asksFailed.Inc()
+		return
+	case answer.Closed:
+		s.members.markFailed(to.ID, time.Now())
+		s.wakeUp() // the next pool can be asked at once
+	}
+	s.metrics.asksAnswered.Inc()
+	s.ledger.Apply(a, answer, asked, time.Now())
+}
+
+// call sends a question to a node. It returns a PeerUnavailable error if it is not
+// answered.
+func (s *Service) call(ctx context.Context, to *member.Record, a Ask) (Answer, error) {
+	if to.ID == s.opts.View.Self().ID {
+		return s.answer(a), nil
+	}
+	cc, err := s.opts.Connect(to.PeerAddr, peer.Place{Region: to.Region, FailureDomain: to.FailureDomain})
+	if err != nil {
+		return Answer{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	out, err := peerpb.NewQuotaClient(cc).Ask(ctx, a.toProto())
+	if err != nil {
+		return Answer{}, errdefs.PeerUnavailable.Wrap(err, "ask the quota pool of %q", to.ID)
+	}
+	return answerFromProto(out, to.ID), nil
+}
