--- a/quota/codec.go
+++ b/quota/codec.go
@@ -19,11 +19,14 @@
 	p := &peerpb.QuotaAsk{Node: a.Node, Incarnation: a.Incarnation, Number: a.Number, Pledge: a.Pledge,
 		EchoIncarnation: a.Echo.Incarnation, EchoUs: uint64(a.Echo.At.Microseconds())}
 	for _, w := range a.Wants[:min(len(a.Wants), maxWants)] {
-		p.Wants = append(p.Wants, &peerpb.QuotaWant{Tenant: w.Tenant, Centicalls: uint32(min(w.Tokens*centi, math.MaxInt32))})
+		p.Wants = append(p.Wants, &peerpb.QuotaWant{Tenant: w.Tenant, Centicalls: toCenti(w.Tokens),
+			CenticallsPerS: toCenti(w.Rate), Waiting: uint32(w.Waiting)})
 	}
 	return p
 }
 
+func toCenti(v float64) uint32 { return uint32(min(max(v, 0)*centi, math.MaxInt32)) }
+
 // askFromProto returns the Ask in a message to the pool of the node with the ID.
 func askFromProto(p *peerpb.QuotaAsk, pool string) Ask {
 	a := Ask{Node: p.Node, Incarnation: p.Incarnation, Number: p.Number, Pledge: p.Pledge}
@@ -31,7 +34,8 @@
 		a.Echo = Stamp{Pool: pool, Incarnation: p.EchoIncarnation, At: time.Duration(min(p.EchoUs, maxEchoUs)) * time.Microsecond}
 	}
 	for _, w := range p.Wants[:min(len(p.Wants), maxWants)] {
-		a.Wants = append(a.Wants, Want{Tenant: w.Tenant, Tokens: float64(w.Centicalls) / centi})
+		a.Wants = append(a.Wants, Want{Tenant: w.Tenant, Tokens: float64(w.Centicalls) / centi,
+			Rate: float64(w.CenticallsPerS) / centi, Waiting: int(min(w.Waiting, math.MaxInt32))})
 	}
 	return a
 }
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -9,16 +9,27 @@
 )
 
 const (
-	// demandTime is the time constant of the estimated demand. It is also how long
-	// the credit that an instance holds would last.
+	// demandTime is the time constant of the estimated demand.
 	demandTime = time.Second
-	// spare is the credit, in calls, that an instance holds beyond its demand for a
-	// tenant that calls there: callers send in clumps.
-	spare = 2
+	// holdTime is how long the credit that an instance holds would last. It is two
+	// intervals between questions, and short: credit that an instance holds and does
+	// not need is missing elsewhere.
+	holdTime = 800 * time.Millisecond
+	// spare is the least credit, in calls, that an instance holds for a tenant that
+	// calls there, so that few calls have to wait for the pool.
+	spare = 1
+	// minHeldRate is the demand, in calls per second, below which an instance holds
+	// nothing: of credit that is used so rarely, most would lapse.
+	minHeldRate = 0.8
+	// minWant is the smallest want, in calls, that is worth a message.
+	minWant = 0.5
 	// activeTime is how long after its last call a tenant still counts as active.
 	activeTime = 5 * time.Second
 	// contactTime is the age up to which an answer of a pool shows contact to it.
 	contactTime = PledgeTime
+	// scarceTime is how long an answer that credit is scarce holds, if no later one
+	// comes: an interval between questions and the time of an answer.
+	scarceTime = 600 * time.Millisecond
 	// minReturn and maxReturn bound the time after which a refused caller is told to
 	// come back. Callers ignore longer ones, and credit cannot come sooner than a
 	// pool is asked.
@@ -70,8 +81,8 @@
 	demandAt time.Time
 	supply   float64 // granted credit per second, decaying
 	supplyAt time.Time
-	asked    bool // a pool has answered about the tenant since it became active
-	scarce   bool // the last grant was scarce
+	scarceTo time.Time // until then the tenant asks for more than its quota
+	waiting  int       // calls that became Pending since the last question
 	nextFree time.Time
 }
 
@@ -126,15 +137,16 @@
 		a.demandAt = now
 	}
 	if until, ok := a.takeLot(now); ok {
-		low := !a.scarce && float64(a.held(now)) <= a.rate(now)*demandTime.Seconds()/4
+		low := !now.Before(a.scarceTo) && float64(a.held(now)) <= a.rate(now)*holdTime.Seconds()/4
 		return Decision{Credit: Credit{tenant: t.Name, until: until}, Low: low}
 	}
 	if l.takeOwn(a, t, now) {
 		return Decision{Credit: Credit{tenant: t.Name, until: now.Add(l.bounds.grantLife(t))}}
 	}
 	contact := now.Sub(l.answered) < contactTime
-	scarce := a.asked && a.scarce
+	scarce := now.Before(a.scarceTo)
 	if first && contact && !scarce {
+		a.waiting++
 		return Decision{Verdict: Pending}
 	}
 	d := Decision{Verdict: Refused, After: l.returnTime(a, contact, now), Cause: CauseNoCredit}
@@ -202,6 +214,10 @@
 		// The pool holds no pledge any more, and the answer is to the last question.
 		l.promised, l.until = Stamp{}, now
 	}
+	if r.Stamp.Pool == l.promised.Pool && r.Stamp.Incarnation > l.promised.Incarnation && now.Before(l.until) {
+		// The process that held the pledge has ended: this one listens in its place.
+		l.promised, l.until = Stamp{}, now
+	}
 	if r.Closed {
 		l.echo = Stamp{}
 		return
@@ -217,7 +233,10 @@
 	if a == nil {
 		return
 	}
-	a.asked, a.scarce = true, g.Scarce
+	a.scarceTo = time.Time{}
+	if g.Scarce {
+		a.scarceTo = now.Add(scarceTime)
+	}
 	a.supply = decayed(a.supply, now.Sub(a.supplyAt)) + float64(max(g.Tokens, 0))/demandTime.Seconds()
 	a.supplyAt = now
 	if until := asked.Add(min(g.Life, maxLife)); g.Tokens > 0 && now.Before(until) {
@@ -235,14 +254,24 @@
 			delete(l.accounts, name)
 			continue
 		}
-		want := a.rate(now)*demandTime.Seconds() + spare - float64(a.held(now))
-		if want >= 1 && len(out) < maxWants {
-			out = append(out, Want{Tenant: name, Tokens: want})
+		rate := a.rate(now)
+		want := max(holding(rate)-float64(a.held(now)), float64(a.waiting))
+		if want >= minWant && len(out) < maxWants {
+			out = append(out, Want{Tenant: name, Tokens: want, Rate: rate, Waiting: a.waiting})
 		}
+		a.waiting = 0
 	}
 	return out
 }
 
+// holding returns the credit, in calls, that an instance with the demand holds.
+func holding(rate float64) float64 {
+	if rate < minHeldRate {
+		return 0
+	}
+	return max(rate*holdTime.Seconds(), spare)
+}
+
 // takeOwn takes credit that the instance has created itself while its fraction was
 // not pledged.
 func (l *Ledger) takeOwn(a *account, t *tenant.Tenant, now time.Time) bool {
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -12,8 +12,6 @@
 const (
 	// wantAge is the age up to which a node's want counts as demand.
 	wantAge = time.Second
-	// scarceShare is the share of a want, 0 to 1, below which credit is scarce.
-	scarceShare = 0.5
 	// maxPledgers bounds the memory of a pool to some MB.
 	maxPledgers = 50_000
 )
@@ -51,8 +49,8 @@
 
 // nodeWant is the last want of one node.
 type nodeWant struct {
-	tokens float64
-	at     time.Time
+	tokens, rate float64
+	at           time.Time
 }
 
 // NewPool returns the pool of one process, which starts now. random returns numbers
@@ -87,11 +85,11 @@
 	if p.closed || !p.record(a, now) {
 		return out
 	}
-	p.accrue(now)
+	sum := p.accrue(now)
 	p.forgetTenants(set)
 	for _, w := range a.Wants {
 		if t := set.Get(w.Tenant); t != nil && t.Limited() && w.Tokens > 0 {
-			out.Grants = append(out.Grants, p.grant(a.Node, t, w.Tokens, now))
+			out.Grants = append(out.Grants, p.grant(a.Node, t, w, sum, now))
 		}
 	}
 	return out
@@ -181,8 +179,10 @@
 // cannot renew one that was withdrawn: an Ask whose echo is older adds nothing.
 const forgetTime = 10 * PledgeTime
 
-// grant takes credit for one node from the stock of the tenant.
-func (p *Pool) grant(node string, t *tenant.Tenant, want float64, now time.Time) Grant {
+// grant takes credit for one node from the stock of the tenant: first for the calls
+// that wait, then, if there is not enough for all that is wanted, in proportion. sum is
+// the sum of the pledged fractions.
+func (p *Pool) grant(node string, t *tenant.Tenant, w Want, sum float64, now time.Time) Grant {
 	s := p.stocks[t.Name]
 	if s == nil {
 		s = &stock{wants: make(map[string]nodeWant)} // all that has accrued and is still valid
@@ -191,15 +191,17 @@
 	valid := p.accrued - p.accruedAt(now.Add(-p.bounds.poolLife(t)))
 	s.tokens = min(s.tokens+t.RatePerS*(p.accrued-s.accrued), t.RatePerS*valid)
 	s.accrued = p.accrued
-	s.wants[node] = nodeWant{tokens: want, at: now}
-	tokens, scarce := math.Ceil(want), false
-	if all := s.demand(now); all > s.tokens {
-		tokens = p.round(want * s.tokens / all)
-		scarce = tokens < scarceShare*want
+	s.wants[node] = nodeWant{tokens: w.Tokens, rate: w.Rate, at: now}
+	all, rate := s.demand(now)
+	tokens := math.Ceil(w.Tokens)
+	if waiting := float64(w.Waiting); all > s.tokens {
+		left := max(s.tokens-waiting, 0)
+		tokens = waiting + p.round(max(w.Tokens-waiting, 0)*left/all)
 	}
 	tokens = max(min(tokens, math.Floor(s.tokens)), 0)
 	s.tokens -= tokens
-	return Grant{Tenant: t.Name, Tokens: int(tokens), Life: p.bounds.grantLife(t), Scarce: scarce}
+	return Grant{Tenant: t.Name, Tokens: int(tokens), Life: p.bounds.grantLife(t),
+		Scarce: tokens < w.Tokens && rate > t.RatePerS*sum}
 }
 
 // round rounds a share to a whole number with the share as its mean: a fraction of
@@ -212,14 +214,15 @@
 	return whole
 }
 
-// demand returns the sum of the recent wants.
-func (s *stock) demand(now time.Time) (sum float64) {
+// demand returns the sums of the recent wants, in calls and in calls per second.
+func (s *stock) demand(now time.Time) (tokens, rate float64) {
 	for node, w := range s.wants {
 		if now.Sub(w.at) > wantAge {
 			delete(s.wants, node)
 			continue
 		}
-		sum += w.tokens
+		tokens += w.tokens
+		rate += w.rate
 	}
-	return sum
+	return tokens, rate
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -36,9 +36,12 @@
 	// used. The rest covers instances whose views of the number of instances
 	// differ, and steady clocks that run at different rates.
 	useOfTolerance = 0.8
-	// poolPart is the part of the life of credit that it may spend in the pool;
-	// the rest it may spend at the instance that it was granted to.
-	poolPart = 0.3
+	// grantPart is the part of the life of credit that it may spend at the instance
+	// that it was granted to, up to maxGrantLife; the rest it may spend in the pool.
+	// It is more than three intervals between questions where the tolerance allows,
+	// and no longer: credit in the pool is there for everyone.
+	grantPart    = 0.7
+	maxGrantLife = 1300 * time.Millisecond
 	// maxLife bounds the life of credit of tenants with a very low rate.
 	maxLife = time.Minute
 	// PledgeTime is how long a pledge binds an instance. It survives the loss of
@@ -53,13 +56,13 @@
 	return time.Duration(useOfTolerance * min(seconds, maxLife.Seconds()) * float64(time.Second))
 }
 
-// poolLife returns the part of life that credit may spend in the pool.
-func (b Bounds) poolLife(t *tenant.Tenant) time.Duration {
-	return time.Duration(poolPart * float64(b.life(t)))
+// grantLife returns the part of life after the moment of asking for the credit.
+func (b Bounds) grantLife(t *tenant.Tenant) time.Duration {
+	return min(time.Duration(grantPart*float64(b.life(t))), maxGrantLife)
 }
 
-// grantLife returns the rest of life, from the moment of asking for the credit.
-func (b Bounds) grantLife(t *tenant.Tenant) time.Duration { return b.life(t) - b.poolLife(t) }
+// poolLife returns the part of life that credit may spend in the pool.
+func (b Bounds) poolLife(t *tenant.Tenant) time.Duration { return b.life(t) - b.grantLife(t) }
 
 // Stamp is a moment on the clock of one process of a pool.
 type Stamp struct {
@@ -83,8 +86,10 @@
 
 // Want is the credit that an instance would like to have for a tenant.
 type Want struct {
-	Tenant string
-	Tokens float64
+	Tenant  string
+	Tokens  float64 // to hold, beyond what it holds already
+	Rate    float64 // demand, in calls per second
+	Waiting int     // calls that wait for credit
 }
 
 // Answer is what a pool replies.
