--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -282,7 +282,7 @@
 	if from.Before(l.until) {
 		from = l.until
 	}
-	rate := t.RatePerS * l.fraction
+	rate := l.bounds.rate(t) * l.fraction
 	a.own = min(a.own+rate*now.Sub(from).Seconds(), rate*l.bounds.poolLife(t).Seconds())
 	a.ownTo = now
 	if a.own < 1 {
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -189,7 +189,8 @@
 		p.stocks[t.Name] = s
 	}
 	valid := p.accrued - p.accruedAt(now.Add(-p.bounds.poolLife(t)))
-	s.tokens = min(s.tokens+t.RatePerS*(p.accrued-s.accrued), t.RatePerS*valid)
+	perSecond := p.bounds.rate(t)
+	s.tokens = min(s.tokens+perSecond*(p.accrued-s.accrued), perSecond*valid)
 	s.accrued = p.accrued
 	s.wants[node] = nodeWant{tokens: w.Tokens, rate: w.Rate, at: now}
 	all, rate := s.demand(now)
@@ -201,7 +202,7 @@
 	tokens = max(min(tokens, math.Floor(s.tokens)), 0)
 	s.tokens -= tokens
 	return Grant{Tenant: t.Name, Tokens: int(tokens), Life: p.bounds.grantLife(t),
-		Scarce: tokens < w.Tokens && rate > t.RatePerS*sum}
+		Scarce: tokens < w.Tokens && rate > perSecond*sum}
 }
 
 // round rounds a share to a whole number with the share as its mean: a fraction of
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -32,28 +32,50 @@
 var DefaultBounds = Bounds{Window: 5 * time.Second, Over: 0.1, Slack: 20}
 
 const (
-	// useOfTolerance is the part of the longest life of credit, 0 to 1, that is
-	// used. The rest covers instances whose views of the number of instances
-	// differ, and steady clocks that run at different rates.
-	useOfTolerance = 0.8
+	// useOfLimit is the part of the limit, 0 to 1, that is used. The rest covers
+	// instances whose views of the number of instances differ, and steady clocks
+	// that run at different rates.
+	useOfLimit = 0.97
+	// aimedRate is the rate, relative to that of the quota, up to which credit is
+	// created where the tolerance allows it. A burst and the tolerance are spent as a
+	// higher rate, because callers that exceed a quota do so for seconds.
+	aimedRate = 1.4
+	// minLife and maxLife bound the life of credit: it must outlast the intervals
+	// between questions, and a longer life costs rate.
+	minLife = 700 * time.Millisecond
+	maxLife = 10 * time.Second
+	// shortestLife replaces minLife where that would leave less than the rate of the
+	// quota.
+	shortestLife = 200 * time.Millisecond
 	// grantPart is the part of the life of credit that it may spend at the instance
-	// that it was granted to, up to maxGrantLife; the rest it may spend in the pool.
-	// It is more than three intervals between questions where the tolerance allows,
-	// and no longer: credit in the pool is there for everyone.
-	grantPart    = 0.7
+	// that it was granted to, up to maxGrantLife; the rest it may spend in the pool,
+	// where it is there for everyone.
+	grantPart    = 0.65
 	maxGrantLife = 1300 * time.Millisecond
-	// maxLife bounds the life of credit of tenants with a very low rate.
-	maxLife = time.Minute
 	// PledgeTime is how long a pledge binds an instance. It survives the loss of
 	// one message; the credit of a pool that dies is missing for that time.
 	PledgeTime = 1200 * time.Millisecond
 )
 
-// life returns how long credit of the tenant is valid. With credit that lives for
-// a time A, at most rate x (Window + A) calls are made in a window.
+// limit returns the number of calls for which credit may come into being within one
+// window and one life of credit.
+func (b Bounds) limit(t *tenant.Tenant) float64 {
+	return useOfLimit * ((t.RatePerS*b.Window.Seconds()+t.Burst)*(1+b.Over) + b.Slack)
+}
+
+// life returns how long credit of the tenant is valid after it came into being. With
+// credit that lives for a time A, at most rate x (Window + A) calls are made in a
+// window.
 func (b Bounds) life(t *tenant.Tenant) time.Duration {
-	seconds := b.Over*b.Window.Seconds() + (t.Burst*(1+b.Over)+b.Slack)/t.RatePerS
-	return time.Duration(useOfTolerance * min(seconds, maxLife.Seconds()) * float64(time.Second))
+	at := func(rate float64) time.Duration { // life at a rate relative to that of the quota
+		return time.Duration(min(b.limit(t)/(rate*t.RatePerS)-b.Window.Seconds(), maxLife.Seconds()) * float64(time.Second))
+	}
+	return max(at(aimedRate), min(minLife, at(1)), shortestLife)
+}
+
+// rate returns the calls per second for which credit is created.
+func (b Bounds) rate(t *tenant.Tenant) float64 {
+	return min(b.limit(t)/(b.Window+b.life(t)).Seconds(), aimedRate*t.RatePerS)
 }
 
 // grantLife returns the part of life after the moment of asking for the credit.
