--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -85,14 +85,13 @@
 }
 
 // ask sends a question of one node to the pool of another, after a withdrawal where
-// the Service would send one.
+// the Service sends one. The withdrawal is not delivered before the question.
 func (f *fleet) ask(i, to int) {
 	n := f.nodes[i]
 	if old := n.ledger.Pledged(f.now); old != "" && old != f.nodes[to].id {
 		for j := range f.nodes {
 			if f.nodes[j].id == old {
 				f.asks = append(f.asks, message{from: i, to: j, incarnation: n.incarnation, ask: n.ledger.NewWithdrawal(), asked: f.now})
-				return
 			}
 		}
 	}
@@ -133,6 +132,45 @@
 	return most
 }
 
+// scenario is a time in which all nodes ask for much.
+type scenario struct {
+	steps    int   // of 200 ms
+	idle     int   // steps in the beginning in which nobody calls
+	pool     int   // node that is asked
+	wander   int   // steps after which all nodes turn to the next node; 0 for never
+	cut      uint8 // nodes that reach no pool from the middle on
+	restarts bool  // in each step a node restarts
+}
+
+func drawScenario(t *rapid.T, n int) scenario {
+	return scenario{steps: rapid.IntRange(5, 40).Draw(t, "steps"), idle: rapid.IntRange(0, 10).Draw(t, "idle"),
+		pool: rapid.IntRange(0, n-1).Draw(t, "pool"), wander: rapid.IntRange(0, 6).Draw(t, "wander"),
+		cut: rapid.Uint8().Draw(t, "cut"), restarts: rapid.Bool().Draw(t, "restarts")}
+}
+
+func (f *fleet) busy(s scenario, calls int) {
+	for k := range s.steps {
+		f.now = f.now.Add(200 * time.Millisecond)
+		pool := s.pool
+		if s.wander > 0 {
+			pool = (pool + k/s.wander) % len(f.nodes)
+		}
+		if s.restarts && k%len(f.nodes) != pool {
+			f.restart(k % len(f.nodes))
+		}
+		for i := range f.nodes {
+			for range calls {
+				if k >= s.idle {
+					f.call(i, true)
+				}
+			}
+			if k < s.steps/2 || s.cut&(1<<i) == 0 {
+				f.exchange(i, pool)
+			}
+		}
+	}
+}
+
 // Guards against more calls of a tenant in a window than its quota and tolerance
 // allow, under any interleaving of calls, lost, delayed and repeated messages, killed
 // and restarted processes, pools that stop, and disagreement about which is the pool.
@@ -153,20 +191,7 @@
 					f.call(i, first)
 				}
 			},
-			"busy": func(t *rapid.T) { // all ask for much, some cannot reach the pool
-				pool, cut := node.Draw(t, "pool"), rapid.Uint8().Draw(t, "cut")
-				for range rapid.IntRange(1, 30).Draw(t, "steps") {
-					f.now = f.now.Add(200 * time.Millisecond)
-					for i := range f.nodes {
-						for range int(rate) {
-							f.call(i, true)
-						}
-						if cut&(1<<i) == 0 {
-							f.exchange(i, pool)
-						}
-					}
-				}
-			},
+			"busy":     func(t *rapid.T) { f.busy(drawScenario(t, n), int(rate)) },
 			"exchange": func(t *rapid.T) { f.exchange(node.Draw(t, "from"), node.Draw(t, "to")) },
 			"ask":      func(t *rapid.T) { f.ask(node.Draw(t, "from"), node.Draw(t, "to")) },
 			"deliver ask": func(t *rapid.T) {
@@ -181,11 +206,17 @@
 			},
 			"restart": func(t *rapid.T) { f.restart(node.Draw(t, "node")) },
 			"close":   func(t *rapid.T) { f.nodes[node.Draw(t, "node")].pool.Close() },
-			"return": func(t *rapid.T) {
-				i := node.Draw(t, "node")
-				if d := f.nodes[i].ledger.Take(f.set.Get("ann"), true, f.now); d.Verdict == Allowed {
-					f.now = f.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
-					f.nodes[i].ledger.Return(d.Credit, f.now)
+			"return": func(t *rapid.T) { // the calls of a node fail late
+				l := f.nodes[node.Draw(t, "node")].ledger
+				var credits []Credit
+				for range rapid.IntRange(1, 100).Draw(t, "n") {
+					if d := l.Take(f.set.Get("ann"), true, f.now); d.Verdict == Allowed {
+						credits = append(credits, d.Credit)
+					}
+				}
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+				for _, c := range credits {
+					l.Return(c, f.now)
 				}
 			},
 			"": func(t *rapid.T) {
