--- /dev/null
+++ b/quota/ledger_test.go
@@ -0,0 +1,86 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a new process that spends credit which its earlier process has
+// pledged or spent.
+func TestNewProcessHasNoCredit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(testSet(t, 1, 600, 600), 2, newRandom())
+	f.play(3*time.Second, func(int) float64 { return 1 })
+	f.restart(1)
+	f.now = f.now.Add(PledgeTime)
+	is.Equal(f.call(1, true), Refused)
+	is.Equal(f.nodes[1].ledger.Pledged(f.now), "")
+	f.restart(1)
+	f.exchange(1, 0)
+	is.Equal(f.nodes[1].ledger.NewAsk("n0", f.set, f.now).Pledge, 0.0)
+	f.now = f.now.Add(PledgeTime)
+	is.Equal(f.nodes[1].ledger.NewAsk("n0", f.set, f.now).Pledge, 0.5)
+}
+
+// Guards against credit that is spent or returned after the end of its life.
+func TestCreditLapses(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(testSet(t, 1, 600, 600), 1, newRandom())
+	l, ann := f.nodes[0].ledger, f.set.Get("ann")
+	l.SetInstances(0)
+	life := testBounds.grantLife(ann)
+	grant := Answer{Stamp: Stamp{Pool: "n0", Incarnation: 1}, Grants: []Grant{{Tenant: "ann", Tokens: 3, Life: life}}}
+	l.Take(ann, true, f.now)
+	l.Apply(Ask{}, grant, f.now, f.now.Add(100*time.Millisecond))
+	d := l.Take(ann, true, f.now.Add(life-1))
+	is.Equal(d.Verdict, Allowed)
+	l.Return(d.Credit, f.now.Add(life-1))
+	is.Equal(l.accounts["ann"].held(f.now.Add(life-1)), 3)
+	d = l.Take(ann, true, f.now.Add(life-1))
+	is.Equal(l.Take(ann, false, f.now.Add(life)).Verdict, Refused)
+	l.Return(d.Credit, f.now.Add(life))
+	is.Equal(l.Take(ann, false, f.now.Add(life)).Verdict, Refused)
+}
+
+// Guards against a pool that uses a pledge longer than it binds the node, or one that
+// was withdrawn or made to an earlier process.
+func TestPoolUsesPledgesWhileTheyBind(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(testSet(t, 1, 600, 600), 1, newRandom())
+	p, start := f.nodes[0].pool, f.now
+	ask := func(number uint64, incarnation uint64, echo, at time.Duration, pledge float64) {
+		p.Answer(Ask{Node: "x", Incarnation: 7, Number: number, Pledge: pledge,
+			Echo: Stamp{Pool: "n0", Incarnation: incarnation, At: echo}}, f.set, start.Add(at))
+	}
+	pledged := func(at time.Duration) float64 { return p.Pledged(start.Add(at)) }
+	ask(1, 9, 0, 0, 0.5) // to another process
+	is.Equal(pledged(0), 0.0)
+	ask(2, 1, 0, time.Second, 0.5) // the message took up to a second
+	is.Equal(pledged(time.Second), 0.5)
+	is.Equal(pledged(PledgeTime+1), 0.0)
+	is.True(p.accrued < 0.11) // half of 0.2 s
+	ask(4, 1, 2*time.Second, 2*time.Second, 0)
+	ask(3, 1, 2*time.Second, 2*time.Second, 0.5) // overtaken by the withdrawal
+	is.Equal(pledged(2*time.Second), 0.0)
+	ask(5, 1, time.Hour, 3*time.Second, 0.5) // an echo of the future
+	is.Equal(pledged(3*time.Second+PledgeTime+1), 0.0)
+}
+
+// Guards against refused callers that come back at the same moment, or later than
+// they are told that credit will be there.
+func TestReturnTimesAreSpread(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(testSet(t, 1, 40, 40), 20, newRandom())
+	f.play(3*time.Second, func(int) float64 { return 0 })
+	f.play(5*time.Second, func(int) float64 { return 15 })
+	seen := make(map[time.Duration]bool)
+	for range 100 {
+		if d := f.nodes[3].ledger.Take(f.set.Get("ann"), false, f.now); d.Verdict == Refused {
+			is.True(d.After >= minReturn && d.After <= maxReturn+minReturn)
+			seen[d.After.Round(time.Millisecond)] = true
+		}
+	}
+	is.True(len(seen) > 80)
+}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -143,7 +143,7 @@
 }
 
 func drawScenario(t *rapid.T, n int) scenario {
-	return scenario{steps: rapid.IntRange(5, 40).Draw(t, "steps"), idle: rapid.IntRange(0, 10).Draw(t, "idle"),
+	return scenario{steps: rapid.IntRange(5, 60).Draw(t, "steps"), idle: rapid.IntRange(0, 10).Draw(t, "idle"),
 		pool: rapid.IntRange(0, n-1).Draw(t, "pool"), wander: rapid.IntRange(0, 6).Draw(t, "wander"),
 		cut: rapid.Uint8().Draw(t, "cut"), restarts: rapid.Bool().Draw(t, "restarts")}
 }
