--- a/quota/quota.go
+++ b/quota/quota.go
@@ -37,14 +37,15 @@
 	// that run at different rates.
 	useOfLimit = 0.97
 	// aimedRate is the rate, relative to that of the quota, at which credit is created
-	// where the tolerance allows it. The rest of the tolerance is the life of credit:
+	// at least, where the tolerance allows it, and maxRate the highest. The rest of the tolerance is the life of credit:
 	// at 1.4, two fifths of the credit of a fleet of 83 lapsed unused, and two fifths
 	// of the calls had to wait for the pool.
 	aimedRate = 1.05
+	maxRate   = 1.5
 	// minLife and maxLife bound the life of credit: it must outlast the intervals
 	// between questions, and a longer life costs rate.
 	minLife = 700 * time.Millisecond
-	maxLife = 10 * time.Second
+	maxLife = 2500 * time.Millisecond
 	// shortestLife replaces minLife where that would leave less than the rate of the
 	// quota.
 	shortestLife = 200 * time.Millisecond
@@ -82,7 +83,7 @@
 
 // rate returns the calls per second for which credit is created.
 func (b Bounds) rate(t *tenant.Tenant) float64 {
-	return min(b.limit(t)/(b.Window+b.life(t)).Seconds(), aimedRate*t.RatePerS)
+	return min(b.limit(t)/(b.Window+b.life(t)).Seconds(), maxRate*t.RatePerS)
 }
 
 // grantLife returns the part of life after the moment of asking for the credit.
