--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -131,7 +131,7 @@
 		return Decision{Credit: Credit{tenant: t.Name, until: until}, Low: low}
 	}
 	if l.takeOwn(a, t, now) {
-		return Decision{Credit: Credit{tenant: t.Name, until: now.Add(l.bounds.grantLife(t))}}
+		return Decision{} // its whole life is over at once: it cannot be returned
 	}
 	contact := now.Sub(l.answered) < contactTime
 	scarce := now.Before(a.scarceTo)
@@ -265,7 +265,7 @@
 		from = l.until
 	}
 	rate := l.bounds.rate(t) * l.fraction
-	a.own = min(a.own+rate*now.Sub(from).Seconds(), rate*l.bounds.poolLife(t).Seconds())
+	a.own = min(a.own+rate*now.Sub(from).Seconds(), rate*l.bounds.life(t).Seconds())
 	a.ownTo = now
 	if a.own < 1 {
 		return false
