--- a/quota/pool.go
+++ b/quota/pool.go
@@ -26,6 +26,8 @@
 
 	mu        sync.Mutex
 	closed    bool
+	sum       float64   // of the fractions that are pledged at accruedTo
+	nextEnd   time.Time // no pledge that is part of sum ends before
 	pledges   map[string]pledge
 	accrued   float64   // integral of the pledged fractions, in seconds
 	accruedTo time.Time // moment up to which accrued holds
@@ -45,6 +47,9 @@
 	tokens  float64
 	accrued float64 // value of Pool.accrued that tokens include
 	wants   map[string]nodeWant
+
+	allTokens, allRate float64   // sums of wants
+	swept              time.Time // last time at which old wants were dropped
 }
 
 // nodeWant is the last want of one node.
@@ -66,6 +71,7 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	clear(p.pledges)
+	p.sum = 0
 	clear(p.stocks)
 }
 
@@ -113,6 +119,15 @@
 			next.until = until
 		}
 	}
+	if old.until.After(now) {
+		p.sum -= old.fraction
+	}
+	if next.until.After(now) {
+		p.sum += next.fraction
+		if p.nextEnd.After(next.until) {
+			p.nextEnd = next.until
+		}
+	}
 	p.pledges[a.Node] = next
 	return true
 }
@@ -120,12 +135,35 @@
 // accrue adds the credit of the time since the last call and returns the sum of
 // the fractions that are pledged now.
 func (p *Pool) accrue(now time.Time) (sum float64) {
+	if now.Before(p.nextEnd) {
+		p.accrued += p.sum * max(now.Sub(p.accruedTo), 0).Seconds()
+	} else {
+		p.accrueEach(now)
+	}
+	if now.After(p.accruedTo) {
+		p.accruedTo = now
+	}
+	if n := len(p.history); n == 0 || now.Sub(p.history[n-1].at) >= historyStep {
+		p.history = append(p.history, sample{at: now, accrued: p.accrued})
+	}
+	for len(p.history) > 1 && now.Sub(p.history[1].at) > maxLife {
+		p.history = p.history[1:]
+	}
+	return p.sum
+}
+
+// accrueEach is accrue at the end of a pledge: each counts up to its own end.
+func (p *Pool) accrueEach(now time.Time) {
+	p.sum, p.nextEnd = 0, now.Add(PledgeTime)
 	for node, g := range p.pledges {
 		end := now
-		if g.until.Before(now) {
-			end = g.until
+		if g.until.After(now) {
+			p.sum += g.fraction
+			if g.fraction > 0 && g.until.Before(p.nextEnd) {
+				p.nextEnd = g.until
+			}
 		} else {
-			sum += g.fraction
+			end = g.until
 		}
 		if end.After(p.accruedTo) {
 			p.accrued += g.fraction * end.Sub(p.accruedTo).Seconds()
@@ -134,14 +172,6 @@
 			delete(p.pledges, node)
 		}
 	}
-	p.accruedTo = now
-	if n := len(p.history); n == 0 || now.Sub(p.history[n-1].at) >= historyStep {
-		p.history = append(p.history, sample{at: now, accrued: p.accrued})
-	}
-	for len(p.history) > 1 && now.Sub(p.history[1].at) > maxLife {
-		p.history = p.history[1:]
-	}
-	return sum
 }
 
 // historyStep is the time between two samples of the accrued credit. Up to a step
@@ -192,8 +222,7 @@
 	perSecond := p.bounds.rate(t)
 	s.tokens = min(s.tokens+perSecond*(p.accrued-s.accrued), perSecond*valid)
 	s.accrued = p.accrued
-	s.wants[node] = nodeWant{tokens: w.Tokens, rate: w.Rate, at: now}
-	all, rate := s.demand(now)
+	all, rate := s.demand(node, nodeWant{tokens: w.Tokens, rate: w.Rate, at: now})
 	tokens := max(p.round(w.Tokens), float64(w.Waiting))
 	if waiting := float64(w.Waiting); all > s.tokens {
 		left := max(s.tokens-waiting, 0)
@@ -215,15 +244,28 @@
 	return whole
 }
 
-// demand returns the sums of the recent wants, in calls and in calls per second.
-func (s *stock) demand(now time.Time) (tokens, rate float64) {
+// demand records the want of a node and returns the sums of the recent wants, in
+// calls and in calls per second.
+func (s *stock) demand(node string, w nodeWant) (tokens, rate float64) {
+	if w.at.Sub(s.swept) > wantAge/4 {
+		s.sweep(w.at)
+	}
+	old := s.wants[node]
+	s.wants[node] = w
+	s.allTokens += w.tokens - old.tokens
+	s.allRate += w.rate - old.rate
+	return s.allTokens, s.allRate
+}
+
+// sweep drops old wants and adds up the others.
+func (s *stock) sweep(now time.Time) {
+	s.swept, s.allTokens, s.allRate = now, 0, 0
 	for node, w := range s.wants {
 		if now.Sub(w.at) > wantAge {
 			delete(s.wants, node)
 			continue
 		}
-		tokens += w.tokens
-		rate += w.rate
+		s.allTokens += w.tokens
+		s.allRate += w.rate
 	}
-	return tokens, rate
 }
