--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -24,7 +24,7 @@
 	// come back. Callers ignore longer ones, and credit cannot come sooner than a
 	// pool is asked.
 	minReturn = 100 * time.Millisecond
-	maxReturn = 1500 * time.Millisecond
+	maxReturn = 1600 * time.Millisecond
 )
 
 // Verdict is the decision about one call.
@@ -286,6 +286,9 @@
 // later time, as credit comes at the rate of the supply here.
 func (l *Ledger) returnTime(a *account, contact bool, now time.Time) time.Duration {
 	supply := decayed(a.supply, now.Sub(a.supplyAt))
+	if !contact && now.Before(l.until) { // then there is credit of the instance's own, or of the next pool
+		return l.until.Sub(now) + minReturn + time.Duration(l.random()*float64(maxReturn-PledgeTime))
+	}
 	if !contact || supply < 1/maxReturn.Seconds() {
 		return minReturn + time.Duration(l.random()*float64(maxReturn-minReturn))
 	}
