--- a/node/tenant_test.go
+++ b/node/tenant_test.go
@@ -71,3 +71,40 @@
 	}
 	return string(b)
 }
+
+// Guards against tenants that get more than their quota through two nodes together, or
+// much less, and against refusals without a time to come back.
+func TestNodesKeepQuota(t *testing.T) {
+	const key = "k3y-of-ann"
+	is := is.New(t)
+	s := newTestPlatform(t)
+	config := bytes.Replace(standin.Config(1, testHost, testService), []byte(`"limits"`), []byte(
+		`"tenants":{"columns":["name","api_keys","rate_per_s","burst"],"rows":[["ann",["`+key+`"],20,0]]},"limits"`), 1)
+	_, err := s.mem.Put(t.Context(), standin.ConfigKey, config, 0)
+	is.NoErr(err)
+	nodes := []*instance{s.start(1), s.start(2)}
+	nodes[0].startTargetWith(time.Millisecond, 200*time.Millisecond, 64, 0)
+	eventually(t, "an answer through the other node", func() bool {
+		return nodes[1].callAs(key, "/lots/1", "a") == http.StatusOK
+	})
+	var allowed, refused int
+	for start := time.Now(); time.Since(start) < 3*time.Second; {
+		for i, in := range nodes {
+			switch status := in.callAs(key, "/lots/1", fmt.Sprint("b", i, allowed+refused)); status {
+			case http.StatusOK:
+				allowed++
+			case http.StatusTooManyRequests:
+				refused++
+			default:
+				t.Fatalf("status %d", status)
+			}
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+	t.Logf("%d allowed, %d refused in 3 s", allowed, refused)
+	is.True(allowed > 3*20/2)
+	is.True(allowed <= 130) // in 5 s, with the default tolerance
+	is.True(refused > 100)
+	log := nodes[1].log.String()
+	is.True(strings.Contains(log, `"cause":"quota"`) && strings.Contains(log, `"tenant":"ann"`))
+}
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -12,6 +12,10 @@
 const (
 	// wantAge is the age up to which a node's want counts as demand.
 	wantAge = time.Second
+	// scarceFactor is how much more than its share of the stock a node gets while
+	// credit is scarce. At 1, what waits in the stock for the nodes that ask next
+	// lapsed at times: with two nodes a quarter of the credit.
+	scarceFactor = 2
 	// maxPledgers bounds the memory of a pool to some MB.
 	maxPledgers = 50_000
 )
@@ -226,7 +230,7 @@
 	tokens := max(p.round(w.Tokens), float64(w.Waiting))
 	if waiting := float64(w.Waiting); all > s.tokens {
 		left := max(s.tokens-waiting, 0)
-		tokens = waiting + p.round(max(w.Tokens-waiting, 0)*left/all)
+		tokens = waiting + p.round(max(w.Tokens-waiting, 0)*min(scarceFactor*left/all, 1))
 	}
 	tokens = max(min(tokens, math.Floor(s.tokens)), 0)
 	s.tokens -= tokens
