--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -116,9 +116,9 @@
 	CauseNoContact = "no pool can be reached" // and the instance's own credit is used up
 )
 
-// Take decides about one call of a tenant and takes its credit. first is false for
-// a call that was Pending before.
-func (l *Ledger) Take(t *tenant.Tenant, first bool, now time.Time) Decision {
+// Take decides about one call of a tenant and takes its credit. It is Pending only
+// if wait is set. first is false for a call that was Pending before.
+func (l *Ledger) Take(t *tenant.Tenant, first, wait bool, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accountOf(t.Name, now)
@@ -135,7 +135,7 @@
 	}
 	contact := now.Sub(l.answered) < contactTime
 	scarce := now.Before(a.scarceTo)
-	if first && contact && !scarce {
+	if wait && contact && !scarce {
 		a.waiting++
 		return Decision{Verdict: Pending}
 	}
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -32,16 +32,16 @@
 	l.SetInstances(0)
 	life := testBounds.grantLife(ann)
 	grant := Answer{Stamp: Stamp{Pool: "n0", Incarnation: 1}, Grants: []Grant{{Tenant: "ann", Tokens: 3, Life: life}}}
-	l.Take(ann, true, f.now)
+	l.Take(ann, true, true, f.now)
 	l.Apply(Ask{}, grant, f.now, f.now.Add(100*time.Millisecond))
-	d := l.Take(ann, true, f.now.Add(life-1))
+	d := l.Take(ann, true, true, f.now.Add(life-1))
 	is.Equal(d.Verdict, Allowed)
 	l.Return(d.Credit, f.now.Add(life-1))
 	is.Equal(l.accounts["ann"].held(f.now.Add(life-1)), 3)
-	d = l.Take(ann, true, f.now.Add(life-1))
-	is.Equal(l.Take(ann, false, f.now.Add(life)).Verdict, Refused)
+	d = l.Take(ann, true, true, f.now.Add(life-1))
+	is.Equal(l.Take(ann, false, false, f.now.Add(life)).Verdict, Refused)
 	l.Return(d.Credit, f.now.Add(life))
-	is.Equal(l.Take(ann, false, f.now.Add(life)).Verdict, Refused)
+	is.Equal(l.Take(ann, false, false, f.now.Add(life)).Verdict, Refused)
 }
 
 // Guards against a pool that uses a pledge longer than it binds the node, or one that
@@ -77,7 +77,7 @@
 	f.play(5*time.Second, func(int) float64 { return 15 })
 	seen := make(map[time.Duration]bool)
 	for range 100 {
-		if d := f.nodes[3].ledger.Take(f.set.Get("ann"), false, f.now); d.Verdict == Refused {
+		if d := f.nodes[3].ledger.Take(f.set.Get("ann"), false, false, f.now); d.Verdict == Refused {
 			is.True(d.After >= minReturn && d.After <= maxReturn+minReturn)
 			seen[d.After.Round(time.Millisecond)] = true
 		}
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -77,7 +77,7 @@
 
 // call makes one call of the tenant at a node.
 func (f *fleet) call(i int, first bool) Verdict {
-	d := f.nodes[i].ledger.Take(f.set.Get("ann"), first, f.now)
+	d := f.nodes[i].ledger.Take(f.set.Get("ann"), first, first, f.now)
 	if d.Verdict == Allowed {
 		f.allowed = append(f.allowed, f.now)
 	}
@@ -210,7 +210,7 @@
 				l := f.nodes[node.Draw(t, "node")].ledger
 				var credits []Credit
 				for range rapid.IntRange(1, 100).Draw(t, "n") {
-					if d := l.Take(f.set.Get("ann"), true, f.now); d.Verdict == Allowed {
+					if d := l.Take(f.set.Get("ann"), true, true, f.now); d.Verdict == Allowed {
 						credits = append(credits, d.Credit)
 					}
 				}
--- a/quota/service.go
+++ b/quota/service.go
@@ -27,8 +27,8 @@
 	// askTimeout is two round trips between regions and a retransmission.
 	askTimeout = 400 * time.Millisecond
 	// maxWait is how long a call waits for the pool: the end of a question in
-	// flight and a question of its own.
-	maxWait = 300 * time.Millisecond
+	// flight, a question of its own and, nearby, some more.
+	maxWait = 200 * time.Millisecond
 	// idleInterval is the time after which a node without quotas looks again.
 	idleInterval = time.Second
 	// maxPooled is the number of instances up to which one pool serves all. It gets
@@ -120,16 +120,21 @@
 }
 
 // Acquire takes the credit for one call of a tenant with a quota. It waits for the
-// pool for up to 300 ms if there is none here and may be some there. The decision is
+// pool for up to 200 ms if there is none here and may be some there. The decision is
 // Allowed or Refused.
 func (s *Service) Acquire(ctx context.Context, t *tenant.Tenant) Decision {
-	d := s.ledger.Take(t, true, time.Now())
+	start := time.Now()
+	d := s.ledger.Take(t, true, true, start)
 	if d.Low {
 		s.wakeUp()
 	}
 	if d.Verdict == Pending {
-		s.awaitAnswer(ctx)
-		d = s.ledger.Take(t, false, time.Now())
+		ctx, cancel := context.WithDeadline(ctx, start.Add(maxWait))
+		defer cancel()
+		for d.Verdict == Pending {
+			s.awaitAnswer(ctx)
+			d = s.ledger.Take(t, false, ctx.Err() == nil, time.Now())
+		}
 	}
 	s.metrics.count(d)
 	return d
@@ -138,10 +143,8 @@
 // Return gives back the credit of a call that has not run.
 func (s *Service) Return(c Credit) { s.ledger.Return(c, time.Now()) }
 
-// awaitAnswer waits for the end of a question that begins from now on.
+// awaitAnswer waits for the end of a question that begins from now on, or of ctx.
 func (s *Service) awaitAnswer(ctx context.Context) {
-	timeout := time.NewTimer(maxWait)
-	defer timeout.Stop()
 	s.mu.Lock()
 	wanted := s.begun + 1
 	s.mu.Unlock()
@@ -155,8 +158,6 @@
 		}
 		select {
 		case <-changed:
-		case <-timeout.C:
-			return
 		case <-ctx.Done():
 			return
 		}
