--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -37,6 +37,7 @@
 	// Rollouts restricts calls to versions of targets that are known to be good;
 	// nil permits every version.
 	Rollouts *rollout.Traffic
+	Quota        Quota        // nil keeps no quotas
 }
 
 // Outbound is the HTTP handler that routes the calls of this instance's callers.
@@ -84,6 +85,7 @@
 	}
 	f := c.correctKeyedRefusal(o.serve(c))
 	c.refused = f
+	o.returnQuota(c, f)
 	o.opts.Metrics.observe(sideOutbound, c, f)
 	if c.work.nested {
 		o.opts.Local.observeNested(c, f)
@@ -145,6 +147,9 @@
 	c.work.caller = o.opts.Caller()
 	c.work.setTenant(c.tenant)
 	c.work.nested = o.opts.Local.makesCall(c, callerInfo)
+	if f := o.spendQuota(c); f != nil {
+		return f
+	}
 	c.maxBodyBytes = maxBodyOf(res.Policy)
 	if f := c.body.bufferOrStream(c.w, c.r, c.maxBodyBytes, o.opts.Bodies); f != nil {
 		return f
