--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -37,7 +37,7 @@
 	// Rollouts restricts calls to versions of targets that are known to be good;
 	// nil permits every version.
 	Rollouts *rollout.Traffic
-	Quota        Quota        // nil keeps no quotas
+	Quota    Quota // nil keeps no quotas
 }
 
 // Outbound is the HTTP handler that routes the calls of this instance's callers.
