--- a/admit/stats.go
+++ b/admit/stats.go
@@ -15,6 +15,9 @@
 	Refused  uint64 // at once or after waiting in the queue
 }
 
+// Slots returns the number of calls that the target runs concurrently.
+func (g *Gate) Slots() int { return g.opts.Slots }
+
 // Stats returns a copy of the counters.
 func (g *Gate) Stats() Stats {
 	g.mu.Lock()
--- a/node/calls.go
+++ b/node/calls.go
@@ -99,23 +99,25 @@
 		local = in.handler()
 	}
 	opts := proxy.OutboundOptions{
-		Current:     s.node.current,
-		Balancer:    balance.New(s.node.dir, balance.Options{OnEject: s.node.stateLog.logEjection}),
-		View:        s.node.dir,
-		Pool:        proxy.NewPool(proxy.PoolOptions{LocalAddr: s.node.localAddr(), UnackedTimeout: unackedTimeout}),
+		Current:  s.node.current,
+		Balancer: balance.New(s.node.dir, balance.Options{OnEject: s.node.stateLog.logEjection}),
+		View:     s.node.dir,
+		Pool: proxy.NewPool(proxy.PoolOptions{LocalAddr: s.node.localAddr(), UnackedTimeout: unackedTimeout,
+			MaxOpen: s.node.settings.Limits.DialedConnections}),
+		Bodies:      s.node.bodies(),
 		Local:       local,
 		OnDraining:  s.onDraining,
 		Metrics:     s.node.proxyMetrics(),
 		Tracer:      s.node.tracer(),
 		DecisionLog: s.node.callDecisionLog(),
 	}
-	server := proxy.ServerOptions{Log: s.node.log}
+	server := proxy.ServerOptions{Log: s.node.log, Bodies: opts.Bodies, Conns: s.node.clients.conns}
 	if s.node.settings.Platform != nil {
 		opts.HeaderFormat = platform.HeaderFormat{}
 		opts.Caller = func() string { return s.node.liveSettings.Load().Platform.Service }
-		opts.Responses, opts.Bodies = platformResponses, platformBodies
+		opts.Responses = platformResponses
 		opts.Retries = proxy.RetryOptions{BudgetPercent: 15, BudgetCapacity: 4, FreeRetries: 3}
-		server.MaxPipelined, server.Bodies, server.Limits = maxPipelined, platformBodies, s.node.callerLimits
+		server.MaxPipelined, server.Limits = maxPipelined, s.node.callerLimits
 	}
 	s.node.outbound = proxy.NewOutbound(opts)
 	return s.listen(nameOutbound, s.node.settings.Listen.Outbound, proxy.NewConnServer(s.node.outbound, server))
@@ -123,10 +125,11 @@
 
 // On the platform, request and response bodies of the usual sizes are buffered
 // completely, so that a call can be retried when its transfer is interrupted.
-var (
-	platformResponses = proxy.ResponseOptions{BufferBytes: 256 << 10}
-	platformBodies    = proxy.BodyOptions{MaxBuffered: 4 << 20, BufferUnsized: true}
-)
+var platformResponses = proxy.ResponseOptions{BufferBytes: 256 << 10}
+
+// platformBufferedBytes is the size up to which request bodies are buffered on the
+// platform while there is memory for them.
+const platformBufferedBytes = 4 << 20
 
 const (
 	bytesPerMbit = 1e6 / 8
@@ -187,6 +190,7 @@
 			QueueTimeout: time.Duration(t.QueueMs) * time.Millisecond,
 		}),
 		Ledger:      s.ledger,
+		Bodies:      s.node.bodies(),
 		DecisionLog: s.node.callDecisionLog(),
 		Metrics:     s.node.proxyMetrics(),
 		Tracer:      s.node.tracer(),
@@ -202,7 +206,7 @@
 		Tracer:       s.node.tracer(),
 		DecisionLog:  s.node.callDecisionLog(),
 		HeaderFormat: platform.HeaderFormat{},
-		Responses:    platformResponses, Bodies: platformBodies, CloseDelimited: true,
+		Responses:    platformResponses, Bodies: s.node.bodies(), CloseDelimited: true,
 		OnWrongTarget: s.node.target.onWrongTarget,
 		Link:          admit.NewLink(s.node.settings.Platform.LinkMbps * bodyShareOfLink * bytesPerMbit),
 	})
@@ -213,7 +217,8 @@
 	if s.member, err = kernel.Lookup[*memberService](k, nameMember); err != nil {
 		return err
 	}
-	return s.listen(nameInbound, s.node.settings.Listen.Inbound, proxy.NewConnServer(s.handler(), proxy.ServerOptions{}))
+	return s.listen(nameInbound, s.node.settings.Listen.Inbound, proxy.NewConnServer(s.handler(),
+		proxy.ServerOptions{Log: s.node.log, Bodies: s.node.bodies(), Conns: s.node.clients.conns}))
 }
 
 // Stop refuses new calls, announces the drain and waits for the calls in
--- a/node/node.go
+++ b/node/node.go
@@ -34,6 +34,7 @@
 	dir          *member.Directory
 	kernel       *kernel.Kernel
 
+	clients     *clientLimits
 	callMetrics *proxy.Metrics
 	decisionLog *proxy.DecisionLog
 	stateLog    *stateLog
@@ -56,6 +57,7 @@
 	n.stateLog = newStateLog(n.log)
 	n.dir.OnChange(n.stateLog.logMembers)
 	exportState(n)
+	n.clients = newClientLimits(n)
 	metrics.RegisterSet(n.metrics)
 	for _, svc := range n.services() {
 		if err := n.kernel.Register(svc); err != nil {
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"siskingw/budget"
 )
 
 const (
@@ -21,9 +23,12 @@
 
 // body is the body of a call's request: empty, buffered in memory or streamed.
 type body struct {
-	buf      []byte // reused between calls
-	reader   *bytes.Reader
-	closer   io.ReadCloser // of reader
+	content  *bodyBuffer // the whole body if it is buffered
+	own      bodyBuffer  // used unless the server has buffered the body
+	src      io.Reader   // reads content from its beginning, for the current attempt
+	large    bufferReader
+	small    *bytes.Reader // reused between calls, as its closer
+	closer   io.ReadCloser // of small
 	buffered bool
 	streamed bool
 	consumed atomic.Bool // a byte of a streamed body may have been read
@@ -34,17 +39,23 @@
 type BodyOptions struct {
 	MaxBuffered   int64 // largest buffered body in bytes; default 64 KB
 	BufferUnsized bool  // also buffer bodies without a Content-Length
+	// StreamSlotPercent is the share of a target's slots that calls with streamed
+	// bodies may occupy; 0 for all of them.
+	StreamSlotPercent int
+	// Budget bounds the memory of calls. A body for which it has no memory is
+	// streamed. A nil budget has no limits.
+	Budget *budget.Budget
 }
 
 // bufferOrStream decides whether the body is buffered or streamed, and buffers
 // it in the first case. It refuses a Content-Length above maxBytes, unless
-// maxBytes is 0.
+// maxBytes is 0, and a body that cannot be streamed for lack of memory.
 func (b *body) bufferOrStream(w http.ResponseWriter, r *http.Request, maxBytes int64, opts BodyOptions) *refusal {
 	if opts.MaxBuffered == 0 {
 		opts.MaxBuffered = defaultMaxBufferedBytes
 	}
 	if read, ok := r.Body.(*bufferedBody); ok {
-		b.buf, b.buffered = read.content, true
+		b.content, b.buffered = &read.content, true
 	}
 	switch {
 	case r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0:
@@ -54,34 +65,50 @@
 			reason: "the body is too large"}
 	case b.buffered:
 		return nil
-	case r.ContentLength > opts.MaxBuffered || r.ContentLength < 0 && !opts.BufferUnsized:
-		b.streamed = true
+	case r.ContentLength > opts.MaxBuffered || r.ContentLength < 0 && !opts.BufferUnsized || wasBegun(r.Body):
+		return b.stream(holdOf(w))
+	}
+	return b.buffer(w, r, opts.MaxBuffered)
+}
+
+// streamBytes is the memory counted for a streamed body: the block through which it
+// is copied, and the buffers and the stack of the connection to the next hop.
+const streamBytes = 64 << 10
+
+// stream selects streaming. It refuses the call, before its body is read, when there
+// is no memory even for that.
+func (b *body) stream(hold *budget.Hold) *refusal {
+	b.streamed = true
+	if hold.Grow(streamBytes) {
 		return nil
-	case r.ContentLength < 0:
-		return b.bufferUnsized(w, r, opts.MaxBuffered)
 	}
-	return b.bufferSized(w, r)
+	f := notRun(causeMemory, "the node has no memory for the body", nil)
+	f.closeConn = true
+	return f
 }
 
-// bufferUnsized buffers a body without a Content-Length. One that turns out to
-// be larger than limit bytes is streamed instead, beginning with the part that
-// was read.
-func (b *body) bufferUnsized(w http.ResponseWriter, r *http.Request, limit int64) *refusal {
+// buffer reads the body into memory. One that is larger than limit bytes, or for which
+// there is no memory, is streamed instead, beginning with the part that was read.
+func (b *body) buffer(w http.ResponseWriter, r *http.Request, limit int64) *refusal {
+	hold := holdOf(w)
+	b.own.size, b.own.hold = 0, hold
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(stallTimeout)) // httptest.ResponseRecorder has no deadlines
-	got, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	complete, err := b.own.readFrom(r.Body, int(limit))
+	if err == nil && complete && r.ContentLength >= 0 && int64(b.own.size) != r.ContentLength {
+		err = io.ErrUnexpectedEOF
+	}
 	if err != nil {
 		return &refusal{status: http.StatusRequestTimeout, outcome: OutcomeNotRun, cause: causeBody,
 			reason: reasonWithError("the body did not arrive", err)}
 	}
 	_ = rc.SetReadDeadline(time.Time{})
-	if int64(len(got)) > limit {
-		r.Body = readCloser{io.MultiReader(bytes.NewReader(got), r.Body), r.Body}
-		b.streamed = true
+	if !complete {
+		r.Body = begunBody(&b.own, r.Body)
 		b.consumed.Store(true)
-		return nil
+		return b.stream(hold)
 	}
-	b.buf, b.buffered = got, true
+	b.content, b.buffered = &b.own, true
 	return nil
 }
 
@@ -91,22 +118,17 @@
 	io.Closer
 }
 
-// bufferSized reads a body with a Content-Length into memory.
-func (b *body) bufferSized(w http.ResponseWriter, r *http.Request) *refusal {
-	n := int(r.ContentLength)
-	if cap(b.buf) < n {
-		b.buf = make([]byte, max(n, connBufferBytes))
-	}
-	b.buf = b.buf[:n]
-	rc := http.NewResponseController(w)
-	_ = rc.SetReadDeadline(time.Now().Add(stallTimeout)) // httptest.ResponseRecorder has no deadlines
-	if _, err := io.ReadFull(r.Body, b.buf); err != nil {
-		return &refusal{status: http.StatusRequestTimeout, outcome: OutcomeNotRun, cause: causeBody,
-			reason: reasonWithError("the body did not arrive", err)}
-	}
-	_ = rc.SetReadDeadline(time.Time{})
-	b.buffered = true
-	return nil
+// begunBody returns a body that begins with what was buffered of it. The blocks are
+// released as they are read.
+func begunBody(begin *bodyBuffer, rest io.ReadCloser) io.ReadCloser {
+	return readCloser{io.MultiReader(&bufferReader{buffer: begin, consumes: true}, rest), rest}
+}
+
+// wasBegun reports whether the server has read a part of the body already, and found
+// that it cannot be buffered.
+func wasBegun(body io.ReadCloser) bool {
+	read, ok := body.(*requestBody)
+	return ok && read.begun
 }
 
 // replayable reports whether the whole body can be sent again.
@@ -116,13 +138,8 @@
 func (b *body) attach(out *http.Request, in *http.Request) {
 	switch {
 	case b.buffered:
-		if b.closer == nil {
-			b.reader = bytes.NewReader(b.buf)
-			b.closer = io.NopCloser(b.reader)
-		}
-		b.reader.Reset(b.buf)
-		out.Body = b.closer
-		out.ContentLength = int64(len(b.buf))
+		out.Body = b.reader()
+		out.ContentLength = int64(b.content.size)
 	case b.streamed:
 		out.Body = in.Body
 		out.ContentLength = in.ContentLength
@@ -134,3 +151,41 @@
 		out.Body = http.NoBody
 	}
 }
+
+// reader returns a reader of the whole buffered body.
+func (b *body) reader() io.ReadCloser {
+	if len(b.content.blocks) > 1 {
+		b.large = bufferReader{buffer: b.content}
+		b.src = &b.large
+		return &b.large
+	}
+	// Request.Write sends the header and the body in one packet only for a reader of
+	// package bytes or strings.
+	if b.closer == nil {
+		b.small = new(bytes.Reader)
+		b.closer = io.NopCloser(b.small)
+	}
+	b.small.Reset(b.content.part(0))
+	b.src = b.small
+	return b.closer
+}
+
+// bufferedBytes returns the size of the buffered body, 0 for another one.
+func (b *body) bufferedBytes() int {
+	if !b.buffered {
+		return 0
+	}
+	return b.content.size
+}
+
+// release returns the memory of the body and prepares b for another call.
+func (b *body) release() {
+	b.own.release()
+	b.own.size, b.own.hold = 0, nil
+	b.content, b.src, b.large = nil, nil, bufferReader{}
+	if b.small != nil {
+		b.small.Reset(nil)
+	}
+	b.buffered, b.streamed = false, false
+	b.consumed.Store(false)
+}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -73,16 +73,15 @@
 // release returns the call to the pool. It must not be called while an upload is
 // active.
 func (c *call) release() {
-	header, buf, reader, closer := c.outHeader, c.body.buf, c.body.reader, c.body.closer
-	if cap(buf) > defaultMaxBufferedBytes {
-		buf = nil
-		if reader != nil {
-			reader.Reset(nil)
-		}
+	header := c.outHeader
+	c.body.release()
+	blocks, small, closer := c.body.own.blocks, c.body.small, c.body.closer // empty, kept to avoid allocations
+	if cap(blocks) > 1 {
+		blocks = nil
 	}
 	clear(header)
 	*c = call{outHeader: header}
-	c.body.buf, c.body.reader, c.body.closer = buf, reader, closer
+	c.body.own.blocks, c.body.small, c.body.closer = blocks, small, closer
 	callPool.Put(c)
 }
 
--- a/proxy/cause.go
+++ b/proxy/cause.go
@@ -26,6 +26,8 @@
 	causeAnswerLost   cause = "answer_lost"   // part of the request or all of it was sent, but no valid response header arrived
 	causeAnswerCut    cause = "answer_cut"    // the response broke off before its end
 	causeKey          cause = "key"           // the call was refused because of its idempotency key
+	causeMemory       cause = "memory"        // the node has no memory for the call's bodies
+	causeStreams      cause = "streams"       // too many calls hold slots of the target while their bodies arrive
 	causeOtherNode    cause = "node"          // another node refused without a known cause
 )
 
@@ -33,7 +35,7 @@
 var allCauses = append([]cause{
 	causeBadRequest, causeBody, causeCallerGone, causeNoConfig, causeNoRoute, causeNoTime, causeNoEndpoint,
 	causeAllFull, causeStopping, causeNoTarget, causeOtherService, causeTarget, causeUnreachable, causeUnsent,
-	causeAnswerLost, causeAnswerCut, causeKey, causeOtherNode,
+	causeAnswerLost, causeAnswerCut, causeKey, causeMemory, causeStreams, causeOtherNode,
 }, gateCauses()...)
 
 // gateCauses returns the causes of refusals by the admission gate.
--- a/proxy/connserver.go
+++ b/proxy/connserver.go
@@ -14,6 +14,7 @@
 
 	"golang.org/x/net/http/httpguts"
 
+	"siskingw/budget"
 	"siskingw/errdefs"
 )
 
@@ -84,6 +85,8 @@
 		c := &serverConn{server: s, Conn: nc}
 		if s.track(c) {
 			go c.serve()
+		} else {
+			s.opts.Bodies.Budget.EvictStalled()
 		}
 	}
 }
@@ -131,6 +134,12 @@
 		c.Close()
 		return false
 	}
+	if !s.opts.Conns.add() && !s.makeRoom(c) {
+		s.opts.Conns.remove()
+		c.Close()
+		return false
+	}
+	c.idleSince = time.Now()
 	s.conns[c] = struct{}{}
 	return true
 }
@@ -139,7 +148,10 @@
 func (s *ConnServer) untrack(c *serverConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, c)
+	if _, tracked := s.conns[c]; tracked { // not closed by makeRoom
+		delete(s.conns, c)
+		s.opts.Conns.remove()
+	}
 	s.signalAllClosed()
 }
 
@@ -200,9 +212,11 @@
 type serverConn struct {
 	net.Conn
 	server          *ConnServer
-	busy            bool // a request is being read or served; guarded by server.mu
-	headerBytesLeft int  // bytes that may still be read of a request header; -1 in the body
+	busy            bool      // a request is being read or served; guarded by server.mu
+	idleSince       time.Time // when it became idle; guarded by server.mu
+	headerBytesLeft int       // bytes that may still be read of a request header; -1 in the body
 	br              *bufio.Reader
+	owner           string // IP address of the client
 	w               responseWriter
 	body            requestBody // of the current request
 }
@@ -225,7 +239,9 @@
 func (c *serverConn) setBusy(busy bool) bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.busy = busy
+	if c.busy = busy; !busy {
+		c.idleSince = time.Now()
+	}
 	return !c.server.closing
 }
 
@@ -322,6 +338,13 @@
 // serveRequest runs the handler for a request that is not pipelined. It reports
 // whether the connection can be reused.
 func (c *serverConn) serveRequest(r *http.Request) (reuse bool) {
+	c.w.hold = c.openHold()
+	defer c.w.hold.Close()
+	if !c.w.hold.Grow(headerBytes(r)) {
+		c.w.reject(http.StatusServiceUnavailable)
+		c.lingerBeforeClose()
+		return false
+	}
 	return c.runHandler(&c.w, &c.body, r)
 }
 
@@ -338,8 +361,9 @@
 			}
 		}
 	}()
-	*body = requestBody{w: w, body: r.Body, eof: r.ContentLength == 0,
+	*body = requestBody{w: w, body: &meteredBody{r.Body, w.hold}, eof: r.ContentLength == 0,
 		sendContinue: r.Header.Get("Expect") != "" && r.ProtoMinor > 0}
+	_, body.begun = r.Body.(begunRequestBody)
 	if _, ok := r.Body.(*bufferedBody); ok {
 		body.eof = true
 	} else {
@@ -358,6 +382,36 @@
 	return !w.closeAfter && !r.Close
 }
 
+// openHold returns what counts the memory of a request; nil without a budget. A client
+// that is evicted finds that its connection is not read any longer.
+func (c *serverConn) openHold() *budget.Hold {
+	if c.owner == "" {
+		c.owner, _, _ = net.SplitHostPort(c.RemoteAddr().String()) // empty for an address without a port
+	}
+	return c.server.opts.Bodies.Budget.Open(c.owner, func() {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	})
+}
+
+const (
+	// callBytes is the memory counted for each request besides its header and body.
+	callBytes = 2 << 10
+	// headerFieldBytes is the memory counted for a header field besides its name and
+	// value: its entries in the two headers of a call.
+	headerFieldBytes = 200
+)
+
+// headerBytes returns the memory, in bytes, counted for a request without its body.
+func headerBytes(r *http.Request) int {
+	n := callBytes + 2*len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += headerFieldBytes + len(name) + len(v)
+		}
+	}
+	return n
+}
+
 // lingerBeforeClose closes the sending side and discards what the peer still
 // sends, so that the peer can read a response that was sent before the end of
 // its request: closing a connection with unread bytes would reset it.
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -132,8 +132,8 @@
 //
 //siskingw:step send
 func (x *exchange) send(c *call) error {
-	if len(c.body.buf) > backgroundBodyBytes && c.body.buffered {
-		x.awaitContinue = x.awaitContinue && len(c.body.buf) > expectContinueBytes
+	if size := c.body.bufferedBytes(); size > backgroundBodyBytes {
+		x.awaitContinue = x.awaitContinue && size > expectContinueBytes
 		if x.awaitContinue {
 			c.outHeader["Expect"] = expectContinue
 		}
@@ -216,12 +216,13 @@
 	BufferBytes int
 }
 
-// bufferResponse buffers the response body up to limit bytes. If it returns a
-// refusal, the exchange has ended.
+// bufferResponse buffers the response body up to limit bytes, or as far as there is
+// memory for it. If it returns a refusal, the exchange has ended.
 func (x *exchange) bufferResponse(c *call, limit int) *refusal {
 	if limit == 0 || c.r.Method == http.MethodHead || x.resp.Body == http.NoBody {
 		return nil
 	}
+	x.bodyPrefix.hold = holdOf(c.w)
 	complete, err := x.bodyPrefix.readFrom(x.resp.Body, limit)
 	if err != nil {
 		x.bodyPrefix.release()
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -262,6 +262,9 @@
 	if f := c.refuseIfCut(lateness.Probability(b.Gate.ClassServiceTime(c.work.class), c.timeLeft())); f != nil {
 		return nil, f
 	}
+	if f := in.takeStreamSlot(c, b); f != nil {
+		return nil, f
+	}
 	c.gateCtx = deadlineContext{Context: c.ctx, deadline: c.deadline}
 	var ticket *admit.Ticket
 	var err error
@@ -280,6 +283,7 @@
 
 // gateRefusal returns the refusal for a call that the gate did not admit.
 func (in *Inbound) gateRefusal(c *call, b *Backend, err error) *refusal {
+	in.opts.Bodies.Budget.EvictFromSlots()
 	f := notRun(cause(admit.Cause(err)), "the target's node refuses the call", err)
 	f.retryAfter = b.Gate.ExpectedWait(c.work.priority)
 	f.overloaded = true
--- a/proxy/pipeline.go
+++ b/proxy/pipeline.go
@@ -7,6 +7,10 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/joomcode/errorx"
+
+	"siskingw/errdefs"
 )
 
 // pipeline serves the pipelined requests of one connection concurrently and
@@ -75,8 +79,19 @@
 		return nil, false
 	}
 	c.headerBytesLeft = -1
-	w := &responseWriter{conn: c, bw: c.w.bw, header: make(http.Header), previousDone: previousDone}
-	if !p.bufferBody(w, r) {
+	hold := c.openHold()
+	if !hold.Grow(headerBytes(r)) {
+		hold.Close()
+		<-previousDone
+		c.w.reject(http.StatusServiceUnavailable)
+		c.lingerBeforeClose()
+		p.endRequest(limits.IdleTimeout)
+		return nil, false
+	}
+	w := &responseWriter{conn: c, bw: c.w.bw, header: make(http.Header), previousDone: previousDone, hold: hold}
+	if err := p.bufferBody(w, r); err != nil {
+		hold.Close()
+		p.rejectSlowBody(err, previousDone)
 		p.endRequest(limits.IdleTimeout)
 		return nil, false
 	}
@@ -96,40 +111,54 @@
 
 // bufferedBody is a request body that the server has buffered.
 type bufferedBody struct {
-	bytes.Reader
-	content []byte
+	bufferReader
+	content bodyBuffer
 }
 
-// Close implements io.Closer.
-func (*bufferedBody) Close() error { return nil }
+// begunRequestBody is a request body of which the server has buffered a part.
+type begunRequestBody struct{ io.ReadCloser }
 
-// bufferBody buffers the request body if the options allow it, and leaves a
-// larger one to be streamed. It returns false when the body could not be read.
-func (p *pipeline) bufferBody(w *responseWriter, r *http.Request) bool {
+// bufferBody buffers the request body if the options allow it and there is memory for
+// it, and leaves another one to be streamed. It returns an error when the body could not
+// be read.
+func (p *pipeline) bufferBody(w *responseWriter, r *http.Request) error {
 	limit := p.conn.server.opts.Bodies.MaxBuffered
 	switch {
 	case r.Body == http.NoBody || r.ContentLength == 0:
 		r.Body = http.NoBody
-		return true
+		return nil
 	case r.ContentLength > limit || r.ContentLength < 0 && !p.conn.server.opts.Bodies.BufferUnsized:
-		return true
+		return nil
 	case r.Header.Get("Expect") != "":
-		return true // 100 Continue must be sent in order, by the handler's first read
+		return nil // 100 Continue must be sent in order, by the handler's first read
 	}
 	_ = p.conn.SetReadDeadline(time.Now().Add(stallTimeout)) // fails only on a closed connection
-	size := max(r.ContentLength, 0)
-	buf := bytes.NewBuffer(make([]byte, 0, size+bytes.MinRead))
-	if _, err := buf.ReadFrom(io.LimitReader(r.Body, limit+1)); err != nil {
-		return false
+	b := &bufferedBody{content: bodyBuffer{hold: w.hold}}
+	complete, err := b.content.readFrom(&meteredBody{r.Body, w.hold}, int(limit))
+	if err != nil {
+		b.content.release()
+		return err
+	}
+	if !complete {
+		r.Body = begunRequestBody{begunBody(&b.content, r.Body)}
+		return nil
+	}
+	b.buffer = &b.content
+	r.Body, r.ContentLength, r.TransferEncoding = b, int64(b.content.size), nil
+	return nil
+}
+
+// rejectSlowBody answers a request whose body did not arrive in time, after the
+// responses to earlier requests. A client that has closed its connection gets no answer.
+func (p *pipeline) rejectSlowBody(err error, previousDone <-chan struct{}) {
+	if !isTimeout(err) && !errorx.IsOfType(err, errdefs.Timeout) {
+		return
 	}
-	if int64(buf.Len()) > limit {
-		r.Body = readCloser{io.MultiReader(buf, r.Body), r.Body}
-		return true
+	<-previousDone
+	if !p.isClosing() {
+		p.conn.w.reject(http.StatusRequestTimeout)
+		p.conn.lingerBeforeClose()
 	}
-	b := &bufferedBody{content: buf.Bytes()}
-	b.Reset(b.content)
-	r.Body, r.ContentLength, r.TransferEncoding = b, int64(len(b.content)), nil
-	return true
 }
 
 // serve runs the handler, and closes the connection after the response if it
@@ -137,7 +166,12 @@
 func (p *pipeline) serve(w *responseWriter, r *http.Request, done chan struct{}) {
 	c := p.conn
 	_ = c.SetWriteDeadline(time.Now().Add(stallTimeout)) // fails only on a closed connection
+	body := r.Body
 	reuse := c.runHandler(w, new(requestBody), r)
+	if read, ok := body.(*bufferedBody); ok {
+		read.content.release()
+	}
+	w.hold.Close()
 	if !reuse {
 		p.mu.Lock()
 		p.closing = true
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -13,6 +13,7 @@
 // PoolOptions configures a Pool. Zero values select the defaults.
 type PoolOptions struct {
 	MaxPerAddress int           // open connections to one address; default 120
+	MaxOpen       int           // open connections in all; default 0: no limit
 	IdleTimeout   time.Duration // closes connections that were idle for longer; default 30 s
 	DialTimeout   time.Duration // default 400 ms
 	// UnackedTimeout closes a connection whose peer has acknowledged no data
@@ -39,6 +40,7 @@
 
 	mu        sync.Mutex
 	byAddr    map[string]*addrConns
+	open      int         // connections to all addresses
 	idleTimer *time.Timer // closes idle connections; nil while none is idle
 	closed    bool
 }
@@ -115,7 +117,12 @@
 	if conns.open >= p.opts.MaxPerAddress {
 		return nil, errdefs.NotRun.New("all %d connections to %s are in use", conns.open, addr)
 	}
+	if p.opts.MaxOpen > 0 && p.open >= p.opts.MaxOpen && !p.closeOneIdle() {
+		p.forgetUnused(addr)
+		return nil, errdefs.NotRun.New("all %d connections to other addresses are in use", p.open)
+	}
 	conns.open++
+	p.open++
 	return nil, nil
 }
 
@@ -135,13 +142,36 @@
 func (p *Pool) release(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	conns := p.byAddr[addr]
-	conns.open--
-	if conns.open == 0 {
+	p.byAddr[addr].open--
+	p.open--
+	p.forgetUnused(addr)
+}
+
+// forgetUnused forgets an address without connections. The caller holds p.mu.
+func (p *Pool) forgetUnused(addr string) {
+	if p.byAddr[addr].open == 0 {
 		delete(p.byAddr, addr)
 	}
 }
 
+// closeOneIdle closes an idle connection to any address. It reports whether there was
+// one. The caller holds p.mu.
+func (p *Pool) closeOneIdle() bool {
+	for addr, conns := range p.byAddr {
+		if len(conns.idle) == 0 {
+			continue
+		}
+		c := conns.idle[0]
+		conns.idle = append(conns.idle[:0], conns.idle[1:]...)
+		c.Close()
+		conns.open--
+		p.open--
+		p.forgetUnused(addr)
+		return true
+	}
+	return false
+}
+
 // discard closes a connection that must not be reused.
 func (p *Pool) discard(c *conn) {
 	c.Close()
--- a/proxy/responsewriter.go
+++ b/proxy/responsewriter.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"siskingw/budget"
 	"siskingw/errdefs"
 )
 
@@ -19,9 +20,33 @@
 	w            *responseWriter // writer of the same request
 	body         io.ReadCloser
 	eof          bool
+	begun        bool // the server has buffered a part of it and found that it cannot be buffered
 	sendContinue bool // 100 Continue is still to be sent
 }
 
+// meteredBody reads a request body, and counts the time that it waits for the client.
+type meteredBody struct {
+	io.ReadCloser
+	hold *budget.Hold
+}
+
+// Read implements io.Reader. It returns a Timeout error when the client was evicted
+// because it does not send.
+func (b *meteredBody) Read(p []byte) (int, error) {
+	if b.hold.Evicted() {
+		return 0, errClientStalled
+	}
+	b.hold.BeginWait()
+	n, err := b.ReadCloser.Read(p)
+	b.hold.EndWait(n)
+	if b.hold.Evicted() {
+		return n, errClientStalled
+	}
+	return n, err
+}
+
+var errClientStalled = errdefs.Timeout.New("the client does not send its body, and others need the memory or the target")
+
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
 	if b.sendContinue {
@@ -46,6 +71,7 @@
 // connection.
 type responseWriter struct {
 	conn        *serverConn
+	hold        *budget.Hold // what the call holds; nil without a budget
 	header      http.Header
 	headRequest bool // the request method is HEAD
 	http10      bool // the request is HTTP/1.0
@@ -62,6 +88,14 @@
 	previousDone  <-chan struct{} // closed when the previous response was sent; nil without pipelining
 }
 
+// holdOf returns what counts the memory of a call; nil if nothing does.
+func holdOf(w http.ResponseWriter) *budget.Hold {
+	if rw, ok := w.(*responseWriter); ok {
+		return rw.hold
+	}
+	return nil
+}
+
 // waitForPrevious blocks until the responses to earlier requests were sent.
 func (w *responseWriter) waitForPrevious() {
 	if w.previousDone != nil {
@@ -229,6 +263,9 @@
 // server rejects before it calls the handler.
 func (w *responseWriter) reject(status int) {
 	w.writeStatusLine(status)
+	if status == http.StatusServiceUnavailable {
+		w.bw.WriteString("Retry-After: 1\r\n")
+	}
 	w.bw.WriteString(HeaderOutcome + ": " + OutcomeNotRun + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 	_ = w.bw.Flush() // the connection is closed in any case
 }
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -21,8 +21,9 @@
 	// ConnServer serves concurrently; by default they are served one by one.
 	MaxPipelined int
 	// Bodies selects the request bodies that a ConnServer buffers when
-	// MaxPipelined is above 1.
+	// MaxPipelined is above 1, and bounds the memory of all requests.
 	Bodies BodyOptions
+	Conns  *ConnLimit // bounds the open connections of a ConnServer; nil for no limit
 	// Limits returns the current limits, which may change while the server runs.
 	// Zero values select the fixed ones above. It may be nil.
 	Limits func() ServerLimits
--- a/proxy/upload.go
+++ b/proxy/upload.go
@@ -53,7 +53,7 @@
 		src: c.r.Body, buffered: c.body.buffered, awaitContinue: expect,
 	}
 	if u.buffered {
-		u.src = c.body.reader
+		u.src = c.body.src
 	}
 	_ = u.rc.EnableFullDuplex() // fails only on httptest.ResponseRecorder
 	c.outReq.Body = u
--- a/settings/check.go
+++ b/settings/check.go
@@ -52,6 +52,7 @@
 	if s.Platform != nil {
 		c.platform(s)
 	}
+	c.limits(&s.Limits)
 	c.within("log.verbosity", s.Log.Verbosity, 0, maxVerbosity)
 	if s.Trace.SampleRatio < 0 || s.Trace.SampleRatio > 1 {
 		c.add("trace.sampleRatio", "must be from 0 to 1")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -26,6 +26,7 @@
 	Log       Log       `json:"log"`
 	Trace     Trace     `json:"trace"`
 	Stop      Stop      `json:"stop"`
+	Limits    Limits    `json:"limits"`
 	Platform  *Platform `json:"platform,omitempty"` // absent on a node outside the users' platform
 }
 
@@ -189,6 +190,7 @@
 	if t := s.Target; t != nil {
 		t.fillDefaults()
 	}
+	s.Limits.fillDefaults(s.Platform)
 	if s.Platform != nil {
 		s.addSeedHosts()
 	}
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -19,6 +19,10 @@
 	EventTargetJudged      = "target judged"
 	EventMemberChanged     = "member changed"
 
+	// Clients outside the limits.
+	EventClientStalled     = "stalled client closed"
+	EventConnectionRefused = "connection refused, too many are open"
+
 	// Configuration and the store.
 	EventVersion    = "version in force"
 	EventStoreLost  = "store is lost"
