budget, proxy: bound what a node holds for its calls

Cause: clients outside the limits ended a process. Larger bodies were streamed while they held a slot of the target, for 30 s after they had stopped.

Ruled out: a minimum rate for every body.

A body without memory is streamed and its call gives up its right to be repeated; a quarter is kept for calls below 64 KiB; a call without any memory is refused, 503 with Retry-After and not-run, before its body is read. Only then, and when a call finds no slot or connection, are clients closed that neither send nor read for 3 s. Client connections and connections to other nodes are bounded by descriptors and memory; the one that is idle or without a whole header for longest makes room.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -50,11 +50,14 @@
 	denied  atomic.Int64
 	evicted atomic.Int64
 
-	mu      sync.Mutex
-	used    int64 // bytes
-	slots   int   // Holds that occupy a slot of the target
-	holds   map[*Hold]struct{}
-	sweptAt time.Time
+	mu    sync.Mutex
+	used  int64 // bytes
+	slots int   // Holds that occupy a slot of the target
+	holds map[*Hold]struct{}
+
+	// Times of the last searches: for memory, in the target's slots, and for excess
+	// stalled Holds.
+	sweptAt, slotsSweptAt, countedAt time.Time
 }
 
 // New returns an empty budget.
@@ -84,9 +87,9 @@
 
 // Open returns a Hold of no bytes for a call of owner, an address. evict is called at
 // most once, from any goroutine, while the call waits for its client and must end
-// because the client does not send. It must not block nor use the Hold. Open returns
-// nil for a nil budget.
-func (b *Budget) Open(owner string, evict func()) *Hold {
+// because the client neither sends nor reads. It must not block nor use the Hold. Open
+// returns nil for a nil budget.
+func (b *Budget) Open(owner string, evict func(Direction)) *Hold {
 	if b == nil {
 		return nil
 	}
@@ -99,11 +102,16 @@
 	return h
 }
 
-// grow counts n more bytes for h. It reports whether they are available.
-func (b *Budget) grow(h *Hold, n int64) bool {
+// grow counts n more bytes for h, of the part for large Holds if large is set. It reports
+// whether they are available.
+func (b *Budget) grow(h *Hold, n int64, large bool) bool {
 	b.mu.Lock()
+	if _, open := b.holds[h]; !open {
+		b.mu.Unlock()
+		return false
+	}
 	limit := b.limits.Bytes
-	if limit > 0 && h.bytes+n > smallBytes {
+	if large || h.bytes+n > smallBytes {
 		limit -= limit * reservePercent / 100
 	}
 	if limit == 0 || b.used+n <= limit {
@@ -132,11 +140,12 @@
 // stalled Holds that occupy slots, when limit of them are occupied.
 func (b *Budget) takeSlot(h *Hold, limit int) bool {
 	b.mu.Lock()
-	if h.hasSlot || b.slots < limit {
+	_, open := b.holds[h]
+	if open && (h.hasSlot || b.slots < limit) {
 		if !h.hasSlot {
 			b.slots++
 		}
-		h.hasSlot = true
+		h.hasSlot, h.atTarget = true, true
 		b.mu.Unlock()
 		return true
 	}
@@ -154,9 +163,9 @@
 	}
 	b.mu.Lock()
 	var victims []*Hold
-	if b.slots > 0 && b.beginSweep(time.Now()) {
+	if b.beginSweep(&b.slotsSweptAt, time.Now()) {
 		for _, s := range b.stalled(time.Now()) {
-			if s.hold.hasSlot {
+			if s.hold.atTarget {
 				victims = append(victims, s.hold)
 			}
 		}
--- a/budget/stalled.go
+++ b/budget/stalled.go
@@ -11,13 +11,13 @@
 	wait time.Duration // time waited for the client since it last kept the rate
 }
 
-// beginSweep reports whether enough time has passed since the last search. The caller
-// holds b.mu.
-func (b *Budget) beginSweep(now time.Time) bool {
-	if b.limits.StallTime <= 0 || now.Sub(b.sweptAt) < sweepInterval {
+// beginSweep reports whether enough time has passed since the last search at *last. The
+// caller holds b.mu.
+func (b *Budget) beginSweep(last *time.Time, now time.Time) bool {
+	if b.limits.StallTime <= 0 || now.Sub(*last) < sweepInterval {
 		return false
 	}
-	b.sweptAt = now
+	*last = now
 	return true
 }
 
@@ -26,7 +26,7 @@
 func (b *Budget) stalled(now time.Time) []stalledHold {
 	var found []stalledHold
 	for h := range b.holds {
-		if wait := h.waited(now); wait >= b.limits.StallTime && !h.evicted.Load() {
+		if wait, _ := h.waited(now); wait >= b.limits.StallTime && !h.evicted.Load() {
 			found = append(found, stalledHold{h, wait})
 		}
 	}
@@ -37,7 +37,7 @@
 // stalledBytes returns stalled Holds that hold at least want bytes in all, or all of
 // them. The caller holds b.mu.
 func (b *Budget) stalledBytes(now time.Time, want int64) []*Hold {
-	if !b.beginSweep(now) {
+	if !b.beginSweep(&b.sweptAt, now) {
 		return nil
 	}
 	var victims []*Hold
@@ -54,7 +54,7 @@
 // caller holds b.mu.
 func (b *Budget) excessStalled(now time.Time) []*Hold {
 	maxAll, maxOwner := b.limits.MaxStalled, b.limits.MaxStalledPerOwner
-	if maxAll <= 0 || len(b.holds) <= min(maxAll, maxOwner) || !b.beginSweep(now) {
+	if maxAll <= 0 || len(b.holds) <= min(maxAll, maxOwner) || !b.beginSweep(&b.countedAt, now) {
 		return nil
 	}
 	found := b.stalled(now)
--- a/e2e/crowd/cluster_test.go
+++ b/e2e/crowd/cluster_test.go
@@ -63,6 +63,7 @@
 	callers *node
 	targets *node
 	client  *http.Client
+	header  http.Header // added to ordinary requests
 }
 
 // startCluster starts the processes, waits until a call is served, and stops them at
@@ -189,6 +190,9 @@
 	if chunked {
 		req.ContentLength = -1
 	}
+	for name, values := range c.header {
+		req.Header[name] = values
+	}
 	id := fmt.Sprintf("ordinary-%d", time.Now().UnixNano())
 	standin.SetAttemptHeaders(req.Header, id, 30*time.Second)
 	resp, err := c.client.Do(req)
--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -227,3 +227,35 @@
 func TestWholeBodiesInbound(t *testing.T)  { checkCrowd(t, inbound, whole) }
 func TestBodyPiecesOutbound(t *testing.T)  { checkCrowd(t, outbound, pieces) }
 func TestBodyPiecesInbound(t *testing.T)   { checkCrowd(t, inbound, pieces) }
+
+// Guards against limits on memory that the largest legal request meets: alone and in calm
+// it is served at its first try.
+func TestLargestLegalRequestInCalm(t *testing.T) {
+	c := startCluster(t)
+	usages := []*usage{watchUsage(t, c.callers), watchUsage(t, c.targets)}
+	c.header = legalHeader()
+	for _, chunked := range []bool{false, true} {
+		if err := c.call(http.MethodPost, "/scans/1", io.LimitReader(zeros{}, largestBody), largestBody, chunked); err != nil {
+			t.Errorf("chunked %v: %v", chunked, err)
+		}
+	}
+	for _, u := range usages {
+		u.check(t, "after the largest request")
+	}
+}
+
+// legalHeader returns header fields that make a request's header almost as large as the
+// configuration allows, in short fields, which take most memory.
+func legalHeader() http.Header {
+	const fields, limit = 700, 16 << 10
+	h := make(http.Header)
+	for n := range fields {
+		h.Set(fmt.Sprintf("X-%d", n), "0123456789")
+	}
+	var b bytes.Buffer
+	_ = h.Write(&b) // a Buffer returns no errors
+	if b.Len() > limit-512 {
+		panic("the header is not legal")
+	}
+	return h
+}
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -307,6 +307,8 @@
 	"unsent":           "the connection broke before anything was sent",
 	"answer_lost":      "the connection ended without an answer",
 	"answer_cut":       "the answer broke off on its way",
+	"memory":           "the node had no memory for its body",
+	"streams":          "too many calls whose bodies still arrived occupied the target",
 	"key":              "the ledger of idempotency keys refused it",
 	"node":             "another node refused it without a reason",
 	"draining":         "the target was leaving",
--- a/node/calls.go
+++ b/node/calls.go
@@ -103,7 +103,7 @@
 		Balancer: balance.New(s.node.dir, balance.Options{OnEject: s.node.stateLog.logEjection}),
 		View:     s.node.dir,
 		Pool: proxy.NewPool(proxy.PoolOptions{LocalAddr: s.node.localAddr(), UnackedTimeout: unackedTimeout,
-			MaxOpen: s.node.settings.Limits.DialedConnections}),
+			MaxOpen: s.node.settings.Limits.DialedConnections, OnFull: s.node.clients.budget.EvictStalled}),
 		Bodies:      s.node.bodies(),
 		Local:       local,
 		OnDraining:  s.onDraining,
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -65,21 +65,25 @@
 			reason: "the body is too large"}
 	case b.buffered:
 		return nil
-	case r.ContentLength > opts.MaxBuffered || r.ContentLength < 0 && !opts.BufferUnsized || wasBegun(r.Body):
-		return b.stream(holdOf(w))
+	case r.ContentLength > opts.MaxBuffered || r.ContentLength < 0 && !opts.BufferUnsized:
+		return b.stream(holdOf(w), begunBytes(r.Body))
+	case begunBytes(r.Body) > 0:
+		b.consumed.Store(true)
+		return b.stream(holdOf(w), begunBytes(r.Body))
 	}
 	return b.buffer(w, r, opts.MaxBuffered)
 }
 
 // streamBytes is the memory counted for a streamed body: the block through which it
 // is copied, and the buffers and the stack of the connection to the next hop.
-const streamBytes = 64 << 10
+const streamBytes = 48 << 10
 
 // stream selects streaming. It refuses the call, before its body is read, when there
-// is no memory even for that.
-func (b *body) stream(hold *budget.Hold) *refusal {
+// is no memory even for that. If begun bytes of the body are buffered, their memory is
+// used instead, which is returned as they are sent.
+func (b *body) stream(hold *budget.Hold, begun int) *refusal {
 	b.streamed = true
-	if hold.Grow(streamBytes) {
+	if begun >= streamBytes || hold.GrowLarge(streamBytes) {
 		return nil
 	}
 	f := notRun(causeMemory, "the node has no memory for the body", nil)
@@ -106,7 +110,7 @@
 	if !complete {
 		r.Body = begunBody(&b.own, r.Body)
 		b.consumed.Store(true)
-		return b.stream(hold)
+		return b.stream(hold, b.own.size)
 	}
 	b.content, b.buffered = &b.own, true
 	return nil
@@ -124,11 +128,13 @@
 	return readCloser{io.MultiReader(&bufferReader{buffer: begin, consumes: true}, rest), rest}
 }
 
-// wasBegun reports whether the server has read a part of the body already, and found
-// that it cannot be buffered.
-func wasBegun(body io.ReadCloser) bool {
-	read, ok := body.(*requestBody)
-	return ok && read.begun
+// begunBytes returns the size of the part that the server has buffered of a body that
+// cannot be buffered as a whole; 0 for another body.
+func begunBytes(body io.ReadCloser) int {
+	if read, ok := body.(*requestBody); ok {
+		return read.begun
+	}
+	return 0
 }
 
 // replayable reports whether the whole body can be sent again.
--- a/proxy/connlimit.go
+++ b/proxy/connlimit.go
@@ -48,14 +48,13 @@
 // favor of a new one: a client that has just connected is about to send.
 const minIdleBeforeClose = 500 * time.Millisecond
 
-// makeRoom makes room for a connection beyond the limit. It closes the connection that
-// has been idle for longest, or else evicts a client that does not send its body and
-// refuses the new connection. It reports whether the new one may stay. The caller holds
-// s.mu.
+// makeRoom makes room for a connection beyond the limit: it closes the connection that has
+// been idle, or that has been sending a header, for longest. It reports whether the new
+// one may stay. The caller holds s.mu.
 func (s *ConnServer) makeRoom(c *serverConn) bool {
 	var longest *serverConn
 	for other := range s.conns {
-		if !other.busy && (longest == nil || other.idleSince.Before(longest.idleSince)) {
+		if (!other.busy || other.readingHeader) && (longest == nil || other.idleSince.Before(longest.idleSince)) {
 			longest = other
 		}
 	}
--- a/proxy/connserver.go
+++ b/proxy/connserver.go
@@ -213,7 +213,8 @@
 	net.Conn
 	server          *ConnServer
 	busy            bool      // a request is being read or served; guarded by server.mu
-	idleSince       time.Time // when it became idle; guarded by server.mu
+	readingHeader   bool      // no request is served, and a header is being read; guarded by server.mu
+	idleSince       time.Time // when it became idle or began to read a header; guarded by server.mu
 	headerBytesLeft int       // bytes that may still be read of a request header; -1 in the body
 	br              *bufio.Reader
 	owner           string // IP address of the client
@@ -239,12 +240,17 @@
 func (c *serverConn) setBusy(busy bool) bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	if c.busy = busy; !busy {
-		c.idleSince = time.Now()
-	}
+	c.busy, c.readingHeader, c.idleSince = busy, busy, time.Now()
 	return !c.server.closing
 }
 
+// headerRead states that the request header was read.
+func (c *serverConn) headerRead() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.readingHeader = false
+}
+
 // serve serves requests until the connection ends.
 func (c *serverConn) serve() {
 	defer c.server.untrack(c)
@@ -297,6 +303,7 @@
 		return false
 	}
 	c.headerBytesLeft = -1
+	c.headerRead()
 	if c.SetWriteDeadline(time.Now().Add(stallTimeout)) != nil {
 		return false
 	}
@@ -363,7 +370,9 @@
 	}()
 	*body = requestBody{w: w, body: &meteredBody{r.Body, w.hold}, eof: r.ContentLength == 0,
 		sendContinue: r.Header.Get("Expect") != "" && r.ProtoMinor > 0}
-	_, body.begun = r.Body.(begunRequestBody)
+	if b, ok := r.Body.(begunRequestBody); ok {
+		body.begun = b.size
+	}
 	if _, ok := r.Body.(*bufferedBody); ok {
 		body.eof = true
 	} else {
@@ -383,13 +392,17 @@
 }
 
 // openHold returns what counts the memory of a request; nil without a budget. A client
-// that is evicted finds that its connection is not read any longer.
+// that is evicted meets a connection that is not read or written any longer.
 func (c *serverConn) openHold() *budget.Hold {
 	if c.owner == "" {
 		c.owner, _, _ = net.SplitHostPort(c.RemoteAddr().String()) // empty for an address without a port
 	}
-	return c.server.opts.Bodies.Budget.Open(c.owner, func() {
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	return c.server.opts.Bodies.Budget.Open(c.owner, func(d budget.Direction) {
+		if d == budget.Send {
+			_ = c.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
+			return
+		}
+		_ = c.SetReadDeadline(time.Unix(1, 0))
 	})
 }
 
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -249,6 +249,8 @@
 	}
 	if x.bodyComplete {
 		ticket.Release() // the target has responded in full; a slow caller must not hold the slot
+	} else {
+		holdOf(c.w).MarkSlot()
 	}
 	in.addNodeResponseHeaders(c)
 	return x.relay(c)
--- a/proxy/pipeline.go
+++ b/proxy/pipeline.go
@@ -79,6 +79,7 @@
 		return nil, false
 	}
 	c.headerBytesLeft = -1
+	c.headerRead()
 	hold := c.openHold()
 	if !hold.Grow(headerBytes(r)) {
 		hold.Close()
@@ -116,7 +117,10 @@
 }
 
 // begunRequestBody is a request body of which the server has buffered a part.
-type begunRequestBody struct{ io.ReadCloser }
+type begunRequestBody struct {
+	io.ReadCloser
+	size int // bytes of the part
+}
 
 // bufferBody buffers the request body if the options allow it and there is memory for
 // it, and leaves another one to be streamed. It returns an error when the body could not
@@ -140,7 +144,7 @@
 		return err
 	}
 	if !complete {
-		r.Body = begunRequestBody{begunBody(&b.content, r.Body)}
+		r.Body = begunRequestBody{begunBody(&b.content, r.Body), b.content.size}
 		return nil
 	}
 	b.buffer = &b.content
--- a/proxy/pool.go
+++ b/proxy/pool.go
@@ -14,6 +14,7 @@
 type PoolOptions struct {
 	MaxPerAddress int           // open connections to one address; default 120
 	MaxOpen       int           // open connections in all; default 0: no limit
+	OnFull        func()        // called when a call gets no connection because of MaxOpen; must not block; may be nil
 	IdleTimeout   time.Duration // closes connections that were idle for longer; default 30 s
 	DialTimeout   time.Duration // default 400 ms
 	// UnackedTimeout closes a connection whose peer has acknowledged no data
@@ -119,6 +120,9 @@
 	}
 	if p.opts.MaxOpen > 0 && p.open >= p.opts.MaxOpen && !p.closeOneIdle() {
 		p.forgetUnused(addr)
+		if p.opts.OnFull != nil {
+			p.opts.OnFull()
+		}
 		return nil, errdefs.NotRun.New("all %d connections to other addresses are in use", p.open)
 	}
 	conns.open++
--- a/proxy/responsewriter.go
+++ b/proxy/responsewriter.go
@@ -20,7 +20,7 @@
 	w            *responseWriter // writer of the same request
 	body         io.ReadCloser
 	eof          bool
-	begun        bool // the server has buffered a part of it and found that it cannot be buffered
+	begun        int  // bytes that the server has buffered of a body that cannot be buffered as a whole
 	sendContinue bool // 100 Continue is still to be sent
 }
 
@@ -36,9 +36,9 @@
 	if b.hold.Evicted() {
 		return 0, errClientStalled
 	}
-	b.hold.BeginWait()
+	b.hold.BeginWait(budget.Receive)
 	n, err := b.ReadCloser.Read(p)
-	b.hold.EndWait(n)
+	b.hold.EndWait(budget.Receive, n)
 	if b.hold.Evicted() {
 		return n, errClientStalled
 	}
@@ -202,14 +202,23 @@
 		return len(p), nil
 	}
 	w.written += int64(len(p))
-	if w.contentLength >= 0 {
-		if w.written > w.contentLength {
-			w.failed = true
-			return 0, http.ErrContentLength
-		}
-		return w.bw.Write(p)
+	if w.contentLength >= 0 && w.written > w.contentLength {
+		w.failed = true
+		return 0, http.ErrContentLength
 	}
-	if w.http10 {
+	const chunkOverhead = 20
+	if len(p)+chunkOverhead <= w.bw.Available() {
+		return w.writeFramed(p) // does not block
+	}
+	w.hold.BeginWait(budget.Send)
+	n, err := w.writeFramed(p)
+	w.hold.EndWait(budget.Send, n)
+	return n, err
+}
+
+// writeFramed writes a part of the body, as a chunk if the response has no length.
+func (w *responseWriter) writeFramed(p []byte) (int, error) {
+	if w.contentLength >= 0 || w.http10 {
 		return w.bw.Write(p)
 	}
 	w.bw.WriteString(strconv.FormatInt(int64(len(p)), 16))
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -67,7 +67,7 @@
 		files := max(p.MaxFiles-baseFiles-p.MaxFiles/baseFilesShare, 0)
 		connections := max(1, files*connectionsPercent/100)
 		if p.MemoryMB > 0 {
-			connections = min(connections, p.MemoryMB<<20/100*connMemoryPercent/connBytes)
+			connections = min(connections, p.MemoryMB*connMemoryPercent*((1<<20)/connBytes)/100)
 		}
 		setDefault(&l.Connections, max(1, connections))
 		setDefault(&l.DialedConnections, max(1, files*dialedConnectionsPercent/100))
