--- a/node/admin.go
+++ b/node/admin.go
@@ -94,7 +94,7 @@
 	mux := http.NewServeMux()
 	telemetry.Mount(mux, s.node.ready)
 	admin.NewServer(p.publisher(), s.node.current, st, s.node.log).Register(mux)
-	return s.listen(nameAdmin, s.node.settings.Listen.Admin, proxy.NewServer(mux, proxy.ServerOptions{}))
+	return s.listenLimited(s.node, nameAdmin, s.node.settings.Listen.Admin, proxy.NewServer(mux, proxy.ServerOptions{}))
 }
 
 func (s *adminService) Stop(ctx context.Context) error { return s.shutdown(ctx) }
--- a/node/budget.go
+++ b/node/budget.go
@@ -18,6 +18,8 @@
 type clientLimits struct {
 	budget *budget.Budget
 	conns  *proxy.ConnLimit
+	// otherConns returns a new limit for a listener that takes no calls.
+	otherConns func() *proxy.ConnLimit
 }
 
 // newClientLimits creates the limits from the settings, with their metrics and log lines.
@@ -34,9 +36,13 @@
 		})
 	})
 	refused := telemetry.NewRateLimitedLogger(n.log, telemetry.EventConnectionRefused, maxClientLinesPerSecond, maxClientLineBurst)
-	limits.conns = proxy.NewConnLimit(l.Connections, func(owner string) {
-		refused.Log(func() []any { return []any{"client", owner, "limit", l.Connections} })
-	})
+	connLimit := func(open int) *proxy.ConnLimit {
+		return proxy.NewConnLimit(open, func(owner string) {
+			refused.Log(func() []any { return []any{"client", owner, "limit", open} })
+		})
+	}
+	limits.conns = connLimit(l.Connections)
+	limits.otherConns = func() *proxy.ConnLimit { return connLimit(l.OtherConnections) }
 	limits.export(n)
 	return limits
 }
--- a/node/calls.go
+++ b/node/calls.go
@@ -59,6 +59,16 @@
 	return nil
 }
 
+// listenLimited is listen for a listener that takes no calls. It limits the open
+// connections, each of which costs a descriptor.
+func (s *httpListener) listenLimited(n *Node, what, addr string, server httpServer) error {
+	if err := s.listen(what, addr, server); err != nil {
+		return err
+	}
+	s.listener = proxy.LimitListener(s.listener, n.clients.otherConns())
+	return nil
+}
+
 // Run serves until the server is shut down and ctx has ended. It closes the
 // server when ctx ends.
 func (s *httpListener) Run(ctx context.Context) error {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -30,7 +30,7 @@
 func (s *metricsService) Start(context.Context, *kernel.Kernel) error {
 	mux := http.NewServeMux()
 	telemetry.MountMetrics(mux)
-	return s.listen(nameMetrics, s.node.settings.Listen.Metrics, proxy.NewServer(mux, proxy.ServerOptions{}))
+	return s.listenLimited(s.node, nameMetrics, s.node.settings.Listen.Metrics, proxy.NewServer(mux, proxy.ServerOptions{}))
 }
 
 func (s *metricsService) Stop(ctx context.Context) error { return s.shutdown(ctx) }
--- a/node/platform.go
+++ b/node/platform.go
@@ -76,7 +76,7 @@
 	}
 	s.node.current.OnAdvance(func(*snapshot.Snapshot) { s.confirmations.request() }) // its health check may be known now
 	s.node.dir.OnChange(s.onMemberChange)
-	return s.listen(nameTarget, s.node.settings.Platform.Control,
+	return s.listenLimited(s.node, nameTarget, s.node.settings.Platform.Control,
 		proxy.NewServer(platform.NewControl(s, s.logInvalid), proxy.ServerOptions{}))
 }
 
--- a/node/stop.go
+++ b/node/stop.go
@@ -23,7 +23,7 @@
 
 func (s *readyService) Start(context.Context, *kernel.Kernel) error {
 	ready := func() bool { return !s.stopping.Load() && s.node.ready() == nil }
-	return s.listen(nameReady, s.node.settings.Platform.Ready,
+	return s.listenLimited(s.node, nameReady, s.node.settings.Platform.Ready,
 		proxy.NewServer(platform.NewReady(ready), proxy.ServerOptions{}))
 }
 
--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -226,3 +226,28 @@
 	}
 	is.True(r.targetBudget.Evicted() > 0)
 }
+
+// Guards against connections at a listener without calls that use up the descriptors, and
+// against closed ones that count.
+func TestLimitListener(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	limit := NewConnLimit(1, func(string) {})
+	srv := NewServer(http.NotFoundHandler(), ServerOptions{})
+	go srv.Serve(LimitListener(l, limit))
+	defer srv.Close()
+	addr := l.Addr().String()
+	const request = "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+	is.True(strings.HasPrefix(rawCall(t, addr, request), "HTTP/1.1 404"))
+	for end := time.Now().Add(2 * time.Second); limit.Open() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	dial(t, addr)
+	for end := time.Now().Add(2 * time.Second); limit.Open() == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(rawCall(t, addr, request), "")
+	is.Equal(limit.Refused(), int64(1))
+	is.Equal(LimitListener(l, nil), l)
+}
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -24,6 +24,10 @@
 	// half of what Platform.MaxFiles leaves, and no more than connMemoryPercent of
 	// Platform.MemoryMB allows; without these settings there is no limit.
 	Connections int `json:"connections,omitempty"`
+	// OtherConnections limits the open connections at each listener that takes no calls.
+	// Default: one part in otherConnectionsShare of Platform.MaxFiles, at least
+	// minOtherConnections; without that setting there is no limit.
+	OtherConnections int `json:"otherConnections,omitempty"`
 	// DialedConnections limits the connections to other nodes. Default: three tenths of
 	// what Platform.MaxFiles leaves; without that setting there is no limit.
 	DialedConnections int `json:"dialedConnections,omitempty"`
@@ -54,6 +58,9 @@
 	// Shares of the other descriptors, in percent. The rest is for the target.
 	connectionsPercent       = 50
 	dialedConnectionsPercent = 30
+
+	otherConnectionsShare = 32
+	minOtherConnections   = 16
 )
 
 // BodyStall returns BodyStallMs as a duration.
@@ -70,6 +77,7 @@
 			connections = min(connections, p.MemoryMB*connMemoryPercent*((1<<20)/connBytes)/100)
 		}
 		setDefault(&l.Connections, max(1, connections))
+		setDefault(&l.OtherConnections, max(minOtherConnections, p.MaxFiles/otherConnectionsShare))
 		setDefault(&l.DialedConnections, max(1, files*dialedConnectionsPercent/100))
 	}
 	setDefault(&l.CallMemoryMB, defaultCallMemoryMB)
@@ -103,5 +111,6 @@
 	c.within("limits.stalledBodiesPerClient", l.StalledBodiesPerClient, 1, maxLimit)
 	c.within("limits.streamSlotPercent", l.StreamSlotPercent, 1, 100)
 	c.within("limits.connections", l.Connections, 0, maxLimit)
+	c.within("limits.otherConnections", l.OtherConnections, 0, maxLimit)
 	c.within("limits.dialedConnections", l.DialedConnections, 0, maxLimit)
 }
--- a/settings/limits_test.go
+++ b/settings/limits_test.go
@@ -24,6 +24,7 @@
 		is.Equal(l.CallMemoryMB, machine.callMemoryMB)
 		is.Equal(l.Connections, machine.connections)
 		is.Equal(l.DialedConnections, machine.dialed)
+		is.Equal(l.OtherConnections >= 16, machine.maxFiles > 0)
 		is.Equal(l.BodyStallMs, 3000)
 	}
 }
