--- a/e2e/crowd/cluster_test.go
+++ b/e2e/crowd/cluster_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -176,6 +177,10 @@
 	time.Sleep(targetWork)
 	<-c.slots
 	standin.SignResponse(w.Header(), "i-1", standin.ParseRequest(r).ID)
+	if strings.HasPrefix(r.URL.Path, "/lots/large/") {
+		writeLargeAnswer(w)
+		return
+	}
 	_, _ = fmt.Fprint(w, n) // the node may have disconnected
 }
 
--- a/e2e/crowd/crowd_test.go
+++ b/e2e/crowd/crowd_test.go
@@ -115,9 +115,14 @@
 
 // start starts the clients of a crowd against an address.
 func start(t *testing.T, addr string, b body) *crowd {
+	return startN(t, addr, crowdSize, func(w io.Writer, member int) error { return send(w, member, b) })
+}
+
+// startN starts n clients that send a request each.
+func startN(t *testing.T, addr string, n int, send func(w io.Writer, member int) error) *crowd {
 	c := &crowd{}
 	t.Cleanup(c.close)
-	for n := range crowdSize {
+	for n := range n {
 		c.writers.Add(1)
 		go func() {
 			defer c.writers.Add(-1)
@@ -128,7 +133,7 @@
 			c.mu.Lock()
 			c.conns = append(c.conns, conn)
 			c.mu.Unlock()
-			_ = send(countingWriter{conn, &c.written}, n, b) // the node may close the connection
+			_ = send(countingWriter{conn, &c.written}, n) // the node may close the connection
 		}()
 	}
 	return c
@@ -170,7 +175,9 @@
 			unchanged, last = 0, c.written.Load()
 		}
 	}
-	t.Logf("the crowd sent %d MiB; %d of %d clients are still sending", c.written.Load()>>20, c.writers.Load(), crowdSize)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.Logf("the crowd sent %d MiB; %d of %d clients are still sending", c.written.Load()>>20, c.writers.Load(), len(c.conns))
 }
 
 func (c *crowd) close() {
