--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -16,6 +16,7 @@
 
 	"siskingw/admit"
 	"siskingw/budget"
+	"siskingw/member"
 )
 
 // limitedRig is a rig of two nodes that have budgets with low limits.
@@ -35,18 +36,26 @@
 	inboundBodies := bodies
 	inboundBodies.Budget = r.targetBudget
 	in := NewInbound(InboundOptions{Target: target, Gate: admit.New(admit.Options{Slots: slots}), Bodies: inboundBodies})
-	r.inbounds[0].opts = in.opts
-	r.servers[0].opts.Bodies = inboundBodies
+	record := *r.records[0]
+	record.Incarnation++
+	record.InboundAddr = serveLimited(t, in, ServerOptions{Bodies: inboundBodies})
+	r.view.Merge([]member.Record{record})
 	r.out.opts.Bodies = bodies
+	r.addr = serveLimited(t, r.out, ServerOptions{MaxPipelined: 4, Bodies: bodies})
+	return r
+}
+
+// serveLimited serves h on a new address until the end of the test.
+func serveLimited(t *testing.T, h http.Handler, opts ServerOptions) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := NewConnServer(r.out, ServerOptions{MaxPipelined: 4, Bodies: bodies}.withDefaults())
+	srv := NewConnServer(h, opts)
 	go srv.Serve(l)
 	t.Cleanup(func() { srv.Close() })
-	r.addr = l.Addr().String()
-	return r
+	return l.Addr().String()
 }
 
 // hashingTarget answers with the length and the hash of the body.
