--- a/node/calls.go
+++ b/node/calls.go
@@ -59,6 +59,16 @@
 	return nil
 }
 
+// listenLimited is listen for a listener that takes no calls. It limits the open
+// connections, each of which costs a descriptor.
+func (s *httpListener) listenLimited(n *Node, what, addr string, server httpServer) error {
+	if err := s.listen(what, addr, server); err != nil {
+		return err
+	}
+	s.listener = proxy.LimitListener(s.listener, n.clients.otherConns())
+	return nil
+}
+
 // Run serves until the server is shut down and ctx has ended. It closes the
 // server when ctx ends.
 func (s *httpListener) Run(ctx context.Context) error {
@@ -103,10 +113,12 @@
 		local = in.handler()
 	}
 	opts := proxy.OutboundOptions{
-		Current:     s.node.current,
-		Balancer:    balance.New(s.node.dir, balance.Options{OnEject: s.node.stateLog.logEjection}),
-		View:        s.node.dir,
-		Pool:        proxy.NewPool(proxy.PoolOptions{LocalAddr: s.node.localAddr(), UnackedTimeout: unackedTimeout}),
+		Current:  s.node.current,
+		Balancer: balance.New(s.node.dir, balance.Options{OnEject: s.node.stateLog.logEjection}),
+		View:     s.node.dir,
+		Pool: proxy.NewPool(proxy.PoolOptions{LocalAddr: s.node.localAddr(), UnackedTimeout: unackedTimeout,
+			MaxOpen: s.node.settings.Limits.DialedConnections, OnFull: s.node.clients.budget.EvictStalled}),
+		Bodies:      s.node.bodies(),
 		Local:       local,
 		OnDraining:  s.onDraining,
 		Metrics:     s.node.proxyMetrics(),
@@ -114,16 +126,16 @@
 		DecisionLog: s.node.callDecisionLog(),
 		Quota:       quotas.service,
 	}
-	server := proxy.ServerOptions{Log: s.node.log}
+	server := proxy.ServerOptions{Log: s.node.log, Bodies: opts.Bodies, Conns: s.node.clients.conns}
 	if s.node.settings.Platform != nil {
 		opts.HeaderFormat, opts.NoKeys = platform.HeaderFormat{}, true
 		opts.Caller = func() string { return s.node.liveSettings.Load().Platform.Service }
-		opts.Responses, opts.Bodies = platformResponses, platformBodies
+		opts.Responses = platformResponses
 		if s.node.rollouts != nil {
 			opts.Rollouts = s.node.rollouts.traffic
 		}
 		opts.Retries = proxy.RetryOptions{BudgetPercent: 15, BudgetCapacity: 4, FreeRetries: 3}
-		server.MaxPipelined, server.Bodies, server.Limits = maxPipelined, platformBodies, s.node.callerLimits
+		server.MaxPipelined, server.Limits = maxPipelined, s.node.callerLimits
 	}
 	s.node.outbound = proxy.NewOutbound(opts)
 	return s.listen(nameOutbound, s.node.settings.Listen.Outbound, proxy.NewConnServer(s.node.outbound, server))
@@ -131,10 +143,11 @@
 
 // On the platform, request and response bodies of the usual sizes are buffered
 // completely, so that a call can be retried when its transfer is interrupted.
-var (
-	platformResponses = proxy.ResponseOptions{BufferBytes: 256 << 10}
-	platformBodies    = proxy.BodyOptions{MaxBuffered: 4 << 20, BufferUnsized: true}
-)
+var platformResponses = proxy.ResponseOptions{BufferBytes: 256 << 10}
+
+// platformBufferedBytes is the size up to which request bodies are buffered on the
+// platform while there is memory for them.
+const platformBufferedBytes = 4 << 20
 
 const (
 	bytesPerMbit = 1e6 / 8
@@ -198,6 +211,7 @@
 			QueueTimeout: time.Duration(t.QueueMs) * time.Millisecond,
 		}),
 		Ledger:      s.ledger,
+		Bodies:      s.node.bodies(),
 		DecisionLog: s.node.callDecisionLog(),
 		Metrics:     s.node.proxyMetrics(),
 		Tracer:      s.node.tracer(),
@@ -217,7 +231,7 @@
 		Tracer:       s.node.tracer(),
 		DecisionLog:  s.node.callDecisionLog(),
 		HeaderFormat: platform.HeaderFormat{},
-		Responses:    platformResponses, Bodies: platformBodies, CloseDelimited: true,
+		Responses:    platformResponses, Bodies: s.node.bodies(), CloseDelimited: true,
 		OnWrongTarget: s.node.target.onWrongTarget, NoKeys: true,
 		Nested:  new(admit.NestedRoutes),
 		Parents: parents,
@@ -231,7 +245,8 @@
 	if s.member, err = kernel.Lookup[*memberService](k, nameMember); err != nil {
 		return err
 	}
-	return s.listen(nameInbound, s.node.settings.Listen.Inbound, proxy.NewConnServer(s.handler(), proxy.ServerOptions{}))
+	return s.listen(nameInbound, s.node.settings.Listen.Inbound, proxy.NewConnServer(s.handler(),
+		proxy.ServerOptions{Log: s.node.log, Bodies: s.node.bodies(), Conns: s.node.clients.conns}))
 }
 
 // Stop refuses new calls, announces the drain and waits for the calls in
--- a/proxy/responsewriter.go
+++ b/proxy/responsewriter.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"siskingw/budget"
 	"siskingw/errdefs"
 )
 
@@ -19,9 +20,33 @@
 	w            *responseWriter // writer of the same request
 	body         io.ReadCloser
 	eof          bool
+	begun        int  // bytes that the server has buffered of a body that cannot be buffered as a whole
 	sendContinue bool // 100 Continue is still to be sent
 }
 
+// meteredBody reads a request body, and counts the time that it waits for the client.
+type meteredBody struct {
+	io.ReadCloser
+	hold *budget.Hold
+}
+
+// Read implements io.Reader. It returns a Timeout error when the client was evicted
+// because it does not send.
+func (b *meteredBody) Read(p []byte) (int, error) {
+	if b.hold.Evicted() {
+		return 0, errClientStalled
+	}
+	b.hold.BeginWait(budget.Receive)
+	n, err := b.ReadCloser.Read(p)
+	b.hold.EndWait(budget.Receive, n)
+	if b.hold.Evicted() {
+		return n, errClientStalled
+	}
+	return n, err
+}
+
+var errClientStalled = errdefs.Timeout.New("the client does not send its body, and others need the memory or the target")
+
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
 	if b.sendContinue {
@@ -46,6 +71,7 @@
 // connection.
 type responseWriter struct {
 	conn        *serverConn
+	hold        *budget.Hold // what the call holds; nil without a budget
 	header      http.Header
 	headRequest bool // the request method is HEAD
 	http10      bool // the request is HTTP/1.0
@@ -62,6 +88,14 @@
 	previousDone  <-chan struct{} // closed when the previous response was sent; nil without pipelining
 }
 
+// holdOf returns what counts the memory of a call; nil if nothing does.
+func holdOf(w http.ResponseWriter) *budget.Hold {
+	if rw, ok := w.(*responseWriter); ok {
+		return rw.hold
+	}
+	return nil
+}
+
 // waitForPrevious blocks until the responses to earlier requests were sent.
 func (w *responseWriter) waitForPrevious() {
 	if w.previousDone != nil {
@@ -168,14 +202,23 @@
 		return len(p), nil
 	}
 	w.written += int64(len(p))
-	if w.contentLength >= 0 {
-		if w.written > w.contentLength {
-			w.failed = true
-			return 0, http.ErrContentLength
-		}
-		return w.bw.Write(p)
+	if w.contentLength >= 0 && w.written > w.contentLength {
+		w.failed = true
+		return 0, http.ErrContentLength
 	}
-	if w.http10 {
+	const chunkOverhead = 20
+	if len(p)+chunkOverhead <= w.bw.Available() {
+		return w.writeFramed(p) // does not block
+	}
+	w.hold.BeginWait(budget.Send)
+	n, err := w.writeFramed(p)
+	w.hold.EndWait(budget.Send, n)
+	return n, err
+}
+
+// writeFramed writes a part of the body, as a chunk if the response has no length.
+func (w *responseWriter) writeFramed(p []byte) (int, error) {
+	if w.contentLength >= 0 || w.http10 {
 		return w.bw.Write(p)
 	}
 	w.bw.WriteString(strconv.FormatInt(int64(len(p)), 16))
@@ -229,6 +272,9 @@
 // server rejects before it calls the handler.
 func (w *responseWriter) reject(status int) {
 	w.writeStatusLine(status)
+	if status == http.StatusServiceUnavailable {
+		w.bw.WriteString("Retry-After: 1\r\n")
+	}
 	w.bw.WriteString(HeaderOutcome + ": " + OutcomeNotRun + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
 	_ = w.bw.Flush() // the connection is closed in any case
 }
