admit: within a priority, tenants over their share of a target go behind the others

Cause: a gate refused and queued the calls of all tenants alike, so that one that sends ten times its share got ten times the slots.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -104,10 +104,11 @@
 	queues        [numPriorities]queue
 	lateQueues    [numPriorities]queue // calls expected to miss their target latency; served after all others
 	draining      bool
-	queuedSince   time.Time              // since when the queue is non-empty; zero when it is empty
-	serviceTimes  [numPriorities]ewma    // ns, by priority
-	classTimes    classServiceTimes      // service times by class on the machine as usual
-	slowness      slowness               // of the target's machine
+	queuedSince   time.Time           // since when the queue is non-empty; zero when it is empty
+	serviceTimes  [numPriorities]ewma // ns, by priority
+	classTimes    classServiceTimes   // service times by class on the machine as usual
+	slowness      slowness            // of the target's machine
+	tenants       tenantShares
 	workDone      [numPriorities]ewma    // ns of service time per completed call of any priority, by priority
 	newWork       [numPriorities]newWork // of each priority and the higher ones
 	deadlines     []time.Time            // deadlines of the calls in flight that have one, in no order
@@ -160,7 +161,7 @@
 		g.mu.Unlock()
 		return t, nil
 	}
-	if !g.makeRoom(p, false) {
+	if !g.makeRoom(p, &waiter{}) {
 		g.mu.Unlock()
 		return nil, errQueueFull
 	}
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -32,6 +32,9 @@
 	class      string        // see Work.Class
 	late       bool          // the call is in one of the late queues
 	nested     bool          // see Work.Nested
+	tenant     string        // see Work.Tenant
+	weight     float64       // see Work.Weight
+	overShare  bool          // the tenant had used more than its share when the call was queued
 	ticket     *Ticket       // set when the call is admitted
 	err        error         // set when the call is refused
 	done       chan struct{} // closed after ticket or err is set
@@ -75,8 +78,8 @@
 // makeRoom reports whether a new call of priority p can be queued. When the
 // queues are full, it displaces a queued call of lower priority; if there is
 // none, it counts the new call as refused. g.mu must be held.
-func (g *Gate) makeRoom(p int, late bool) bool {
-	if g.queued < g.opts.QueueLength || g.displace(p, late) {
+func (g *Gate) makeRoom(p int, call *waiter) bool {
+	if g.queued < g.opts.QueueLength || g.displace(p, call.late) || g.displaceOverShare(p, call) {
 		return true
 	}
 	g.stats.ByPriority[p].Refused++
@@ -101,12 +104,16 @@
 	q.waiters = slices.Insert(q.waiters, i, w)
 }
 
-// before reports whether w must precede o: w is nested and o is not, or both have
-// a target latency, and that of w is over earlier.
+// before reports whether w must precede o: w is nested and o is not, or the tenant
+// of o alone has used more than its share, or both have a target latency, and that
+// of w is over earlier.
 func (w *waiter) before(o *waiter) bool {
 	if w.nested != o.nested {
 		return w.nested
 	}
+	if w.overShare != o.overShare {
+		return o.overShare
+	}
 	return !w.targetTime.IsZero() && !o.targetTime.IsZero() && w.targetTime.Before(o.targetTime)
 }
 
@@ -129,6 +136,18 @@
 	return false
 }
 
+// displaceOverShare refuses the newest queued call of priority p whose tenant has
+// used more than its share, to make room for a call of another tenant. g.mu must be
+// held.
+func (g *Gate) displaceOverShare(p int, call *waiter) bool {
+	n := g.queues[p].len()
+	if call.late || call.overShare || n == 0 || !g.queues[p].waiters[n-1].overShare {
+		return false
+	}
+	g.refuse(g.queues[p].popLast(), errDisplaced)
+	return true
+}
+
 // wait blocks until w is admitted or refused, and refuses it itself after maxWait
 // or when ctx ends. It returns exactly one of a ticket and an error.
 func (g *Gate) wait(ctx context.Context, w *waiter, maxWait time.Duration) (*Ticket, error) {
@@ -207,6 +226,7 @@
 		if !w.nested {
 			g.countNew(w.priority, false, now)
 		}
+		g.tenants.add(w.tenant, w.weight, w.ticket.expected, now)
 		g.wake(w)
 	}
 }
--- a/admit/target.go
+++ b/admit/target.go
@@ -70,19 +70,21 @@
 	}
 	if g.inFlight < g.opts.Slots && g.queued == 0 {
 		t := g.admit(p, work.Class, now, deadline)
+		g.tenants.add(work.Tenant, work.Weight, t.expected, now)
 		if !work.Nested {
 			g.countNew(p, false, now)
 		}
 		g.mu.Unlock()
 		return t, nil
 	}
-	if !g.makeRoom(p, work.Late) {
+	w := &waiter{
+		priority: p, queuedAt: now, targetTime: work.TargetTime, deadline: deadline,
+		class: work.Class, late: work.Late, nested: work.Nested, done: make(chan struct{}),
+		tenant: work.Tenant, weight: work.Weight, overShare: g.tenants.exceeded(work.Tenant, now)}
+	if !g.makeRoom(p, w) {
 		g.mu.Unlock()
 		return nil, errQueueFull
 	}
-	w := &waiter{
-		priority: p, queuedAt: now, targetTime: work.TargetTime,
-		class: work.Class, late: work.Late, nested: work.Nested, deadline: deadline, done: make(chan struct{})}
 	g.enqueue(w)
 	targetLeft := w.targetTime.Sub(now)
 	maxWait := targetLeft + g.opts.QueueTimeout // without a deadline
@@ -184,7 +186,8 @@
 		return nil
 	}
 	serviceTime := g.classTime(work.Class, now)
-	ahead := g.queuedAhead(p, &waiter{targetTime: work.TargetTime, nested: work.Nested})
+	ahead := g.queuedAhead(p, &waiter{targetTime: work.TargetTime, nested: work.Nested,
+		overShare: g.tenants.exceeded(work.Tenant, now)})
 	wait := g.waitBehind(ahead, p, now)
 	if deadline, ok := ctx.Deadline(); ok && lateness.Probability(wait+serviceTime, deadline.Sub(now)) > maxMissProbability {
 		return errDeadline
