--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -90,11 +91,9 @@
 	if m == nil {
 		return
 	}
-	k := len(kinds) - 1
-	for i, kind := range kinds {
-		if c.kind == kind {
-			k = i
-		}
+	k := slices.Index(kinds[:], c.kind)
+	if k < 0 {
+		k = slices.Index(kinds[:], object.WorkPage)
 	}
 	m.calls[s][k][callResultOf(f)].Inc()
 	took := time.Since(c.start)
