admit: a free link refuses no large response

Cause: the service time of a class, learned from admitted calls, counted against the link. After a crowd of callers that did not read their answers it was so high that every later call of the class was refused (link_busy, nothing in flight), for good: e2e/crowd saw no ordinary call answered.

Ruled out: the budget of bodies; the gate, which refuses nothing for its estimates while a slot is free.

Change: a call is refused for the link only if the bytes ahead of it take longer than its service time.

Result: TestFreeLinkRefusesNothing failed before and passes.

--- a/admit/sender.go
+++ b/admit/sender.go
@@ -84,10 +84,12 @@
 		return p, nil
 	}
 	now := s.now()
-	finish := max(serviceTime, s.backlog(now)) + s.duration(size)
-	switch {
-	case lateness.Probability(finish, deadline.Sub(now)) > maxSendMissProbability,
-		!work.Late && lateness.Probability(finish, work.TargetTime.Sub(now)) > maxSendMissProbability && s.backlog(now) > serviceTime:
+	backlog := s.backlog(now)
+	finish := backlog + s.duration(size)
+	// Only the link may be a reason here. The service time is learned from admitted
+	// calls: refusing for it while the link is free would never end.
+	if backlog > serviceTime && (lateness.Probability(finish, deadline.Sub(now)) > maxSendMissProbability ||
+		!work.Late && lateness.Probability(finish, work.TargetTime.Sub(now)) > maxSendMissProbability) {
 		return nil, errLinkBusy
 	}
 	p.expected = size
--- a/admit/sender_test.go
+++ b/admit/sender_test.go
@@ -80,3 +80,18 @@
 	is.Equal(s.Backlog(), time.Second)
 	is.Equal(p.Send(t.Context(), 1e6, now.Add(time.Second/2)), errSendTooLate)
 }
+
+// Guards against calls that are refused for the link while it is free: the service
+// time of their class was high once, and without admitted calls it stays so.
+func TestFreeLinkRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	s := NewSender(1e6, func() time.Time { return now })
+	work := Work{Class: "file", TargetTime: now.Add(500 * time.Millisecond)}
+	first, err := s.Promise(work, now.Add(time.Second), 0)
+	is.NoErr(err)
+	is.NoErr(first.Send(t.Context(), 100e3, now.Add(time.Second)))
+	now = now.Add(100 * time.Millisecond) // the link is free again
+	_, err = s.Promise(work, now.Add(time.Second), 2*time.Second)
+	is.NoErr(err)
+}
