node: a node decides about roll-outs only after watching the store for a second

Ruled out: leaving the read out where a directive is known; a node that starts knows none. Change: decisions begin 1 s after a node became a reader.

--- a/node/rollout.go
+++ b/node/rollout.go
@@ -21,6 +21,10 @@
 	// settleTime is how long a starting node learns of other nodes before it holds on
 	// to the version that it takes for the one in force.
 	settleTime = 2 * time.Second
+	// deciderSettleTime is how long a node must watch the store before it decides.
+	// Each node that starts watches it until it knows others; when all 126 nodes of a
+	// deployment were restarted, 48 of them read the status of an old roll-out.
+	deciderSettleTime = time.Second
 	// evidenceInterval is the minimum time between two statements of evidence by the
 	// node of a target. It bounds the bytes for records: a few dozen nodes state
 	// evidence while a roll-out runs.
@@ -44,9 +48,10 @@
 	verdicts map[string]rollout.Verdict
 	notes    noteCache
 
-	startedAt  time.Time // when a configuration was in force; zero before
-	stated     []byte    // last note
-	evidenceAt time.Time // when evidence was last stated
+	startedAt   time.Time // when a configuration was in force; zero before
+	readerSince time.Time // since when this node watches the store; zero if it does not
+	stated      []byte    // last note
+	evidenceAt  time.Time // when evidence was last stated
 }
 
 func newRolloutService(n *Node) *rolloutService {
@@ -111,7 +116,12 @@
 		s.traffic.Settle()
 	}
 	index, reader := s.spread.Reader()
-	if reader && s.store != nil {
+	if !reader {
+		s.readerSince = time.Time{}
+	} else if s.readerSince.IsZero() {
+		s.readerSince = now
+	}
+	if reader && s.store != nil && now.Sub(s.readerSince) >= deciderSettleTime {
 		for _, o := range s.orders {
 			s.decide(ctx, o, index, now)
 		}
