--- a/node/rollout.go
+++ b/node/rollout.go
@@ -22,7 +22,7 @@
 	// to the version that it takes for the one in force.
 	settleTime = 2 * time.Second
 	// deciderSettleTime is how long a node must watch the store before it decides.
-	// Each node that starts watches it until it knows others; when all 126 nodes of a
+	// Each node that starts watches it until it knows others; when all nodes of a
 	// deployment were restarted, 48 of them read the status of an old roll-out.
 	deciderSettleTime = time.Second
 	// evidenceInterval is the minimum time between two statements of evidence by the
