rollout: fewer calls to a store that refuses them

Ruled out: longer pauses at once; the last status of a running roll-out has a deadline. Change: the pause doubles up to 1.2 s, and a roll-out that is done needs no read.

--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -3,8 +3,10 @@
 import "time"
 
 const (
-	// storeRetry is the pause after a failed call to the store.
-	storeRetry = 300 * time.Millisecond
+	// storeRetry is the pause after a failed call to the store. It doubles with each
+	// failure up to maxStoreRetry: refused calls are paid for as well.
+	storeRetry    = 300 * time.Millisecond
+	maxStoreRetry = 1200 * time.Millisecond
 	// standbyDelay is how long each further decider leaves a write to those before
 	// it. The compare-and-swap makes two writes harmless, but each call is paid for.
 	standbyDelay = 700 * time.Millisecond
@@ -44,6 +46,7 @@
 	revision    int64   // of the status's key; 0 for none
 	busy        bool    // a call to the store is under way
 	retryAt     time.Time
+	retryAfter  time.Duration // pause after the next failed call; 0 for storeRetry
 
 	known     Directive
 	stepAt    time.Time // when known became the directive in force
@@ -67,6 +70,9 @@
 	if d.busy || now.Before(d.retryAt) {
 		return Actions{}
 	}
+	if f.HasKnown && f.Known.Revision == d.order.Revision && f.Known.Phase == Done {
+		return Actions{Announce: &f.Known} // the store has it
+	}
 	if !d.statusKnown {
 		d.busy = true
 		return Actions{Read: true}
@@ -117,9 +123,10 @@
 func (d *Decider) ReadDone(s *Status, revision int64, ok bool, now time.Time) {
 	d.busy = false
 	if !ok {
-		d.retryAt = now.Add(storeRetry)
+		d.postpone(now)
 		return
 	}
+	d.retryAfter = 0
 	d.statusKnown, d.status, d.revision = true, s, revision
 	if s != nil && s.Order == d.order.Revision {
 		// By the clocks of two instances, so it is only a hint.
@@ -147,7 +154,14 @@
 		d.status, d.revision = &w, revision
 		return
 	case Unknown:
-		d.retryAt = now.Add(storeRetry)
+		d.postpone(now)
 	}
 	d.statusKnown = false
 }
+
+// postpone delays the next call to the store after a failed one.
+func (d *Decider) postpone(now time.Time) {
+	d.retryAfter = max(d.retryAfter, storeRetry)
+	d.retryAt = now.Add(d.retryAfter)
+	d.retryAfter = min(2*d.retryAfter, maxStoreRetry)
+}
