rollout: a note that says the same is encoded the same

Cause: with two roll-outs the directives of a note were encoded in the order of a map, so that a reader stated it anew every 0.4 s, to every node, for good.

--- a/rollout/note.go
+++ b/rollout/note.go
@@ -52,10 +52,12 @@
 	return byAge[:len(byAge)-1]
 }
 
-// message returns the wire form with the busiest routes.
+// message returns the wire form with the busiest routes, which is the same for notes
+// that say the same.
 func (n Note) message(routes int, reasons bool) *peerpb.RolloutNote {
 	m := new(peerpb.RolloutNote)
-	for _, d := range n.Directives {
+	byService := slices.SortedFunc(slices.Values(n.Directives), func(a, b Directive) int { return cmp.Compare(a.Service, b.Service) })
+	for _, d := range byService {
 		w := &peerpb.RolloutDirective{Service: d.Service, Revision: d.Revision, Target: d.Target, Base: d.Base,
 			Phase: uint32(d.Phase), SharePercent: uint32(d.SharePercent)}
 		if reasons {
