proxy: the test of unread responses waits until the response has begun

Cause: under load the first probe could take the only slot before the call that does not read; that call was refused, and nothing stalled. Seen in one run of eight.

--- a/proxy/limits_test.go
+++ b/proxy/limits_test.go
@@ -228,7 +228,10 @@
 		return true
 	})
 	r := newLimitedRig(t, budget.Limits{Bytes: 64 << 20, MinRate: 1000, StallTime: 100 * time.Millisecond}, 1, rt.addr)
-	io.WriteString(dial(t, r.addr), "GET /lots HTTP/1.1\r\nHost: x\r\n\r\n")
+	nc := dial(t, r.addr)
+	io.WriteString(nc, "GET /lots HTTP/1.1\r\nHost: x\r\n\r\n")
+	_, err := io.ReadFull(nc, make([]byte, 12)) // the response has begun, so the call has its slot
+	is.NoErr(err)
 	for end := time.Now().Add(4 * time.Second); r.targetBudget.Evicted() == 0 && time.Now().Before(end); {
 		rawCall(t, r.addr, "HEAD /lots HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n") // finds no slot
 		time.Sleep(10 * time.Millisecond)
