--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -84,3 +84,22 @@
 	}
 	is.True(len(seen) > 80)
 }
+
+// Guards against an instance that refuses a tenant for good because one answer said
+// that its credit was scarce: a tenant of which the instance holds nothing is not asked
+// for again unless a call may wait.
+func TestScarcityEnds(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(testSet(t, 1, 600, 600), 1, newRandom())
+	l, ann := f.nodes[0].ledger, f.set.Get("ann")
+	l.SetInstances(0)
+	answer := Answer{Stamp: Stamp{Pool: "n0", Incarnation: 1}, Grants: []Grant{{Tenant: "ann", Scarce: true}}}
+	l.Take(ann, true, true, f.now)
+	l.Apply(Ask{}, answer, f.now, f.now)
+	is.Equal(l.Take(ann, true, true, f.now.Add(scarceTime-1)).Cause, CauseOver)
+	answer.Grants = nil
+	f.now = f.now.Add(scarceTime)
+	l.Apply(Ask{}, answer, f.now, f.now)
+	is.Equal(l.Take(ann, true, true, f.now).Verdict, Pending)
+	is.Equal(len(l.NewAsk("n0", f.set, f.now).Wants), 1)
+}
