--- a/quota/pool.go
+++ b/quota/pool.go
@@ -16,6 +16,10 @@
 	// credit is scarce. At 1, what waits in the stock for the nodes that ask next
 	// lapsed at times: with two nodes a quarter of the credit.
 	scarceFactor = 2
+	// scarceRate is the demand, relative to the rate of the credit, above which credit
+	// is scarce. The demand of a tenant with a few calls a second is an estimate from
+	// few calls, and a call that waits for a moment may still get credit.
+	scarceRate = 1.3
 	// maxPledgers bounds the memory of a pool to some MB.
 	maxPledgers = 50_000
 )
@@ -235,7 +239,7 @@
 	tokens = max(min(tokens, math.Floor(s.tokens)), 0)
 	s.tokens -= tokens
 	return Grant{Tenant: t.Name, Tokens: int(tokens), Life: p.bounds.grantLife(t),
-		Scarce: tokens < w.Tokens && rate > perSecond*sum}
+		Scarce: tokens < w.Tokens && rate > scarceRate*perSecond*sum}
 }
 
 // round rounds a share to a whole number with the share as its mean: a fraction of
