--- a/quota/members.go
+++ b/quota/members.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	// aloneTime is how long a process that knows no other waits until it takes
 	// itself for the only one: it may not have joined yet.
 	aloneTime = 5 * time.Second
+	// candidates is the number of nodes of a failure domain that may be the pool.
+	candidates = 3
 	// maxGone bounds the memory for vanished instances.
 	maxGone = 20_000
 )
@@ -87,14 +90,20 @@
 	return n
 }
 
-// pool returns the node whose pool is to be asked: the first relay, by region and
-// rank, that is settled and answers; or nil.
+// pool returns the node whose pool is to be asked: the first, by region and failure
+// domain, of the highest rank that is settled and answers; or nil. Nodes of the lowest
+// ranks have duties in the distribution of configurations: while versions came every
+// 0.2 s, a pool at the head of its region answered late.
 func (m *members) pool(now time.Time) *member.Record {
 	var unsettled *member.Record
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, region := range member.Regions(m.view) {
-		for _, r := range member.RegionRelays(m.view, region) {
+	for _, d := range m.view.FailureDomains() {
+		if d.Unreachable {
+			continue
+		}
+		ranked := m.view.Ranked(d.Name)
+		for _, r := range slices.Backward(ranked[max(len(ranked)-candidates, 0):]) {
 			if r.State != member.Alive || now.Sub(m.failed[r.ID]) < failedTime {
 				continue
 			}
--- a/quota/service.go
+++ b/quota/service.go
@@ -22,8 +22,12 @@
 	// askInterval is the time between two questions to the pool. A pledge outlives
 	// one lost question.
 	askInterval = 400 * time.Millisecond
-	// minAskInterval bounds the messages of an instance that runs out of credit.
+	// minAskInterval is the shortest time between two questions, and urgentInterval
+	// the one between the end of a question and the next while calls wait. With 60 ms
+	// for both, the median response of the most frequent class in a quiet fleet was 72 ms later than without
+	// quotas.
 	minAskInterval = 60 * time.Millisecond
+	urgentInterval = 10 * time.Millisecond
 	// askTimeout is two round trips between regions and a retransmission.
 	askTimeout = 400 * time.Millisecond
 	// maxWait is how long a call waits for the pool: the end of a question in
@@ -59,6 +63,7 @@
 	members *members
 	metrics *serviceMetrics
 	wake    chan struct{} // capacity 1
+	urgent  chan struct{} // capacity 1; a call waits
 	limited atomic.Bool   // the version in force has a tenant with a quota
 
 	mu      sync.Mutex
@@ -73,7 +78,7 @@
 		opts.Bounds = DefaultBounds
 	}
 	now, self := time.Now(), opts.View.Self()
-	s := &Service{opts: opts, members: newMembers(opts.View, now), wake: make(chan struct{}, 1),
+	s := &Service{opts: opts, members: newMembers(opts.View, now), wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 		ledger:  NewLedger(self.ID, self.Incarnation, opts.Bounds, now, rand.Float64),
 		pool:    NewPool(self.ID, self.Incarnation, opts.Bounds, now, rand.Float64),
 		changed: make(chan struct{}),
@@ -149,7 +154,7 @@
 	wanted := s.begun + 1
 	s.mu.Unlock()
 	for {
-		s.wakeUp()
+		signal(s.urgent)
 		s.mu.Lock()
 		done, changed := s.done, s.changed
 		s.mu.Unlock()
@@ -165,9 +170,11 @@
 }
 
 // wakeUp makes Run ask the pool soon.
-func (s *Service) wakeUp() {
+func (s *Service) wakeUp() { signal(s.wake) }
+
+func signal(c chan struct{}) {
 	select {
-	case s.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -181,15 +188,14 @@
 		case <-ctx.Done():
 			return nil
 		case <-s.wake:
+		case <-s.urgent:
 		case <-timer.C:
 		}
 		next := idleInterval
 		if s.limited.Load() {
 			s.ask(ctx)
 			next = s.interval()
-			if !sleep(ctx, minAskInterval) {
-				return nil
-			}
+			s.pause(ctx)
 		}
 		timer.Reset(next)
 	}
@@ -207,14 +213,22 @@
 	return max(time.Duration(float64(d)*(0.8+0.2*rand.Float64()))-minAskInterval, minAskInterval)
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
+// pause waits between two questions. It returns early when ctx ends.
+func (s *Service) pause(ctx context.Context) {
+	t := time.NewTimer(minAskInterval)
 	defer t.Stop()
 	select {
 	case <-ctx.Done():
-		return false
+		return
+	case <-t.C:
+		return
+	case <-s.urgent:
+	}
+	signal(s.urgent) // for Run
+	t.Reset(urgentInterval)
+	select {
+	case <-ctx.Done():
 	case <-t.C:
-		return true
 	}
 }
 
