proxy, tenant: a refusal that leaves a body unread closes its connection openly

Cause: a call with a body that is refused for its key or its quota before the body is read ends its connection, and the response did not say so; the next request on it got no answer (TestCallsCarryTheirTenant failed once in four runs with EOF).

Ruled out: reading the body first, which costs the memory that an early refusal saves. On the platform small bodies are read by the server, and the connection stays open.

Change: such refusals carry Connection: close. Building the set of tenants reads the objects once for each version instead of three times, without sorting them.

--- a/node/calls.go
+++ b/node/calls.go
@@ -113,6 +113,7 @@
 		Tracer:      s.node.tracer(),
 		DecisionLog: s.node.callDecisionLog(),
 		Quota:       quotas.service,
+		Tenants:     &s.node.tenants,
 	}
 	server := proxy.ServerOptions{Log: s.node.log}
 	if s.node.settings.Platform != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"siskingw/settings"
 	"siskingw/snapshot"
 	"siskingw/telemetry"
+	"siskingw/tenant"
 )
 
 // stopMargin is the time that a graceful stop may take beyond the drain
@@ -37,6 +38,7 @@
 	callMetrics *proxy.Metrics
 	decisionLog *proxy.DecisionLog
 	stateLog    *stateLog
+	tenants     tenant.Cache   // shared: building a set reads all objects
 	target      *targetService // on the platform only
 	outbound    *proxy.Outbound
 	inbound     *proxy.Inbound
--- a/node/quota.go
+++ b/node/quota.go
@@ -24,7 +24,7 @@
 		return err
 	}
 	s.service = quota.NewService(quota.Options{
-		Connect: peers.pool.Conn, View: s.node.dir, Current: s.node.current,
+		Connect: peers.pool.Conn, View: s.node.dir, Current: s.node.current, Tenants: &s.node.tenants,
 		Bounds: quotaBounds(s.node.settings.Platform), Metrics: s.node.metrics,
 	})
 	s.service.Register(peers.server)
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -29,8 +29,9 @@
 	Responses    ResponseOptions
 	Bodies       BodyOptions
 	Retries      RetryOptions
-	DecisionLog  *DecisionLog // nil logs nothing
-	Quota        Quota        // nil keeps no quotas
+	DecisionLog  *DecisionLog  // nil logs nothing
+	Quota        Quota         // nil keeps no quotas
+	Tenants      *tenant.Cache // nil for one of its own
 }
 
 // Outbound is the HTTP handler that routes the calls of this instance's callers.
@@ -39,7 +40,6 @@
 	opts         OutboundOptions
 	retryBudgets sync.Map // service name to *retryBudget
 
-	tenants       tenant.Cache
 	splitters     sync.Map // route name to *splitter
 	responseSizes sync.Map // route name to *responseSize
 }
@@ -58,6 +58,9 @@
 	if opts.Caller == nil {
 		opts.Caller = func() string { return "" }
 	}
+	if opts.Tenants == nil {
+		opts.Tenants = new(tenant.Cache)
+	}
 	opts.Retries = opts.Retries.withDefaults()
 	return &Outbound{shutdownState: newShutdownState(), opts: opts}
 }
--- a/proxy/tenant.go
+++ b/proxy/tenant.go
@@ -27,7 +27,7 @@
 // returns a refusal with status 401 if the route needs a key and the call has none
 // of a tenant. In a configuration without tenants it does nothing.
 func (o *Outbound) identify(c *call, snap *snapshot.Snapshot, res *snapshot.ResolvedRoute) *refusal {
-	set := o.tenants.Of(snap)
+	set := o.opts.Tenants.Of(snap)
 	if set.Empty() {
 		return nil
 	}
@@ -37,7 +37,7 @@
 	}
 	c.work.class = res.Name // for the log of decisions
 	f := &refusal{status: http.StatusUnauthorized, outcome: OutcomeNotRun, cause: causeUnknownKey,
-		reason: "the key belongs to no tenant"}
+		reason: "the key belongs to no tenant", closeConn: c.bodyUnread()}
 	if key == "" {
 		f.cause, f.reason = causeMissingKey, "the route needs a key"
 	}
@@ -64,7 +64,15 @@
 		return nil
 	}
 	return &refusal{status: http.StatusTooManyRequests, outcome: OutcomeNotRun, cause: causeQuota,
-		reason: d.Cause, retryAfter: d.After}
+		reason: d.Cause, retryAfter: d.After, closeConn: c.bodyUnread()}
+}
+
+// bodyUnread reports whether the request has a body that the server has not read. It
+// closes the connection after a refusal then, and the refusal must say so: a caller
+// that sent the next request could not tell whether it was run.
+func (c *call) bodyUnread() bool {
+	_, buffered := c.r.Body.(*bufferedBody)
+	return c.r.ContentLength != 0 && !buffered
 }
 
 // returnQuota gives back the credit of a call that has not run. Calls that are
--- a/proxy/tenant_test.go
+++ b/proxy/tenant_test.go
@@ -104,6 +104,8 @@
 	is.Equal(status("/bids", HeaderTenantKey, testKey, HeaderTenant, "forged;9", "Connection", "Tenant"), 200)
 	is.Equal(r.target.Get(HeaderTenant), "ann")
 	is.Equal(status("/bids"), 401)
+	resp, _ := r.do(t, "POST", "/bids", "bid")
+	is.True(resp.Close) // the server does not read the body and closes the connection
 	is.Equal(status("/bids", HeaderTenantKey, testKey+"x"), 401)
 	is.Equal(status("/open", HeaderTenant, "forged"), 200)
 	is.Equal(r.target.Get(HeaderTenant), "")
@@ -151,7 +153,7 @@
 	}
 	r := newTenantRig(t)
 	r.advance(t, 2, testKey)
-	set := r.out.tenants.Of(r.out.opts.Current.Load())
+	set := r.out.opts.Tenants.Of(r.out.opts.Current.Load())
 	w.setTenant(set.OfKey(testKey))
 	is.Equal(w.priority, 0)
 }
--- a/quota/service.go
+++ b/quota/service.go
@@ -47,8 +47,9 @@
 	Connect func(addr string, place peer.Place) (grpc.ClientConnInterface, error)
 	View    member.View
 	Current *snapshot.Current
-	Bounds  Bounds       // zero selects DefaultBounds
-	Metrics *metrics.Set // nil records no metrics
+	Tenants *tenant.Cache // nil for one of its own
+	Bounds  Bounds        // zero selects DefaultBounds
+	Metrics *metrics.Set  // nil records no metrics
 }
 
 // Service keeps the quotas on one node: it asks the pool for credit, and is a pool
@@ -57,7 +58,7 @@
 	peerpb.UnimplementedQuotaServer
 
 	opts    Options
-	tenants tenant.Cache
+	tenants *tenant.Cache
 	ledger  *Ledger
 	pool    *Pool
 	members *members
@@ -77,8 +78,11 @@
 	if opts.Bounds.Window <= 0 {
 		opts.Bounds = DefaultBounds
 	}
+	if opts.Tenants == nil {
+		opts.Tenants = new(tenant.Cache)
+	}
 	now, self := time.Now(), opts.View.Self()
-	s := &Service{opts: opts, members: newMembers(opts.View, now), wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
+	s := &Service{opts: opts, tenants: opts.Tenants, members: newMembers(opts.View, now), wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 		ledger:  NewLedger(self.ID, self.Incarnation, opts.Bounds, now, rand.Float64),
 		pool:    NewPool(self.ID, self.Incarnation, opts.Bounds, now, rand.Float64),
 		changed: make(chan struct{}),
@@ -86,22 +90,12 @@
 	s.metrics = newServiceMetrics(opts.Metrics, s.pool)
 	opts.View.OnChange(s.members.update)
 	opts.Current.OnAdvance(func(next *snapshot.Snapshot) {
-		s.limited.Store(hasLimit(next))
+		s.limited.Store(s.tenants.Of(next).Limited())
 		s.wakeUp()
 	})
 	return s
 }
 
-// hasLimit reports whether a tenant of the snapshot has a quota.
-func hasLimit(s *snapshot.Snapshot) bool {
-	for _, o := range s.Objects() {
-		if o.Tenant != nil && o.Tenant.RatePerS > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Register registers the pool with the server for other nodes.
 func (s *Service) Register(srv *grpc.Server) { peerpb.RegisterQuotaServer(srv, s) }
 
--- a/tenant/tenant.go
+++ b/tenant/tenant.go
@@ -29,6 +29,7 @@
 // Set holds the tenants of one configuration version. It is immutable.
 type Set struct {
 	version  uint64
+	limited  bool
 	byName   map[string]*Tenant
 	byDigest map[[sha256.Size]byte]*Tenant
 }
@@ -37,7 +38,7 @@
 func NewSet(s *snapshot.Snapshot) *Set {
 	out := &Set{version: s.Version(), byName: make(map[string]*Tenant), byDigest: make(map[[sha256.Size]byte]*Tenant)}
 	highest := 0.0
-	for _, o := range s.Objects() {
+	for o := range s.All() {
 		if o.Tenant != nil {
 			out.add(o.Name, o.Tenant)
 			highest = max(highest, o.Tenant.RatePerS)
@@ -54,6 +55,7 @@
 func (s *Set) add(name string, spec *object.TenantSpec) {
 	t := &Tenant{Name: name, Priority: spec.Priority, RatePerS: spec.RatePerS, Burst: spec.Burst}
 	s.byName[name] = t
+	s.limited = s.limited || t.Limited()
 	for _, d := range spec.KeyDigests {
 		var digest [sha256.Size]byte
 		if n, err := hex.Decode(digest[:], []byte(d)); err == nil && n == len(digest) {
@@ -65,6 +67,9 @@
 // Empty reports whether the version has no tenants.
 func (s *Set) Empty() bool { return len(s.byName) == 0 }
 
+// Limited reports whether a tenant has a quota.
+func (s *Set) Limited() bool { return s.limited }
+
 // Len returns the number of tenants.
 func (s *Set) Len() int { return len(s.byName) }
 
