--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"siskingw/settings"
 	"siskingw/snapshot"
 	"siskingw/telemetry"
+	"siskingw/tenant"
 )
 
 // stopMargin is the time that a graceful stop may take beyond the drain
@@ -40,6 +41,7 @@
 	stateLog    *stateLog
 	target      *targetService  // on the platform only
 	rollouts    *rolloutService // nil without roll-outs
+	tenants     tenant.Cache    // shared: building a set reads all objects
 	outbound    *proxy.Outbound
 	inbound     *proxy.Inbound
 }
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -37,7 +37,8 @@
 	// Rollouts restricts calls to versions of targets that are known to be good;
 	// nil permits every version.
 	Rollouts *rollout.Traffic
-	Quota    Quota // nil keeps no quotas
+	Quota    Quota         // nil keeps no quotas
+	Tenants  *tenant.Cache // nil for one of its own
 }
 
 // Outbound is the HTTP handler that routes the calls of this instance's callers.
@@ -46,7 +47,6 @@
 	opts         OutboundOptions
 	retryBudgets sync.Map // service name to *retryBudget
 
-	tenants       tenant.Cache
 	splitters     sync.Map // route name to *splitter
 	responseSizes sync.Map // route name to *responseSize
 }
@@ -65,6 +65,9 @@
 	if opts.Caller == nil {
 		opts.Caller = func() string { return "" }
 	}
+	if opts.Tenants == nil {
+		opts.Tenants = new(tenant.Cache)
+	}
 	opts.Retries = opts.Retries.withDefaults()
 	return &Outbound{shutdownState: newShutdownState(), opts: opts}
 }
