--- a/proxy/call.go
+++ b/proxy/call.go
@@ -24,6 +24,7 @@
 	first    bool   // first attempt with the key, as stated by the caller; see HeaderFirst
 	id       string // the caller's ID of this attempt; may be empty
 	work     work
+	ask      ask // identifies a caller's retry of a refused call
 
 	body         body
 	maxBodyBytes int64        // bytes; 0 means no limit
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"siskingw/admit"
 	"siskingw/balance"
 	"siskingw/member"
 	"siskingw/object"
@@ -37,6 +38,8 @@
 	opts         OutboundOptions
 	retryBudgets sync.Map // service name to *retryBudget
 
+	returning admit.Returning // calls that this node has refused
+
 	splitters     sync.Map // route name to *splitter
 	responseSizes sync.Map // route name to *responseSize
 }
@@ -79,6 +82,7 @@
 	}
 	if f != nil {
 		f.retryAfter = retryAfter(c, f, rand.Float64())
+		o.remember(c, f)
 	}
 	o.opts.DecisionLog.logEnded(c, f, o.opts.Current.Version())
 	if f != nil {
@@ -126,6 +130,7 @@
 	c.work = c.newWork(res.Name, res.Policy)
 	c.work.caller = o.opts.Caller()
 	c.work.nested = o.opts.Local.makesCall(c, callerInfo)
+	o.recall(c, callerInfo)
 	c.maxBodyBytes = maxBodyOf(res.Policy)
 	if f := c.body.bufferOrStream(c.w, c.r, c.maxBodyBytes, o.opts.Bodies); f != nil {
 		return f
@@ -150,7 +155,8 @@
 	b := o.retryBudgetOf(res.ServiceName)
 	b.deposit(o.opts.Retries.budgetPercent(res.Policy))
 	t := retryState{policy: res.Policy, budget: b,
-		freeLeft: o.opts.Retries.FreeRetries, freeEnabled: o.opts.Retries.FreeRetries > 0}
+		freeLeft: o.opts.Retries.FreeRetries, freeEnabled: o.opts.Retries.FreeRetries > 0,
+		allowLate: c.ask.late(c), lateFromStart: c.ask.late(c)}
 	for {
 		picked, err := o.pick(c, res, &t)
 		if err == nil {
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -64,6 +64,7 @@
 	refusedBy      []string // IDs of nodes whose target itself refused the call
 	nextCharged    bool     // the next attempt is charged to the budget
 	allowLate      bool     // the next attempt may run late, see work.allowLate
+	lateFromStart  bool     // the call had missed its target latency when it arrived
 	lastRefusal    *refusal
 	noRetry        noRetryReason // why the call is not retried
 }
@@ -96,7 +97,7 @@
 	if f.reachedTarget {
 		t.refusedBy = append(t.refusedBy, node)
 	}
-	if !t.allowLate || f.reachedTarget {
+	if !t.allowLate || f.reachedTarget || t.lateFromStart {
 		t.excluded = append(t.excluded, node)
 	}
 	return t.noRetry == ""
