--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -43,6 +43,7 @@
 	gateWaits *metrics.Histogram
 	linkWaits *metrics.Histogram
 	nested    *metrics.Counter
+	returning *metrics.Counter
 	retries   [retryResultCount]*metrics.Counter
 }
 
@@ -63,6 +64,7 @@
 		gateWaits: set.NewHistogram("siskingw_gate_wait_seconds"),
 		linkWaits: set.NewHistogram("siskingw_link_wait_seconds"),
 		nested:    set.NewCounter("siskingw_nested_calls_total"),
+		returning: set.NewCounter("siskingw_returning_calls_total"),
 	}
 	for i, name := range retryResultNames {
 		m.retries[i] = set.NewCounter(fmt.Sprintf(`siskingw_call_retries_total{result=%q}`, name))
@@ -142,6 +144,13 @@
 	}
 }
 
+// countReturning counts a call that its caller made again after a refusal.
+func (m *Metrics) countReturning() {
+	if m != nil {
+		m.returning.Inc()
+	}
+}
+
 // observeGateWait records the time that a call waited for admission by the
 // target's gate.
 func (m *Metrics) observeGateWait(d time.Duration) {
--- a/proxy/returning.go
+++ b/proxy/returning.go
@@ -30,7 +30,10 @@
 	}
 	c.ask.key, c.ask.deadline = h.Sum64(), c.start.Add(info.Deadline)
 	c.ask.first = o.returning.First(c.ask.key, c.ask.deadline, c.start)
-	c.work.targetTime = c.work.targetTime.Add(c.ask.first.Sub(c.start))
+	if c.ask.first.Before(c.start) {
+		o.opts.Metrics.countReturning()
+		c.work.targetTime = c.work.targetTime.Add(c.ask.first.Sub(c.start))
+	}
 }
 
 // remember records that the call was refused as not run, for recall.
--- a/proxy/scarcity_test.go
+++ b/proxy/scarcity_test.go
@@ -71,3 +71,23 @@
 	defer ticket.Release()
 	is.True(calls(40) > 0)
 }
+
+// Guards against a caller's retry that is taken for a new call: it is recognised by
+// its deadline, and a new call for the same is not.
+func TestCallersThatComeBackAreRecognised(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t, &object.PolicySpec{TargetLatencyMs: 500, TimeoutMs: 5000})
+	r.out.opts.Metrics = NewMetrics(metrics.NewSet())
+	ask := func(deadline time.Time) uint64 {
+		ms := time.Until(deadline).Milliseconds()
+		resp, _ := r.do(t, "GET", "/page", "", HeaderDeadline, fmt.Sprint(ms))
+		is.Equal(resp.StatusCode, 503)
+		return r.out.opts.Metrics.returning.Get()
+	}
+	deadline := time.Now().Add(3 * time.Second)
+	is.Equal(ask(deadline), uint64(0))
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(ask(time.Now().Add(4*time.Second)), uint64(0))
+	is.Equal(ask(deadline.Add(time.Second)), uint64(0))
+	is.Equal(ask(deadline.Add(time.Second)), uint64(1))
+}
