--- a/proxy/call.go
+++ b/proxy/call.go
@@ -26,6 +26,7 @@
 	first    bool   // first attempt with the key, as stated by the caller; see HeaderFirst
 	id       string // the caller's ID of this attempt; may be empty
 	work     work
+	ask      ask            // identifies a caller's retry of a refused call
 	credit   quota.Credit   // spent for the call
 	tenant   *tenant.Tenant // by the key of the caller; nil for none and on the target's node
 
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -65,6 +65,7 @@
 	refusedBy      []string // IDs of nodes whose target itself refused the call
 	nextCharged    bool     // the next attempt is charged to the budget
 	allowLate      bool     // the next attempt may run late, see work.allowLate
+	lateFromStart  bool     // the call had missed its target latency when it arrived
 	lastRefusal    *refusal
 	plan           rollout.Plan  // versions that the current attempt may use
 	reached        bool          // an attempt has reached a target
@@ -99,7 +100,7 @@
 	if f.reachedTarget {
 		t.refusedBy = append(t.refusedBy, node)
 	}
-	if !t.allowLate || f.reachedTarget {
+	if !t.allowLate || f.reachedTarget || t.lateFromStart {
 		t.excluded = append(t.excluded, node)
 	}
 	return t.noRetry == ""
