evenload, balance, proxy: two random candidates, news relayed within a failure domain, calls handed on once

Cause: every caller chose the best of all targets by the same old news, so that the targets were overrun in turns.

--- a/admit/stats.go
+++ b/admit/stats.go
@@ -9,6 +9,16 @@
 	Queued     int                          // calls that wait for a slot now
 }
 
+// Slots returns the number of calls that the gate admits at the same time.
+func (g *Gate) Slots() int { return g.opts.Slots }
+
+// HasRoom reports whether a new call would be admitted without waiting.
+func (g *Gate) HasRoom() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight < g.opts.Slots && g.queued == 0
+}
+
 // PriorityStats counts the calls of one priority since the gate was created.
 type PriorityStats struct {
 	Admitted uint64
--- a/balance/loss.go
+++ b/balance/loss.go
@@ -8,6 +8,7 @@
 
 	"siskingw/admit"
 	"siskingw/errdefs"
+	"siskingw/evenload"
 	"siskingw/lateness"
 	"siskingw/member"
 	"siskingw/object"
@@ -49,20 +50,9 @@
 	// the same endpoint.
 	lossJitter = 0.01
 
-	// gateStateHalfLife is the half-life of the weight of an endpoint's reported
-	// calls relative to the mean of the service's endpoints, and of the reported
-	// pending bytes of its link.
-	gateStateHalfLife = 400 * time.Millisecond
-	// serviceTimeHalfLife is the half-life of the weight of the reported service
-	// time, which changes more slowly than the calls in flight.
-	serviceTimeHalfLife = 3 * time.Second
-	// gateStateMaxAge is the age from which a report is ignored.
-	gateStateMaxAge = 4 * time.Second
-	// driftDeviation is the standard deviation, in calls, of the difference
-	// between the calls at an endpoint and a report that is driftTime old or
-	// older.
-	driftDeviation = 2.0
-	driftTime      = 300 * time.Millisecond
+	// linkHalfLife is the half-life of the weight of the reported pending bytes of
+	// an endpoint's link.
+	linkHalfLife = 400 * time.Millisecond
 	// defaultServiceTime is the expected service time before the first report.
 	defaultServiceTime = 100 * time.Millisecond
 
@@ -73,13 +63,21 @@
 	networkLatencyWeight      = 0.1 // weight of a new measurement in the moving average
 )
 
-// gateState is the state of an endpoint's gate as reported by its node.
+// gateState is the state of an endpoint's gate as reported by its node, or as
+// passed on by another one.
 type gateState struct {
-	callsAhead  [admit.Priorities]float64 // calls ahead of a new call, by its priority
-	serviceTime float64                   // expected service time, ns
-	link        admit.LinkReport
-	reportedAt  int64 // time of the report, ns of the balancer's clock
-	ownInFlight int64 // calls of this node in flight at that time
+	evenload.News
+	link     admit.LinkReport
+	linkedAt int64 // time of the report about the link, ns of the balancer's clock
+	relayed  bool  // another node passed it on
+}
+
+// news returns the news about the endpoint, or nil.
+func (e *endpoint) news() *evenload.News {
+	if s := e.gateState.Load(); s != nil {
+		return &s.News
+	}
+	return nil
 }
 
 // networkLatencies are the moving averages of the time on the network in ns, by
@@ -164,16 +162,13 @@
 	return &Picked{Record: e.record.Load(), Late: late, Missed: missed, balancer: b, endpoint: e, ejection: ej}, nil
 }
 
-// leastLoss returns the usable endpoint with the least expected loss, or nil, and
-// the probabilities that the call misses its target latency and its deadline there.
+// leastLoss returns the candidate with the least expected loss, or nil, and the
+// probabilities that the call misses its target latency and its deadline there.
 func (c *choice) leastLoss(t *table, d Demand, ratio float64) (best *endpoint, late, missed float64) {
-	mean := c.meanGateState(t)
+	mean := c.meanNews(t)
 	self := c.b.view.Self()
 	minLoss := math.Inf(1)
-	for _, e := range t.alive {
-		if !c.usable(e) {
-			continue
-		}
+	for _, e := range c.candidates(t) {
 		loss, lateHere, missedHere := c.loss(e, self, mean, d, ratio)
 		if loss += lossJitter * c.float(); loss < minLoss {
 			best, minLoss, late, missed = e, loss, lateHere, missedHere
@@ -186,7 +181,7 @@
 // value, and the probabilities that the call misses its target latency and its
 // deadline there. ratio is the service time of the call's class relative to that of
 // all calls.
-func (c *choice) loss(e *endpoint, self *member.Record, mean gateState, d Demand, ratio float64) (loss, late, missed float64) {
+func (c *choice) loss(e *endpoint, self *member.Record, mean *evenload.Mean, d Demand, ratio float64) (loss, late, missed float64) {
 	r := e.record.Load()
 	dist := distance(self, r)
 	expected := c.b.networkLatencies.of(dist) + c.expectedTime(e, mean, d.priorityIndex(), ratio)
@@ -202,20 +197,10 @@
 
 // expectedTime returns the expected time that a call waits and runs at the
 // endpoint: the queueing delay of the calls ahead plus the service time.
-func (c *choice) expectedTime(e *endpoint, mean gateState, priority int, ratio float64) time.Duration {
+func (c *choice) expectedTime(e *endpoint, mean *evenload.Mean, priority int, ratio float64) time.Duration {
 	slots := e.slots()
-	calls, serviceTime, age := mean.callsAhead[priority]*slots, mean.serviceTime, gateStateMaxAge
-	ownInFlight := float64(e.inFlight.Load())
-	if s := e.gateState.Load(); s != nil && c.now-s.reportedAt < int64(gateStateMaxAge) {
-		age = time.Duration(c.now - s.reportedAt)
-		weight := math.Exp2(-float64(age) / float64(gateStateHalfLife))
-		calls += weight * (s.callsAhead[priority] + ownInFlight - float64(s.ownInFlight) - calls)
-		serviceTime += math.Exp2(-float64(age)/float64(serviceTimeHalfLife)) * (s.serviceTime - serviceTime)
-	}
-	calls = max(calls, ownInFlight)
-	deviation := 1 + driftDeviation*math.Sqrt(min(float64(age)/float64(driftTime), 1))
-	ahead := meanPositivePart(calls-slots+1, deviation)
-	return time.Duration(serviceTime * (ratio + ahead/slots))
+	estimate := evenload.EstimateOf(e.news(), mean, priority, slots, e.inFlight.Load(), c.now)
+	return estimate.ExpectedTime(slots, ratio)
 }
 
 // classRatios are the service times of the classes of one service relative to that
@@ -265,39 +250,24 @@
 // over the link of the endpoint's instance.
 func (c *choice) transferTime(e *endpoint, size int64) time.Duration {
 	s := e.gateState.Load()
-	if s == nil || size == 0 || c.now-s.reportedAt >= int64(gateStateMaxAge) {
+	if s == nil || size == 0 || c.now-s.linkedAt >= int64(evenload.MaxAge) {
 		return 0
 	}
 	link := s.link
-	link.PendingBytes = int64(float64(link.PendingBytes) * math.Exp2(-float64(c.now-s.reportedAt)/float64(gateStateHalfLife)))
+	link.PendingBytes = int64(float64(link.PendingBytes) * math.Exp2(-float64(c.now-s.linkedAt)/float64(linkHalfLife)))
 	return link.TransferTime(size)
 }
 
-// meanPositivePart returns the mean of max(X, 0) for a normally distributed X.
-func meanPositivePart(mean, deviation float64) float64 {
-	z := mean / deviation
-	density := math.Exp(-z*z/2) / math.Sqrt(2*math.Pi)
-	return mean*0.5*math.Erfc(-z/math.Sqrt2) + deviation*density
-}
-
-// meanGateState returns the mean of the recently reported states of the service's
-// endpoints, with the calls per slot and the service time.
-func (c *choice) meanGateState(t *table) gateState {
-	var mean gateState
-	n := 0.0
+// meanNews returns the mean of the fresh news about the service's endpoints.
+func (c *choice) meanNews(t *table) *evenload.Mean {
+	mean := &evenload.Mean{}
 	for _, e := range t.alive {
-		s := e.gateState.Load()
-		if s == nil || c.now-s.reportedAt >= int64(gateStateMaxAge) {
-			continue
+		if n := e.news(); n.Fresh(c.now) {
+			mean.Add(n, e.slots())
 		}
-		n++
-		for i := range mean.callsAhead {
-			mean.callsAhead[i] += (s.callsAhead[i]/e.slots() - mean.callsAhead[i]) / n
-		}
-		mean.serviceTime += (s.serviceTime - mean.serviceTime) / n
 	}
-	if n == 0 {
-		mean.serviceTime = float64(defaultServiceTime)
+	if !mean.Known() {
+		mean.ServiceTime = float64(defaultServiceTime)
 	}
 	return mean
 }
@@ -307,9 +277,13 @@
 	if r.ServiceTime <= 0 {
 		return
 	}
-	s := &gateState{serviceTime: float64(r.ServiceTime), link: r.Link, reportedAt: now, ownInFlight: e.inFlight.Load()}
+	s := &gateState{link: r.Link, linkedAt: now}
+	s.ServiceTime, s.At, s.Own = float64(r.ServiceTime), now, e.inFlight.Load()
 	for i, n := range r.CallsAhead {
-		s.callsAhead[i] = float64(n)
+		s.Ahead[i] = float64(n)
+	}
+	if old := e.gateState.Load(); old != nil {
+		s.Failed = old.Failed
 	}
 	e.gateState.Store(s)
 }
--- a/bench/load/command.go
+++ b/bench/load/command.go
@@ -28,12 +28,12 @@
 
 // Usage implements subcommands.Command.
 func (*Command) Usage() string {
-	return "load -experiment gates|balance|overflow|proxies|retries [-duration 10s] [-callers 20] [-only text]\n"
+	return "load -experiment gates|balance|overflow|proxies|retries|even [-duration 10s] [-callers 20] [-only text]\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (c *Command) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.experiment, "experiment", "gates", "gates, balance, overflow, proxies or retries")
+	f.StringVar(&c.experiment, "experiment", "gates", "gates, balance, overflow, proxies, retries or even")
 	f.IntVar(&c.callers, "callers", defaultCallers, "number of calling nodes in the balancing and overflow runs")
 	f.StringVar(&c.caseFilter, "only", "", "run only balancing cases whose case or policy name contains this text")
 	f.DurationVar(&c.duration, "duration", 10*time.Second, "length of each run")
@@ -48,6 +48,7 @@
 		"overflow": c.overflow,
 		"proxies":  c.proxies,
 		"retries":  c.retries,
+		"even":     c.even,
 	}
 	run, ok := experiments[c.experiment]
 	if !ok {
--- a/node/calls.go
+++ b/node/calls.go
@@ -187,6 +187,7 @@
 			QueueTimeout: time.Duration(t.QueueMs) * time.Millisecond,
 		}),
 		Ledger:      s.ledger,
+		EvenLoad:    s.evenLoad(),
 		DecisionLog: s.node.callDecisionLog(),
 		Metrics:     s.node.proxyMetrics(),
 		Tracer:      s.node.tracer(),
@@ -194,6 +195,11 @@
 	return s.inbound
 }
 
+// evenLoad returns the state that the handler keeps for an even load.
+func (s *inboundService) evenLoad() *proxy.EvenLoad {
+	return proxy.NewEvenLoad(func() string { return s.node.dir.Self().ID })
+}
+
 // platformHandler creates the handler for a target that announces itself.
 func (s *inboundService) platformHandler() *proxy.Inbound {
 	return proxy.NewInbound(proxy.InboundOptions{
@@ -202,6 +208,7 @@
 		Tracer:       s.node.tracer(),
 		DecisionLog:  s.node.callDecisionLog(),
 		HeaderFormat: platform.HeaderFormat{},
+		EvenLoad:     s.evenLoad(),
 		Responses:    platformResponses, Bodies: platformBodies, CloseDelimited: true,
 		OnWrongTarget: s.node.target.onWrongTarget,
 		Link:          admit.NewLink(s.node.settings.Platform.LinkMbps * bodyShareOfLink * bytesPerMbit),
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -42,6 +42,8 @@
 	status          int               // HTTP status of the last attempt's response
 	load            float64           // load reported with the last attempt's response, or 0
 	gate            gateState         // gate state reported with the last attempt's response
+	newsWanted      bool              // the caller's node takes news about other targets
+	slowness        float64           // of the target's machine as stated with its response, or 0
 	gateCtx         deadlineContext
 	sentAt          time.Time       // start of the last attempt
 	upstreamWait    time.Duration   // time spent waiting for response headers
--- a/proxy/cause.go
+++ b/proxy/cause.go
@@ -26,6 +26,7 @@
 	causeAnswerLost   cause = "answer_lost"   // part of the request or all of it was sent, but no valid response header arrived
 	causeAnswerCut    cause = "answer_cut"    // the response broke off before its end
 	causeKey          cause = "key"           // the call was refused because of its idempotency key
+	causeElsewhere    cause = "elsewhere"     // the target is full and another one has room
 	causeOtherNode    cause = "node"          // another node refused without a known cause
 )
 
@@ -33,7 +34,7 @@
 var allCauses = append([]cause{
 	causeBadRequest, causeBody, causeCallerGone, causeNoConfig, causeNoRoute, causeNoTime, causeNoEndpoint,
 	causeAllFull, causeStopping, causeNoTarget, causeOtherService, causeTarget, causeUnreachable, causeUnsent,
-	causeAnswerLost, causeAnswerCut, causeKey, causeOtherNode,
+	causeAnswerLost, causeAnswerCut, causeKey, causeElsewhere, causeOtherNode,
 }, gateCauses()...)
 
 // gateCauses returns the causes of refusals by the admission gate.
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -25,6 +25,7 @@
 	Bodies       BodyOptions
 	DecisionLog  *DecisionLog // nil disables the log of decisions
 	Link         *admit.Link  // network link of this instance; nil means unlimited bandwidth
+	EvenLoad     *EvenLoad    // what the node does for even load; nil for nothing
 	// CloseDelimited accepts responses of the target that are delimited only by
 	// closing the connection.
 	CloseDelimited bool
@@ -138,6 +139,7 @@
 	c.voucher = c.r.Header.Get(HeaderVoucher)
 	c.kind = ParseKind(c.r.Header.Get(HeaderKind))
 	c.expectsContinue = len(c.r.Header[HeaderExpect]) > 0
+	in.opts.EvenLoad.receive(c)
 	c.work = parseWork(c.r.Header.Get(HeaderWork), c.start, c.kind)
 	return c.correctKeyedRefusal(in.validateAndForward(c))
 }
@@ -235,18 +237,23 @@
 		f.status = http.StatusMisdirectedRequest
 		return f
 	}
+	if f := in.handOn(c, b); f != nil {
+		return f
+	}
 	ticket, f := in.admit(c, b)
 	if f != nil {
 		return f
 	}
 	defer ticket.Release()
-	x := exchange{pool: in.opts.Pool}
+	x, started := exchange{pool: in.opts.Pool}, time.Now()
 	if f := in.sendToTarget(&x, c, c.ctx, b); f != nil {
+		in.opts.EvenLoad.ended(c, b, time.Since(started), f)
 		return f
 	}
 	if f := x.bufferResponse(c, in.opts.Responses.BufferBytes); f != nil {
 		return f
 	}
+	in.opts.EvenLoad.ended(c, b, time.Since(started), nil)
 	if x.bodyComplete {
 		ticket.Release() // the target has responded in full; a slow caller must not hold the slot
 	}
@@ -271,6 +278,7 @@
 	} else {
 		ticket, err = b.Gate.Admit(&c.gateCtx, c.admissionWork())
 	}
+	in.opts.EvenLoad.observeArrival(in.opts.Metrics, c, b, time.Since(asked))
 	if err == nil {
 		in.opts.Metrics.observeGateWait(time.Since(asked))
 		return ticket, nil
@@ -291,6 +299,7 @@
 	s := gateState{handlingTime: time.Since(c.start), link: in.opts.Link.Report()}
 	if b := in.backend(); b != nil {
 		s.report, s.classServiceTime = b.Gate.Report(), b.Gate.ClassServiceTime(c.work.class)
+		s.report.ServiceTime = in.opts.EvenLoad.serviceTime(b, s.report.ServiceTime)
 	}
 	return s
 }
@@ -323,6 +332,7 @@
 	if f := x.start(ctx, c, b.Addr); f != nil {
 		return f
 	}
+	c.slowness = info.Load.Slowness
 	if !info.NotRun {
 		return nil
 	}
@@ -349,6 +359,7 @@
 func (in *Inbound) setNodeHeaders(c *call, h http.Header) {
 	h[HeaderLoad] = loadValue(in.load())
 	h[HeaderGate] = []string{in.gateState(c).format()}
+	in.opts.EvenLoad.send(c, h)
 	if in.draining.Load() {
 		h[HeaderDraining] = headerTrue
 		h["Connection"] = connectionClose
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -41,6 +41,26 @@
 	refusals  [sideCount]map[cause]*metrics.Counter
 	gateWaits *metrics.Histogram
 	retries   [retryResultCount]*metrics.Counter
+	arrivals  [arrivalResultCount]*metrics.Counter
+}
+
+// What became of a call that arrived at the target's gate, as an index into
+// Metrics.arrivals.
+const (
+	arrivalAtOnce           = iota // admitted or refused without waiting
+	arrivalWaited                  // waited
+	arrivalWaitedBesideRoom        // waited although another target of the failure domain had room
+	arrivalHandedOn                // handed on to another target
+	arrivalResultCount
+)
+
+var arrivalResultNames = [arrivalResultCount]string{"at_once", "waited", "waited_beside_room", "handed_on"}
+
+// countArrival counts a call that arrived at the target's gate.
+func (m *Metrics) countArrival(result int) {
+	if m != nil {
+		m.arrivals[result].Inc()
+	}
 }
 
 // Result of a retry decision, as an index into Metrics.retries.
@@ -60,6 +80,9 @@
 	for i, name := range retryResultNames {
 		m.retries[i] = set.NewCounter(fmt.Sprintf(`siskingw_call_retries_total{result=%q}`, name))
 	}
+	for i, name := range arrivalResultNames {
+		m.arrivals[i] = set.NewCounter(fmt.Sprintf(`siskingw_gate_arrivals_total{result=%q}`, name))
+	}
 	for s, sideName := range sideNames {
 		m.overhead[s] = set.NewHistogram(fmt.Sprintf(`siskingw_call_added_seconds{side=%q}`, sideName))
 		m.refusals[s] = make(map[cause]*metrics.Counter)
--- /dev/null
+++ b/proxy/news.go
@@ -0,0 +1,153 @@
+package proxy
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"siskingw/evenload"
+	"siskingw/member"
+)
+
+// HeaderNews carries news about the targets of the called service between two
+// instances of one failure domain, see evenload.Encode: in a request from the
+// caller's node, and in the response to such a request from the target's node.
+// Nodes that do not know it ignore it.
+const HeaderNews = "Siskingw-News"
+
+// flagHandOn in a HeaderWork value allows the target's node to hand the call on.
+const flagHandOn = "h"
+
+// EvenLoad is what the node of a target measures and hears for an even load of the
+// targets. A nil *EvenLoad does nothing.
+type EvenLoad struct {
+	self  func() string // ID of the node
+	start time.Time
+
+	mu       sync.Mutex
+	instance string // identity of the target that meter and board belong to
+	meter    *evenload.Meter
+	board    *evenload.Board
+}
+
+// NewEvenLoad returns the state of the node with the ID that self returns.
+func NewEvenLoad(self func() string) *EvenLoad {
+	return &EvenLoad{self: self, start: time.Now(), meter: &evenload.Meter{}, board: &evenload.Board{}}
+}
+
+func (l *EvenLoad) now() int64 { return int64(time.Since(l.start)) }
+
+// of returns the measurements of the current target. Another target than before
+// starts anew.
+func (l *EvenLoad) of(b *Backend) (*evenload.Meter, *evenload.Board) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if b != nil && b.Instance != l.instance {
+		l.instance, l.meter, l.board = b.Instance, &evenload.Meter{}, &evenload.Board{}
+	}
+	return l.meter, l.board
+}
+
+// receive takes the news from a request of another node.
+func (l *EvenLoad) receive(c *call) {
+	v := c.r.Header[HeaderNews]
+	if l == nil || len(v) == 0 {
+		return
+	}
+	c.newsWanted = true
+	_, board := l.of(nil)
+	board.Learn(evenload.Decode(v[0]), l.now())
+}
+
+// send adds news to the response to a call that came with some.
+func (l *EvenLoad) send(c *call, h http.Header) {
+	if l == nil || !c.newsWanted {
+		return
+	}
+	_, board := l.of(nil)
+	if v := evenload.Encode(board.Newest(l.self(), l.now())); v != "" {
+		h[HeaderNews] = []string{v}
+	}
+}
+
+// ended records that the target ended a call after took; f is nil if it responded.
+// Calls that it did not run, or that the caller gave up, say nothing about it.
+func (l *EvenLoad) ended(c *call, b *Backend, took time.Duration, f *refusal) {
+	if l == nil || f != nil && (f.outcome == OutcomeNotRun || c.ctx.Err() != nil) {
+		return
+	}
+	meter, _ := l.of(b)
+	meter.Ended(took, c.slowness, f != nil || c.status >= http.StatusInternalServerError, l.now())
+}
+
+// serviceTime returns the expected service time of the target; recent is the one
+// that the gate estimates from the last few calls.
+func (l *EvenLoad) serviceTime(b *Backend, recent time.Duration) time.Duration {
+	if l == nil {
+		return recent
+	}
+	meter, _ := l.of(b)
+	return meter.ServiceTime(recent, l.now())
+}
+
+// minWait is the wait at the gate from which an arrival counts as one that waited.
+const minWait = time.Millisecond
+
+// observeArrival counts a call that asked the gate for admission and waited.
+func (l *EvenLoad) observeArrival(m *Metrics, c *call, b *Backend, waited time.Duration) {
+	if l == nil {
+		return
+	}
+	if waited < minWait {
+		m.countArrival(arrivalAtOnce)
+		return
+	}
+	result := arrivalWaited
+	if l.roomElsewhere(c, b) {
+		result = arrivalWaitedBesideRoom
+	}
+	m.countArrival(result)
+}
+
+// roomElsewhere reports whether the news shows another target of the failure
+// domain with room for the call.
+func (l *EvenLoad) roomElsewhere(c *call, b *Backend) bool {
+	_, board := l.of(b)
+	priority := min(max(c.work.priority, 0), evenload.Priorities-1)
+	return board.RoomElsewhere(l.self(), priority, float64(b.Gate.Slots()), l.now())
+}
+
+// handOn returns a refusal for a call that would wait although another target of
+// the failure domain has room, or nil. The caller's node sends such a call once
+// more, to any target, and that attempt is not handed on.
+func (in *Inbound) handOn(c *call, b *Backend) *refusal {
+	l := in.opts.EvenLoad
+	if l == nil || !c.work.mayHandOn || c.work.allowLate || c.body.streamed || b.Gate.HasRoom() || !l.roomElsewhere(c, b) {
+		return nil
+	}
+	in.opts.Metrics.countArrival(arrivalHandedOn)
+	return notRun(causeElsewhere, "the target is full and another one has room", nil)
+}
+
+// maySendOn reports whether a call that was handed on is sent once more.
+func (t *retryState) maySendOn(c *call, f *refusal) bool {
+	return f.cause == causeElsewhere && c.work.mayHandOn && noRetryReasonOf(c, t.policy, f) == ""
+}
+
+// addNews adds news to the request to the node of an endpoint in the own failure
+// domain.
+func (o *Outbound) addNews(c *call, rec *member.Record) {
+	if c.work.targetTime.IsZero() || rec.FailureDomain != o.opts.View.Self().FailureDomain {
+		return
+	}
+	c.outHeader[HeaderNews] = []string{evenload.Encode(o.opts.Balancer.Newest(c.work.service, rec.ID))}
+}
+
+// learnNews takes the news from a response of the node of an endpoint.
+func (o *Outbound) learnNews(c *call, rec *member.Record, h http.Header) {
+	v := h[HeaderNews]
+	if len(v) == 0 || rec.FailureDomain != o.opts.View.Self().FailureDomain {
+		return
+	}
+	o.opts.Balancer.Learn(c.work.service, evenload.Decode(v[0]))
+}
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -147,6 +147,7 @@
 	b.deposit(o.opts.Retries.budgetPercent(res.Policy))
 	t := retryState{policy: res.Policy, budget: b,
 		freeLeft: o.opts.Retries.FreeRetries, freeEnabled: o.opts.Retries.FreeRetries > 0}
+	handedOn := false
 	for {
 		picked, err := o.pick(c, res, &t)
 		if err == nil {
@@ -163,12 +164,17 @@
 			return t.result(notRun(causeNoEndpoint, "no endpoint is left", err))
 		}
 		c.work.service = res.EndpointSet.Announce
+		c.work.mayHandOn = !handedOn && picked.Record.FailureDomain == o.opts.View.Self().FailureDomain
 		f := o.send(c, picked.Record)
 		c.recordAttempt(picked.Record, picked.Late, f)
 		picked.Done(c.balancerReport(f))
 		if f == nil || f.aborted {
 			return f
 		}
+		if t.maySendOn(c, f) {
+			handedOn = true
+			continue
+		}
 		if !t.shouldRetry(c, f, picked.Record.ID) {
 			c.noRetry = t.noRetry
 			o.opts.Metrics.countRetry(retryDenied)
@@ -211,6 +217,7 @@
 	}
 	c.buildRequest()
 	c.addNodeRequestHeaders()
+	o.addNews(c, rec)
 	x := exchange{pool: o.opts.Pool, awaitContinue: true}
 	if f := x.start(c.ctx, c, rec.InboundAddr); f != nil {
 		return f
@@ -224,6 +231,7 @@
 	if v := x.resp.Header[HeaderGate]; len(v) > 0 {
 		c.gate = parseGateState(v[0])
 	}
+	o.learnNews(c, rec, x.resp.Header)
 	if len(x.resp.Header[HeaderDraining]) > 0 {
 		o.noteDraining(rec)
 	}
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -18,6 +18,7 @@
 	targetTime time.Time // start of the call plus the target latency; zero if the policy sets none
 	idempotent bool      // the call is idempotent
 	allowLate  bool      // admit the call even if it will probably miss its target latency
+	mayHandOn  bool      // the target's node may hand the call on, see Inbound.handOn
 	caller     string    // name of the calling service
 	tenant     string    // organisation on whose behalf the call is made; empty for none
 	weight     float64   // share of the tenant relative to others, see admit.Work
@@ -49,6 +50,9 @@
 	if w.allowLate {
 		flags += flagAllowLate
 	}
+	if w.mayHandOn {
+		flags += flagHandOn
+	}
 	return strings.Join([]string{strconv.Itoa(w.priority), targetMs, flags, w.class, w.service, w.caller}, ";")
 }
 
@@ -68,6 +72,7 @@
 	}
 	w.idempotent = strings.Contains(fields[2], flagIdempotent)
 	w.allowLate = strings.Contains(fields[2], flagAllowLate)
+	w.mayHandOn = strings.Contains(fields[2], flagHandOn)
 	w.class, w.service, w.caller = fields[3], fields[4], fields[5]
 	return w
 }
