--- a/proxy/call.go
+++ b/proxy/call.go
@@ -202,6 +202,7 @@
 	reachedTarget bool // the target received the call
 	overloaded    bool // the target's gate cannot run the call in time
 	gate          gateState
+	news          string        // HeaderNews value for the caller's node; empty for none
 	retryAfter    time.Duration // advised wait before the caller retries; 0 for no advice
 }
 
@@ -290,6 +291,9 @@
 		h[HeaderGate] = []string{f.gate.format()}
 	}
 	h[HeaderCause] = []string{string(f.cause)}
+	if f.news != "" {
+		h[HeaderNews] = []string{f.news}
+	}
 	if f.retryAfter > 0 {
 		h[HeaderAfter] = []string{formatMs(f.retryAfter)}
 	}
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -128,6 +128,7 @@
 	if f != nil {
 		f.load = loadValue(in.load())
 		f.gate = in.gateState(c)
+		f.news = in.opts.EvenLoad.newsFor(c)
 		f.draining = in.draining.Load()
 		c.refuse(f)
 	}
@@ -359,7 +360,9 @@
 func (in *Inbound) setNodeHeaders(c *call, h http.Header) {
 	h[HeaderLoad] = loadValue(in.load())
 	h[HeaderGate] = []string{in.gateState(c).format()}
-	in.opts.EvenLoad.send(c, h)
+	if v := in.opts.EvenLoad.newsFor(c); v != "" {
+		h[HeaderNews] = []string{v}
+	}
 	if in.draining.Load() {
 		h[HeaderDraining] = headerTrue
 		h["Connection"] = connectionClose
--- a/proxy/news.go
+++ b/proxy/news.go
@@ -59,15 +59,14 @@
 	board.Learn(evenload.Decode(v[0]), l.now())
 }
 
-// send adds news to the response to a call that came with some.
-func (l *EvenLoad) send(c *call, h http.Header) {
+// newsFor returns the HeaderNews value for the response to a call, or "" when the
+// call came without news or there is none.
+func (l *EvenLoad) newsFor(c *call) string {
 	if l == nil || !c.newsWanted {
-		return
+		return ""
 	}
 	_, board := l.of(nil)
-	if v := evenload.Encode(board.Newest(l.self(), l.now())); v != "" {
-		h[HeaderNews] = []string{v}
-	}
+	return evenload.Encode(board.Newest(l.self(), l.now()))
 }
 
 // ended records that the target ended a call after took; f is nil if it responded.
