--- a/bench/even/model_test.go
+++ b/bench/even/model_test.go
@@ -22,8 +22,8 @@
 	"one target slow in eight":          func(c *Config) { c.Targets, c.Callers, c.Speeds, c.SlowOne = 8, 16, nil, 5 },
 	"cold after a restart":              func(c *Config) { c.ColdAt = 4 * time.Second },
 	"one failure domain at twice":       func(c *Config) { c.Domains, c.Domain0, c.Load = 6, 2, 0.6 },
-	"half of the fleet cut off":         func(c *Config) { c.Domains, c.Domain0, c.Load, c.CutAt = 6, 2, 0.6, 4 * time.Second },
-	"hundreds of callers and targets":   func(c *Config) { c.Callers, c.Targets, c.Length = 200, 100, 4 * time.Second },
+	"half of the fleet cut off":         func(c *Config) { c.Domains, c.Domain0, c.Load, c.CutAt = 6, 2, 0.6, 4*time.Second },
+	"hundreds of callers and targets":   func(c *Config) { c.Callers, c.Targets, c.Length = 200, 100, 4*time.Second },
 	"a handful of callers and targets":  func(c *Config) { c.Callers, c.Targets = 3, 3 },
 	"many callers, few calls from each": func(c *Config) { c.Callers = 120 },
 }
