admin, cli, proxy, balance: siskingw where explains where a call would go now

Change: 'siskingw where PATH' asks a node for the route, the weighted part, the candidates with their figures and the age of these, the choice and the refusal with its advised delay.

--- a/evenload/evenload_test.go
+++ b/evenload/evenload_test.go
@@ -143,3 +143,16 @@
 	is.True(!room(5, maxRoomAge, "a"))
 	is.True(!room(5, 0, "self"))
 }
+
+// BenchmarkRelay measures what one message with news costs its sender and its
+// receiver.
+func BenchmarkRelay(b *testing.B) {
+	var board Board
+	for i := range 8 {
+		board.Learn([]Item{{ID: "sidecar-amd-a-" + string(rune('1'+i)), Ahead: [Priorities]int{1, 2, 3}, ServiceTime: time.Second}}, 0)
+	}
+	var other Board
+	for b.Loop() {
+		other.Learn(Decode(Encode(board.Newest("self", 1))), 1)
+	}
+}
--- a/node/admin.go
+++ b/node/admin.go
@@ -80,7 +80,7 @@
 }
 
 func (s *adminService) Name() string    { return nameAdmin }
-func (s *adminService) Needs() []string { return []string{namePublish, nameStatus} }
+func (s *adminService) Needs() []string { return []string{namePublish, nameStatus, nameOutbound} }
 
 func (s *adminService) Start(_ context.Context, k *kernel.Kernel) error {
 	p, err := kernel.Lookup[*publishService](k, namePublish)
@@ -93,7 +93,9 @@
 	}
 	mux := http.NewServeMux()
 	telemetry.Mount(mux, s.node.ready)
-	admin.NewServer(p.publisher(), s.node.current, st, s.node.log).Register(mux)
+	server := admin.NewServer(p.publisher(), s.node.current, st, s.node.log)
+	server.Register(mux)
+	server.RegisterWhere(mux, s.node.settings.ID, s.node.outbound)
 	return s.listen(nameAdmin, s.node.settings.Listen.Admin, proxy.NewServer(mux, proxy.ServerOptions{}))
 }
 
--- a/proxy/split.go
+++ b/proxy/split.go
@@ -18,18 +18,35 @@
 func (s *splitter) next(routes []snapshot.WeightedRoute) snapshot.WeightedRoute {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	best, totalWeight := -1, 0
+	best, totalWeight := s.choose(routes)
+	for _, route := range routes {
+		s.currentWeight[route.Route.ServiceName] += route.Weight
+	}
+	s.currentWeight[routes[best].Route.ServiceName] -= totalWeight
+	return routes[best]
+}
+
+// peek returns the index of the route that next would return.
+func (s *splitter) peek(routes []snapshot.WeightedRoute) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	best, _ := s.choose(routes)
+	return best
+}
+
+// choose returns the index of the next route and the sum of the weights. s.mu must
+// be held.
+func (s *splitter) choose(routes []snapshot.WeightedRoute) (best, totalWeight int) {
+	best = -1
+	highest := 0
 	for i, route := range routes {
-		name := route.Route.ServiceName
-		s.currentWeight[name] += route.Weight
 		totalWeight += route.Weight
-		if route.Weight > 0 && (best < 0 || s.currentWeight[name] > s.currentWeight[routes[best].Route.ServiceName]) {
-			best = i
+		w := s.currentWeight[route.Route.ServiceName] + route.Weight
+		if route.Weight > 0 && (best < 0 || w > highest) {
+			best, highest = i, w
 		}
 	}
-	best = max(best, 0)
-	s.currentWeight[routes[best].Route.ServiceName] -= totalWeight
-	return routes[best]
+	return max(best, 0), totalWeight
 }
 
 // splitterOf returns the splitter of a route; the first use creates it.
