--- a/bench/even/model.go
+++ b/bench/even/model.go
@@ -168,6 +168,7 @@
 // receive takes the call at the target's instance.
 func (m *model) receive(w *work, t *target) {
 	m.relay(t, w.caller, true)
+	t.budget.Arrived(m.policy.Budget)
 	if t.running >= m.cfg.Slots && !w.handedOn && m.handsOn(t) {
 		w.handedOn = true
 		m.answer(w, t, func() { m.send(w) })
--- a/bench/even/nodes.go
+++ b/bench/even/nodes.go
@@ -55,6 +55,7 @@
 	steady      bool    // the instance states steadyTime, corrected by the slowness of the machine
 	steadyTime  float64 // service time on a machine of usual speed, over more calls, ns
 	history     []statement
+	budget      evenload.HandOnBudget
 	heard       []*evenload.News // about the targets of the failure domain, by index
 }
 
--- a/bench/even/policies.go
+++ b/bench/even/policies.go
@@ -17,6 +17,7 @@
 	Subset  int  // targets that each caller uses; 0 for all
 	Relay   int  // targets about which each message within a failure domain carries news
 	HandOn  handOn
+	Budget  float64 // share of the calls, 0..1, that an instance may hand on; 0 for no limit
 	Credits bool    // a target's answers grant a call for 100 ms each while it has free slots
 	Weighed bool    // candidates are drawn by capacity: slots per stated service time
 	Remote  int     // candidates drawn besides in the other failure domains
@@ -55,7 +56,10 @@
 	{Name: "two by capacity, steady, 4 relayed, hand on", Choices: 2, Remote: 2, Weighed: true, Relay: 4, HandOn: handOnKnowing, Steady: true},
 	{Name: "two, steady, hand on blindly", Choices: 2, Remote: 2, HandOn: handOnBlind, Steady: true},
 	{Name: "two, steady, 2 relayed, hand on", Choices: 2, Remote: 2, Relay: 2, HandOn: handOnKnowing, Steady: true},
-	{Name: Built, Choices: 2, Remote: 2, Relay: evenload.MaxRelayed, HandOn: handOnKnowing, Steady: true},
+	{Name: "two, steady, 4 relayed, hand on", Choices: 2, Remote: 2, Relay: 4, HandOn: handOnKnowing, Steady: true},
+	{Name: "two, steady, 4 relayed, hand on 5%", Choices: 2, Remote: 2, Relay: 4, HandOn: handOnKnowing, Budget: 0.05, Steady: true},
+	{Name: Built, Choices: 2, Remote: 2, Relay: evenload.MaxRelayed, HandOn: handOnKnowing, Budget: evenload.HandOnShare, Steady: true},
+	{Name: "two, steady, 4 relayed, hand on 20%", Choices: 2, Remote: 2, Relay: 4, HandOn: handOnKnowing, Budget: 0.2, Steady: true},
 	{Name: "two, steady, 8 relayed, hand on", Choices: 2, Remote: 2, Relay: 8, HandOn: handOnKnowing, Steady: true},
 	{Name: "three, steady, 4 relayed, hand on", Choices: 3, Remote: 2, Relay: 4, HandOn: handOnKnowing, Steady: true},
 }
@@ -63,7 +67,7 @@
 // Names of the policy before the feature and of the one that was built.
 const (
 	Before = "least by discounted news (before)"
-	Built  = "two, steady, 4 relayed, hand on (built)"
+	Built  = "two, steady, 4 relayed, hand on 10% (built)"
 )
 
 // PolicyOf returns the policy with the given name.
@@ -334,6 +338,11 @@
 
 // handsOn reports whether the instance of t hands a call on that would wait.
 func (m *model) handsOn(t *target) bool {
+	return m.wantsToHandOn(t) && (m.policy.Budget == 0 || t.budget.Take())
+}
+
+// wantsToHandOn reports the same without the budget.
+func (m *model) wantsToHandOn(t *target) bool {
 	switch m.policy.HandOn {
 	case handOnBlind:
 		return true
--- a/evenload/evenload_test.go
+++ b/evenload/evenload_test.go
@@ -144,6 +144,29 @@
 	is.True(!room(5, 0, "self"))
 }
 
+// Guards against an overloaded service whose instances hand calls on to each other
+// instead of working.
+func TestHandOnBudgetLimitsTheShare(t *testing.T) {
+	is := is.New(t)
+	var b HandOnBudget
+	handedOn := 0
+	for range 1000 {
+		b.Arrived(HandOnShare)
+		if b.Take() {
+			handedOn++
+		}
+	}
+	is.True(handedOn >= 95 && handedOn <= 100)
+	for range 1000 {
+		b.Arrived(HandOnShare)
+	}
+	handedOn = 0
+	for b.Take() {
+		handedOn++
+	}
+	is.Equal(handedOn, int(maxHandOnCredit))
+}
+
 // BenchmarkRelay measures what one message with news costs its sender and its
 // receiver.
 func BenchmarkRelay(b *testing.B) {
--- a/proxy/news.go
+++ b/proxy/news.go
@@ -28,6 +28,7 @@
 	instance string // identity of the target that meter and board belong to
 	meter    *evenload.Meter
 	board    *evenload.Board
+	budget   evenload.HandOnBudget
 }
 
 // NewEvenLoad returns the state of the node with the ID that self returns.
@@ -116,12 +117,28 @@
 	return board.RoomElsewhere(l.self(), priority, float64(b.Gate.Slots()), l.now())
 }
 
+// budgetFor adds the credit of a call that arrived, and reports whether the call may
+// be handed on.
+func (l *EvenLoad) budgetFor(c *call) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.budget.Arrived(evenload.HandOnShare)
+	return c.work.mayHandOn && !c.work.allowLate && !c.body.streamed
+}
+
+// takeBudget pays for one call that is handed on, or reports false.
+func (l *EvenLoad) takeBudget() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.budget.Take()
+}
+
 // handOn returns a refusal for a call that would wait although another target of
 // the failure domain has room, or nil. The caller's node sends such a call once
 // more, to any target, and that attempt is not handed on.
 func (in *Inbound) handOn(c *call, b *Backend) *refusal {
 	l := in.opts.EvenLoad
-	if l == nil || !c.work.mayHandOn || c.work.allowLate || c.body.streamed || b.Gate.HasRoom() || !l.roomElsewhere(c, b) {
+	if l == nil || !l.budgetFor(c) || b.Gate.HasRoom() || !l.roomElsewhere(c, b) || !l.takeBudget() {
 		return nil
 	}
 	in.opts.Metrics.countArrival(arrivalHandedOn)
--- a/proxy/news_test.go
+++ b/proxy/news_test.go
@@ -38,6 +38,9 @@
 		defer ticket.Release()
 	}
 	in := NewInbound(InboundOptions{Target: "127.0.0.1:1", Gate: gate, EvenLoad: NewEvenLoad(func() string { return "a" })})
+	for range 10 { // calls that came before
+		in.opts.EvenLoad.budget.Arrived(evenload.HandOnShare)
+	}
 	_, addr := serveCalls(t, in)
 	req, _ := http.NewRequest("GET", "http://"+addr+"/", nil)
 	req.Header.Set(HeaderWork, "0;20;"+flags+";route;;")
