--- a/balance/candidates.go
+++ b/balance/candidates.go
@@ -10,20 +10,14 @@
 // ones of each locality, and the own one.
 func (c *choice) candidates(t *table) []*endpoint {
 	list := make([]*endpoint, 0, 8)
-	own := c.b.view.Self().ID
 	for _, l := range t.near {
 		list = c.drawInto(list, l)
 	}
 	for _, l := range t.otherRegions {
 		list = c.drawInto(list, l)
 	}
-	if len(t.near) == 0 {
-		return list
-	}
-	for _, e := range t.near[0].endpoints {
-		if e.record.Load().ID == own && c.usable(e) {
-			return append(list, e)
-		}
+	if t.own != nil && c.usable(t.own) {
+		list = append(list, t.own)
 	}
 	return list
 }
--- a/balance/explain.go
+++ b/balance/explain.go
@@ -93,7 +93,7 @@
 	if g := e.gateState.Load(); g != nil && g.Fresh(c.now) {
 		k.NewsAge, k.Relayed = time.Duration(c.now-g.At), g.relayed
 	}
-	priority, mean := 0, c.meanNews(t)
+	priority, mean := 0, t.mean.Load()
 	if d != nil {
 		priority = d.priorityIndex()
 		k.Loss, k.Late, k.Missed = c.loss(e, c.b.view.Self(), mean, *d, s.classRatios.of(d.Class))
--- a/balance/loss.go
+++ b/balance/loss.go
@@ -165,7 +165,7 @@
 // leastLoss returns the candidate with the least expected loss, or nil, and the
 // probabilities that the call misses its target latency and its deadline there.
 func (c *choice) leastLoss(t *table, d Demand, ratio float64) (best *endpoint, late, missed float64) {
-	mean := c.meanNews(t)
+	mean := t.mean.Load()
 	self := c.b.view.Self()
 	minLoss := math.Inf(1)
 	for _, e := range c.candidates(t) {
@@ -258,18 +258,19 @@
 	return link.TransferTime(size)
 }
 
-// meanNews returns the mean of the fresh news about the service's endpoints.
-func (c *choice) meanNews(t *table) *evenload.Mean {
+// updateMean updates the mean of the fresh news about the service's endpoints. It is
+// not done for every call, since it takes as long as there are endpoints.
+func (t *table) updateMean(now int64) {
 	mean := &evenload.Mean{}
 	for _, e := range t.alive {
-		if n := e.news(); n.Fresh(c.now) {
+		if n := e.news(); n.Fresh(now) {
 			mean.Add(n, e.slots())
 		}
 	}
 	if !mean.Known() {
 		mean.ServiceTime = float64(defaultServiceTime)
 	}
-	return mean
+	t.mean.Store(mean)
 }
 
 // observeGateState records the state of the gate that the endpoint's node reported.
--- a/balance/service.go
+++ b/balance/service.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"siskingw/evenload"
 	"siskingw/member"
 )
 
@@ -42,11 +43,13 @@
 	generation         atomic.Uint64    // of the view that the table was last compared with
 	records            []*member.Record // the records that the table was built from
 	unreachableDomains []string         // names of failure domains
+	own                *endpoint        // alive endpoint of the own instance, or nil
 	alive              []*endpoint      // alive endpoints in reachable failure domains
 	near               []*locality      // own failure domain, then the rest of the own region
 	otherRegions       []*locality
-	suspects           *locality // suspect endpoints in reachable failure domains
-	unreachable        *locality // endpoints in unreachable failure domains
+	suspects           *locality                     // suspect endpoints in reachable failure domains
+	mean               atomic.Pointer[evenload.Mean] // of the news about alive; set before the table is used
+	unreachable        *locality                     // endpoints in unreachable failure domains
 }
 
 // locality is a group of endpoints at the same distance: a failure domain or a
@@ -206,6 +209,9 @@
 		}
 		l.add(e, r)
 		t.alive = append(t.alive, e)
+		if r.ID == self.ID {
+			t.own = e
+		}
 	}
 	t.near = slices.DeleteFunc([]*locality{ownDomain, ownRegion}, func(l *locality) bool { return len(l.endpoints) == 0 })
 	for _, l := range otherRegions {
--- a/balance/spill.go
+++ b/balance/spill.go
@@ -62,6 +62,7 @@
 // refresh updates the load of every locality and the share of calls that spills
 // over from the near ones. The service's mutex must be held.
 func (t *table) refresh(now int64, maxAge time.Duration, panicMode bool) {
+	t.updateMean(now)
 	step := time.Duration(0)
 	for _, l := range t.localities() {
 		age := time.Duration(max(now-l.loadAt.Load(), 0))
