--- a/balance/news.go
+++ b/balance/news.go
@@ -25,12 +25,12 @@
 
 // learn records an item about the endpoint.
 func (e *endpoint) learn(it evenload.Item, now int64) {
-	s := &gateState{News: *it.News(now, e.inFlight.Load()), relayed: true}
 	old := e.gateState.Load()
+	if old != nil && now-int64(it.Age) <= old.At {
+		return
+	}
+	s := &gateState{News: *it.News(now, e.inFlight.Load()), relayed: true}
 	if old != nil {
-		if s.At <= old.At {
-			return
-		}
 		s.link, s.linkedAt = old.link, old.linkedAt
 	}
 	e.gateState.CompareAndSwap(old, s)
--- a/bench/even/nodes.go
+++ b/bench/even/nodes.go
@@ -9,7 +9,7 @@
 const (
 	coldTime          = 3 * time.Second
 	coldFactor        = 2.0
-	steadyWeight      = 0.02
+	steadyWeight      = 0.05
 	serviceTimeWeight = 0.1 // weight of one call in the moving average of the service time
 	inFlightAgeFactor = 1.3 // see admit: a call in flight is half-way through on average
 	historyLength     = 600 * time.Millisecond
--- a/evenload/board.go
+++ b/evenload/board.go
@@ -23,9 +23,8 @@
 		b.news = make(map[string]*News)
 	}
 	for _, it := range items {
-		n := it.News(now, 0)
-		if old := b.news[it.ID]; old == nil || n.At > old.At {
-			b.news[it.ID] = n
+		if old := b.news[it.ID]; old == nil || now-int64(it.Age) > old.At {
+			b.news[it.ID] = it.News(now, 0)
 		}
 	}
 	for len(b.news) > maxBoardTargets {
--- a/evenload/meter.go
+++ b/evenload/meter.go
@@ -8,12 +8,13 @@
 
 const (
 	// steadyWeight is the weight of one call in the average of the service time:
-	// about 50 calls. With a tenth the average varied by 15% from chance alone,
-	// and all callers preferred the target that had just been lucky.
-	steadyWeight = 0.02
+	// about 20 calls. With a tenth the average varied by 15% from chance alone,
+	// and all callers preferred the target that had just been lucky; with a
+	// fiftieth, targets with few slots noticed too late that they had turned slow.
+	steadyWeight = 0.05
 	// suddenChange is the ratio of the recent service time to the average from
 	// which the recent one is stated: the target has turned slow or fast.
-	suddenChange = 1.8
+	suddenChange = 1.5
 	// slownessHalfLife is the half-life of a stated slowness: neighbours on a
 	// machine come and go within a second.
 	slownessHalfLife = 300 * time.Millisecond
