--- a/balance/loss.go
+++ b/balance/loss.go
@@ -283,8 +283,5 @@
 	for i, n := range r.CallsAhead {
 		s.Ahead[i] = float64(n)
 	}
-	if old := e.gateState.Load(); old != nil {
-		s.Failed = old.Failed
-	}
 	e.gateState.Store(s)
 }
--- a/evenload/meter.go
+++ b/evenload/meter.go
@@ -21,9 +21,6 @@
 	// maxSlowness is the highest slowness, and its inverse the lowest, that is
 	// believed.
 	maxSlowness = 10.0
-	// failedWeight and failedHalfLife are those of the share of failed calls.
-	failedWeight   = 0.05
-	failedHalfLife = time.Second
 )
 
 // Meter measures a target's speed from the calls that it ended and from what it
@@ -34,22 +31,13 @@
 	usual      float64 // service time on a machine of usual speed, ns; 0 before the first call
 	slowness   float64 // last stated; 0 for none
 	slownessAt int64
-	failed     float64 // share of the calls, 0..1
-	failedAt   int64
 }
 
-// Ended records a call that the target ended after took. slowness is what the
-// target stated with its response, 0 for nothing.
-func (m *Meter) Ended(took time.Duration, slowness float64, failed bool, now int64) {
+// Ended records a call to which the target responded after took, other than with a
+// failure. slowness is what the target stated with its response, 0 for nothing.
+func (m *Meter) Ended(took time.Duration, slowness float64, now int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.failed = m.failedNow(now)
-	m.failedAt = now
-	if failed {
-		m.failed += failedWeight * (1 - m.failed)
-		return // a failure says nothing about the speed
-	}
-	m.failed -= failedWeight * m.failed
 	factor := 1.0
 	if slowness > 0 {
 		factor = min(max(slowness, 1/maxSlowness), maxSlowness)
@@ -62,18 +50,6 @@
 	m.usual += steadyWeight * (sample - m.usual)
 }
 
-// failedNow returns the share of failed calls at now. m.mu must be held.
-func (m *Meter) failedNow(now int64) float64 {
-	return m.failed * math.Exp2(-float64(max(now-m.failedAt, 0))/float64(failedHalfLife))
-}
-
-// Failed returns the recent share of failed calls, 0..1.
-func (m *Meter) Failed(now int64) float64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.failedNow(now)
-}
-
 // ServiceTime returns the expected service time of the next call. recent is the
 // one that the last few calls show; it is returned before the first call and when
 // it differs so much that the target has changed.
--- a/evenload/news.go
+++ b/evenload/news.go
@@ -34,7 +34,6 @@
 type News struct {
 	Ahead       [Priorities]float64 // calls ahead of a new call, by its priority
 	ServiceTime float64             // expected service time of all calls, ns
-	Failed      float64             // share of the target's calls that failed, 0..1
 	At          int64               // time of the statement, ns of the reader's clock
 	Own         int64               // reader's calls in flight at that time
 }
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -248,13 +248,12 @@
 	defer ticket.Release()
 	x, started := exchange{pool: in.opts.Pool}, time.Now()
 	if f := in.sendToTarget(&x, c, c.ctx, b); f != nil {
-		in.opts.EvenLoad.ended(c, b, time.Since(started), f)
 		return f
 	}
 	if f := x.bufferResponse(c, in.opts.Responses.BufferBytes); f != nil {
 		return f
 	}
-	in.opts.EvenLoad.ended(c, b, time.Since(started), nil)
+	in.opts.EvenLoad.ended(c, b, time.Since(started))
 	if x.bodyComplete {
 		ticket.Release() // the target has responded in full; a slow caller must not hold the slot
 	}
--- a/proxy/news.go
+++ b/proxy/news.go
@@ -70,14 +70,14 @@
 	return evenload.Encode(board.Newest(l.self(), l.now()))
 }
 
-// ended records that the target ended a call after took; f is nil if it responded.
-// Calls that it did not run, or that the caller gave up, say nothing about it.
-func (l *EvenLoad) ended(c *call, b *Backend, took time.Duration, f *refusal) {
-	if l == nil || f != nil && (f.outcome == OutcomeNotRun || c.ctx.Err() != nil) {
+// ended records that the target responded after took. A failure says nothing about
+// its speed.
+func (l *EvenLoad) ended(c *call, b *Backend, took time.Duration) {
+	if l == nil || c.status >= http.StatusInternalServerError {
 		return
 	}
 	meter, _ := l.of(b)
-	meter.Ended(took, c.slowness, f != nil || c.status >= http.StatusInternalServerError, l.now())
+	meter.Ended(took, c.slowness, l.now())
 }
 
 // serviceTime returns the expected service time of the target; recent is the one
