--- a/evenload/evenload_test.go
+++ b/evenload/evenload_test.go
@@ -130,6 +130,16 @@
 	is.True(!room(5, 0, "self"))
 }
 
+// Guards against a measure of uneven load that old news distorts.
+func TestSpreadIsThatOfFreshNews(t *testing.T) {
+	is := is.New(t)
+	var b Board
+	b.Learn([]Item{{ID: "a", Ahead: [Priorities]int{0, 0, 20}, ServiceTime: 1},
+		{ID: "b", Ahead: [Priorities]int{0, 0, 90}, ServiceTime: 1, Age: MaxRelayedAge}}, int64(time.Minute))
+	is.Equal(b.Spread(0.5, 10, int64(time.Minute)), 1.5)
+	is.Equal(b.Spread(0.5, 10, int64(2*time.Minute)), 0.0)
+}
+
 // Guards against an overloaded service whose instances hand calls on to each other
 // instead of working.
 func TestHandOnBudgetLimitsTheShare(t *testing.T) {
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -42,6 +42,7 @@
 	gateWaits *metrics.Histogram
 	retries   [retryResultCount]*metrics.Counter
 	arrivals  [arrivalResultCount]*metrics.Counter
+	spread    *metrics.Histogram
 }
 
 // What became of a call that arrived at the target's gate, as an index into
@@ -56,6 +57,14 @@
 
 var arrivalResultNames = [arrivalResultCount]string{"at_once", "waited", "waited_beside_room", "handed_on"}
 
+// observeSpread records the difference between the highest and the lowest known load
+// per slot of the targets of a service in the failure domain.
+func (m *Metrics) observeSpread(spread float64) {
+	if m != nil {
+		m.spread.Update(spread)
+	}
+}
+
 // countArrival counts a call that arrived at the target's gate.
 func (m *Metrics) countArrival(result int) {
 	if m != nil {
@@ -76,7 +85,7 @@
 // NewMetrics registers the proxy's metrics in set. It panics if set already holds
 // them.
 func NewMetrics(set *metrics.Set) *Metrics {
-	m := &Metrics{gateWaits: set.NewHistogram("siskingw_gate_wait_seconds")}
+	m := &Metrics{gateWaits: set.NewHistogram("siskingw_gate_wait_seconds"), spread: set.NewHistogram("siskingw_load_spread")}
 	for i, name := range retryResultNames {
 		m.retries[i] = set.NewCounter(fmt.Sprintf(`siskingw_call_retries_total{result=%q}`, name))
 	}
--- a/proxy/news.go
+++ b/proxy/news.go
@@ -98,6 +98,8 @@
 	if l == nil {
 		return
 	}
+	_, board := l.of(b)
+	m.observeSpread(board.Spread(b.Gate.Load(), float64(b.Gate.Slots()), l.now()))
 	if waited < minWait {
 		m.countArrival(arrivalAtOnce)
 		return
--- a/proxy/where_test.go
+++ b/proxy/where_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"siskingw/balance"
 	"siskingw/object"
 	"siskingw/snapshot"
 )
@@ -31,10 +33,13 @@
 	}
 	is.Equal(r.out.opts.Balancer.Services(), 0) // no state for a service that was not called
 	is.Equal(seen, 0)
-	r.servers[1].Close()
-	for range 8 {
-		r.do(t, "GET", "/x", "")
-	}
+	r.do(t, "GET", "/x", "")
+	b, err := r.out.opts.Balancer.Pick(&object.EndpointSetSpec{Announce: "floor"}, nil, []string{"a"})
+	is.NoErr(err)
+	b.Done(balance.Report{Unreachable: true})
+	a, err := r.out.opts.Balancer.Pick(&object.EndpointSetSpec{Announce: "floor"}, nil, []string{"b"})
+	is.NoErr(err)
+	a.Done(balance.Report{Duration: time.Millisecond, ServiceTime: time.Millisecond})
 	p, err := r.out.Where(WhereQuery{Path: "/x"})
 	is.NoErr(err)
 	is.Equal(p.Chosen, "a") // b cannot be reached
