--- a/balance/classtime.go
+++ b/balance/classtime.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"sync"
+
+	"siskingw/evenload"
 )
 
 // classTimes are the service times of the classes of one service in ns, as the
@@ -70,6 +72,6 @@
 	if !ok {
 		return service.mean
 	}
-	weight := math.Exp2(-float64(c.now-own.at) / float64(serviceTimeHalfLife))
+	weight := math.Exp2(-float64(c.now-own.at) / float64(evenload.ServiceTimeHalfLife))
 	return service.mean + weight*(own.last-service.mean)
 }
--- a/balance/link.go
+++ b/balance/link.go
@@ -15,7 +15,7 @@
 	if s == nil || d.Bytes < admit.LargeResponse {
 		return 0
 	}
-	return max(s.sendBacklog-time.Duration(c.now-s.reportedAt)-complete, 0)
+	return max(s.sendBacklog-time.Duration(c.now-s.linkedAt)-complete, 0)
 }
 
 // slownessHalfLife is the half-life of the reported slowness of a target's machine:
@@ -29,5 +29,5 @@
 	if s == nil || s.slowness <= 1 {
 		return 1
 	}
-	return 1 + (s.slowness-1)*math.Exp2(-float64(c.now-s.reportedAt)/float64(slownessHalfLife))
+	return 1 + (s.slowness-1)*math.Exp2(-float64(c.now-s.linkedAt)/float64(slownessHalfLife))
 }
--- a/balance/loss.go
+++ b/balance/loss.go
@@ -7,6 +7,7 @@
 
 	"siskingw/admit"
 	"siskingw/errdefs"
+	"siskingw/evenload"
 	"siskingw/lateness"
 	"siskingw/member"
 	"siskingw/object"
@@ -51,20 +52,9 @@
 	// the same endpoint.
 	lossJitter = 0.01
 
-	// gateStateHalfLife is the half-life of the weight of an endpoint's reported
-	// calls relative to the mean of the service's endpoints, and of the reported
-	// pending bytes of its link.
-	gateStateHalfLife = 400 * time.Millisecond
-	// serviceTimeHalfLife is the half-life of the weight of the reported service
-	// time, which changes more slowly than the calls in flight.
-	serviceTimeHalfLife = 3 * time.Second
-	// gateStateMaxAge is the age from which a report is ignored.
-	gateStateMaxAge = 4 * time.Second
-	// driftDeviation is the standard deviation, in calls, of the difference
-	// between the calls at an endpoint and a report that is driftTime old or
-	// older.
-	driftDeviation = 2.0
-	driftTime      = 300 * time.Millisecond
+	// linkHalfLife is the half-life of the weight of the reported pending bytes of
+	// an endpoint's link.
+	linkHalfLife = 400 * time.Millisecond
 	// defaultServiceTime is the expected service time before the first report.
 	defaultServiceTime = 100 * time.Millisecond
 
@@ -75,15 +65,24 @@
 	networkLatencyWeight      = 0.1 // weight of a new measurement in the moving average
 )
 
-// gateState is the state of an endpoint's gate as reported by its node.
+// gateState is the state of an endpoint's gate as reported by its node, or as
+// passed on by another one.
 type gateState struct {
-	callsAhead  [admit.Priorities]float64 // calls ahead of a new call, by its priority
-	serviceTime float64                   // expected service time, ns
-	link        admit.LinkReport
+	evenload.News
+	link     admit.LinkReport
+	linkedAt int64 // time of the report about the link and the machine, ns of the balancer's clock
+	relayed  bool  // another node passed the news on
+
 	slowness    float64       // see Report.Slowness; at least 1
 	sendBacklog time.Duration // see Report.SendBacklog
-	reportedAt  int64         // time of the report, ns of the balancer's clock
-	ownInFlight int64         // calls of this node in flight at that time
+}
+
+// news returns the news about the endpoint, or nil.
+func (e *endpoint) news() *evenload.News {
+	if s := e.gateState.Load(); s != nil {
+		return &s.News
+	}
+	return nil
 }
 
 // networkLatencies are the moving averages of the time on the network in ns, by
@@ -168,16 +167,13 @@
 	return &Picked{Record: e.record.Load(), Late: late, Missed: missed, balancer: b, endpoint: e, ejection: ej}, nil
 }
 
-// leastLoss returns the usable endpoint with the least expected loss, or nil, and
-// the probabilities that the call misses its target latency and its deadline there.
+// leastLoss returns the candidate with the least expected loss, or nil, and the
+// probabilities that the call misses its target latency and its deadline there.
 func (c *choice) leastLoss(t *table, d Demand) (best *endpoint, late, missed float64) {
-	mean := c.meanGateState(t)
+	mean := t.mean.Load()
 	self := c.b.view.Self()
 	minLoss := math.Inf(1)
-	for _, e := range t.alive {
-		if !c.usable(e) {
-			continue
-		}
+	for _, e := range c.candidates(t) {
 		loss, lateHere, missedHere := c.loss(e, self, mean, d)
 		if loss += lossJitter * c.float(); loss < minLoss {
 			best, minLoss, late, missed = e, loss, lateHere, missedHere
@@ -189,7 +185,7 @@
 // loss estimates the expected loss at the endpoint as a share of the call's
 // value, and the probabilities that the call misses its target latency and its
 // deadline there.
-func (c *choice) loss(e *endpoint, self *member.Record, mean gateState, d Demand) (loss, late, missed float64) {
+func (c *choice) loss(e *endpoint, self *member.Record, mean *evenload.Mean, d Demand) (loss, late, missed float64) {
 	r := e.record.Load()
 	dist := distance(self, r)
 	expected := c.b.networkLatencies.of(dist) + c.expectedTime(e, mean, d)
@@ -207,63 +203,38 @@
 
 // expectedTime returns the expected time that a call waits and runs at the
 // endpoint: the queueing delay of the calls ahead plus the service time of its class.
-func (c *choice) expectedTime(e *endpoint, mean gateState, d Demand) time.Duration {
-	priority := d.priorityIndex()
+func (c *choice) expectedTime(e *endpoint, mean *evenload.Mean, d Demand) time.Duration {
 	slots := e.slots()
-	calls, serviceTime, age := mean.callsAhead[priority]*slots, mean.serviceTime, gateStateMaxAge
-	ownInFlight := float64(e.inFlight.Load())
-	if s := e.gateState.Load(); s != nil && c.now-s.reportedAt < int64(gateStateMaxAge) {
-		age = time.Duration(c.now - s.reportedAt)
-		weight := math.Exp2(-float64(age) / float64(gateStateHalfLife))
-		calls += weight * (s.callsAhead[priority] + ownInFlight - float64(s.ownInFlight) - calls)
-		serviceTime += math.Exp2(-float64(age)/float64(serviceTimeHalfLife)) * (s.serviceTime - serviceTime)
-	}
-	calls = max(calls, ownInFlight)
-	deviation := 1 + driftDeviation*math.Sqrt(min(float64(age)/float64(driftTime), 1))
-	ahead := meanPositivePart(calls-slots+1, deviation)
-	own := c.classTime(e, d.Class, serviceTime)
-	return time.Duration(c.slowness(e) * (own + serviceTime*ahead/slots))
+	estimate := evenload.EstimateOf(e.news(), mean, d.priorityIndex(), slots, e.inFlight.Load(), c.now)
+	ratio := c.classTime(e, d.Class, estimate.ServiceTime) / estimate.ServiceTime
+	return time.Duration(c.slowness(e) * float64(estimate.ExpectedTime(slots, ratio)))
 }
 
 // transferTime returns the expected time until a body of size bytes has arrived
 // over the link of the endpoint's instance.
 func (c *choice) transferTime(e *endpoint, size int64) time.Duration {
 	s := e.gateState.Load()
-	if s == nil || size == 0 || c.now-s.reportedAt >= int64(gateStateMaxAge) {
+	if s == nil || size == 0 || c.now-s.linkedAt >= int64(evenload.MaxAge) {
 		return 0
 	}
 	link := s.link
-	link.PendingBytes = int64(float64(link.PendingBytes) * math.Exp2(-float64(c.now-s.reportedAt)/float64(gateStateHalfLife)))
+	link.PendingBytes = int64(float64(link.PendingBytes) * math.Exp2(-float64(c.now-s.linkedAt)/float64(linkHalfLife)))
 	return link.TransferTime(size)
 }
 
-// meanPositivePart returns the mean of max(X, 0) for a normally distributed X.
-func meanPositivePart(mean, deviation float64) float64 {
-	z := mean / deviation
-	density := math.Exp(-z*z/2) / math.Sqrt(2*math.Pi)
-	return mean*0.5*math.Erfc(-z/math.Sqrt2) + deviation*density
-}
-
-// meanGateState returns the mean of the recently reported states of the service's
-// endpoints, with the calls per slot and the service time.
-func (c *choice) meanGateState(t *table) gateState {
-	var mean gateState
-	n := 0.0
+// updateMean updates the mean of the fresh news about the service's endpoints. It is
+// not done for every call, since it takes as long as there are endpoints.
+func (t *table) updateMean(now int64) {
+	mean := &evenload.Mean{}
 	for _, e := range t.alive {
-		s := e.gateState.Load()
-		if s == nil || c.now-s.reportedAt >= int64(gateStateMaxAge) {
-			continue
-		}
-		n++
-		for i := range mean.callsAhead {
-			mean.callsAhead[i] += (s.callsAhead[i]/e.slots() - mean.callsAhead[i]) / n
+		if n := e.news(); n.Fresh(now) {
+			mean.Add(n, e.slots())
 		}
-		mean.serviceTime += (s.serviceTime - mean.serviceTime) / n
 	}
-	if n == 0 {
-		mean.serviceTime = float64(defaultServiceTime)
+	if !mean.Known() {
+		mean.ServiceTime = float64(defaultServiceTime)
 	}
-	return mean
+	t.mean.Store(mean)
 }
 
 // observeGateState records the state of the gate that the endpoint's node reported.
@@ -271,9 +242,10 @@
 	if r.ServiceTime <= 0 {
 		return
 	}
-	s := &gateState{serviceTime: float64(r.ServiceTime), link: r.Link, sendBacklog: r.SendBacklog, slowness: max(r.Slowness, 1), reportedAt: now, ownInFlight: e.inFlight.Load()}
+	s := &gateState{link: r.Link, linkedAt: now, sendBacklog: r.SendBacklog, slowness: max(r.Slowness, 1)}
+	s.ServiceTime, s.At, s.Own = float64(r.ServiceTime), now, e.inFlight.Load()
 	for i, n := range r.CallsAhead {
-		s.callsAhead[i] = float64(n)
+		s.Ahead[i] = float64(n)
 	}
 	e.gateState.Store(s)
 }
--- a/node/calls.go
+++ b/node/calls.go
@@ -213,6 +213,7 @@
 		}),
 		Ledger:      s.ledger,
 		Bodies:      s.node.bodies(),
+		EvenLoad:    s.evenLoad(),
 		DecisionLog: s.node.callDecisionLog(),
 		Metrics:     s.node.proxyMetrics(),
 		Tracer:      s.node.tracer(),
@@ -220,6 +221,11 @@
 	return s.inbound
 }
 
+// evenLoad returns the state that the handler keeps for an even load.
+func (s *inboundService) evenLoad() *proxy.EvenLoad {
+	return proxy.NewEvenLoad(func() string { return s.node.dir.Self().ID })
+}
+
 // platformHandler creates the handler for a target that announces itself.
 func (s *inboundService) platformHandler() *proxy.Inbound {
 	parents := new(admit.Parents)
@@ -232,6 +238,7 @@
 		Tracer:       s.node.tracer(),
 		DecisionLog:  s.node.callDecisionLog(),
 		HeaderFormat: platform.HeaderFormat{},
+		EvenLoad:     s.evenLoad(),
 		Responses:    platformResponses, Bodies: s.node.bodies(), CloseDelimited: true,
 		OnWrongTarget: s.node.target.onWrongTarget, NoKeys: true,
 		Nested:  new(admit.NestedRoutes),
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -47,6 +47,7 @@
 	status          int               // HTTP status of the last attempt's response
 	load            float64           // load reported with the last attempt's response, or 0
 	gate            gateState         // gate state reported with the last attempt's response
+	newsWanted      bool              // the caller's node takes news about other targets
 	gateCtx         deadlineContext
 	sentAt          time.Time       // start of the last attempt
 	upstreamWait    time.Duration   // time spent waiting for response headers
@@ -207,6 +208,7 @@
 	reachedTarget bool // the target received the call
 	overloaded    bool // the target's gate cannot run the call in time
 	gate          gateState
+	news          string        // HeaderNews value for the caller's node; empty for none
 	retryAfter    time.Duration // advised wait before the caller retries; 0 for no advice
 }
 
@@ -295,6 +297,9 @@
 		h[HeaderGate] = []string{f.gate.format()}
 	}
 	h[HeaderCause] = []string{string(f.cause)}
+	if f.news != "" {
+		h[HeaderNews] = []string{f.news}
+	}
 	if f.retryAfter > 0 {
 		h[HeaderAfter] = []string{formatMs(f.retryAfter)}
 	}
--- a/proxy/cause.go
+++ b/proxy/cause.go
@@ -31,6 +31,7 @@
 	causeKey          cause = "key"           // the call was refused because of its idempotency key
 	causeMemory       cause = "memory"        // the node has no memory for the call's bodies
 	causeStreams      cause = "streams"       // too many calls hold slots of the target while their bodies arrive
+	causeElsewhere    cause = "elsewhere"     // the target is full and another one has room
 	causeOtherNode    cause = "node"          // another node refused without a known cause
 )
 
@@ -38,7 +39,7 @@
 var allCauses = append([]cause{
 	causeBadRequest, causeBody, causeCallerGone, causeNoConfig, causeNoRoute, causeMissingKey, causeUnknownKey, causeQuota, causeNoTime, causeNoEndpoint,
 	causeAllFull, causeStopping, causeNoTarget, causeOtherService, causeTarget, causeUnreachable, causeUnsent,
-	causeAnswerLost, causeAnswerCut, causeKey, causeMemory, causeStreams, causeOtherNode,
+	causeAnswerLost, causeAnswerCut, causeKey, causeMemory, causeStreams, causeElsewhere, causeOtherNode,
 }, gateCauses()...)
 
 // gateCauses returns the causes of refusals by the admission gate.
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -32,7 +32,8 @@
 	Parents *admit.Parents // limits the calls during which the target makes others; nil for no limit
 	// NoKeys passes the header of idempotency keys on to the target; see
 	// OutboundOptions.
-	NoKeys bool
+	NoKeys   bool
+	EvenLoad *EvenLoad // what the node does for even load; nil for nothing
 	// CloseDelimited accepts responses of the target that are delimited only by
 	// closing the connection.
 	CloseDelimited bool
@@ -136,6 +137,7 @@
 	if f != nil {
 		f.load = loadValue(in.load())
 		f.gate = in.gateState(c)
+		f.news = in.opts.EvenLoad.newsFor(c)
 		f.draining = in.draining.Load()
 		c.refuse(f)
 	}
@@ -149,6 +151,7 @@
 	}
 	c.kind = ParseKind(c.r.Header.Get(HeaderKind))
 	c.expectsContinue = len(c.r.Header[HeaderExpect]) > 0
+	in.opts.EvenLoad.receive(c)
 	c.work = parseWork(c.r.Header.Get(HeaderWork), c.start, c.kind)
 	c.work.parseTenant(c.r.Header.Get(HeaderTenant))
 	return c.correctKeyedRefusal(in.validateAndForward(c))
@@ -275,6 +278,9 @@
 		f.retried = true // the other instances need the same services
 		return f
 	}
+	if f := in.handOn(c, b); f != nil {
+		return f
+	}
 	promise, f := in.promise(c, b)
 	if f != nil {
 		return f
@@ -345,6 +351,7 @@
 	} else {
 		ticket, err = b.Gate.Admit(&c.gateCtx, c.admissionWork())
 	}
+	in.opts.EvenLoad.observeArrival(in.opts.Metrics, c, b, time.Since(asked))
 	if err == nil {
 		in.opts.Metrics.observeGateWait(time.Since(asked))
 		return ticket, nil
@@ -425,6 +432,9 @@
 func (in *Inbound) setNodeHeaders(c *call, h http.Header) {
 	h[HeaderLoad] = loadValue(in.load())
 	h[HeaderGate] = []string{in.gateState(c).format()}
+	if v := in.opts.EvenLoad.newsFor(c); v != "" {
+		h[HeaderNews] = []string{v}
+	}
 	if in.draining.Load() {
 		h[HeaderDraining] = headerTrue
 		h["Connection"] = connectionClose
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -45,6 +45,35 @@
 	nested    *metrics.Counter
 	returning *metrics.Counter
 	retries   [retryResultCount]*metrics.Counter
+	arrivals  [arrivalResultCount]*metrics.Counter
+	spread    *metrics.Histogram
+}
+
+// What became of a call that arrived at the target's gate, as an index into
+// Metrics.arrivals.
+const (
+	arrivalAtOnce           = iota // admitted or refused without waiting
+	arrivalWaited                  // waited
+	arrivalWaitedBesideRoom        // waited although another target of the failure domain had room
+	arrivalHandedOn                // handed on to another target
+	arrivalResultCount
+)
+
+var arrivalResultNames = [arrivalResultCount]string{"at_once", "waited", "waited_beside_room", "handed_on"}
+
+// observeSpread records the difference between the highest and the lowest known load
+// per slot of the targets of a service in the failure domain.
+func (m *Metrics) observeSpread(spread float64) {
+	if m != nil {
+		m.spread.Update(spread)
+	}
+}
+
+// countArrival counts a call that arrived at the target's gate.
+func (m *Metrics) countArrival(result int) {
+	if m != nil {
+		m.arrivals[result].Inc()
+	}
 }
 
 // Result of a retry decision, as an index into Metrics.retries.
@@ -64,11 +93,15 @@
 		gateWaits: set.NewHistogram("siskingw_gate_wait_seconds"),
 		linkWaits: set.NewHistogram("siskingw_link_wait_seconds"),
 		nested:    set.NewCounter("siskingw_nested_calls_total"),
+		spread:    set.NewHistogram("siskingw_load_spread"),
 		returning: set.NewCounter("siskingw_returning_calls_total"),
 	}
 	for i, name := range retryResultNames {
 		m.retries[i] = set.NewCounter(fmt.Sprintf(`siskingw_call_retries_total{result=%q}`, name))
 	}
+	for i, name := range arrivalResultNames {
+		m.arrivals[i] = set.NewCounter(fmt.Sprintf(`siskingw_gate_arrivals_total{result=%q}`, name))
+	}
 	for s, sideName := range sideNames {
 		m.overhead[s] = set.NewHistogram(fmt.Sprintf(`siskingw_call_added_seconds{side=%q}`, sideName))
 		m.refusals[s] = make(map[cause]*metrics.Counter)
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -184,6 +184,7 @@
 	t := retryState{policy: res.Policy, budget: b,
 		freeLeft: o.opts.Retries.FreeRetries, freeEnabled: o.opts.Retries.FreeRetries > 0,
 		allowLate: c.ask.late(c), lateFromStart: c.ask.late(c)}
+	handedOn := false
 	for {
 		picked, err := o.pick(c, res, &t)
 		if err == nil {
@@ -201,6 +202,7 @@
 			return t.result(notRun(causeNoEndpoint, "no endpoint is left", err))
 		}
 		c.work.service = res.EndpointSet.Announce
+		c.work.mayHandOn = !handedOn && picked.Record.FailureDomain == o.opts.View.Self().FailureDomain
 		f := o.send(c, picked.Record)
 		t.recordSent(f)
 		c.recordAttempt(picked.Record, picked.Late, f)
@@ -208,6 +210,10 @@
 		if f == nil || f.aborted {
 			return f
 		}
+		if t.maySendOn(c, f) {
+			handedOn = true
+			continue
+		}
 		if !t.shouldRetry(c, f, picked.Record.ID) {
 			c.noRetry = t.noRetry
 			o.opts.Metrics.countRetry(retryDenied)
@@ -262,6 +268,7 @@
 	}
 	c.buildRequest()
 	c.addNodeRequestHeaders()
+	o.addNews(c, rec)
 	x := exchange{pool: o.opts.Pool, awaitContinue: true}
 	if f := x.start(c.ctx, c, rec.InboundAddr); f != nil {
 		return f
@@ -275,6 +282,7 @@
 	if v := x.resp.Header[HeaderGate]; len(v) > 0 {
 		c.gate = parseGateState(v[0])
 	}
+	o.learnNews(c, rec, x.resp.Header)
 	if len(x.resp.Header[HeaderDraining]) > 0 {
 		o.noteDraining(rec)
 	}
--- a/rollout/traffic.go
+++ b/rollout/traffic.go
@@ -119,6 +119,10 @@
 	}
 }
 
+// ProvenRule returns the rule for calls of a service that do not try a new version.
+// It takes no credit.
+func (t *Traffic) ProvenRule(service string) Rule { return t.current(service, t.service(service)).base }
+
 // Veto records that this node has judged the version of an order bad. It gets no
 // further calls of this node unless a later order names it.
 func (t *Traffic) Veto(service string, revision int64) {
