--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -109,7 +109,8 @@
 		var wg sync.WaitGroup
 		wg.Go(func() { dripping.send(100, time.Second) })
 		wg.Go(func() { sending.send(1500, time.Second) })
-		time.Sleep(10*time.Second + time.Millisecond)
+		const calm = 10*time.Second + time.Millisecond // of the bubble's clock
+		time.Sleep(calm)
 		is.Equal(b.Evicted(), int64(0)) // calm
 		other := open(b, "e")
 		is.True(!other.hold.Grow(100 << 10))
--- a/e2e/crowd/related_test.go
+++ b/e2e/crowd/related_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"siskingw/platform/standin"
 )
 
 // largeAnswer is the size in bytes of the answer to requests below /lots/large.
@@ -86,8 +88,8 @@
 
 // requestHead returns the beginning of a request header.
 func requestHead(method, path string) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: crowd-%d\r\nDeadline-Ms: 30000\r\n",
-		method, path, host, time.Now().UnixNano())
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s", method, path, host,
+		standin.AttemptHeaders(fmt.Sprintf("crowd-%d", time.Now().UnixNano()), 30*time.Second))
 }
 
 // writeLargeAnswer answers with largeAnswer bytes.
--- a/node/rollout_test.go
+++ b/node/rollout_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -36,8 +35,8 @@
 		code, _, _ := caller.call("POST", "/lots/1", "first")
 		return code == 200
 	})
-	if _, err := s.mem.Put(t.Context(), "op/rollout/"+testService,
-		[]byte(`{"service":"floor","target_version":"v2","duration_s":4}`), 0); err != nil {
+	key, order := standin.RolloutOrder(testService, "v2", 4*time.Second)
+	if _, err := s.mem.Put(t.Context(), key, order, 0); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "the roll-out ends", func() bool {
@@ -45,12 +44,13 @@
 			caller.call("POST", "/lots/1", fmt.Sprintf("c-%d", calls))
 			calls++
 		}
-		kv, err := s.mem.Get(context.Background(), "status/rollout/"+testService)
-		var status struct{ State string }
-		if err == nil && json.Unmarshal(kv.Value, &status) == nil {
-			state = status.State
+		kv, err := s.mem.Get(context.Background(), standin.RolloutStatusKey(testService))
+		if err != nil {
+			return false
 		}
-		return state == "completed" || state == "rolled_back"
+		var final bool
+		state, final = standin.RolloutState(kv.Value)
+		return final
 	})
 	return fleet, state, calls
 }
--- a/node/tenant_test.go
+++ b/node/tenant_test.go
@@ -21,8 +21,7 @@
 	const key = "k3y-of-ann"
 	is := is.New(t)
 	s := newTestPlatform(t)
-	config := bytes.Replace(standin.Config(1, testHost, testService), []byte(`"limits"`), []byte(
-		`"tenants":{"columns":["name","api_keys"],"rows":[["ann",["`+key+`"]]]},"limits"`), 1)
+	config := standin.ConfigWithTenant(1, testHost, testService, "ann", key)
 	_, err := s.mem.Put(t.Context(), standin.ConfigKey, config, 0)
 	is.NoErr(err)
 	first, second := s.start(1), s.start(2)
@@ -47,7 +46,7 @@
 	req.Host = testHost
 	standin.SetAttemptHeaders(req.Header, id, 1500*time.Millisecond)
 	if key != "" {
-		req.Header.Set("Key", key)
+		standin.SetKey(req.Header, key)
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
