settings, proxy: relaying news and handing calls on are settings, off by default

Ruled out: removing them: by the model they shorten waits, and a deployment with spare processor time may want them.

Change: settings balance.relayNews and balance.handOnPercent.

--- a/node/calls.go
+++ b/node/calls.go
@@ -125,6 +125,7 @@
 		Tracer:      s.node.tracer(),
 		DecisionLog: s.node.callDecisionLog(),
 		Quota:       quotas.service,
+		RelayNews:   s.node.settings.Balance.RelayNews,
 		Tenants:     &s.node.tenants,
 	}
 	server := proxy.ServerOptions{Log: s.node.log, Bodies: opts.Bodies, Conns: s.node.clients.conns}
@@ -221,9 +222,14 @@
 	return s.inbound
 }
 
-// evenLoad returns the state that the handler keeps for an even load.
+// evenLoad returns the state that the handler keeps for an even load, or nil if the
+// settings do not ask for it.
 func (s *inboundService) evenLoad() *proxy.EvenLoad {
-	return proxy.NewEvenLoad(func() string { return s.node.dir.Self().ID })
+	b := s.node.settings.Balance
+	if !b.RelayNews {
+		return nil
+	}
+	return proxy.NewEvenLoad(func() string { return s.node.dir.Self().ID }, float64(b.HandOnPercent)/100)
 }
 
 // platformHandler creates the handler for a target that announces itself.
--- a/proxy/news.go
+++ b/proxy/news.go
@@ -23,6 +23,7 @@
 type EvenLoad struct {
 	self  func() string // ID of the node
 	start time.Time
+	share float64 // of the arriving calls that may be handed on, 0..1
 
 	mu       sync.Mutex
 	instance string // identity of the target that the board belongs to
@@ -30,9 +31,10 @@
 	budget   evenload.HandOnBudget
 }
 
-// NewEvenLoad returns the state of the node with the ID that self returns.
-func NewEvenLoad(self func() string) *EvenLoad {
-	return &EvenLoad{self: self, start: time.Now(), board: &evenload.Board{}}
+// NewEvenLoad returns the state of the node with the ID that self returns, which hands
+// on the given share of the calls, 0..1, at most.
+func NewEvenLoad(self func() string, share float64) *EvenLoad {
+	return &EvenLoad{self: self, share: share, start: time.Now(), board: &evenload.Board{}}
 }
 
 func (l *EvenLoad) now() int64 { return int64(time.Since(l.start)) }
@@ -102,7 +104,7 @@
 func (l *EvenLoad) budgetFor(c *call) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.budget.Arrived(evenload.HandOnShare)
+	l.budget.Arrived(l.share)
 	return c.work.mayHandOn && !c.work.allowLate && !c.body.streamed
 }
 
@@ -133,7 +135,7 @@
 // addNews adds news to the request to the node of an endpoint in the own failure
 // domain.
 func (o *Outbound) addNews(c *call, rec *member.Record) {
-	if c.work.targetTime.IsZero() || rec.FailureDomain != o.opts.View.Self().FailureDomain {
+	if !o.opts.RelayNews || c.work.targetTime.IsZero() || rec.FailureDomain != o.opts.View.Self().FailureDomain {
 		return
 	}
 	c.outHeader[HeaderNews] = []string{evenload.Encode(o.opts.Balancer.Newest(c.work.service, rec.ID))}
--- a/proxy/news_test.go
+++ b/proxy/news_test.go
@@ -37,7 +37,7 @@
 		}
 		defer ticket.Release()
 	}
-	in := NewInbound(InboundOptions{Target: "127.0.0.1:1", Gate: gate, EvenLoad: NewEvenLoad(func() string { return "a" })})
+	in := NewInbound(InboundOptions{Target: "127.0.0.1:1", Gate: gate, EvenLoad: NewEvenLoad(func() string { return "a" }, evenload.HandOnShare)})
 	for range 10 { // calls that came before
 		in.opts.EvenLoad.budget.Arrived(evenload.HandOnShare)
 	}
@@ -89,6 +89,7 @@
 		}
 	}))
 	r := newRig(t, &object.PolicySpec{TargetLatencyMs: 500, TimeoutMs: 2000}, "127.0.0.1:1")
+	r.out.opts.RelayNews = true
 	rec := *r.records[0]
 	rec.InboundAddr, rec.Sequence = node, rec.Sequence+1
 	r.view.Merge([]member.Record{rec})
@@ -107,8 +108,9 @@
 	is := is.New(t)
 	target := serveOn(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	r := newRig(t, &object.PolicySpec{TargetLatencyMs: 500, TimeoutMs: 2000}, target)
+	r.out.opts.RelayNews = true
 	in := r.inbounds[0]
-	in.opts.EvenLoad = NewEvenLoad(func() string { return "a" })
+	in.opts.EvenLoad = NewEvenLoad(func() string { return "a" }, evenload.HandOnShare)
 	b := *r.records[0]
 	b.ID = "b"
 	r.view.Merge([]member.Record{b})
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -35,6 +35,8 @@
 	// NoKeys leaves the header of idempotency keys and the paths of the node's own
 	// interface to the callers: they are passed on to targets like any others.
 	NoKeys bool
+	// RelayNews adds news about other targets of the own failure domain to calls there.
+	RelayNews bool
 	// Rollouts restricts calls to versions of targets that are known to be good;
 	// nil permits every version.
 	Rollouts *rollout.Traffic
@@ -202,7 +204,7 @@
 			return t.result(notRun(causeNoEndpoint, "no endpoint is left", err))
 		}
 		c.work.service = res.EndpointSet.Announce
-		c.work.mayHandOn = !handedOn && picked.Record.FailureDomain == o.opts.View.Self().FailureDomain
+		c.work.mayHandOn = o.opts.RelayNews && !handedOn && picked.Record.FailureDomain == o.opts.View.Self().FailureDomain
 		f := o.send(c, picked.Record)
 		t.recordSent(f)
 		c.recordAttempt(picked.Record, picked.Late, f)
--- a/settings/check.go
+++ b/settings/check.go
@@ -53,6 +53,10 @@
 		c.platform(s)
 	}
 	c.limits(&s.Limits)
+	c.within("balance.handOnPercent", s.Balance.HandOnPercent, 0, 100)
+	if s.Balance.HandOnPercent > 0 && !s.Balance.RelayNews {
+		c.add("balance.handOnPercent", "calls are handed on by the news that balance.relayNews brings")
+	}
 	c.within("log.verbosity", s.Log.Verbosity, 0, maxVerbosity)
 	if s.Trace.SampleRatio < 0 || s.Trace.SampleRatio > 1 {
 		c.add("trace.sampleRatio", "must be from 0 to 1")
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -27,6 +27,7 @@
 	Trace     Trace     `json:"trace"`
 	Stop      Stop      `json:"stop"`
 	Limits    Limits    `json:"limits"`
+	Balance   Balance   `json:"balance"`
 	Platform  *Platform `json:"platform,omitempty"` // absent on a node outside the users' platform
 }
 
@@ -117,6 +118,18 @@
 // Grace returns the time from SIGTERM to SIGKILL.
 func (p *Platform) Grace() time.Duration { return time.Duration(p.GraceS * float64(time.Second)) }
 
+// Balance configures what nodes do for an even load of targets besides choosing among
+// random candidates.
+type Balance struct {
+	// RelayNews adds news about other targets of the failure domain to the calls
+	// between its nodes and to their responses. Default false.
+	RelayNews bool `json:"relayNews,omitempty"`
+	// HandOnPercent is the share, in percent, of the calls arriving at a target that
+	// its node may refuse, once each, when it is full and the news shows another one
+	// with room. Default 0; it needs RelayNews.
+	HandOnPercent int `json:"handOnPercent,omitempty"`
+}
+
 // Log configures the log.
 type Log struct {
 	Verbosity int `json:"verbosity"` // 0 to 2
