--- a/admit/sender.go
+++ b/admit/sender.go
@@ -68,7 +68,9 @@
 
 // Promise reserves the link for the response of a call, which the target is
 // expected to complete after serviceTime. It returns a NotRun error when the
-// response would probably leave too late. Release must be called on the promise.
+// response would probably leave too late: after the deadline, or after the target
+// latency while the link is busy with others. Otherwise late responses would keep
+// it busy until the deadline, and all others would be late too. Release must be called on the promise.
 func (s *Sender) Promise(work Work, deadline time.Time, serviceTime time.Duration) (*Promise, error) {
 	if s == nil {
 		return nil, nil
@@ -84,10 +86,10 @@
 		return p, nil
 	}
 	now := s.now()
-	finish := max(serviceTime, s.backlog(now)) + s.duration(size)
-	switch {
-	case lateness.Probability(finish, deadline.Sub(now)) > maxSendMissProbability,
-		!work.Late && lateness.Probability(finish, work.TargetTime.Sub(now)) > maxSendMissProbability && s.backlog(now) > serviceTime:
+	backlog := s.backlog(now)
+	finish := max(serviceTime, backlog) + s.duration(size)
+	late := work.Late || lateness.Probability(finish, work.TargetTime.Sub(now)) > maxSendMissProbability
+	if lateness.Probability(finish, deadline.Sub(now)) > maxSendMissProbability || late && backlog > serviceTime {
 		return nil, errLinkBusy
 	}
 	p.expected = size
--- a/admit/sender_test.go
+++ b/admit/sender_test.go
@@ -54,7 +54,9 @@
 	late := work
 	late.Late = true
 	_, err = s.Promise(late, deadline, 10*time.Millisecond)
-	is.NoErr(err) // its deadline leaves time
+	is.Equal(Cause(err), "link_busy") // although its deadline leaves time
+	_, err = s.Promise(late, deadline, time.Second)
+	is.NoErr(err) // the link is free when it has run
 	promises[0].Release()
 	promises[0].Release()
 	_, err = s.Promise(Work{Class: "page", TargetTime: work.TargetTime}, deadline, 0)
