proxy: a call on a connection that becomes endless after its reuse may end as unknown

The trace of six failures in 60 runs is the same: 502, outcome unknown, "more than 8 answers without the one to this call". The target sends its extra bytes a millisecond after the answer; a call that is sent on the connection before they arrive is never read by the target, and none of the bytes is its answer.

Ruled out: an answer of another call that is passed on: none was; a reuse of a connection with bytes to read: the pool checks for them.

Change: the test takes this one outcome, with its reason, besides the whole answer; every other status or body fails as before.

--- a/proxy/endless_test.go
+++ b/proxy/endless_test.go
@@ -153,11 +153,21 @@
 		return true
 	})
 	r := newCallIDRig(t, endlessPolicy, rt)
+	answered := 0
 	for i := range 20 {
 		resp, body := r.do(t, "POST", "/", "bid", "Call", fmt.Sprint("c", i))
+		if resp.StatusCode == http.StatusBadGateway {
+			// The call was sent before the first of the bytes arrived, and its target
+			// never reads it: its outcome is unknown.
+			is.Equal(resp.Header.Get(HeaderOutcome), OutcomeUnknown)
+			is.True(strings.Contains(body, "without the one to this call"))
+			continue
+		}
 		is.Equal(resp.StatusCode, 200)
 		is.Equal(body, "ok")
+		answered++
 	}
+	is.True(answered > 0)
 }
 
 // Guards against a target whose bytes without end grow the memory of the node.
