settings: drop bounds that nothing reads

Cause: convergeMs, skewMaxMs, canarySlack and rollbackMs were added for parts that turned out not to need them; a setting without a reader misleads operators.

Ruled out: reading them only to log them.

--- a/node/rollout_test.go
+++ b/node/rollout_test.go
@@ -18,7 +18,7 @@
 func rolloutFleet(t *testing.T, broken bool) (fleet []*instance, state string, calls int) {
 	t.Helper()
 	s := newTestPlatform(t)
-	s.moreSettings = `,"canaryShare":0.4,"canarySlack":5,"rollbackMs":2000`
+	s.moreSettings = `,"canaryShare":0.4`
 	s.publish(1)
 	for i := range 4 {
 		in := s.start(i + 1)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -88,24 +88,19 @@
 	// ignored: all nodes have the same peer port.
 	SeedHosts []string `json:"seedHosts,omitempty"`
 
-	HeartbeatMs  int     `json:"heartbeatMs"`          // interval between announcements of a target
-	DrainMs      int     `json:"drainMs"`              // time after which a draining target must receive no new calls
-	GraceS       float64 `json:"graceS"`               // time from SIGTERM to SIGKILL
-	RetryRatio   float64 `json:"retryRatio"`           // retries allowed per call, across the fleet
-	RetrySlack   int     `json:"retrySlack"`           // additional retries allowed per RetryWindowS, across the fleet
-	RetryWindowS float64 `json:"retryWindowS"`         // window of RetryRatio and RetrySlack
-	ConvergeMs   int     `json:"convergeMs,omitempty"` // time from a configuration's publication until it is in force
-	SkewMaxMs    int     `json:"skewMaxMs,omitempty"`  // extension of time bounds while the store is unstable
-
+	HeartbeatMs  int     `json:"heartbeatMs"`  // interval between announcements of a target
+	DrainMs      int     `json:"drainMs"`      // time after which a draining target must receive no new calls
+	GraceS       float64 `json:"graceS"`       // time from SIGTERM to SIGKILL
+	RetryRatio   float64 `json:"retryRatio"`   // retries allowed per call, across the fleet
+	RetrySlack   int     `json:"retrySlack"`   // additional retries allowed per RetryWindowS, across the fleet
+	RetryWindowS float64 `json:"retryWindowS"` // window of RetryRatio and RetrySlack
 	// Quotas of tenants. All are 0 in deployments without quotas.
 	QuotaWindowS float64 `json:"quotaWindowS,omitempty"` // window over which a tenant's calls are counted
 	QuotaOver    float64 `json:"quotaOver,omitempty"`    // excess over a quota that is tolerated, as a share of it
 	QuotaSlack   int     `json:"quotaSlack,omitempty"`   // additional calls tolerated per window
 
-	// Roll-outs of target versions. All are 0 in deployments without them.
+	// CanaryShare is 0 in deployments without roll-outs of target versions.
 	CanaryShare float64 `json:"canaryShare,omitempty"` // share of a service's calls, 0..1, that an unproven version may get
-	CanarySlack int     `json:"canarySlack,omitempty"` // additional calls that it may get
-	RollbackMs  int     `json:"rollbackMs,omitempty"`  // time in which a bad version must be left
 
 	MemoryMB int     `json:"memoryMB"` // memory limit of the process; sets the runtime's soft limit
 	MaxFiles int     `json:"maxFiles"` // limit of the process's file descriptors
