settings: unused sections are not written, so that nodes of an earlier build read the file

Cause: the sections limits and balance were written even when empty, and an earlier build refuses unknown fields. beside-old-build: the demo of the new build with mixed nodes failed ("unknown field limits").

Ruled out: load; the other demo and its nodes passed.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -26,8 +26,8 @@
 	Log       Log       `json:"log"`
 	Trace     Trace     `json:"trace"`
 	Stop      Stop      `json:"stop"`
-	Limits    Limits    `json:"limits"`
-	Balance   Balance   `json:"balance"`
+	Limits    Limits    `json:"limits,omitzero"`
+	Balance   Balance   `json:"balance,omitzero"`
 	Platform  *Platform `json:"platform,omitempty"` // absent on a node outside the users' platform
 }
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -48,3 +49,14 @@
 		}
 	})
 }
+
+// Guards against settings files that a tool of this build writes and a node of an
+// earlier build refuses, for sections that the file does not need.
+func TestUnusedSectionsAreNotWritten(t *testing.T) {
+	is := is.New(t)
+	b, err := json.Marshal(Settings{ID: "a"})
+	is.NoErr(err)
+	for _, section := range []string{`"limits"`, `"balance"`, `"platform"`, `"target"`} {
+		is.True(!strings.Contains(string(b), section))
+	}
+}
