--- a/admit/sender.go
+++ b/admit/sender.go
@@ -70,7 +70,8 @@
 // expected to complete after serviceTime. It returns a NotRun error when the
 // response would probably leave too late: after the deadline, or after the target
 // latency while the link is busy with others. Otherwise late responses would keep
-// it busy until the deadline, and all others would be late too. Release must be called on the promise.
+// it busy until the deadline, and all others would be late too. Release must be
+// called on the promise.
 func (s *Sender) Promise(work Work, deadline time.Time, serviceTime time.Duration) (*Promise, error) {
 	if s == nil {
 		return nil, nil
--- a/evenload/news.go
+++ b/evenload/news.go
@@ -13,7 +13,7 @@
 // priority count with the last one.
 const Priorities = 3
 
-// Constants of the estimate. They were chosen with the model in bench/even, see
+// Constants of the estimate; the model in bench/even compares them with others, see
 // docs/design/even-load.md.
 const (
 	// CallsHalfLife is the half-life of the weight of stated calls relative to
