soak: all callers belong to a tenant and carry its key

Cause: the soak did not know tenants.

Ruled out: a second kind of run without tenants; the requests of targets and probes have none either.

--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -20,6 +20,10 @@
 const (
 	host    = "lots.example"
 	service = "floor"
+
+	// The organisation of all callers and its API key.
+	tenant    = "guild"
+	tenantKey = "soak-key-1"
 )
 
 // Ports are the same on every instance.
@@ -193,7 +197,8 @@
 	defer s.mu.Unlock()
 	s.version++
 	s.prefixes = append(s.prefixes, versionPath(s.version))
-	_, err := s.store.mem.Put(ctx, standin.ConfigKey, standin.ConfigWith(s.version, host, service, s.prefixes), 0)
+	config := standin.WithTenant(standin.ConfigWith(s.version, host, service, s.prefixes), tenant, tenantKey, 0)
+	_, err := s.store.mem.Put(ctx, standin.ConfigKey, config, 0)
 	if err != nil {
 		return errdefs.Internal.Wrap(err, "configuration")
 	}
