node: the test of quotas takes the configuration of the stand-in

Cause: it spelled the platform's names.

Change: standin.WithTenant; the same configuration but for a missing burst, which was 0.

--- a/node/tenant_test.go
+++ b/node/tenant_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"bytes"
 	"fmt"
 	"io"
 	"net/http"
@@ -77,8 +76,7 @@
 	const key = "k3y-of-ann"
 	is := is.New(t)
 	s := newTestPlatform(t)
-	config := bytes.Replace(standin.Config(1, testHost, testService), []byte(`"limits"`), []byte(
-		`"tenants":{"columns":["name","api_keys","rate_per_s","burst"],"rows":[["ann",["`+key+`"],20,0]]},"limits"`), 1)
+	config := standin.WithTenant(standin.Config(1, testHost, testService), "ann", key, 20)
 	_, err := s.mem.Put(t.Context(), standin.ConfigKey, config, 0)
 	is.NoErr(err)
 	nodes := []*instance{s.start(1), s.start(2)}
