proxy: closed addresses of tests stay bound

Cause: closedAddr released its port, and the system may give a released port to the next listener, of the same or another test process. That listener answers the call, so there is no refusal and no outcome.

Ruled out: a refusal without an outcome.

Change: closedAddr keeps a socket bound that does not listen, so connections are refused and nobody else gets the port until the test ends. TestClosedAddrIsHeldAndRefuses fails with the former function. The command test that used a released port uses a reserved one.

Three tests still close a running node's server; its port can be taken in the same way, at one in 10,000 for each listener.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"flag"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -227,10 +226,7 @@
 	is.Equal(code, errdefs.ExitUnavailable)
 	is.True(strings.Contains(errOut, "store.unavailable"))
 	is.True(strings.Contains(errOut, "trying again: "))
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	is.NoErr(l.Close())
-	code, _, _ = r.run("version", "-node", l.Addr().String())
+	code, _, _ = r.run("version", "-node", "127.0.0.1:1") // nothing listens on this reserved port
 	is.Equal(code, errdefs.ExitUnavailable)
 }
 
--- a/proxy/rig_test.go
+++ b/proxy/rig_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"siskingw/admit"
 	"siskingw/balance"
 	"siskingw/idem"
@@ -176,14 +181,35 @@
 	}
 }
 
-// closedAddr returns an address without a listener.
+// closedAddr returns an address that refuses connections until the test ends. A
+// socket stays bound to it and does not listen: a port that is only released may
+// go to a listener of another test, which then answers.
 func closedAddr(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	t.Helper()
+	is := is.New(t)
+	syscall.ForkLock.RLock()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err == nil {
+		syscall.CloseOnExec(fd)
 	}
-	l.Close()
-	return l.Addr().String()
+	syscall.ForkLock.RUnlock()
+	is.NoErr(err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	is.NoErr(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	name, err := syscall.Getsockname(fd)
+	is.NoErr(err)
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(name.(*syscall.SockaddrInet4).Port))
+}
+
+// Guards against a closed address that another listener gets, whose answers a test
+// takes for those of the node under test.
+func TestClosedAddrIsHeldAndRefuses(t *testing.T) {
+	is := is.New(t)
+	addr := closedAddr(t)
+	_, err := net.Listen("tcp", addr)
+	is.True(errors.Is(err, syscall.EADDRINUSE))
+	_, err = net.Dial("tcp", addr)
+	is.True(errors.Is(err, syscall.ECONNREFUSED))
 }
 
 // rawCall connects to addr, sends the raw request and returns all bytes received
