proxy, admit: a caller that does not read is no service time

Cause: a call whose answer is passed on in parts keeps its slot until the caller has read it, and the whole time counted as service time of the target: after the call in the averages of the gate, during it through the age of the calls in flight. At the caller's node the time between sending a call and the end of its answer, less what the target's node stated, counted as time on the network, also for answers that were buffered in full. A crowd that reads nothing made every endpoint look slow, and calls of all others were refused as all_full while nothing was in flight.

Ruled out: more probes while every endpoint looks full (they only correct the estimates faster, and cost calls under a true overload); releasing the slot at the first byte (the target still writes, and would get more calls than slots).

Change: Ticket.Answered ends the age of a call, Ticket.Received adds the time in which the node waited for the rest of the answer. The caller's node counts the same two parts. A keyed call gives its slot back before its stored answer is written, and one with a larger answer can be evicted like the others.

--- a/admit/gate.go
+++ b/admit/gate.go
@@ -113,8 +113,9 @@
 	newWork       [numPriorities]newWork // of each priority and the higher ones
 	deadlines     []time.Time            // deadlines of the calls in flight that have one, in no order
 	lateRefusedAt time.Time              // last refusal of a call because it would miss its target latency
-	startTimeSum  time.Duration          // sum over the calls in flight of their start times since epoch
-	expectedSum   time.Duration          // sum over the calls in flight of the service times expected of them
+	answered      int                    // calls in flight whose response is passed on, see Ticket.Answered
+	startTimeSum  time.Duration          // sum over the other calls in flight of their start times since epoch
+	expectedSum   time.Duration          // sum over the other calls in flight of the service times expected of them
 	epoch         time.Time
 	idle          chan struct{} // closed when inFlight and queued become zero; nil unless Wait is called
 	stats         Stats
@@ -138,6 +139,8 @@
 	deadline   time.Time     // zero for none
 	slowness   float64       // of the target's machine when the call was admitted
 	expected   time.Duration // service time expected of the call when it was admitted
+	answeredAt time.Time     // see Answered; guarded by the gate's mutex
+	received   time.Duration // see Received
 	released   atomic.Bool
 }
 
@@ -252,14 +255,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inFlight--
-	g.startTimeSum -= t.admittedAt.Sub(g.epoch)
-	g.expectedSum -= t.expected
+	if t.answeredAt.IsZero() {
+		g.forgetAge(t)
+	} else {
+		g.answered--
+	}
 	if i := slices.Index(g.deadlines, t.deadline); i >= 0 {
 		g.deadlines = slices.Delete(g.deadlines, i, i+1)
 	}
 	serviceTime := g.usualTime(t, now)
 	g.serviceTimes[t.priority].add(float64(serviceTime))
-	g.addWorkDone(t.priority, now.Sub(t.admittedAt))
+	g.addWorkDone(t.priority, t.serviceTime(now))
 	g.classTimes.add(t.class, serviceTime)
 	g.dispatch(now)
 	g.publish()
--- a/admit/slowness.go
+++ b/admit/slowness.go
@@ -50,5 +50,5 @@
 // have had on the machine as usual. g.mu must be held.
 func (g *Gate) usualTime(t *Ticket, now time.Time) time.Duration {
 	factor := (t.slowness + g.slowness.factor(now)) / 2
-	return time.Duration(float64(now.Sub(t.admittedAt)) / max(factor, 1))
+	return time.Duration(float64(t.serviceTime(now)) / max(factor, 1))
 }
--- a/admit/target.go
+++ b/admit/target.go
@@ -250,15 +250,16 @@
 // becomes slow is detected before its calls end. g.mu must be held.
 func (g *Gate) estimatedServiceTime(now time.Time) time.Duration {
 	mean := g.classTimes.all.duration()
-	if g.inFlight > 0 && g.expectedSum <= 0 {
-		return max(mean, time.Duration(inFlightAgeFactor*float64(g.ageSum(now))/float64(g.inFlight)))
+	if n := g.unanswered(); n > 0 && g.expectedSum <= 0 {
+		return max(mean, time.Duration(inFlightAgeFactor*float64(g.ageSum(now))/float64(n)))
 	}
 	return time.Duration(float64(mean) * g.overrun(now))
 }
 
-// ageSum returns the sum of the ages of the calls in flight. g.mu must be held.
+// ageSum returns the sum of the ages of the calls in flight whose response has not
+// begun. g.mu must be held.
 func (g *Gate) ageSum(now time.Time) time.Duration {
-	return time.Duration(g.inFlight)*now.Sub(g.epoch) - g.startTimeSum
+	return time.Duration(g.unanswered())*now.Sub(g.epoch) - g.startTimeSum
 }
 
 // overrun returns by what factor, at least 1, the calls in flight exceed the
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -50,6 +50,8 @@
 	newsWanted      bool              // the caller's node takes news about other targets
 	gateCtx         deadlineContext
 	sentAt          time.Time       // start of the last attempt
+	answeredAt      time.Time       // when the response of the last attempt began to be passed on; zero before that
+	receiving       time.Duration   // time since answeredAt spent waiting for more of the response
 	upstreamWait    time.Duration   // time spent waiting for response headers
 	attempts        []attemptRecord // attempts so far
 	noRetry         noRetryReason   // why the call was not retried
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -303,6 +303,7 @@
 	if x.bodyComplete {
 		ticket.Release() // the target has responded in full; a slow caller must not hold the slot
 	} else {
+		ticket.Answered()
 		holdOf(c.w).MarkSlot()
 	}
 	completeAt := time.Now()
@@ -313,7 +314,9 @@
 		in.opts.Metrics.observeLinkWait(time.Since(completeAt))
 	}
 	in.addNodeResponseHeaders(c)
-	return x.relay(c)
+	f = x.relay(c)
+	ticket.Received(c.receiving)
+	return f
 }
 
 // promise reserves the link for the response to a call of another node.
--- a/proxy/keyed.go
+++ b/proxy/keyed.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"time"
 
 	"siskingw/admit"
 	"siskingw/idem"
@@ -89,9 +90,14 @@
 		return mayHaveRun(causeAnswerCut, "the answer is not complete", err)
 	}
 	if resp == nil {
-		return x.relay(c)
+		ticket.Answered()
+		holdOf(c.w).MarkSlot()
+		f := x.relay(c)
+		ticket.Received(c.receiving)
+		return f
 	}
 	x.finish(true)
+	ticket.Release()
 	settle = func(k idem.Key) { in.opts.Ledger.RecordResponse(k, resp) }
 	c.writeResponse(resp)
 	return nil
@@ -139,7 +145,7 @@
 	if c.body.streamed {
 		h["Connection"] = connectionClose
 	}
-	c.responseStarted = true
+	c.responseStarted, c.answeredAt = true, time.Now()
 	c.w.WriteHeader(resp.Status)
 	_, _ = c.w.Write(resp.Body) // fails if the caller has disconnected; the server then closes the connection
 }
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -265,6 +265,7 @@
 // response to the caller.
 func (o *Outbound) send(c *call, rec *member.Record) *refusal {
 	c.load, c.gate, c.status, c.sentAt = 0, gateState{}, 0, time.Now()
+	c.answeredAt, c.receiving = time.Time{}, 0
 	if o.opts.Local != nil && rec.ID == o.opts.View.Self().ID {
 		return o.opts.Local.forward(c)
 	}
@@ -316,7 +317,7 @@
 // that the caller caused does not count against the endpoint.
 func (c *call) balancerReport(f *refusal) balance.Report {
 	r := balance.Report{
-		Load: c.load, Duration: time.Since(c.sentAt),
+		Load: c.load, Duration: c.answerTime(time.Now()),
 		CallsAhead: c.gate.report.CallsAhead, ServiceTime: c.gate.report.ServiceTime,
 		Class: c.work.class, ClassServiceTime: c.gate.classServiceTime, HandlingTime: c.gate.handlingTime, Link: c.gate.link, SendBacklog: c.gate.sendBacklog, Slowness: c.gate.report.Slowness,
 	}
@@ -336,6 +337,15 @@
 	return r
 }
 
+// answerTime returns the time from the start of the last attempt, which ended at now, to
+// the end of its response, without the time in which the caller did not read.
+func (c *call) answerTime(now time.Time) time.Duration {
+	if !c.answeredAt.IsZero() {
+		now = c.answeredAt
+	}
+	return now.Sub(c.sentAt) + c.receiving
+}
+
 // mergeRefusals returns f, the refusal of the latest attempt, corrected by the
 // earlier ones: once an attempt may have run, the call is never reported as not
 // run.
--- a/proxy/relay.go
+++ b/proxy/relay.go
@@ -30,7 +30,7 @@
 	if x.bodyComplete && len(x.resp.Trailer) == 0 && x.resp.ContentLength < 0 {
 		h["Content-Length"] = []string{strconv.Itoa(x.bodyPrefix.size)}
 	}
-	c.responseStarted = true
+	c.responseStarted, c.answeredAt = true, time.Now()
 	c.w.WriteHeader(x.resp.StatusCode)
 	if err := x.relayBody(c); err != nil {
 		f := mayHaveRun(causeAnswerCut, "the answer was not passed on in full", err)
@@ -91,7 +91,9 @@
 			_ = x.conn.SetReadDeadline(earlier(c.deadline, now.Add(stallTimeout)))
 			_ = rc.SetWriteDeadline(now.Add(stallTimeout))
 		}
+		readFrom := time.Now()
 		n, err := x.resp.Body.Read(buf[:])
+		c.receiving += time.Since(readFrom)
 		if n > 0 {
 			if _, werr := c.w.Write(buf[:n]); werr != nil {
 				x.callerGone = true
