--- a/spread/fake_test.go
+++ b/spread/fake_test.go
@@ -34,7 +34,7 @@
 	lossRate, duplicateRate, corruptRate, delayRate float64
 	isCut                                           func(a, b Peer) bool
 	dropMessage                                     func(kind string, from, to Peer) bool
-	sent                                            map[string]int // messages by kind and link class
+	sent                                            map[string]int // messages by kind and link class; "snapshot" counts transfers, "busy" refused ones
 
 	joinDelay time.Duration // how long a started node sees only itself
 	seeds     []Peer
@@ -342,7 +342,9 @@
 	class := peer.Class(t.self.Place(), to.Place())
 	latency := [...]time.Duration{200 * time.Microsecond, time.Millisecond, 20 * time.Millisecond}[class]
 	f.mu.Lock()
-	f.sent[kind+" "+class.String()]++
+	if kind != "snapshot" { // counted by what the source answers
+		f.sent[kind+" "+class.String()]++
+	}
 	lost := f.rng.Float64() < f.lossRate || f.isCut != nil && f.isCut(t.self, to) ||
 		f.dropMessage != nil && f.dropMessage(kind, t.self, to)
 	lostAnswer, twice := f.rng.Float64() < f.lossRate, f.rng.Float64() < f.duplicateRate
@@ -436,6 +438,13 @@
 			release(false)
 		}
 		data, release, busy = n.HandleFetchSnapshot(r)
+		answer := "snapshot"
+		if busy != nil {
+			answer = "busy"
+		}
+		t.fleet.mu.Lock()
+		t.fleet.sent[answer+" "+peer.Class(t.self.Place(), to.Place()).String()]++
+		t.fleet.mu.Unlock()
 	})
 	if err == nil && busy == nil && !sleep(ctx, 10*time.Millisecond) {
 		err = errdefs.PeerUnavailable.Wrap(ctx.Err(), "transfer cut off")
