spread: a starting node tells those before it what it found

Cause: the first-ranked starting nodes of a failure domain fetch from outside one after another, 1 s apart, counted from the moment at which each learns of the version. A node that finds nothing asks other regions every 2 s at most, so the second-ranked one could learn of the version 1.25 s before the first-ranked one (measured), and both fetched it. A second way to the same: a hint ends a query early, and a node that had not heard the first-ranked one by then took itself for it.

Ruled out: different orders at different nodes, nodes beyond the first three, the second failure domain of the region.

Change: a node that leaves a version to the nodes before it names the version and its source in a Head request to them. Peers that have not answered when a hint ends the query count as starting.

--- a/spread/compare.go
+++ b/spread/compare.go
@@ -43,13 +43,22 @@
 
 // queryHead asks a peer for the version that it has in force.
 func (n *Node) queryHead(ctx context.Context, p Peer, timeout time.Duration) (*peerpb.HeadReply, error) {
-	ctx, cancel := withLocalTimeout(ctx, timeout)
-	defer cancel()
+	return n.sendHead(ctx, p, n.headRequest(), timeout)
+}
+
+// headRequest returns a request that states the version in force here.
+func (n *Node) headRequest() *peerpb.HeadRequest {
 	r := &peerpb.HeadRequest{Sender: n.view.Self().ID, StoreAgeMs: n.storeContactAge(), LostReaders: n.lostReaders()}
 	if s := n.current.Load(); s != nil {
 		d := s.Digest()
 		r.Version, r.Digest = s.Version(), d[:]
 	}
+	return r
+}
+
+func (n *Node) sendHead(ctx context.Context, p Peer, r *peerpb.HeadRequest, timeout time.Duration) (*peerpb.HeadReply, error) {
+	ctx, cancel := withLocalTimeout(ctx, timeout)
+	defer cancel()
 	n.stats.compares.Inc()
 	return n.opts.Transport.Head(ctx, p, r)
 }
--- a/spread/fake_test.go
+++ b/spread/fake_test.go
@@ -34,6 +34,7 @@
 	lossRate, duplicateRate, corruptRate, delayRate float64
 	isCut                                           func(a, b Peer) bool
 	dropMessage                                     func(kind string, from, to Peer) bool
+	delayMessage                                    func(kind string, from, to Peer) time.Duration
 	sent                                            map[string]int // messages by kind and link class; "snapshot" counts transfers, "busy" refused ones
 
 	joinDelay time.Duration // how long a started node sees only itself
@@ -352,6 +353,9 @@
 	if f.rng.Float64() < f.delayRate {
 		latency += time.Duration(f.rng.IntN(1500)) * time.Millisecond
 	}
+	if f.delayMessage != nil {
+		latency += f.delayMessage(kind, t.self, to)
+	}
 	f.mu.Unlock()
 	if lost {
 		<-ctx.Done()
--- a/spread/pull.go
+++ b/spread/pull.go
@@ -158,7 +158,7 @@
 // that is not newer is no error.
 func (n *Node) fetchFrom(ctx context.Context, from Peer, info offerInfo) (*peerpb.Busy, error) {
 	self := n.view.Self()
-	caller := &peerpb.Source{Id: self.ID, Addr: self.PeerAddr, Region: self.Region, FailureDomain: self.FailureDomain}
+	caller := PeerOf(self).source()
 	data, busy, err := n.opts.Transport.FetchSnapshot(ctx, from, &peerpb.FetchSnapshotRequest{Caller: caller})
 	if err != nil || busy != nil {
 		return busy, err
@@ -184,7 +184,7 @@
 		maxClass = max(maxClass, n.class(p))
 	}
 	for _, s := range extra {
-		p := Peer{ID: s.Id, Addr: s.Addr, Region: s.Region, FailureDomain: s.FailureDomain}
+		p := peerOfSource(s)
 		known := p.ID == n.view.Self().ID || hasAddr(sources, p.Addr)
 		if !known && n.class(p) <= maxClass && len(sources) < maxSources {
 			sources = append(sources, p)
--- a/spread/recovery.go
+++ b/spread/recovery.go
@@ -179,7 +179,8 @@
 		return n.current.Version() > 0
 	}
 	sources := n.nearestSources(answers, highest)
-	if !n.mayFetchOver(n.class(sources[0]), answers) {
+	if class := n.class(sources[0]); !n.mayFetchOver(class, answers) {
+		n.reportFound(sources[0], highest, class, answers)
 		return false
 	}
 	if err := n.fetchSnapshot(n.ctx, sources, highest, offerInfo{}); err != nil {
@@ -198,7 +199,7 @@
 		return true
 	}
 	waited := n.recovery.sinceSeen()
-	rank := n.startupRank(answers)
+	rank, _ := n.startupRank(answers)
 	if rank >= member.RelayCount {
 		return waited >= localCopyTimeout
 	}
@@ -208,6 +209,33 @@
 	return waited >= time.Duration(rank)*n.opts.CrossStep
 }
 
+// reportFound tells the starting nodes that fetch over a link of the class before
+// this one about a version. Otherwise one of them that is between two rounds may
+// find it only after this node's turn has come, and both fetch it. Nodes after the
+// first-ranked ones tell nobody: with a whole failure domain starting, that would
+// be thousands of messages.
+func (n *Node) reportFound(source Peer, version uint64, class peer.LinkClass, answers []answer) {
+	rank, preceding := n.startupRank(answers)
+	if rank >= member.RelayCount {
+		return
+	}
+	if class == peer.CrossRegion {
+		for _, p := range n.topology().regionRelays {
+			if p.FailureDomain == n.view.Self().FailureDomain {
+				break
+			}
+			preceding = append(preceding, p)
+		}
+	}
+	for _, p := range preceding {
+		n.tasks.spawn(func() {
+			r := n.headRequest()
+			r.FoundVersion, r.FoundAt = version, source.source()
+			_, _ = n.sendHead(n.ctx, p, r, nearQueryTimeout) // this node fetches the version itself when its turn comes
+		})
+	}
+}
+
 // nearestSources returns the sources of the version over the cheapest link
 // class.
 func (n *Node) nearestSources(answers []answer, version uint64) []Peer {
@@ -223,39 +251,40 @@
 }
 
 // startupRank returns this node's rank among the starting nodes of its failure
-// domain. All nodes of a failure domain have the same seeds, so the seeds come
-// first, ordered by the hash of their address. If the failure domain has no
-// seeds, the membership view determines the rank.
-func (n *Node) startupRank(answers []answer) int {
+// domain, and the nodes that rank before it if it is one of the first-ranked ones.
+// All nodes of a failure domain have the same seeds, so the seeds come first,
+// ordered by the hash of their address. If the failure domain has no seeds, the
+// membership view determines the rank.
+func (n *Node) startupRank(answers []answer) (rank int, preceding []Peer) {
 	self := PeerOf(n.view.Self())
 	isStarting := func(addr string) bool {
 		return slices.ContainsFunc(answers, func(a answer) bool { return a.peer.Addr == addr && a.version == 0 })
 	}
-	var seeds []Peer
+	var order []Peer
 	for _, p := range n.opts.Seeds {
 		if p.FailureDomain == self.FailureDomain && (p.Addr == self.Addr || isStarting(p.Addr)) {
-			seeds = append(seeds, p)
+			order = append(order, p)
 		}
 	}
-	if len(seeds) > 0 {
-		slices.SortFunc(seeds, func(a, b Peer) int {
-			return cmp.Compare(member.RankHash(a.Addr), member.RankHash(b.Addr))
-		})
-		if i := slices.IndexFunc(seeds, func(p Peer) bool { return p.Addr == self.Addr }); i >= 0 {
-			return i
+	slices.SortFunc(order, func(a, b Peer) int {
+		return cmp.Compare(member.RankHash(a.Addr), member.RankHash(b.Addr))
+	})
+	if len(order) == 0 {
+		for _, p := range n.topology().ranked {
+			if p.ID == self.ID {
+				break
+			}
+			if isStarting(p.Addr) {
+				order = append(order, p)
+			}
 		}
-		return member.RelayCount
+		order = append(order, self)
 	}
-	rank := 0
-	for _, p := range n.topology().ranked {
-		if p.ID == self.ID {
-			break
-		}
-		if isStarting(p.Addr) {
-			rank++
-		}
+	rank = slices.IndexFunc(order, func(p Peer) bool { return p.Addr == self.Addr })
+	if rank < 0 || rank >= member.RelayCount {
+		return member.RelayCount, nil
 	}
-	return rank
+	return rank, order[:rank]
 }
 
 // querySources asks for versions: the node's failure domain first, and farther
@@ -287,7 +316,10 @@
 // for a version outside it and no node inside has one. After localCopyTimeout
 // the node queries outside in some rounds, in case those others cannot.
 func (n *Node) deferToOthers(answers []answer) bool {
-	if len(answers) == 0 || countWithVersion(answers) > 0 || n.startupRank(answers) < member.RelayCount {
+	if len(answers) == 0 || countWithVersion(answers) > 0 {
+		return false
+	}
+	if rank, _ := n.startupRank(answers); rank < member.RelayCount {
 		return false
 	}
 	return n.recovery.sinceStart() < localCopyTimeout || rand.IntN(outsideQueryRounds) != 0
@@ -304,19 +336,24 @@
 }
 
 // query queries the peers concurrently and returns the answers that arrive in
-// time.
+// time. When a hint ends it early, a peer that has not answered yet counts as
+// starting, so that this node does not take itself for a node of a lower rank.
 func (n *Node) query(peers []Peer, timeout time.Duration) []answer {
-	replies := make(chan answer, len(peers))
+	type reply struct {
+		answer
+		failed bool
+	}
+	replies := make(chan reply, len(peers))
 	for _, p := range peers {
 		n.tasks.spawn(func() {
-			reply, err := n.queryHead(n.ctx, p, timeout)
+			r, err := n.queryHead(n.ctx, p, timeout)
 			if err != nil {
-				replies <- answer{}
+				replies <- reply{answer: answer{peer: p}, failed: true}
 				return
 			}
-			n.recordPeerContact(p, reply.StoreAgeMs)
-			p.ID = reply.Id
-			replies <- answer{peer: p, version: reply.Version}
+			n.recordPeerContact(p, r.StoreAgeMs)
+			p.ID = r.Id
+			replies <- reply{answer: answer{peer: p, version: r.Version}}
 		})
 	}
 	var answers []answer
@@ -325,12 +362,12 @@
 	noVersionTimer := time.NewTimer(noVersionWait)
 	defer noVersionTimer.Stop()
 	gotHint, waited := false, false
-	for remaining := len(peers); remaining > 0; {
+	for pending := slices.Clone(peers); len(pending) > 0; {
 		select {
-		case a := <-replies:
-			remaining--
-			if a.peer.Addr != "" {
-				answers = append(answers, a)
+		case r := <-replies:
+			pending = slices.DeleteFunc(pending, func(p Peer) bool { return p.Addr == r.peer.Addr })
+			if !r.failed {
+				answers = append(answers, r.answer)
 			}
 		case <-deadline.C:
 			return answers
@@ -345,6 +382,11 @@
 		// the remaining ones is not necessary: some cannot answer yet, and the
 		// first node that gets a version announces it.
 		if (gotHint || waited) && 2*len(answers) >= len(peers) && countWithVersion(answers) == 0 {
+			if !waited {
+				for _, p := range pending {
+					answers = append(answers, answer{peer: p})
+				}
+			}
 			break
 		}
 	}
--- a/spread/recovery_test.go
+++ b/spread/recovery_test.go
@@ -123,6 +123,77 @@
 	})
 }
 
+// Guards against two transfers into the same region because the second-ranked
+// starting node finds the version, and its turn comes, while the first-ranked one
+// is between two rounds of queries.
+func TestFirstRankedNodeFetchesWhatALaterOneFinds(t *testing.T) {
+	f := newFleet(26, 2, 1, maxCandidates+4)
+	f.run(t, func(t *testing.T) {
+		is := is.New(t)
+		f.source.setDown(true)
+		first, second := f.at("r1-d0", 0), f.at("r1-d0", 1)
+		var others []*member.Record
+		source := f.at("r0-d0", maxCandidates+3) // no node of another region queries it
+		for _, r := range f.records {
+			if r != source && r.Region == source.Region {
+				f.kill(r)
+			} else if r != source {
+				others = append(others, r)
+			}
+		}
+		f.restart(others)
+		elapse(10 * time.Second) // until the nodes query at their longest interval
+		is.Equal(len(f.behind(0)), 1)
+		found := time.Now()
+		for f.proc(first).current.Version() == 0 {
+			is.True(time.Since(found) < defaultCrossStep)
+			f.proc(second).node.recovery.addHint(PeerOf(source), 1)
+			time.Sleep(10 * time.Millisecond)
+		}
+		is.Equal(f.proc(second).current.Version(), uint64(0))
+		f.converge(t, 1, 10*time.Second)
+		is.Equal(f.count("snapshot cross-region"), 1)
+	})
+}
+
+// Guards against a starting node that takes itself for the first-ranked one, and
+// fetches over a metered link at once, because it learned of a version before the
+// first-ranked one had answered its query.
+func TestHintDuringQueryLeavesFetchToFirstRankedNode(t *testing.T) {
+	f := newFleet(27, 2, 1, 6)
+	f.run(t, func(t *testing.T) {
+		is := is.New(t)
+		f.source.setDown(true)
+		first, second := f.at("r1-d0", 0), f.at("r1-d0", 1)
+		f.setRules(func() {
+			f.dropMessage = func(kind string, from, to Peer) bool {
+				return kind != "snapshot" && from.Region == "r0" && to.Region == "r1"
+			}
+			f.delayMessage = func(kind string, from, to Peer) time.Duration {
+				if to.ID == first.ID {
+					return 25 * time.Millisecond // each way: less than the wait for remaining answers
+				}
+				return 0
+			}
+		})
+		for _, r := range f.records[:6] {
+			f.kill(r)
+		}
+		f.restart(f.records[6:])
+		elapse(5 * time.Second)
+		for _, r := range f.records[:6] {
+			f.start(r, f.published[1])
+		}
+		for f.proc(second).current.Version() == 0 {
+			f.proc(second).node.recovery.addHint(PeerOf(f.records[0]), 1)
+			time.Sleep(time.Millisecond)
+		}
+		is.Equal(f.proc(first).current.Version(), uint64(1)) // second has its version
+		f.converge(t, 1, 10*time.Second)
+		is.Equal(f.count("snapshot cross-region"), 1)
+	})
+}
+
 // Guards against starting nodes that know only themselves and their seeds,
 // consider themselves relays and all call the store or fetch over a metered
 // link.
--- a/spread/serve.go
+++ b/spread/serve.go
@@ -70,6 +70,9 @@
 		n.lost.note(r.Sender, r.LostReaders, n.monotonicMs())
 		n.compareSummary(p, r.Version, r.Digest)
 	}
+	if r.FoundVersion > 0 && !n.recovery.finished() {
+		n.recovery.addHint(peerOfSource(r.FoundAt), r.FoundVersion)
+	}
 	reply := &peerpb.HeadReply{Id: n.view.Self().ID, StoreAgeMs: n.storeContactAge(), Undelivered: n.pending.names()}
 	if s := n.current.Load(); s != nil {
 		d := s.Digest()
@@ -108,6 +111,10 @@
 	return list[:min(len(list), maxBusyPeers)]
 }
 
+func peerOfSource(s *peerpb.Source) Peer {
+	return Peer{ID: s.GetId(), Addr: s.GetAddr(), Region: s.GetRegion(), FailureDomain: s.GetFailureDomain()}
+}
+
 func placeOf(s *peerpb.Source) peer.Place {
 	return peer.Place{Region: s.GetRegion(), FailureDomain: s.GetFailureDomain()}
 }
--- a/spread/topology.go
+++ b/spread/topology.go
@@ -5,6 +5,7 @@
 
 	"siskingw/member"
 	"siskingw/peer"
+	"siskingw/peer/peerpb"
 )
 
 // Peer is the address and location of a node.
@@ -20,6 +21,11 @@
 	return peer.Place{Region: p.Region, FailureDomain: p.FailureDomain}
 }
 
+// source returns the peer as a message names it.
+func (p Peer) source() *peerpb.Source {
+	return &peerpb.Source{Id: p.ID, Addr: p.Addr, Region: p.Region, FailureDomain: p.FailureDomain}
+}
+
 // PeerOf returns the Peer of a member.
 func PeerOf(r *member.Record) Peer {
 	return Peer{ID: r.ID, Addr: r.PeerAddr, Region: r.Region, FailureDomain: r.FailureDomain}
