--- a/e2e/crowd/cluster_test.go
+++ b/e2e/crowd/cluster_test.go
@@ -63,6 +63,7 @@
 	t       *testing.T
 	callers *node
 	targets *node
+	store   *faultyStore
 	client  *http.Client
 	header  http.Header // added to ordinary requests
 }
@@ -79,7 +80,8 @@
 		t.Fatal(err)
 	}
 	store := net.JoinHostPort(subnet+"9", strconv.Itoa(portStore))
-	serve(t, store, standin.NewStore(mem))
+	c.store = newFaultyStore(standin.NewStore(mem))
+	serve(t, store, c.store)
 	c.callers = startNode(t, "n-callers", subnet+"1", store, []string{subnet + "2"})
 	c.targets = startNode(t, "n-targets", subnet+"2", store, []string{subnet + "1"})
 	target := standin.NewTarget(standin.TargetOptions{ID: "i-1", Service: service, Addr: c.targets.addr(portTarget),
--- a/e2e/crowd/related_test.go
+++ b/e2e/crowd/related_test.go
@@ -18,12 +18,17 @@
 // related checks a crowd of n clients that send what request returns, do not read and
 // stay open. The bounds are those of checkCrowd.
 func related(t *testing.T, door func(*cluster) string, n int, request func(member int) io.Reader) {
-	c := startCluster(t)
-	usages := []*usage{watchUsage(t, c.callers), watchUsage(t, c.targets)}
-	clients := startN(t, door(c), n, func(w io.Writer, member int) error {
+	relatedSend(t, door, n, func(w io.Writer, member int) error {
 		_, err := io.Copy(onlyWriter{w}, request(member))
 		return err
 	})
+}
+
+// relatedSend is related for clients that send with a function.
+func relatedSend(t *testing.T, door func(*cluster) string, n int, send func(w io.Writer, member int) error) {
+	c := startCluster(t)
+	usages := []*usage{watchUsage(t, c.callers), watchUsage(t, c.targets)}
+	clients := startN(t, door(c), n, send)
 	clients.wait(t)
 	for _, u := range usages {
 		u.check(t, "with the crowd")
--- /dev/null
+++ b/e2e/crowd/store_test.go
@@ -0,0 +1,122 @@
+package crowd
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"siskingw/platform/standin"
+)
+
+// storeFaultTime is how long the store answers wrongly. Nodes ask it once a second.
+const storeFaultTime = 8 * time.Second
+
+// faultyStore answers reads and watches with fault while that is set.
+type faultyStore struct {
+	http.Handler
+	fault    atomic.Pointer[func(w http.ResponseWriter, r *http.Request)]
+	answered atomic.Int64 // requests answered by fault
+	sent     atomic.Int64 // bytes
+}
+
+// ServeHTTP implements http.Handler.
+func (s *faultyStore) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f := s.fault.Load(); f != nil && r.Method == http.MethodGet {
+		s.answered.Add(1)
+		(*f)(&countingAnswer{w, &s.sent}, r)
+		return
+	}
+	s.Handler.ServeHTTP(w, r)
+}
+
+// countingAnswer counts the bytes of an answer.
+type countingAnswer struct {
+	http.ResponseWriter
+	sent *atomic.Int64
+}
+
+func (w *countingAnswer) Write(p []byte) (int, error) {
+	n, err := w.ResponseWriter.Write(p)
+	w.sent.Add(int64(n))
+	return n, err
+}
+
+// checkStoreFault checks that nodes stay within the bounds of checkCrowd, and go on
+// serving, while their store answers with fault.
+func checkStoreFault(t *testing.T, fault func(w http.ResponseWriter, r *http.Request)) {
+	c := startCluster(t)
+	usages := []*usage{watchUsage(t, c.callers), watchUsage(t, c.targets)}
+	c.store.fault.Store(&fault)
+	time.Sleep(storeFaultTime)
+	t.Logf("the store answered %d requests with %d MiB", c.store.answered.Load(), c.store.sent.Load()>>20)
+	if c.store.answered.Load() == 0 {
+		t.Error("no node has asked the store")
+	}
+	for _, u := range usages {
+		u.check(t, "with the faulty store")
+	}
+	c.waitServed("with the faulty store", tries*tryPause)
+	c.store.fault.Store(nil)
+	c.waitServed("after the fault", tries*tryPause)
+	for _, u := range usages {
+		u.check(t, "after the fault")
+	}
+}
+
+// Guards against an answer of the store without end that fills the memory.
+func TestEndlessStoreAnswer(t *testing.T) {
+	checkStoreFault(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"as_of":1,"items":[{"key":"op/x","value":"`)
+		_, _ = io.Copy(onlyWriter{w}, letters{}) // ends when the node closes the connection
+	})
+}
+
+// letters is an endless text.
+type letters struct{}
+
+func (letters) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = 'A'
+	}
+	return len(p), nil
+}
+
+// Guards against a page of the store with so many items that they fill the memory after
+// they are decoded.
+func TestStorePageOfManyItems(t *testing.T) {
+	page := `{"as_of":1,"items":[{}` + strings.Repeat(`,{}`, 1<<20) + `],"events":[{}` + strings.Repeat(`,{}`, 200<<10) + `]}`
+	checkStoreFault(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, page) })
+}
+
+// Guards against a range of the store without a last page that fills the memory.
+func TestEndlessStorePages(t *testing.T) {
+	value := strings.Repeat("A", 2<<10)
+	checkStoreFault(t, func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/kv-range") {
+			w.WriteHeader(http.StatusNotFound) // so that the node reads the range
+			return
+		}
+		prefix, after, _ := strings.Cut(r.URL.Query().Get("after"), "~")
+		if prefix == "" {
+			prefix = r.URL.Query().Get("prefix")
+		}
+		var next int
+		_, _ = fmt.Sscan(after, &next)
+		_, _ = io.WriteString(w, `{"as_of":1,"has_more":true,"items":[`)
+		for n := range 400 {
+			separator := ","
+			if n == 0 {
+				separator = ""
+			}
+			_, _ = fmt.Fprintf(w, `%s{"key":"%s~%09d","value":"%s","revision":1}`, separator, prefix, next+n+1, value)
+		}
+		_, _ = io.WriteString(w, `]}`)
+	})
+}
+
+// newFaultyStore returns a stand-in store without a fault.
+func newFaultyStore(s *standin.Store) *faultyStore { return &faultyStore{Handler: s} }
