peer, node: connections between nodes are bounded

Cause: the listener between nodes accepted any number of connections, waited 120 s for the beginning of HTTP/2, and held up to 256 messages of 4 MiB and headers of 16 MiB for each connection.

Ruled out: a limit that only refuses new connections (silent ones would keep the other nodes out); a smaller message or fewer streams (any static product of connections, streams and message is far above the memory of a machine); a limit for each address (nodes of a test fleet share one).

Change: peer.Guard counts connections, open streams and the bytes of unfinished requests. Beyond a limit it closes the connection that made least of what it holds; connections of nodes bring whole messages every few seconds. Settings limits.peerConnections and limits.peerMemoryMB, metrics, a log line.

--- a/node/budget.go
+++ b/node/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"siskingw/budget"
+	"siskingw/peer"
 	"siskingw/proxy"
 	"siskingw/telemetry"
 )
@@ -61,6 +62,25 @@
 	}
 }
 
+// newPeerGuard creates the limits of the listener between nodes, with their metrics and log
+// line.
+func (l *clientLimits) newPeerGuard(n *Node) *peer.Guard {
+	limits := &n.settings.Limits
+	closed := telemetry.NewRateLimitedLogger(n.log, telemetry.EventPeerClosed, maxClientLinesPerSecond, maxClientLineBurst)
+	guard := peer.NewGuard(peer.Limits{Connections: limits.PeerConnections, Bytes: int64(limits.PeerMemoryMB) << 20,
+		OnClose: func(addr string) {
+			closed.Log(func() []any {
+				return []any{"client", addr, "limit", limits.PeerConnections, "limitBytes", int64(limits.PeerMemoryMB) << 20}
+			})
+		}})
+	count := func(name string, f func() int64) { n.metrics.NewGauge(name, func() float64 { return float64(f()) }) }
+	count("siskingw_peer_connections", guard.Connections)
+	count("siskingw_peer_connections_refused_total", guard.Refused)
+	count("siskingw_peer_connections_closed_total", guard.Closed)
+	count("siskingw_peer_memory_bytes", guard.Held)
+	return guard
+}
+
 // bodies returns the options for the request bodies of calls.
 func (n *Node) bodies() proxy.BodyOptions {
 	o := proxy.BodyOptions{Budget: n.clients.budget}
--- a/node/services.go
+++ b/node/services.go
@@ -46,6 +46,7 @@
 	pool     *peer.Pool
 	traffic  peer.Traffic
 	server   *grpc.Server
+	guard    *peer.Guard
 	listener net.Listener
 }
 
@@ -57,8 +58,9 @@
 	if err != nil {
 		return errdefs.Invalid.Wrap(err, "open the peer listener")
 	}
-	s.listener = lis
-	s.server = peer.NewServer()
+	s.guard = s.node.clients.newPeerGuard(s.node)
+	s.listener = s.guard.Listen(lis)
+	s.server = peer.NewServer(s.guard.Options()...)
 	s.pool = peer.NewPool(s.node.place(), &s.traffic, peer.Options{LocalAddr: s.node.localAddr()})
 	exportTraffic(s.node.metrics, &s.traffic)
 	return nil
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -231,9 +231,9 @@
 }
 
 // NewServer returns a gRPC server whose buffers, messages, streams and idle
-// connections are limited.
-func NewServer() *grpc.Server {
-	return grpc.NewServer(
+// connections are limited. A Guard has further options.
+func NewServer(opts ...grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append([]grpc.ServerOption{
 		grpc.InitialWindowSize(initialWindowBytes),
 		grpc.InitialConnWindowSize(initialWindowBytes),
 		grpc.ReadBufferSize(bufferBytes),
@@ -241,7 +241,7 @@
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 		grpc.MaxConcurrentStreams(256),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: 2 * defaultMaxIdle}),
-	)
+	}, opts...)...)
 }
 
 // countingConn counts the bytes sent and received on a connection.
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -31,6 +31,15 @@
 	// DialedConnections limits the connections to other nodes. Default: three tenths of
 	// what Platform.MaxFiles leaves; without that setting there is no limit.
 	DialedConnections int `json:"dialedConnections,omitempty"`
+	// PeerConnections limits the open connections at the listener between nodes. Default:
+	// peerConnectionsPercent of what Platform.MaxFiles leaves, at least
+	// minPeerConnections, and no more than peerMemoryPercent of Platform.MemoryMB allows;
+	// without these settings there is no limit.
+	PeerConnections int `json:"peerConnections,omitempty"`
+	// PeerMemoryMB is the memory, in MiB, for unfinished messages and open streams at that
+	// listener. Default: peerMemoryPercent of Platform.MemoryMB, or defaultPeerMemoryMB
+	// without it, at least minPeerMemoryMB.
+	PeerMemoryMB int `json:"peerMemoryMB,omitempty"`
 }
 
 // Defaults of Limits.
@@ -59,8 +68,19 @@
 	connectionsPercent       = 50
 	dialedConnectionsPercent = 30
 
+	peerConnectionsPercent = 10
+
 	otherConnectionsShare = 32
 	minOtherConnections   = 16
+
+	// peerConnBytes is the memory that a connection of another node takes with its
+	// buffers and goroutines.
+	peerConnBytes       = 64 << 10
+	peerMemoryPercent   = 10
+	defaultPeerMemoryMB = 64
+	// minPeerMemoryMB holds two messages of the largest size.
+	minPeerMemoryMB    = 8
+	minPeerConnections = 16
 )
 
 // BodyStall returns BodyStallMs as a duration.
@@ -79,7 +99,16 @@
 		setDefault(&l.Connections, max(1, connections))
 		setDefault(&l.OtherConnections, max(minOtherConnections, p.MaxFiles/otherConnectionsShare))
 		setDefault(&l.DialedConnections, max(1, files*dialedConnectionsPercent/100))
+		peers := files * peerConnectionsPercent / 100
+		if p.MemoryMB > 0 {
+			peers = min(peers, p.MemoryMB*peerMemoryPercent*((1<<20)/peerConnBytes)/100)
+		}
+		setDefault(&l.PeerConnections, max(minPeerConnections, peers))
+	}
+	if p != nil && p.MemoryMB > 0 {
+		setDefault(&l.PeerMemoryMB, max(minPeerMemoryMB, p.MemoryMB*peerMemoryPercent/100))
 	}
+	setDefault(&l.PeerMemoryMB, defaultPeerMemoryMB)
 	setDefault(&l.CallMemoryMB, defaultCallMemoryMB)
 	setDefault(&l.BodyStallMs, defaultBodyStallMs)
 	setDefault(&l.MinBodyRate, defaultMinBodyRate)
@@ -113,4 +142,6 @@
 	c.within("limits.connections", l.Connections, 0, maxLimit)
 	c.within("limits.otherConnections", l.OtherConnections, 0, maxLimit)
 	c.within("limits.dialedConnections", l.DialedConnections, 0, maxLimit)
+	c.within("limits.peerConnections", l.PeerConnections, 0, maxLimit)
+	c.within("limits.peerMemoryMB", l.PeerMemoryMB, minPeerMemoryMB, maxLimitMB)
 }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -22,6 +22,7 @@
 	// Clients outside the limits.
 	EventClientStalled     = "stalled client closed"
 	EventConnectionRefused = "connection refused, too many are open"
+	EventPeerClosed        = "connection between nodes closed, beyond a limit"
 
 	// Configuration and the store.
 	EventVersion    = "version in force"
