settings: room for the connections of 300 nodes at the listener between nodes

The default of limits.peerConnections was 179 on a machine of 112 MB and 294 on one of 184 MB. All nodes of a fleet ask the same pool of quotas, so that with 300 nodes the limit would have refused some of them.

Ruled out: no limit, because silent connections take the descriptors.

Change: a fifth of the free descriptors and of the memory instead of a tenth: 358 connections at 112 MB. Nothing was measured with 300 nodes yet.

--- a/settings/limits.go
+++ b/settings/limits.go
@@ -33,7 +33,7 @@
 	DialedConnections int `json:"dialedConnections,omitempty"`
 	// PeerConnections limits the open connections at the listener between nodes. Default:
 	// peerConnectionsPercent of what Platform.MaxFiles leaves, at least
-	// minPeerConnections, and no more than peerMemoryPercent of Platform.MemoryMB allows;
+	// minPeerConnections, and no more than peerConnMemoryPercent of Platform.MemoryMB allows;
 	// without these settings there is no limit.
 	PeerConnections int `json:"peerConnections,omitempty"`
 	// PeerMemoryMB is the memory, in MiB, for unfinished messages and open streams at that
@@ -68,16 +68,19 @@
 	connectionsPercent       = 50
 	dialedConnectionsPercent = 30
 
-	peerConnectionsPercent = 10
+	// peerConnectionsPercent leaves room for a connection of each node of a fleet of 300,
+	// which a pool of quotas has, on the smallest machine.
+	peerConnectionsPercent = 20
 
 	otherConnectionsShare = 32
 	minOtherConnections   = 16
 
 	// peerConnBytes is the memory that a connection of another node takes with its
 	// buffers and goroutines.
-	peerConnBytes       = 64 << 10
-	peerMemoryPercent   = 10
-	defaultPeerMemoryMB = 64
+	peerConnBytes         = 64 << 10
+	peerConnMemoryPercent = 20
+	peerMemoryPercent     = 10
+	defaultPeerMemoryMB   = 64
 	// minPeerMemoryMB holds two messages of the largest size.
 	minPeerMemoryMB    = 8
 	minPeerConnections = 16
@@ -101,7 +104,7 @@
 		setDefault(&l.DialedConnections, max(1, files*dialedConnectionsPercent/100))
 		peers := files * peerConnectionsPercent / 100
 		if p.MemoryMB > 0 {
-			peers = min(peers, p.MemoryMB*peerMemoryPercent*((1<<20)/peerConnBytes)/100)
+			peers = min(peers, p.MemoryMB*peerConnMemoryPercent*((1<<20)/peerConnBytes)/100)
 		}
 		setDefault(&l.PeerConnections, max(minPeerConnections, peers))
 	}
