proxy: calls behind a broken-off answer get theirs

Cause: a node served up to 16 pipelined requests of a connection at once and sent an answer of more than 256 KiB as it arrived.

Ruled out: shorter answers, which are held until they are whole.

Change: an answer is held beyond 256 KiB while requests behind it have been passed on, up to 4 MiB and within the memory budget. While an answer is sent before it is whole, no further request is passed on. A broken-off answer is still refused or resets the connection.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -216,14 +216,29 @@
 	BufferBytes int
 }
 
+// maxHeldBytes is the size up to which a response is held while requests behind it on
+// a pipelined connection have been passed on. A longer one is streamed, and when it
+// breaks off, those requests get no response.
+const maxHeldBytes = 4 << 20
+
 // bufferResponse buffers the response body up to limit bytes, or as far as there is
-// memory for it. If it returns a refusal, the exchange has ended.
+// memory for it. It goes on up to maxHeldBytes while requests behind it on a pipelined
+// connection have been passed on: they get a response also if this one breaks off. If
+// it returns a refusal, the exchange has ended.
 func (x *exchange) bufferResponse(c *call, limit int) *refusal {
-	if limit == 0 || c.r.Method == http.MethodHead || x.resp.Body == http.NoBody {
+	if c.r.Method == http.MethodHead || x.resp.Body == http.NoBody || limit == 0 && mayStream(c.w, false) {
 		return nil
 	}
 	x.bodyPrefix.hold = holdOf(c.w)
 	complete, err := x.bodyPrefix.readFrom(x.resp.Body, limit)
+	for err == nil && !complete && !mayStream(c.w, x.bodyPrefix.size >= maxHeldBytes) {
+		before := x.bodyPrefix.size
+		limit = min(before+len(bodyBlock{}), maxHeldBytes)
+		if complete, err = x.bodyPrefix.readFrom(x.resp.Body, limit); err == nil && !complete && x.bodyPrefix.size == before {
+			mayStream(c.w, true) // there is no memory for more
+			break
+		}
+	}
 	if err != nil {
 		x.bodyPrefix.release()
 		return x.fail(causeAnswerCut, "the answer broke off", err)
--- a/proxy/pipeline.go
+++ b/proxy/pipeline.go
@@ -23,9 +23,11 @@
 	cancel context.CancelFunc // cancels the calls in flight
 	slots  chan struct{}      // semaphore: one element for each request in flight
 
-	mu       sync.Mutex
-	inFlight int
-	closing  bool // the connection is closed after a response
+	mu        sync.Mutex
+	inFlight  int
+	closing   bool // the connection is closed after a response
+	passedOn  int  // number of the last request that a handler got, from 1
+	streaming int  // number of the request whose response is sent before it is complete; 0 for none
 }
 
 // servePipeline serves requests until the connection is closed.
@@ -33,8 +35,8 @@
 	p := &pipeline{conn: c, ctx: ctx, cancel: cancel, slots: make(chan struct{}, c.server.opts.MaxPipelined)}
 	previousDone := make(chan struct{})
 	close(previousDone)
-	for {
-		responseDone, more := p.readOne(previousDone)
+	for number := 1; ; number++ {
+		responseDone, more := p.readOne(number, previousDone)
 		if !more {
 			break
 		}
@@ -46,10 +48,10 @@
 	}
 }
 
-// readOne reads the next request and starts to serve it. previousDone is closed
+// readOne reads the request with the number and starts to serve it. previousDone is closed
 // when the previous response has been sent, responseDone when the response to
 // this request has. more is false when no further request can be read.
-func (p *pipeline) readOne(previousDone chan struct{}) (responseDone chan struct{}, more bool) {
+func (p *pipeline) readOne(number int, previousDone chan struct{}) (responseDone chan struct{}, more bool) {
 	c := p.conn
 	limits := c.server.limits()
 	c.headerBytesLeft = limits.MaxHeaderBytes
@@ -89,7 +91,8 @@
 		p.endRequest(limits.IdleTimeout)
 		return nil, false
 	}
-	w := &responseWriter{conn: c, bw: c.w.bw, header: make(http.Header), previousDone: previousDone, hold: hold}
+	w := &responseWriter{conn: c, bw: c.w.bw, header: make(http.Header), previousDone: previousDone, hold: hold,
+		pipeline: p, number: number}
 	if err := p.bufferBody(w, r); err != nil {
 		hold.Close()
 		p.rejectSlowBody(err, previousDone)
@@ -101,15 +104,68 @@
 	if r.Body != http.NoBody {
 		if _, ok := r.Body.(*bufferedBody); !ok { // the next request can be read only after this body
 			<-previousDone
+			if !p.passOn(number, previousDone) {
+				p.dropRequest(w, r)
+				return nil, false
+			}
 			p.serve(w, r, done)
 			return done, !p.isClosing()
 		}
 	}
 	_ = c.SetReadDeadline(time.Time{})
+	if !p.passOn(number, previousDone) {
+		p.dropRequest(w, r)
+		return nil, false
+	}
 	go p.serve(w, r, done)
 	return done, true
 }
 
+// passOn blocks while the previous response is sent before it is complete: when it
+// breaks off, the connection is closed, and a request that was passed on would get no
+// response. It returns false when the connection is closed.
+func (p *pipeline) passOn(number int, previousDone <-chan struct{}) bool {
+	p.mu.Lock()
+	streaming := p.streaming != 0
+	p.passedOn = number
+	p.mu.Unlock()
+	if streaming {
+		<-previousDone
+	}
+	return !p.isClosing()
+}
+
+// dropRequest forgets a request that was not passed on and gets no response.
+func (p *pipeline) dropRequest(w *responseWriter, r *http.Request) {
+	if read, ok := r.Body.(*bufferedBody); ok {
+		read.content.release()
+	}
+	w.hold.Close()
+	p.endRequest(p.conn.server.limits().IdleTimeout)
+}
+
+// beginStream reports whether the response with the number may be sent before it is
+// complete, which is so while no later request has been passed on. From then on none
+// is until the response has ended. With force, it may in any case.
+func (p *pipeline) beginStream(number int, force bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.passedOn > number && !force {
+		return false
+	}
+	p.streaming = max(p.streaming, number)
+	return true
+}
+
+// endStream records that the response with the number has ended.
+func (p *pipeline) endStream(number int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.streaming == number {
+		p.streaming = 0
+	}
+}
+
 // bufferedBody is a request body that the server has buffered.
 type bufferedBody struct {
 	bufferReader
@@ -184,6 +240,7 @@
 		w.waitForPrevious() // earlier responses must be sent in full
 		c.closeAfterResponse(w)
 	}
+	p.endStream(w.number)
 	p.endRequest(c.server.limits().IdleTimeout)
 	close(done)
 }
--- a/proxy/responsewriter.go
+++ b/proxy/responsewriter.go
@@ -86,6 +86,8 @@
 	failed        bool
 	complete      bool            // the response was sent in full
 	previousDone  <-chan struct{} // closed when the previous response was sent; nil without pipelining
+	pipeline      *pipeline       // nil without pipelining
+	number        int             // of the request in its pipeline, from 1
 }
 
 // holdOf returns what counts the memory of a call; nil if nothing does.
@@ -96,6 +98,13 @@
 	return nil
 }
 
+// mayStream reports whether a response may be sent before it is complete; see
+// pipeline.beginStream.
+func mayStream(w http.ResponseWriter, force bool) bool {
+	rw, ok := w.(*responseWriter)
+	return !ok || rw.pipeline == nil || rw.pipeline.beginStream(rw.number, force)
+}
+
 // waitForPrevious blocks until the responses to earlier requests were sent.
 func (w *responseWriter) waitForPrevious() {
 	if w.previousDone != nil {
