bench: model of roll-outs; rollout: calls of one phase are compared

It showed a fault: of 10 good versions of a fleet of 1,000, 2 were rolled back just after the traffic began to move. A canary target then gets fewer calls than before, and the slow ones among the many before come in beside the few new ones: 78 of 315 answers of the last 3 s counted as slow. Ruled out: too few controls (twelve, one third of them slow); the spread of the times, which is the same for both versions.

Change: once the traffic moves, a node doesn't count answers of calls that began before. TestRecorderCountsCallsOfOnePhase guards it.

The reason of an undecided roll-out names the route that speaks most against the version.

--- a/bench/load/command.go
+++ b/bench/load/command.go
@@ -28,14 +28,14 @@
 
 // Usage implements subcommands.Command.
 func (*Command) Usage() string {
-	return "load -experiment gates|balance|overflow|proxies|retries|even [-duration 10s] [-callers 20] [-only text]\n"
+	return "load -experiment gates|balance|overflow|proxies|retries|even|rollout [-duration 10s] [-callers 20] [-only text]\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (c *Command) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.experiment, "experiment", "gates", "gates, balance, overflow, proxies, retries or even")
+	f.StringVar(&c.experiment, "experiment", "gates", "gates, balance, overflow, proxies, retries, even or rollout")
 	f.IntVar(&c.callers, "callers", defaultCallers, "number of calling nodes in the balancing and overflow runs")
-	f.StringVar(&c.caseFilter, "only", "", "run only balancing cases whose case or policy name contains this text")
+	f.StringVar(&c.caseFilter, "only", "", "run only the balancing, even and rollout cases whose name contains this text")
 	f.DurationVar(&c.duration, "duration", 10*time.Second, "length of each run")
 }
 
@@ -49,6 +49,7 @@
 		"proxies":  c.proxies,
 		"retries":  c.retries,
 		"even":     c.even,
+		"rollout":  c.rollout,
 	}
 	run, ok := experiments[c.experiment]
 	if !ok {
--- a/node/rolloutnote.go
+++ b/node/rolloutnote.go
@@ -69,7 +69,7 @@
 	if !ok || !d.Active() {
 		return rollout.Evidence{}, false
 	}
-	s.recorder.Start(d.Revision, b.target.ID)
+	s.recorder.Start(d, b.target.ID, now)
 	e := s.recorder.Evidence(b.Gate.Stats().InFlight, now)
 	id := s.node.dir.Self().ID
 	survey := s.traffic.Survey(b.target.Service)
--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -170,7 +170,7 @@
 	case v.Answers >= minMoveAnswers && v.Worst.Ratio <= 0:
 		return moving(d, moveStep, fmt.Sprintf("little traffic: %d answers, %d bad", v.Answers, v.Bad))
 	}
-	return reverted(d, fmt.Sprintf("not decided: %d answers, %d bad", v.Answers, v.Bad))
+	return reverted(d, fmt.Sprintf("not decided: %d answers, %d bad, worst %s", v.Answers, v.Bad, v.Worst))
 }
 
 func (in Input) nextOfMoving(d Directive) Directive {
--- a/rollout/evidence.go
+++ b/rollout/evidence.go
@@ -108,15 +108,23 @@
 	mu       sync.Mutex
 	evidence Evidence
 	lastCall time.Time
+	moving   bool
+	began    time.Time // only calls that began later count; zero for all
 }
 
 // Start begins new counts if the order or the target differs from those of the
-// current counts.
-func (r *Recorder) Start(revision int64, target string) {
+// current counts. Once the traffic moves, calls that began before do not count: a
+// canary target then gets fewer calls than before, and the slow ones of the many
+// before would come in beside the few.
+func (r *Recorder) Start(d Directive, target string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.evidence.Revision != revision || r.evidence.Target != target {
-		r.evidence = Evidence{Revision: revision, Target: target, Routes: make(map[uint32]Counts)}
+	if r.evidence.Revision != d.Revision || r.evidence.Target != target {
+		r.evidence = Evidence{Revision: d.Revision, Target: target, Routes: make(map[uint32]Counts)}
+		r.moving, r.began = d.Phase != Canary, time.Time{}
+	}
+	if d.Phase != Canary && !r.moving {
+		r.moving, r.began = true, now
 	}
 }
 
@@ -135,7 +143,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.lastCall = now
-	if r.evidence.Revision == 0 || a.Target != r.evidence.Target || a.Ignored || a.WarmUp && !a.Failed {
+	if r.evidence.Revision == 0 || a.Target != r.evidence.Target || a.Ignored || a.WarmUp && !a.Failed ||
+		now.Add(-a.Duration).Before(r.began) {
 		return
 	}
 	route := RouteHash(a.Route)
--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -263,3 +263,22 @@
 	h.Add(8, nil, start) // another order: the counts before do not concern it
 	is.Equal(h.Judge().Outcome, Undecided)
 }
+
+// Guards against a good version that looks slow because its canary targets get fewer
+// calls once the traffic moves, while the slow calls from before come in.
+func TestRecorderCountsCallsOfOnePhase(t *testing.T) {
+	is := is.New(t)
+	var r Recorder
+	start := time.Unix(1000, 0)
+	answer := func(d, at time.Duration) int {
+		r.Record(Answer{Target: "t", Route: "r", Duration: d}, start.Add(at))
+		n, _ := r.Evidence(0, start.Add(at)).Total()
+		return n
+	}
+	r.Start(canary, "t", start)
+	is.Equal(answer(3*time.Second, time.Second), 1) // it began before this node learned of the order
+	r.Start(moving(canary, 25, ""), "t", start.Add(2*time.Second))
+	r.Start(moving(canary, 50, ""), "t", start.Add(3*time.Second))
+	is.Equal(answer(3*time.Second, 4*time.Second), 1) // began before the traffic moved
+	is.Equal(answer(time.Second, 4*time.Second), 2)
+}
