soak: roll-outs

Cause: no run with real processes showed the bounds of roll-outs under faults.

Change: `meshbench soak -rollout good|bad` starts every second instance with a target of a new version and orders a roll-out over the length of the faults. A bad version's answers all fail. When the store says completed, the old targets end at once and new ones take their place. Checked: at most a tenth of the calls and 50 more reach a bad version; none that was sent more than 5 s after its 50th bad answer, by a node without a fault, with a tolerance of three; a bad version is rolled back, and a good one completed, or rolled back where faults struck. TestEachViolationIsFound has a case for each.

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -76,6 +76,7 @@
 	}
 	r.checkVersions(add)
 	r.checkBudget(add)
+	r.checkRollout(add)
 	for _, p := range r.overdueStops {
 		add("stop within the grace", "%s", p)
 	}
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -20,6 +21,24 @@
 	return n
 }
 
+// rolloutOf records a roll-out whose versions got calls, one every pause.
+func (r *runHistory) rolloutOf(kind, state string, newCalls, oldCalls int, pause time.Duration) {
+	r.rollout = rolloutRun{kind: kind, state: state, orderedAt: start, deadline: after(15 * time.Second)}
+	for i := range newCalls {
+		r.arriveAt(fmt.Sprint("new-", i), newVersion, time.Duration(i)*pause)
+	}
+	for i := range oldCalls {
+		r.arriveAt(fmt.Sprint("old-", i), oldVersion, time.Duration(i)*pause)
+	}
+}
+
+func (r *runHistory) arriveAt(id, version string, at time.Duration) {
+	a := finishedAttempt(id, 200)
+	a.sentAt, a.endedAt = after(at), after(at+100*time.Millisecond)
+	r.attempts[id] = a
+	r.arrivals = append(r.arrivals, arrival{id: id, version: version, arrivedAt: after(at)})
+}
+
 func finishedAttempt(id string, status int) *attempt {
 	return &attempt{id: id, method: "POST", path: "/bids/" + id, timeout: bidTimeout,
 		sentAt: after(10 * time.Second), endedAt: after(10*time.Second + 100*time.Millisecond), status: status, restarts: 1}
@@ -80,6 +99,16 @@
 				r.arrivals = append(r.arrivals, arrival{id: "a", arrivedAt: after(10 * time.Second), timeLeft: 2 * bidTimeout})
 			}
 		},
+		"exposure": func(r *runHistory) {
+			r.rolloutOf(badRollout, "rolled_back", canarySlack+20, 40, time.Millisecond)
+		},
+		"left in time": func(r *runHistory) {
+			r.rolloutOf(badRollout, "rolled_back", leaveAfter, 1000, time.Millisecond)
+			for i := range maxLateTrials + 1 {
+				r.arriveAt(fmt.Sprint("late-", i), newVersion, leaveTime+time.Second)
+			}
+		},
+		"final status": func(r *runHistory) { r.rolloutOf(goodRollout, "running", 200, 200, time.Millisecond) },
 		"callers that left": func(r *runHistory) {
 			a := finishedAttempt("a", 0)
 			a.canceledAt = after(10 * time.Second)
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -144,6 +144,10 @@
 	for i := range seeds {
 		hosts = append(hosts, hostPort(s.relayIP((firstSeed+i)%s.numInstances), portControl))
 	}
+	share := 0.0
+	if s.history.rollout.kind != "" {
+		share = canaryShare
+	}
 	b, err := json.Marshal(settings.Settings{
 		ID: in.name, Region: fmt.Sprintf("r-%d", in.number/perDomain/domains), FailureDomain: in.domain,
 		Listen: settings.Listen{Outbound: hostPort(in.ip, portOutbound), Inbound: hostPort(in.ip, portInbound),
@@ -159,7 +163,8 @@
 			SeedHosts:     hosts, HeartbeatMs: int(targetHeartbeat.Milliseconds()),
 			DrainMs: int(drainTimeout.Milliseconds()), GraceS: stopTimeout.Seconds(),
 			RetryRatio: retryBudgetRatio, RetrySlack: retryBudgetSlack, RetryWindowS: retryBudgetWindow.Seconds(),
-			MemoryMB: 200, MaxFiles: 4000, LinkMbps: 1000,
+			CanaryShare: share,
+			MemoryMB:    200, MaxFiles: 4000, LinkMbps: 1000,
 		},
 	})
 	if err != nil {
@@ -180,7 +185,10 @@
 func (s *cluster) storeNumber() int { return s.numInstances }
 
 func (s *cluster) startTarget(in *instance) error {
-	t, err := startTarget(s.targetIDs.next(), hostPort(in.ip, portTarget), hostPort(in.ip, portControl), s.history)
+	s.history.mu.Lock()
+	version := s.history.version(in.number)
+	s.history.mu.Unlock()
+	t, err := startTarget(s.targetIDs.next(), hostPort(in.ip, portTarget), hostPort(in.ip, portControl), version, s.history)
 	if err != nil {
 		return err
 	}
--- a/bench/soak/history.go
+++ b/bench/soak/history.go
@@ -34,6 +34,7 @@
 	targetID    string // id of the target's process
 	arrivedAt   time.Time
 	timeLeft    time.Duration // until the deadline, as stated to the target
+	version     string        // of the target; "" without a roll-out
 	misdirected bool          // it is meant for another target; this one answers with 421
 	mismatch    string        // how the request differs from what its caller sent; "" if it does not
 }
@@ -68,6 +69,7 @@
 	deregistrations []deregistration
 	publications    []publication
 	faults          []*faultSpan
+	rollout         rolloutRun
 	overdueStops    []string // nodes that did not exit cleanly within stopTimeout of SIGTERM
 }
 
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -19,7 +19,8 @@
 	// SubnetOctet is the second octet of the instances' loopback addresses, 2 to 100.
 	// Concurrent runs need different values.
 	SubnetOctet int
-	Planned     bool // inject only planned operations: node stops, changes, target replacements
+	Rollout     string // kind of the roll-out that is ordered at the start; "" for none
+	Planned     bool   // inject only planned operations: node stops, changes, target replacements
 	Log         func(format string, args ...any)
 }
 
@@ -30,6 +31,7 @@
 	Calls, Answered, Refused, Lost int
 	Arrivals, StoreCalls           int
 	Faults                         map[string]int
+	Rollout                        string // outcome; "" without a roll-out
 	Violations                     []Violation
 }
 
@@ -48,6 +50,7 @@
 // returns the violations. It returns an error if the fleet does not start.
 func Run(opts Options) (Result, error) {
 	history := newRunHistory()
+	history.rollout.kind = opts.Rollout
 	s, err := newCluster(opts, history)
 	if err == nil {
 		err = s.waitReady(startTimeout)
@@ -60,6 +63,14 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
+	if opts.Rollout != "" {
+		if err := s.orderRollout(opts.Length); err != nil {
+			s.stop()
+			cancel()
+			return Result{}, err
+		}
+		wg.Go(func() { s.watchRollout(ctx) })
+	}
 	s.startCallers(ctx, opts.Seed, &wg)
 	inj := &injector{cluster: s, random: rand.New(rand.NewPCG(opts.Seed, 0)), planned: opts.Planned,
 		counts: make(map[string]int), log: opts.Log}
@@ -74,6 +85,9 @@
 	r := history.result()
 	r.StoreCalls, r.Faults = int(s.store.calls.Load()), inj.counts
 	r.Violations = history.check()
+	if opts.Rollout != "" {
+		r.Rollout = fmt.Sprintf("%s version %s, %d of %d calls", opts.Rollout, history.rollout.state, history.rollout.tried, history.rollout.calls)
+	}
 	if !recovered {
 		r.Violations = append(r.Violations, Violation{"recovery", fmt.Sprintf(
 			"less than %.0f%% of the calls got status 200 in each second of the %v after the last fault",
--- a/bench/soak/target.go
+++ b/bench/soak/target.go
@@ -27,6 +27,7 @@
 
 // target is one process of an instance's target.
 type target struct {
+	version string // "" without a roll-out
 	id      string
 	history *runHistory
 	standin *standin.Target
@@ -45,14 +46,15 @@
 
 // startTarget starts a target at addr that announces itself to the node whose
 // control address is given.
-func startTarget(id, addr, control string, history *runHistory) (*target, error) {
+func startTarget(id, addr, control string, version string, history *runHistory) (*target, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errdefs.Internal.Wrap(err, "target %s", id)
 	}
-	t := &target{id: id, history: history, done: make(chan struct{})}
+	t := &target{version: version, id: id, history: history, done: make(chan struct{})}
 	t.standin = standin.NewTarget(standin.TargetOptions{
 		ID: id, Service: service, Addr: addr, Slots: targetSlots, Work: targetWork, Control: control, Beat: targetHeartbeat,
+		Version: version, Broken: version == newVersion && history.rollout.kind == badRollout,
 	})
 	t.server = &http.Server{Handler: t}
 	go func() { _ = t.server.Serve(repeatingListener{l, &t.repeats}) }() // ends with crash or deregister
@@ -122,7 +124,7 @@
 		return
 	}
 	callerInfo := standin.ParseRequest(r)
-	a := arrival{id: callerInfo.ID, targetID: t.id, arrivedAt: time.Now(), timeLeft: callerInfo.Deadline}
+	a := arrival{id: callerInfo.ID, targetID: t.id, version: t.version, arrivedAt: time.Now(), timeLeft: callerInfo.Deadline}
 	switch sent, ok := t.history.attempt(a.id); {
 	case !ok:
 	case r.Method != sent.method || r.URL.RequestURI() != sent.path:
