rollout: targets of unstated version get no calls beside a reverted version

Cause: after a roll-back, calls could go to targets that hadn't stated their version. A target of the bad version whose node restarts before the target ends is one of them for up to 1.5 s, and calls of nodes that run all the while reach it, whenever its 50th bad answer was.

Change: they are left out while targets of the version are left, unless they are more than those of the version in force. TestVersionNotStated failed on the old code and passes.

After a restart of most nodes, targets of unstated version are used, as they are the majority and no node can know better. This can't break the bound on exposure: it holds for calls of nodes that have run for contact_ms (4 s in the deployments with roll-outs), and a target has stated its version 1.5 s after the start of its node.

The test of roll-outs prints the reason of the outcome.

--- a/node/rollout_test.go
+++ b/node/rollout_test.go
@@ -50,6 +50,10 @@
 		}
 		var final bool
 		state, final = standin.RolloutState(kv.Value)
+		if final {
+			d, _ := caller.node.rollouts.book.Get(testService)
+			t.Log(state, d.Reason)
+		}
 		return final
 	})
 	return fleet, state, calls
--- a/rollout/rule.go
+++ b/rollout/rule.go
@@ -38,14 +38,15 @@
 // BaseRule returns the rule for calls that must not use an unproven version. It
 // permits what is left where no target of the version in force is left: an
 // unproven version is better than no answer. A target whose version is not known may
-// have the unproven one. It is permitted when the roll-out has ended and when there
-// are more of them: after a restart of many nodes the few targets that have announced
-// themselves could not take all calls.
+// have the unproven one. It is permitted when the roll-out has ended, unless it was
+// reverted and targets of the version are left: the node beside one of them may have
+// just restarted. It is also permitted when there are more of them: after a restart of
+// many nodes the few targets that have announced themselves could not take all calls.
 func BaseRule(d Directive, s Survey) Rule {
 	switch {
 	case d.Phase == Done && s.New > 0:
 		return only(d.Target).orUnknown()
-	case s.Base > 0 && (d.Phase == Reverted || s.Unknown > s.Base):
+	case s.Base > 0 && (d.Phase == Reverted && s.New == 0 || s.Unknown > s.Base):
 		return only(d.Base).orUnknown()
 	case s.Base > 0:
 		return only(d.Base)
--- a/rollout/traffic_test.go
+++ b/rollout/traffic_test.go
@@ -119,6 +119,11 @@
 	back := reverted(canary, "")
 	back.Revision = 7
 	n.book.Learn(back)
+	n.set(versions("", 1, "v1", 6, "v2", 5)) // the node beside a target of the bad version has restarted
+	r = n.traffic.Plan("s", false).Rule
+	is.True(r.Allows("x", "v1") && !r.Allows("x", "") && !r.Allows("x", "v2"))
+	n.set(versions("", 1, "v1", 6)) // the bad version has ended
+	is.True(n.traffic.Plan("s", false).Rule.Allows("x", ""))
 	n.set(versions("", 57, "v1", 1)) // all nodes have started, and one target has announced itself
 	is.True(n.traffic.Plan("s", false).Rule.Allows("x", ""))
 	is.Equal(InForce(versions("", 9, "v1", 1), ""), "v1")
