quota: a pool in each region; credit of other regions is borrowed

Cause: one pool served all regions, so that calls of tenants with few calls at an instance waited for round trips between regions, on average for two, as a question waits for the end of the one before.

Ruled out: questions of one instance side by side (still a round trip between regions); pools that lend to each other ahead of demand (a second kind of credit with a life of its own in the pools). Mutants: a loan that also pledges, a lender that keeps what it lends, a loan that frees the pledge (killed by the property test); borrowed credit that lives from the answer on (survived the property test, killed by TestBorrowedCredit).

Change: instances pledge to the pool of their region and borrow from the next one what that does not have, by a question that changes no pledge. A tenant is scarce only when each region had too little. The property test plays fleets of several pools, with loans that are delayed, repeated and lost.

--- a/quota/codec.go
+++ b/quota/codec.go
@@ -16,7 +16,7 @@
 const maxEchoUs = 1 << 50
 
 func (a Ask) toProto() *peerpb.QuotaAsk {
-	p := &peerpb.QuotaAsk{Node: a.Node, Incarnation: a.Incarnation, Number: a.Number, Pledge: a.Pledge,
+	p := &peerpb.QuotaAsk{Node: a.Node, Incarnation: a.Incarnation, Number: a.Number, Pledge: a.Pledge, Borrow: a.Borrow,
 		EchoIncarnation: a.Echo.Incarnation, EchoUs: uint64(a.Echo.At.Microseconds())}
 	for _, w := range a.Wants[:min(len(a.Wants), maxWants)] {
 		p.Wants = append(p.Wants, &peerpb.QuotaWant{Tenant: w.Tenant, Centicalls: toCenti(w.Tokens),
@@ -29,7 +29,7 @@
 
 // askFromProto returns the Ask in a message to the pool of the node with the ID.
 func askFromProto(p *peerpb.QuotaAsk, pool string) Ask {
-	a := Ask{Node: p.Node, Incarnation: p.Incarnation, Number: p.Number, Pledge: p.Pledge}
+	a := Ask{Node: p.Node, Incarnation: p.Incarnation, Number: p.Number, Pledge: p.Pledge, Borrow: p.Borrow}
 	if p.EchoIncarnation != 0 {
 		a.Echo = Stamp{Pool: pool, Incarnation: p.EchoIncarnation, At: time.Duration(min(p.EchoUs, maxEchoUs)) * time.Microsecond}
 	}
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -25,6 +25,13 @@
 	// pool is asked.
 	minReturn = 100 * time.Millisecond
 	maxReturn = 1600 * time.Millisecond
+	// dryTime is how long the pools of the other regions are not asked for more credit
+	// of a tenant after each of them had too little. Credit that comes into being
+	// meanwhile is granted to the calls of its own region.
+	dryTime = 300 * time.Millisecond
+	// borrowPart is the part of what an instance wants to hold below which it borrows
+	// although no call waits.
+	borrowPart = 0.5
 )
 
 // Verdict is the decision about one call.
@@ -60,6 +67,7 @@
 	echo     Stamp // of the last answer
 	answered time.Time
 	accounts map[string]*account
+	lenders  int // number of other pools that can be asked for credit
 }
 
 // account is the credit of one tenant.
@@ -72,8 +80,15 @@
 	supply   float64 // granted credit per second, decaying
 	supplyAt time.Time
 	scarceTo time.Time // until then the tenant asks for more than its quota
-	waiting  int       // calls that became Pending since the last question
+	waiting  int       // calls that are Pending
 	nextFree time.Time
+
+	// Credit of other regions.
+	borrowing float64   // calls that questions in flight ask for
+	lender    int       // number of the pool that is asked next
+	dry       int       // pools in a row that had too little
+	dryTo     time.Time // until then nothing is borrowed
+	homeDry   bool      // the tenant asks for more than the credit of its own region
 }
 
 // lot is credit for whole calls with the same end.
@@ -117,7 +132,8 @@
 )
 
 // Take decides about one call of a tenant and takes its credit. It is Pending only
-// if wait is set. first is false for a call that was Pending before.
+// if wait is set. first is false for a call that was Pending before; each call that
+// was Pending is decided again.
 func (l *Ledger) Take(t *tenant.Tenant, first, wait bool, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -125,6 +141,8 @@
 	if first {
 		a.demand = decayed(a.demand, now.Sub(a.demandAt)) + 1/demandTime.Seconds()
 		a.demandAt = now
+	} else {
+		a.waiting = max(a.waiting-1, 0)
 	}
 	if until, ok := a.takeLot(now); ok {
 		low := !now.Before(a.scarceTo) && float64(a.held(now)) <= l.bounds.holding(t, a.rate(now))/4
@@ -200,6 +218,10 @@
 func (l *Ledger) Apply(a Ask, r Answer, asked, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if a.Borrow {
+		l.applyBorrowed(a, r, asked, now)
+		return
+	}
 	if l.promised.samePool(r.Stamp) && (r.Closed || a.Pledge == 0) && a.Number == l.number && now.Before(l.until) {
 		// The pool holds no pledge any more, and the answer is to the last question.
 		l.promised, l.until = Stamp{}, now
@@ -214,19 +236,91 @@
 	}
 	l.echo, l.answered = r.Stamp, now
 	for _, g := range r.Grants {
-		l.applyGrant(g, asked, now)
+		acc := l.accounts[g.Tenant]
+		if acc == nil {
+			continue
+		}
+		acc.homeDry = g.Scarce
+		switch scarce := now.Before(acc.scarceTo); {
+		case !g.Scarce:
+			acc.scarceTo = time.Time{}
+		case scarce || l.lenders == 0 || now.Before(acc.dryTo):
+			acc.scarceTo = now.Add(scarceTime)
+		}
+		acc.add(g, asked, now)
 	}
 }
 
-func (l *Ledger) applyGrant(g Grant, asked, now time.Time) {
-	a := l.accounts[g.Tenant]
-	if a == nil {
-		return
+// applyBorrowed records the answer to a question that asked another pool for credit.
+func (l *Ledger) applyBorrowed(a Ask, r Answer, asked, now time.Time) {
+	granted := make(map[string]Grant, len(r.Grants))
+	for _, g := range r.Grants {
+		granted[g.Tenant] = g
 	}
-	a.scarceTo = time.Time{}
-	if g.Scarce {
-		a.scarceTo = now.Add(scarceTime)
+	for _, w := range a.Wants {
+		acc := l.accounts[w.Tenant]
+		if acc == nil {
+			continue
+		}
+		acc.borrowing = max(acc.borrowing-w.Tokens, 0)
+		g := granted[w.Tenant]
+		acc.add(g, asked, now)
+		if float64(g.Tokens) >= math.Floor(w.Tokens) {
+			acc.dry, acc.scarceTo = 0, time.Time{}
+			continue
+		}
+		acc.lender++
+		if acc.dry++; acc.dry >= l.lenders {
+			acc.dry, acc.dryTo = 0, now.Add(dryTime)
+			if acc.homeDry {
+				acc.scarceTo = now.Add(scarceTime)
+			}
+		}
 	}
+}
+
+// Unanswered records that a question to another pool for credit was not answered.
+func (l *Ledger) Unanswered(a Ask, now time.Time) { l.Apply(a, Answer{}, now, now) }
+
+// NewBorrows returns the questions to the pools of other regions, by number below
+// lenders, after the answer to an Ask that was made at the same time as it: for credit
+// that calls wait for and that this pool did not have, or of which it had little.
+// Each tenant's is asked of one pool; the next time of the next, if that had too
+// little.
+func (l *Ledger) NewBorrows(a Ask, r Answer, lenders int, now time.Time) map[int]Ask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lenders = lenders; lenders == 0 || r.Closed {
+		return nil
+	}
+	granted := make(map[string]int, len(r.Grants))
+	for _, g := range r.Grants {
+		granted[g.Tenant] = g.Tokens
+	}
+	out := make(map[int]Ask)
+	for _, w := range a.Wants {
+		acc, got := l.accounts[w.Tenant], float64(granted[w.Tenant])
+		if acc == nil || now.Before(acc.dryTo) {
+			continue
+		}
+		missing := max(float64(w.Waiting)-got, 0)
+		if got < borrowPart*w.Tokens {
+			missing = max(missing, w.Tokens-got)
+		}
+		if missing -= acc.borrowing; missing < 1 {
+			continue
+		}
+		acc.borrowing += missing
+		q := out[acc.lender%lenders]
+		q.Node, q.Incarnation, q.Borrow = l.node, l.incarnation, true
+		q.Wants = append(q.Wants, Want{Tenant: w.Tenant, Tokens: missing, Waiting: min(w.Waiting, int(missing))})
+		out[acc.lender%lenders] = q
+	}
+	return out
+}
+
+// add adds granted credit.
+func (a *account) add(g Grant, asked, now time.Time) {
 	a.supply = decayed(a.supply, now.Sub(a.supplyAt)) + float64(max(g.Tokens, 0))/demandTime.Seconds()
 	a.supplyAt = now
 	if until := asked.Add(min(g.Life, maxLife)); g.Tokens > 0 && now.Before(until) {
@@ -249,7 +343,6 @@
 		if want >= minWant && len(out) < maxWants {
 			out = append(out, Want{Tenant: name, Tokens: want, Rate: rate, Waiting: a.waiting})
 		}
-		a.waiting = 0
 	}
 	return out
 }
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -103,3 +103,57 @@
 	is.Equal(l.Take(ann, true, true, f.now).Verdict, Pending)
 	is.Equal(len(l.NewAsk("n0", f.set, f.now).Wants), 1)
 }
+
+// Guards against borrowed credit that lives longer than credit of the own region, and
+// against questions for what was asked for already.
+func TestBorrowedCredit(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(testSet(t, 1, 600, 600), 1, newRandom())
+	l, ann, life := f.nodes[0].ledger, f.set.Get("ann"), testBounds.grantLife(f.set.Get("ann"))
+	l.SetInstances(0)
+	home := Answer{Stamp: Stamp{Pool: "n0", Incarnation: 1}}
+	l.Take(ann, true, true, f.now)
+	l.Apply(Ask{}, home, f.now, f.now)
+	is.Equal(l.Take(ann, true, true, f.now).Verdict, Pending)
+	a := l.NewAsk("n0", f.set, f.now)
+	is.Equal(len(l.NewBorrows(a, home, 0, f.now)), 0)
+	b := l.NewBorrows(a, home, 2, f.now)
+	is.Equal(len(b), 1)
+	is.True(b[0].Borrow && b[0].Pledge == 0)
+	is.Equal(b[0].Wants[0].Waiting, 1)
+	is.Equal(len(l.NewBorrows(a, home, 2, f.now)), 0) // one is in flight
+	lent := Answer{Stamp: Stamp{Pool: "n9", Incarnation: 1}, Grants: []Grant{{Tenant: "ann", Tokens: 100, Life: life}}}
+	l.Apply(b[0], lent, f.now, f.now.Add(50*time.Millisecond))
+	is.Equal(l.Take(ann, false, true, f.now.Add(life-1)).Verdict, Allowed)
+	is.Equal(l.Take(ann, true, false, f.now.Add(life)).Verdict, Refused)
+	is.Equal(l.NewAsk("n9", f.set, f.now).Echo, Stamp{}) // nothing was pledged to n9
+}
+
+// Guards against a tenant that is taken for scarce while another region has credit of
+// it, and against questions to the other regions for each call of one that is scarce.
+func TestScarceInAllRegions(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(testSet(t, 1, 600, 600), 1, newRandom())
+	l, ann := f.nodes[0].ledger, f.set.Get("ann")
+	l.SetInstances(0)
+	home := Answer{Stamp: Stamp{Pool: "n0", Incarnation: 1}, Grants: []Grant{{Tenant: "ann", Scarce: true}}}
+	borrow := func() map[int]Ask {
+		a := l.NewAsk("n0", f.set, f.now)
+		l.Apply(a, home, f.now, f.now)
+		return l.NewBorrows(a, home, 2, f.now)
+	}
+	l.Take(ann, true, true, f.now)
+	l.Apply(Ask{}, Answer{Stamp: home.Stamp}, f.now, f.now)
+	l.NewBorrows(Ask{}, home, 2, f.now)
+	is.Equal(l.Take(ann, true, true, f.now).Verdict, Pending)
+	for lender := range 2 {
+		b := borrow()
+		is.Equal(len(b), 1)
+		is.Equal(l.Take(ann, true, true, f.now).Verdict, Pending) // the other regions may have some
+		l.Unanswered(b[lender], f.now)
+	}
+	is.Equal(l.Take(ann, true, true, f.now).Cause, CauseOver)
+	is.Equal(len(borrow()), 0)
+	f.now = f.now.Add(dryTime)
+	is.Equal(len(borrow()), 1)
+}
--- a/quota/members.go
+++ b/quota/members.go
@@ -22,6 +22,9 @@
 	aloneTime = 5 * time.Second
 	// candidates is the number of nodes of a failure domain that may be the pool.
 	candidates = 3
+	// maxLenders bounds the other regions whose pools are asked for credit, each for
+	// one round trip.
+	maxLenders = 4
 	// maxGone bounds the memory for vanished instances.
 	maxGone = 20_000
 )
@@ -90,15 +93,45 @@
 	return n
 }
 
-// pool returns the node whose pool is to be asked: the first, by region and failure
-// domain, of the highest rank that is settled and answers; or nil. Nodes of the lowest
-// ranks have duties in the distribution of configurations: while versions came every
-// 0.2 s, a pool at the head of its region answered late.
-func (m *members) pool(now time.Time) *member.Record {
-	var unsettled *member.Record
+// pools returns the nodes whose pools are to be asked: the one of the node's own
+// region, to which it pledges its fraction, and those of other regions, which lend
+// credit. If its own region has none, the first one takes its place.
+func (m *members) pools(now time.Time) (home *member.Record, lenders []*member.Record) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	for _, d := range m.view.FailureDomains() {
+	all := m.view.FailureDomains()
+	own := m.view.Self().Region
+	var after, before []*member.Record // by region, relative to the own one
+	for len(all) > 0 {
+		n := 1
+		for n < len(all) && all[n].Region == all[0].Region {
+			n++
+		}
+		switch r := m.poolOf(all[:n], now); {
+		case r == nil:
+		case all[0].Region == own:
+			home = r
+		case all[0].Region < own:
+			before = append(before, r)
+		default:
+			after = append(after, r)
+		}
+		all = all[n:]
+	}
+	lenders = append(after, before...)
+	if home == nil && len(lenders) > 0 {
+		home, lenders = lenders[0], lenders[1:]
+	}
+	return home, lenders[:min(len(lenders), maxLenders)]
+}
+
+// poolOf returns the node whose pool serves the failure domains of a region: the
+// first, by failure domain, of the highest rank that is settled and answers; or nil.
+// Nodes of the lowest ranks have duties in the distribution of configurations: while
+// versions came every 0.2 s, a pool at the head of its region answered late.
+func (m *members) poolOf(domains []member.DomainInfo, now time.Time) *member.Record {
+	var unsettled *member.Record
+	for _, d := range domains {
 		if d.Unreachable {
 			continue
 		}
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -96,7 +96,7 @@
 	defer p.mu.Unlock()
 	out := Answer{Stamp: p.self, Closed: p.closed}
 	out.Stamp.At = now.Sub(p.started)
-	if p.closed || !p.record(a, now) {
+	if p.closed || !a.Borrow && !p.record(a, now) {
 		return out
 	}
 	sum := p.accrue(now)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -120,7 +120,10 @@
 	Number      uint64  // rises with each Ask of one incarnation
 	Echo        Stamp   // of the pool's last Answer; the pledge counts from it
 	Pledge      float64 // fraction that the instance does not use itself, 0 to 1
-	Wants       []Want
+	// Borrow marks a question that only asks for credit and changes no pledge; the
+	// sender's fraction is pledged to another pool.
+	Borrow bool
+	Wants  []Want
 }
 
 // Want is the credit that an instance would like to have for a tenant.
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -117,10 +117,34 @@
 }
 
 // exchange lets a node ask a pool without loss or delay.
-func (f *fleet) exchange(i, to int) {
+func (f *fleet) exchange(i, to int) message {
 	f.ask(i, to)
 	f.deliverAsk(len(f.asks)-1, false)
+	m := f.answers[len(f.answers)-1]
 	f.deliverAnswer(len(f.answers) - 1)
+	return m
+}
+
+// exchangeAndBorrow lets a node ask its own pool, and then the others for what that
+// did not have. The questions to the others stay on their way unless deliver is set.
+func (f *fleet) exchangeAndBorrow(i, home int, lenders []int, deliver bool) {
+	m := f.exchange(i, home)
+	n := f.nodes[i]
+	for k, a := range n.ledger.NewBorrows(m.ask, m.answer, len(lenders), f.now) {
+		f.asks = append(f.asks, message{from: i, to: lenders[k], incarnation: n.incarnation, ask: a, asked: f.now})
+		if deliver {
+			f.deliverAsk(len(f.asks)-1, false)
+			f.deliverAnswer(len(f.answers) - 1)
+		}
+	}
+}
+
+// others returns all nodes but one, those after it first.
+func (f *fleet) others(i int) (out []int) {
+	for k := 1; k < len(f.nodes); k++ {
+		out = append(out, (i+k)%len(f.nodes))
+	}
+	return out
 }
 
 // mostInWindow returns the highest number of allowed calls in any window.
@@ -140,12 +164,14 @@
 	wander   int   // steps after which all nodes turn to the next node; 0 for never
 	cut      uint8 // nodes that reach no pool from the middle on
 	restarts bool  // in each step a node restarts
+	regions  int   // nodes that have a pool of their own and lend to the others; 1 for a single pool
 }
 
 func drawScenario(t *rapid.T, n int) scenario {
 	return scenario{steps: rapid.IntRange(5, 60).Draw(t, "steps"), idle: rapid.IntRange(0, 10).Draw(t, "idle"),
 		pool: rapid.IntRange(0, n-1).Draw(t, "pool"), wander: rapid.IntRange(0, 6).Draw(t, "wander"),
-		cut: rapid.Uint8().Draw(t, "cut"), restarts: rapid.Bool().Draw(t, "restarts")}
+		cut: rapid.Uint8().Draw(t, "cut"), restarts: rapid.Bool().Draw(t, "restarts"),
+		regions: rapid.IntRange(1, n).Draw(t, "regions")}
 }
 
 func (f *fleet) busy(s scenario, calls int) {
@@ -165,7 +191,12 @@
 				}
 			}
 			if k < s.steps/2 || s.cut&(1<<i) == 0 {
-				f.exchange(i, pool)
+				home := (pool + i%s.regions) % len(f.nodes)
+				var lenders []int
+				for r := 1; r < s.regions; r++ {
+					lenders = append(lenders, (pool+(i+r)%s.regions)%len(f.nodes))
+				}
+				f.exchangeAndBorrow(i, home, lenders, true)
 			}
 		}
 	}
@@ -194,6 +225,10 @@
 			"busy":     func(t *rapid.T) { f.busy(drawScenario(t, n), int(rate)) },
 			"exchange": func(t *rapid.T) { f.exchange(node.Draw(t, "from"), node.Draw(t, "to")) },
 			"ask":      func(t *rapid.T) { f.ask(node.Draw(t, "from"), node.Draw(t, "to")) },
+			"borrow": func(t *rapid.T) {
+				home := node.Draw(t, "to")
+				f.exchangeAndBorrow(node.Draw(t, "from"), home, f.others(home), rapid.Bool().Draw(t, "deliver"))
+			},
 			"deliver ask": func(t *rapid.T) {
 				if len(f.asks) > 0 {
 					f.deliverAsk(rapid.IntRange(0, len(f.asks)-1).Draw(t, "message"), rapid.Bool().Draw(t, "keep"))
--- a/quota/service.go
+++ b/quota/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
 	"google.golang.org/grpc"
 
 	"siskingw/errdefs"
@@ -67,10 +68,14 @@
 	urgent  chan struct{} // capacity 1; a call waits
 	limited atomic.Bool   // the version in force has a tenant with a quota
 
-	mu      sync.Mutex
-	begun   uint64        // questions that were begun
-	done    uint64        // questions that have ended
-	changed chan struct{} // closed when done rises
+	loans errgroup.Group // questions to the pools of other regions
+
+	mu       sync.Mutex
+	begun    uint64        // questions that were begun
+	done     uint64        // questions that have ended
+	lending  int           // questions to the pools of other regions in flight
+	borrowed uint64        // such questions that have ended
+	changed  chan struct{} // closed when done or borrowed rises
 }
 
 // NewService returns the service of a process that starts now.
@@ -132,7 +137,9 @@
 		defer cancel()
 		for d.Verdict == Pending {
 			s.awaitAnswer(ctx)
-			d = s.ledger.Take(t, false, ctx.Err() == nil, time.Now())
+			if d = s.ledger.Take(t, false, ctx.Err() == nil, time.Now()); d.Verdict == Pending && s.awaitLoan(ctx) {
+				d = s.ledger.Take(t, false, ctx.Err() == nil, time.Now())
+			}
 		}
 	}
 	s.metrics.count(d)
@@ -163,6 +170,30 @@
 	}
 }
 
+// awaitLoan waits for the end of one question to the pool of another region, or of
+// ctx. It returns false at once if no such question is in flight.
+func (s *Service) awaitLoan(ctx context.Context) bool {
+	s.mu.Lock()
+	before, lending := s.borrowed, s.lending
+	s.mu.Unlock()
+	if lending == 0 {
+		return false
+	}
+	for {
+		s.mu.Lock()
+		borrowed, changed := s.borrowed, s.changed
+		s.mu.Unlock()
+		if borrowed != before {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return true
+		}
+	}
+}
+
 // wakeUp makes Run ask the pool soon.
 func (s *Service) wakeUp() { signal(s.wake) }
 
@@ -180,6 +211,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			_ = s.loans.Wait() // no question returns an error
 			return nil
 		case <-s.wake:
 		case <-s.urgent:
@@ -231,20 +263,14 @@
 	s.mu.Lock()
 	s.begun++
 	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.done = s.begun
-		close(s.changed)
-		s.changed = make(chan struct{})
-	}()
+	defer s.announce(func() { s.done = s.begun })
 	now := time.Now()
 	n := s.members.instances(now)
 	s.ledger.SetInstances(n)
 	if n > maxPooled {
 		return // each instance uses its own fraction
 	}
-	pool := s.members.pool(now)
+	pool, lenders := s.members.pools(now)
 	if pool == nil {
 		return
 	}
@@ -253,11 +279,38 @@
 	}
 	asked := time.Now()
 	a := s.ledger.NewAsk(pool.ID, s.set(), asked)
-	s.send(ctx, pool, a, asked)
+	answer := s.send(ctx, pool, a, asked)
 	if a.Echo.Pool == "" {
 		asked = time.Now()
-		s.send(ctx, pool, s.ledger.NewAsk(pool.ID, s.set(), asked), asked) // the first question cannot pledge
+		a = s.ledger.NewAsk(pool.ID, s.set(), asked) // the first question cannot pledge
+		answer = s.send(ctx, pool, a, asked)
 	}
+	for i, b := range s.ledger.NewBorrows(a, answer, len(lenders), time.Now()) {
+		s.borrow(ctx, lenders[i], b)
+	}
+}
+
+// announce wakes the calls that wait for an answer, after change.
+func (s *Service) announce(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// borrow asks the pool of another region for credit, beside the questions to the own
+// one.
+func (s *Service) borrow(ctx context.Context, from *member.Record, a Ask) {
+	s.mu.Lock()
+	s.lending++
+	s.mu.Unlock()
+	asked := time.Now()
+	s.loans.Go(func() error {
+		s.send(ctx, from, a, asked)
+		s.announce(func() { s.lending--; s.borrowed++ })
+		return nil
+	})
 }
 
 // withdraw tells a pool that the pledge moves to another one. If it does not answer,
@@ -268,20 +321,25 @@
 	}
 }
 
-// send sends one question, made at the time asked, and applies the answer.
-func (s *Service) send(ctx context.Context, to *member.Record, a Ask, asked time.Time) {
+// send sends one question, made at the time asked, and applies the answer, which it
+// returns; the zero value if there is none.
+func (s *Service) send(ctx context.Context, to *member.Record, a Ask, asked time.Time) Answer {
 	answer, err := s.call(ctx, to, a)
 	switch {
 	case err != nil:
 		s.members.markFailed(to.ID, time.Now())
 		s.metrics.asksFailed.Inc()
-		return
+		if a.Borrow {
+			s.ledger.Unanswered(a, time.Now())
+		}
+		return Answer{}
 	case answer.Closed:
 		s.members.markFailed(to.ID, time.Now())
 		s.wakeUp() // the next pool can be asked at once
 	}
 	s.metrics.asksAnswered.Inc()
 	s.ledger.Apply(a, answer, asked, time.Now())
+	return answer
 }
 
 // call sends a question to a node. It returns a PeerUnavailable error if it is not
