quota, proxy: scarce credit goes to the calls that can be in time first

Cause: of a tenant that asks for a multiple of its quota most callers come back after a refusal, and then take the credit of calls that could be in time; they are late when they are answered.

Ruled out: refusing late calls for good (the credit that others leave would lapse); longer times to come back (callers ignore those over a third of what is left to their deadline).

Change: refusals by the quota are remembered like those for want of room, so that a caller's retry counts from its first attempt. While a tenant is scarce, a call that has missed its target latency gets credit only if more is held than the others use between two questions. The bound is untouched: the same credit is spent.

--- a/proxy/returning.go
+++ b/proxy/returning.go
@@ -38,7 +38,7 @@
 
 // remember records that the call was refused as not run, for recall.
 func (o *Outbound) remember(c *call, f *refusal) {
-	if c.ask.key != 0 && f.outcome == OutcomeNotRun && f.status == http.StatusServiceUnavailable {
+	if c.ask.key != 0 && f.outcome == OutcomeNotRun && (f.status == http.StatusServiceUnavailable || f.cause == causeQuota) {
 		o.returning.Refused(c.ask.key, c.ask.first, c.ask.deadline)
 	}
 }
--- a/proxy/tenant.go
+++ b/proxy/tenant.go
@@ -46,8 +46,9 @@
 
 // Quota keeps the calls of tenants within their quotas.
 type Quota interface {
-	// Acquire takes the credit for one call of a tenant with a quota.
-	Acquire(ctx context.Context, t *tenant.Tenant) quota.Decision
+	// Acquire takes the credit for one call of a tenant with a quota. late is set
+	// for a call that has missed its target latency.
+	Acquire(ctx context.Context, t *tenant.Tenant, late bool) quota.Decision
 	// Return gives back the credit of a call that has not run.
 	Return(quota.Credit)
 }
@@ -58,7 +59,7 @@
 	if o.opts.Quota == nil || c.tenant == nil || !c.tenant.Limited() {
 		return nil
 	}
-	d := o.opts.Quota.Acquire(c.ctx, c.tenant)
+	d := o.opts.Quota.Acquire(c.ctx, c.tenant, c.ask.late(c))
 	if d.Verdict == quota.Allowed {
 		c.credit = d.Credit
 		return nil
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -32,6 +32,9 @@
 	// borrowPart is the part of what an instance wants to hold below which it borrows
 	// although no call waits.
 	borrowPart = 0.5
+	// reserveTime is how long scarce credit must last for the calls that can be in
+	// time before others get any: an interval between questions.
+	reserveTime = askInterval
 )
 
 // Verdict is the decision about one call.
@@ -77,6 +80,8 @@
 	ownTo    time.Time // moment up to which own holds
 	demand   float64   // calls per second, decaying
 	demandAt time.Time
+	late     float64 // part of demand of calls that have missed their target latency
+	lateAt   time.Time
 	supply   float64 // granted credit per second, decaying
 	supplyAt time.Time
 	scarceTo time.Time // until then the tenant asks for more than its quota
@@ -167,6 +172,32 @@
 	return d
 }
 
+// TakeLate is Take for a call that has missed its target latency. While the tenant
+// asks for more than its quota, such calls get only the credit that those which can
+// be in time leave: the quota allows the same number of calls either way.
+func (l *Ledger) TakeLate(t *tenant.Tenant, wait bool, now time.Time) Decision {
+	if d, refused := l.refuseLate(t, now); refused {
+		return d
+	}
+	return l.Take(t, true, wait, now)
+}
+
+func (l *Ledger) refuseLate(t *tenant.Tenant, now time.Time) (Decision, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accountOf(t.Name, now)
+	a.late = decayed(a.late, now.Sub(a.lateAt)) + 1/demandTime.Seconds()
+	a.lateAt = now
+	inTime := max(a.rate(now)-a.late, 0)
+	if !now.Before(a.scarceTo) || float64(a.held(now)) > inTime*reserveTime.Seconds() {
+		return Decision{}, false
+	}
+	a.demand = a.rate(now) + 1/demandTime.Seconds()
+	a.demandAt = now
+	contact := now.Sub(l.answered) < contactTime
+	return Decision{Verdict: Refused, After: l.returnTime(a, contact, now), Cause: CauseOver}, true
+}
+
 // Return gives back the credit of a call that has not run.
 func (l *Ledger) Return(c Credit, now time.Time) {
 	l.mu.Lock()
@@ -400,7 +431,7 @@
 func (l *Ledger) accountOf(name string, now time.Time) *account {
 	a := l.accounts[name]
 	if a == nil {
-		a = &account{ownTo: now, demandAt: now, supplyAt: now}
+		a = &account{ownTo: now, demandAt: now, lateAt: now, supplyAt: now}
 		l.accounts[name] = a
 	}
 	return a
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -209,3 +209,41 @@
 		}
 	})
 }
+
+// Guards against a tenant beyond its quota whose credit goes to calls that are late
+// already while those that can be in time are refused, and against credit that lapses
+// for want of calls that can be in time.
+func TestLateCallsGetWhatOthersLeave(t *testing.T) {
+	for _, tc := range []struct {
+		inTime, late     int // calls every 20 ms
+		lateMin, lateMax float64
+	}{
+		{inTime: 40, late: 20, lateMin: 0, lateMax: 0.05},  // 2,000/s of 600
+		{inTime: 2, late: 60, lateMin: 0.75, lateMax: 0.9}, // 100/s in time
+	} {
+		is := is.New(t)
+		f := newFleet(testSet(t, 1, 600, 600), 1, newRandom())
+		l, ann := f.nodes[0].ledger, f.set.Get("ann")
+		made, late := 0, 0
+		for k := range 500 {
+			f.now = f.now.Add(20 * time.Millisecond)
+			if k%10 == 0 {
+				f.exchange(0, 0)
+			}
+			for range tc.inTime {
+				if l.Take(ann, true, false, f.now).Verdict == Allowed && k > 250 {
+					made++
+				}
+			}
+			for range tc.late {
+				if l.TakeLate(ann, false, f.now).Verdict == Allowed && k > 250 {
+					made++
+					late++
+				}
+			}
+		}
+		t.Logf("%d calls in 5 s, %d of them late", made, late)
+		is.True(float64(made) > 0.9*5*600)
+		is.True(float64(late) >= tc.lateMin*float64(made) && float64(late) <= tc.lateMax*float64(made))
+	}
+}
--- a/quota/service.go
+++ b/quota/service.go
@@ -125,10 +125,15 @@
 
 // Acquire takes the credit for one call of a tenant with a quota. It waits for the
 // pool for up to 200 ms if there is none here and may be some there. The decision is
-// Allowed or Refused.
-func (s *Service) Acquire(ctx context.Context, t *tenant.Tenant) Decision {
+// Allowed or Refused. late is set for a call that has missed its target latency.
+func (s *Service) Acquire(ctx context.Context, t *tenant.Tenant, late bool) Decision {
 	start := time.Now()
-	d := s.ledger.Take(t, true, true, start)
+	var d Decision
+	if late {
+		d = s.ledger.TakeLate(t, true, start)
+	} else {
+		d = s.ledger.Take(t, true, true, start)
+	}
 	if d.Low {
 		s.wakeUp()
 	}
