proxy, admin, cli: where shows the quota of the call's tenant

Cause: siskingw where took a tenant's name as given and showed no quota, so that "why is this tenant refused here" had no answer but the log.

Ruled out: a decision of its own for the display (it would drift from the real one).

Change: Ledger.Peek decides with the code of Take on a copy of the account; the refusal is made by the code of a real call. where shows the credit held, the demand and supply here, what the pools said, whether the call would be allowed, wait or be refused and with which Retry-After. A call that would wait is placed as if it got credit. The tenant's priority applies.

Result: TestPeekChangesNothing (2,000 calls: the look foresees each decision), TestWhereShowsTheQuota (ten looks leave the only credit; the refusal foreseen is the one that the next call gets).

--- a/admin/where.go
+++ b/admin/where.go
@@ -8,6 +8,7 @@
 
 	"siskingw/balance"
 	"siskingw/proxy"
+	"siskingw/quota"
 )
 
 // Locator explains where calls would go. It is implemented by *proxy.Outbound.
@@ -33,6 +34,19 @@
 	Status       int              `json:"status,omitempty"`       // of the refusal
 	RefusedShare float64          `json:"refusedShare,omitempty"` // share of such calls, 0..1
 	RetryAfterMs []int64          `json:"retryAfterMs,omitempty"` // shortest and longest advice
+	Quota        *WhereQuota      `json:"quota,omitempty"`        // of the tenant; absent if it has none
+}
+
+// WhereQuota is the state of a tenant's quota at the node.
+type WhereQuota struct {
+	Verdict       string  `json:"verdict"`         // allowed, waits for the pool, or refused
+	Cause         string  `json:"cause,omitempty"` // of the refusal
+	Held          int     `json:"held"`            // credit at the node, in calls
+	DemandPerS    float64 `json:"demandPerS"`      // calls at the node
+	SupplyPerS    float64 `json:"supplyPerS"`      // credit that the node is granted
+	Scarce        bool    `json:"scarce"`          // the pools say that the tenant asks for more than its quota
+	Pool          string  `json:"pool,omitempty"`  // node that the node's fraction is pledged to
+	PoolInContact bool    `json:"poolInContact"`
 }
 
 // WherePart is a weighted service of a route.
@@ -81,6 +95,9 @@
 	if p.RetryAfterMax > 0 {
 		w.RetryAfterMs = []int64{p.RetryAfterMin.Milliseconds(), p.RetryAfterMax.Milliseconds()}
 	}
+	if p.Quota != nil {
+		w.Quota = toWhereQuota(*p.Quota)
+	}
 	for _, part := range p.Parts {
 		w.Parts = append(w.Parts, WherePart(part))
 	}
@@ -90,6 +107,11 @@
 	return w
 }
 
+func toWhereQuota(s quota.State) *WhereQuota {
+	return &WhereQuota{Verdict: s.Verdict.String(), Cause: s.Cause, Held: s.Held, DemandPerS: s.Demand,
+		SupplyPerS: s.Supply, Scarce: s.Scarce, Pool: s.Pool, PoolInContact: s.Contact}
+}
+
 func toWhereCandidate(k balance.Candidate) WhereCandidate {
 	return WhereCandidate{ID: k.ID, Domain: k.FailureDomain, State: k.State, Share: k.Share, Slots: k.Slots,
 		OwnInFlight: k.OwnInFlight, Calls: k.Calls, ServiceMs: inMs(k.ServiceTime), NewsAgeMs: inMs(k.NewsAge),
--- a/cli/where.go
+++ b/cli/where.go
@@ -22,13 +22,13 @@
 
 Asks the node, as one of the caller's side, for the route, the weighted part, the
 candidates with their figures and the age of these, the choice and the reason, or
-the refusal with the advised delay. It sends nothing and changes nothing.`
+the refusal with the advised delay; with -tenant also the tenant's quota here. It sends nothing and changes nothing.`
 }
 
 func (c *whereCommand) flags(f *flag.FlagSet) {
 	f.StringVar(&c.query.Method, "method", "GET", "method of the call")
 	f.StringVar(&c.query.Host, "host", "", "host of the call")
-	f.StringVar(&c.query.Tenant, "tenant", "", "organisation on whose behalf the call is made; none if empty")
+	f.StringVar(&c.query.Tenant, "tenant", "", "name of the tenant on whose behalf the call is made; none if empty")
 }
 
 func (c *whereCommand) run(ctx context.Context, e *env, args []string) error {
@@ -60,6 +60,10 @@
 		}
 		fmt.Fprintf(e.out, "part %s, weight %d%s\n", p.Service, p.Weight, next)
 	}
+	if q := w.Quota; q != nil {
+		fmt.Fprintf(e.out, "quota: a call is now %s; credit for %d calls here, %.1f calls/s here, %.1f calls/s granted, %s\n",
+			q.Verdict, q.Held, q.DemandPerS, q.SupplyPerS, poolOf(q))
+	}
 	if w.Chosen != "" {
 		fmt.Fprintf(e.out, "goes to %s: %s\n", w.Chosen, w.Reason)
 	}
@@ -71,6 +75,17 @@
 	}
 }
 
+// poolOf returns what the pools said last.
+func poolOf(q *admin.WhereQuota) string {
+	switch {
+	case !q.PoolInContact:
+		return "no pool answers"
+	case q.Scarce:
+		return "the tenant asks for more than its quota"
+	}
+	return "credit is not scarce"
+}
+
 // candidateRows returns the table of candidates.
 func candidateRows(w admin.Where) [][]string {
 	if len(w.Candidates) == 0 {
--- a/proxy/tenant.go
+++ b/proxy/tenant.go
@@ -51,12 +51,15 @@
 	Acquire(ctx context.Context, t *tenant.Tenant, late bool) quota.Decision
 	// Return gives back the credit of a call that has not run.
 	Return(quota.Credit)
+	// Peek returns the credit of a tenant at this instance and the decision that a
+	// call would get now. It changes nothing.
+	Peek(t *tenant.Tenant) quota.State
 }
 
 // spendQuota takes the credit for the call if its tenant has a quota. It returns a
 // refusal with status 429 if there is none.
 func (o *Outbound) spendQuota(c *call) *refusal {
-	if o.opts.Quota == nil || c.tenant == nil || !c.tenant.Limited() {
+	if !o.limited(c) {
 		return nil
 	}
 	d := o.opts.Quota.Acquire(c.ctx, c.tenant, c.ask.late(c))
@@ -64,6 +67,28 @@
 		c.credit = d.Credit
 		return nil
 	}
+	return c.quotaRefusal(d)
+}
+
+// peekQuota returns the state of the tenant's quota at this node, and the refusal
+// that spendQuota would return now. The state is nil if the call needs no credit.
+func (o *Outbound) peekQuota(c *call) (*quota.State, *refusal) {
+	if !o.limited(c) {
+		return nil, nil
+	}
+	s := o.opts.Quota.Peek(c.tenant)
+	if s.Verdict != quota.Refused {
+		return &s, nil
+	}
+	return &s, c.quotaRefusal(s.Decision)
+}
+
+// limited reports whether the call needs credit of its tenant.
+func (o *Outbound) limited(c *call) bool {
+	return o.opts.Quota != nil && c.tenant != nil && c.tenant.Limited()
+}
+
+func (c *call) quotaRefusal(d quota.Decision) *refusal {
 	return &refusal{status: http.StatusTooManyRequests, outcome: OutcomeNotRun, cause: causeQuota,
 		reason: d.Cause, retryAfter: d.After, closeConn: c.bodyUnread()}
 }
--- a/proxy/tenant_test.go
+++ b/proxy/tenant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,12 +10,15 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 
 	"siskingw/object"
+	"siskingw/quota"
 	"siskingw/snapshot"
+	"siskingw/tenant"
 )
 
 const testKey = "k3y-of-ann"
@@ -157,3 +161,54 @@
 	w.setTenant(set.OfKey(testKey))
 	is.Equal(w.priority, 0)
 }
+
+// ledgerQuota is a Quota without pools.
+type ledgerQuota struct{ *quota.Ledger }
+
+func (q ledgerQuota) Acquire(_ context.Context, t *tenant.Tenant, late bool) quota.Decision {
+	if late {
+		return q.TakeLate(t, false, time.Now())
+	}
+	return q.Take(t, true, false, time.Now())
+}
+func (q ledgerQuota) Return(c quota.Credit)             { q.Ledger.Return(c, time.Now()) }
+func (q ledgerQuota) Peek(t *tenant.Tenant) quota.State { return q.Ledger.Peek(t, time.Now()) }
+
+// Guards against an explanation that spends credit of the tenant, or that differs from
+// what the next call gets.
+func TestWhereShowsTheQuota(t *testing.T) {
+	is := is.New(t)
+	r := newTenantRig(t)
+	r.advance(t, 2, testKey)
+	ann := r.out.opts.Tenants.Of(r.out.opts.Current.Load()).Get("ann")
+	l := quota.NewLedger("a", 1, quota.DefaultBounds, time.Now().Add(-time.Hour), func() float64 { return 0.5 })
+	r.out.opts.Quota = ledgerQuota{l}
+	where := func() Placement {
+		p, err := r.out.Where(WhereQuery{Path: "/bids", Tenant: "ann"})
+		is.NoErr(err)
+		return p
+	}
+	p := where()
+	is.Equal(p.Quota.Verdict, quota.Refused)
+	is.Equal(p.Status, http.StatusTooManyRequests)
+	is.Equal(p.Reason, quota.CauseNoContact)
+	is.True(p.RetryAfterMin > 0)
+	resp, _ := r.do(t, "POST", "/bids", "bid", HeaderTenantKey, testKey)
+	is.Equal(resp.StatusCode, http.StatusTooManyRequests)
+
+	start := time.Now()
+	grant := quota.Answer{Stamp: quota.Stamp{Pool: "a", Incarnation: 1}, Grants: []quota.Grant{{Tenant: "ann", Tokens: 1, Life: time.Second}}}
+	l.Apply(quota.Ask{}, grant, start, start)
+	for range 10 {
+		p = where()
+	}
+	if time.Since(start) < 900*time.Millisecond { // else the credit has lapsed
+		is.Equal(p.Quota.Verdict, quota.Allowed)
+		is.Equal(p.Quota.Held, 1)
+		is.Equal(p.Status, 0)
+		is.Equal(l.Take(ann, true, false, start).Verdict, quota.Allowed)
+	}
+	p, err := r.out.Where(WhereQuery{Path: "/bids", Tenant: "nobody"})
+	is.NoErr(err)
+	is.Equal(p.Quota, nil)
+}
--- a/proxy/where.go
+++ b/proxy/where.go
@@ -7,6 +7,7 @@
 	"siskingw/balance"
 	"siskingw/errdefs"
 	"siskingw/object"
+	"siskingw/quota"
 	"siskingw/snapshot"
 )
 
@@ -15,7 +16,7 @@
 	Method string // GET if empty
 	Host   string
 	Path   string
-	Tenant string // organisation on whose behalf the call is made; empty for none
+	Tenant string // name of the tenant on whose behalf the call is made; empty for none
 }
 
 // Placement explains where a call would go now.
@@ -37,6 +38,8 @@
 	RefusedShare float64
 	// RetryAfterMin and RetryAfterMax bound the delay that a refused caller is told.
 	RetryAfterMin, RetryAfterMax time.Duration
+	// Quota is the state of the tenant's quota at this node; nil if the tenant has none.
+	Quota *quota.State
 }
 
 // PlacementPart is a weighted service of a route.
@@ -56,7 +59,7 @@
 	if q.Method == "" {
 		q.Method = http.MethodGet
 	}
-	c := &call{start: time.Now(), r: &http.Request{Method: q.Method}}
+	c := &call{start: time.Now(), r: &http.Request{Method: q.Method, Body: http.NoBody}}
 	p := Placement{Version: o.opts.Current.Version()}
 	p.refuse(c, o.place(c, &p, q), 1)
 	return p, nil
@@ -88,11 +91,17 @@
 	o.limitDeadline(c)
 	c.work = c.newWork(res.Name, res.Policy)
 	c.work.tenant = q.Tenant
+	c.tenant = o.opts.Tenants.Of(snap).Get(q.Tenant)
+	c.work.setTenant(c.tenant)
 	p.Route, p.Service, p.Announce = res.Name, res.ServiceName, res.EndpointSet.Announce
 	p.Priority, p.Repeatable = c.work.priority, c.work.idempotent
 	if !c.work.targetTime.IsZero() {
 		p.Target = c.work.targetTime.Sub(c.start)
 	}
+	var f *refusal
+	if p.Quota, f = o.peekQuota(c); f != nil {
+		return f
+	}
 	return o.placeTarget(c, p, res)
 }
 
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -47,6 +48,17 @@
 	Refused
 )
 
+// String returns the verdict in words.
+func (v Verdict) String() string {
+	switch v {
+	case Allowed:
+		return "allowed"
+	case Pending:
+		return "waits for the pool"
+	}
+	return "refused"
+}
+
 // Credit is what one call has spent; it can be returned if the call has not run.
 // The zero value is no credit.
 type Credit struct {
@@ -142,7 +154,41 @@
 func (l *Ledger) Take(t *tenant.Tenant, first, wait bool, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.accountOf(t.Name, now)
+	return l.take(l.accountOf(t.Name, now), t, first, wait, now)
+}
+
+// State is the credit of a tenant at one instance, and the decision that a call
+// would get now.
+type State struct {
+	Decision
+	Held    int     // credit granted to the instance and still valid, in calls
+	Demand  float64 // calls per second at the instance
+	Supply  float64 // credit granted to the instance per second
+	Scarce  bool    // the last answer of a pool said that the tenant asks for more than its quota
+	Pool    string  // node whose pool holds the instance's fraction; empty for none
+	Contact bool    // the pool answers
+}
+
+// Peek returns the state of a tenant. It changes nothing.
+func (l *Ledger) Peek(t *tenant.Tenant, now time.Time) State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := *newAccount(now)
+	if known := l.accounts[t.Name]; known != nil {
+		a = *known
+		a.lots = slices.Clone(known.lots)
+	}
+	s := State{Held: a.held(now), Demand: a.rate(now), Supply: decayed(a.supply, now.Sub(a.supplyAt)),
+		Scarce: now.Before(a.scarceTo), Contact: now.Sub(l.answered) < contactTime}
+	if now.Before(l.until) {
+		s.Pool = l.promised.Pool
+	}
+	s.Decision = l.take(&a, t, true, true, now)
+	return s
+}
+
+// take decides about one call and changes nothing but the account.
+func (l *Ledger) take(a *account, t *tenant.Tenant, first, wait bool, now time.Time) Decision {
 	if first {
 		a.demand = decayed(a.demand, now.Sub(a.demandAt)) + 1/demandTime.Seconds()
 		a.demandAt = now
@@ -431,12 +477,16 @@
 func (l *Ledger) accountOf(name string, now time.Time) *account {
 	a := l.accounts[name]
 	if a == nil {
-		a = &account{ownTo: now, demandAt: now, lateAt: now, supplyAt: now}
+		a = newAccount(now)
 		l.accounts[name] = a
 	}
 	return a
 }
 
+func newAccount(now time.Time) *account {
+	return &account{ownTo: now, demandAt: now, lateAt: now, supplyAt: now}
+}
+
 // takeLot takes credit for one call, of those that are valid the one that ends
 // first, and returns its end.
 func (a *account) takeLot(now time.Time) (until time.Time, ok bool) {
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -247,3 +247,34 @@
 		is.True(float64(late) >= tc.lateMin*float64(made) && float64(late) <= tc.lateMax*float64(made))
 	}
 }
+
+// Guards against a look at the state of a tenant that spends credit or counts as a
+// call, and against one that differs from the next decision.
+func TestPeekChangesNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(testSet(t, 1, 600, 600), 3, newRandom())
+	l, ann := f.nodes[1].ledger, f.set.Get("ann")
+	f.play(3*time.Second, func(int) float64 { return 0 })
+	seen := make(map[Verdict]int)
+	for k := range 2000 {
+		f.now = f.now.Add(2 * time.Millisecond)
+		if k%200 == 199 {
+			f.exchange(1, 0)
+		}
+		before := l.Peek(ann, f.now)
+		for range 3 {
+			s := l.Peek(ann, f.now)
+			is.Equal(s.Held, before.Held)
+			is.Equal(s.Verdict, before.Verdict)
+		}
+		d := l.Take(ann, true, true, f.now)
+		is.Equal(d.Verdict, before.Verdict)
+		if d.Verdict == Pending {
+			l.Take(ann, false, false, f.now)
+		}
+		seen[d.Verdict]++
+	}
+	is.True(seen[Allowed] > 0 && seen[Pending] > 0)
+	is.Equal(l.Peek(ann, f.now).Pool, "n0")
+	is.Equal(len(l.accounts), 1)
+}
--- a/quota/service.go
+++ b/quota/service.go
@@ -151,6 +151,10 @@
 	return d
 }
 
+// Peek returns the credit of a tenant at this instance and the decision that a call
+// would get now. It changes nothing.
+func (s *Service) Peek(t *tenant.Tenant) State { return s.ledger.Peek(t, time.Now()) }
+
 // Return gives back the credit of a call that has not run.
 func (s *Service) Return(c Credit) { s.ledger.Return(c, time.Now()) }
 
