--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,16 @@
 	// pool is asked.
 	minReturn = 100 * time.Millisecond
 	maxReturn = 1600 * time.Millisecond
+	// dryTime is how long the pools of the other regions are not asked for more credit
+	// of a tenant after each of them had too little. Credit that comes into being
+	// meanwhile is granted to the calls of its own region.
+	dryTime = 300 * time.Millisecond
+	// borrowPart is the part of what an instance wants to hold below which it borrows
+	// although no call waits.
+	borrowPart = 0.5
+	// reserveTime is how long scarce credit must last for the calls that can be in
+	// time before others get any: an interval between questions.
+	reserveTime = askInterval
 )
 
 // Verdict is the decision about one call.
@@ -37,6 +48,17 @@
 	Refused
 )
 
+// String returns the verdict in words.
+func (v Verdict) String() string {
+	switch v {
+	case Allowed:
+		return "allowed"
+	case Pending:
+		return "waits for the pool"
+	}
+	return "refused"
+}
+
 // Credit is what one call has spent; it can be returned if the call has not run.
 // The zero value is no credit.
 type Credit struct {
@@ -60,6 +82,7 @@
 	echo     Stamp // of the last answer
 	answered time.Time
 	accounts map[string]*account
+	lenders  int // number of other pools that can be asked for credit
 }
 
 // account is the credit of one tenant.
@@ -69,11 +92,20 @@
 	ownTo    time.Time // moment up to which own holds
 	demand   float64   // calls per second, decaying
 	demandAt time.Time
+	late     float64 // part of demand of calls that have missed their target latency
+	lateAt   time.Time
 	supply   float64 // granted credit per second, decaying
 	supplyAt time.Time
 	scarceTo time.Time // until then the tenant asks for more than its quota
-	waiting  int       // calls that became Pending since the last question
+	waiting  int       // calls that are Pending
 	nextFree time.Time
+
+	// Credit of other regions.
+	borrowing float64   // calls that questions in flight ask for
+	lender    int       // number of the pool that is asked next
+	dry       int       // pools in a row that had too little
+	dryTo     time.Time // until then nothing is borrowed
+	homeDry   bool      // the tenant asks for more than the credit of its own region
 }
 
 // lot is credit for whole calls with the same end.
@@ -117,14 +149,51 @@
 )
 
 // Take decides about one call of a tenant and takes its credit. It is Pending only
-// if wait is set. first is false for a call that was Pending before.
+// if wait is set. first is false for a call that was Pending before; each call that
+// was Pending is decided again.
 func (l *Ledger) Take(t *tenant.Tenant, first, wait bool, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	a := l.accountOf(t.Name, now)
+	return l.take(l.accountOf(t.Name, now), t, first, wait, now)
+}
+
+// State is the credit of a tenant at one instance, and the decision that a call
+// would get now.
+type State struct {
+	Decision
+	Held    int     // credit granted to the instance and still valid, in calls
+	Demand  float64 // calls per second at the instance
+	Supply  float64 // credit granted to the instance per second
+	Scarce  bool    // the last answer of a pool said that the tenant asks for more than its quota
+	Pool    string  // node whose pool holds the instance's fraction; empty for none
+	Contact bool    // the pool answers
+}
+
+// Peek returns the state of a tenant. It changes nothing.
+func (l *Ledger) Peek(t *tenant.Tenant, now time.Time) State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := *newAccount(now)
+	if known := l.accounts[t.Name]; known != nil {
+		a = *known
+		a.lots = slices.Clone(known.lots)
+	}
+	s := State{Held: a.held(now), Demand: a.rate(now), Supply: decayed(a.supply, now.Sub(a.supplyAt)),
+		Scarce: now.Before(a.scarceTo), Contact: now.Sub(l.answered) < contactTime}
+	if now.Before(l.until) {
+		s.Pool = l.promised.Pool
+	}
+	s.Decision = l.take(&a, t, true, true, now)
+	return s
+}
+
+// take decides about one call and changes nothing but the account.
+func (l *Ledger) take(a *account, t *tenant.Tenant, first, wait bool, now time.Time) Decision {
 	if first {
 		a.demand = decayed(a.demand, now.Sub(a.demandAt)) + 1/demandTime.Seconds()
 		a.demandAt = now
+	} else {
+		a.waiting = max(a.waiting-1, 0)
 	}
 	if until, ok := a.takeLot(now); ok {
 		low := !now.Before(a.scarceTo) && float64(a.held(now)) <= l.bounds.holding(t, a.rate(now))/4
@@ -149,6 +218,32 @@
 	return d
 }
 
+// TakeLate is Take for a call that has missed its target latency. While the tenant
+// asks for more than its quota, such calls get only the credit that those which can
+// be in time leave: the quota allows the same number of calls either way.
+func (l *Ledger) TakeLate(t *tenant.Tenant, wait bool, now time.Time) Decision {
+	if d, refused := l.refuseLate(t, now); refused {
+		return d
+	}
+	return l.Take(t, true, wait, now)
+}
+
+func (l *Ledger) refuseLate(t *tenant.Tenant, now time.Time) (Decision, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.accountOf(t.Name, now)
+	a.late = decayed(a.late, now.Sub(a.lateAt)) + 1/demandTime.Seconds()
+	a.lateAt = now
+	inTime := max(a.rate(now)-a.late, 0)
+	if !now.Before(a.scarceTo) || float64(a.held(now)) > inTime*reserveTime.Seconds() {
+		return Decision{}, false
+	}
+	a.demand = a.rate(now) + 1/demandTime.Seconds()
+	a.demandAt = now
+	contact := now.Sub(l.answered) < contactTime
+	return Decision{Verdict: Refused, After: l.returnTime(a, contact, now), Cause: CauseOver}, true
+}
+
 // Return gives back the credit of a call that has not run.
 func (l *Ledger) Return(c Credit, now time.Time) {
 	l.mu.Lock()
@@ -200,6 +295,10 @@
 func (l *Ledger) Apply(a Ask, r Answer, asked, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if a.Borrow {
+		l.applyBorrowed(a, r, asked, now)
+		return
+	}
 	if l.promised.samePool(r.Stamp) && (r.Closed || a.Pledge == 0) && a.Number == l.number && now.Before(l.until) {
 		// The pool holds no pledge any more, and the answer is to the last question.
 		l.promised, l.until = Stamp{}, now
@@ -214,19 +313,91 @@
 	}
 	l.echo, l.answered = r.Stamp, now
 	for _, g := range r.Grants {
-		l.applyGrant(g, asked, now)
+		acc := l.accounts[g.Tenant]
+		if acc == nil {
+			continue
+		}
+		acc.homeDry = g.Scarce
+		switch scarce := now.Before(acc.scarceTo); {
+		case !g.Scarce:
+			acc.scarceTo = time.Time{}
+		case scarce || l.lenders == 0 || now.Before(acc.dryTo):
+			acc.scarceTo = now.Add(scarceTime)
+		}
+		acc.add(g, asked, now)
 	}
 }
 
-func (l *Ledger) applyGrant(g Grant, asked, now time.Time) {
-	a := l.accounts[g.Tenant]
-	if a == nil {
-		return
+// applyBorrowed records the answer to a question that asked another pool for credit.
+func (l *Ledger) applyBorrowed(a Ask, r Answer, asked, now time.Time) {
+	granted := make(map[string]Grant, len(r.Grants))
+	for _, g := range r.Grants {
+		granted[g.Tenant] = g
+	}
+	for _, w := range a.Wants {
+		acc := l.accounts[w.Tenant]
+		if acc == nil {
+			continue
+		}
+		acc.borrowing = max(acc.borrowing-w.Tokens, 0)
+		g := granted[w.Tenant]
+		acc.add(g, asked, now)
+		if float64(g.Tokens) >= math.Floor(w.Tokens) {
+			acc.dry, acc.scarceTo = 0, time.Time{}
+			continue
+		}
+		acc.lender++
+		if acc.dry++; acc.dry >= l.lenders {
+			acc.dry, acc.dryTo = 0, now.Add(dryTime)
+			if acc.homeDry {
+				acc.scarceTo = now.Add(scarceTime)
+			}
+		}
+	}
+}
+
+// Unanswered records that a question to another pool for credit was not answered.
+func (l *Ledger) Unanswered(a Ask, now time.Time) { l.Apply(a, Answer{}, now, now) }
+
+// NewBorrows returns the questions to the pools of other regions, by number below
+// lenders, after the answer to an Ask that was made at the same time as it: for credit
+// that calls wait for and that this pool did not have, or of which it had little.
+// Each tenant's is asked of one pool; the next time of the next, if that had too
+// little.
+func (l *Ledger) NewBorrows(a Ask, r Answer, lenders int, now time.Time) map[int]Ask {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.lenders = lenders; lenders == 0 || r.Closed {
+		return nil
+	}
+	granted := make(map[string]int, len(r.Grants))
+	for _, g := range r.Grants {
+		granted[g.Tenant] = g.Tokens
 	}
-	a.scarceTo = time.Time{}
-	if g.Scarce {
-		a.scarceTo = now.Add(scarceTime)
+	out := make(map[int]Ask)
+	for _, w := range a.Wants {
+		acc, got := l.accounts[w.Tenant], float64(granted[w.Tenant])
+		if acc == nil || now.Before(acc.dryTo) {
+			continue
+		}
+		missing := max(float64(w.Waiting)-got, 0)
+		if got < borrowPart*w.Tokens {
+			missing = max(missing, w.Tokens-got)
+		}
+		if missing -= acc.borrowing; missing < 1 {
+			continue
+		}
+		acc.borrowing += missing
+		q := out[acc.lender%lenders]
+		q.Node, q.Incarnation, q.Borrow = l.node, l.incarnation, true
+		q.Wants = append(q.Wants, Want{Tenant: w.Tenant, Tokens: missing, Waiting: min(w.Waiting, int(missing))})
+		out[acc.lender%lenders] = q
 	}
+	return out
+}
+
+// add adds granted credit.
+func (a *account) add(g Grant, asked, now time.Time) {
 	a.supply = decayed(a.supply, now.Sub(a.supplyAt)) + float64(max(g.Tokens, 0))/demandTime.Seconds()
 	a.supplyAt = now
 	if until := asked.Add(min(g.Life, maxLife)); g.Tokens > 0 && now.Before(until) {
@@ -249,7 +420,6 @@
 		if want >= minWant && len(out) < maxWants {
 			out = append(out, Want{Tenant: name, Tokens: want, Rate: rate, Waiting: a.waiting})
 		}
-		a.waiting = 0
 	}
 	return out
 }
@@ -307,12 +477,16 @@
 func (l *Ledger) accountOf(name string, now time.Time) *account {
 	a := l.accounts[name]
 	if a == nil {
-		a = &account{ownTo: now, demandAt: now, supplyAt: now}
+		a = newAccount(now)
 		l.accounts[name] = a
 	}
 	return a
 }
 
+func newAccount(now time.Time) *account {
+	return &account{ownTo: now, demandAt: now, lateAt: now, supplyAt: now}
+}
+
 // takeLot takes credit for one call, of those that are valid the one that ends
 // first, and returns its end.
 func (a *account) takeLot(now time.Time) (until time.Time, ok bool) {
