soak: clients that do not finish their bodies

Cause: no kind of the soak sent requests outside the limits beside other faults.

Ruled out: larger crowds (the machine of a run is shared by its fleet; e2e/crowd has them).

Change: a kind in which 48 clients send bodies of 256 KiB, with a length or in chunks, to a node's listener for callers or for other nodes, stop one byte short and stay open. The process must live, stay within the memory of its machine, and no target may get such a request as a whole.

--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -79,6 +79,9 @@
 	for _, p := range r.overdueStops {
 		add("stop within the grace", "%s", p)
 	}
+	for _, b := range r.broken {
+		add("clients outside the limits", "%s", b)
+	}
 	return found
 }
 
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -67,7 +67,8 @@
 			b.sentAt = after(11 * time.Second)
 			r.attempts["a"], r.attempts["b"] = a, b
 		},
-		"stop within the grace": func(r *runHistory) { r.overdueStops = []string{"n-1"} },
+		"clients outside the limits": func(r *runHistory) { r.addBroken("n-1 has ended") },
+		"stop within the grace":      func(r *runHistory) { r.overdueStops = []string{"n-1"} },
 		"budget of repeats": func(r *runHistory) {
 			r.attempts["a"] = finishedAttempt("a", 200)
 			for i := range 2 * retryBudgetSlack {
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -24,6 +24,9 @@
 	// The organisation of all callers and its API key.
 	tenant    = "guild"
 	tenantKey = "soak-key-1"
+
+	// memoryMB is the memory of each instance's machine in MiB.
+	memoryMB = 200
 )
 
 // Ports are the same on every instance.
@@ -159,7 +162,7 @@
 			SeedHosts:     hosts, HeartbeatMs: int(targetHeartbeat.Milliseconds()),
 			DrainMs: int(drainTimeout.Milliseconds()), GraceS: stopTimeout.Seconds(),
 			RetryRatio: retryBudgetRatio, RetrySlack: retryBudgetSlack, RetryWindowS: retryBudgetWindow.Seconds(),
-			MemoryMB: 200, MaxFiles: 4000, LinkMbps: 1000,
+			MemoryMB: memoryMB, MaxFiles: 4000, LinkMbps: 1000,
 		},
 	})
 	if err != nil {
--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -65,6 +65,7 @@
 	{"stray refusals", false, func(j *injector, d time.Duration) {
 		j.onTarget("stray refusals", d, func(t *target, on bool) { t.strayRefusals.Store(on) })
 	}},
+	{"unfinished bodies", false, (*injector).sendUnfinished},
 }
 
 const (
--- a/bench/soak/history.go
+++ b/bench/soak/history.go
@@ -69,6 +69,7 @@
 	publications    []publication
 	faults          []*faultSpan
 	overdueStops    []string // nodes that did not exit cleanly within stopTimeout of SIGTERM
+	broken          []string // what clients outside the limits broke
 }
 
 func newRunHistory() *runHistory {
--- a/bench/soak/target.go
+++ b/bench/soak/target.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,6 +123,9 @@
 		return
 	}
 	callerInfo := standin.ParseRequest(r)
+	if strings.HasPrefix(callerInfo.ID, unfinishedPrefix) {
+		t.receiveUnfinished(callerInfo.ID, r)
+	}
 	a := arrival{id: callerInfo.ID, targetID: t.id, arrivedAt: time.Now(), timeLeft: callerInfo.Deadline}
 	switch sent, ok := t.history.attempt(a.id); {
 	case !ok:
