--- a/bench/soak/history.go
+++ b/bench/soak/history.go
@@ -71,6 +71,7 @@
 	faults          []*faultSpan
 	rollout         rolloutRun
 	overdueStops    []string // nodes that did not exit cleanly within stopTimeout of SIGTERM
+	broken          []string // what clients outside the limits broke
 }
 
 func newRunHistory() *runHistory {
