rollout: slow targets of the old version do not hide a slow version

Cause: an answer counts as slow from a limit that at most a tenth of the old version's answers reach. Where a fifth of the targets was 8 times slower, the limit rose above the times of a version that is 4 or 5 times slower.

Change: the limit is the median of those of the old targets.

Weighed: counting answers as slow from 2.8 times the median.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -231,7 +231,7 @@
 			control.add(s.Routes[route])
 		}
 	}
-	slow := slowFrom(control)
+	slow := medianSlowFrom(route, samples, control)
 	shares := controlShares(route, samples, control, slow)
 	v := RouteVerdict{Route: route, Control: control.Total(), ControlShare: shares[(len(shares)-1)/2]}
 	test := newTargetTest(shares)
@@ -356,6 +356,23 @@
 	return math.Log((share + badExcess) / share), math.Log((1 - share - badExcess) / (1 - share))
 }
 
+// medianSlowFrom returns the bucket from which an answer counts as slow: the median of
+// those of the old targets with enough answers, so that a few slow ones do not hide a
+// slow version. Without any, it is that of all their answers.
+func medianSlowFrom(route uint32, samples []Sample, control Counts) int {
+	var from []int
+	for _, s := range samples {
+		if c := s.Routes[route]; !s.New && c.answered() >= minControl {
+			from = append(from, slowFrom(c))
+		}
+	}
+	if len(from) == 0 {
+		return slowFrom(control)
+	}
+	slices.Sort(from)
+	return from[len(from)/2]
+}
+
 // slowFrom returns the bucket from which an answer counts as slow.
 func slowFrom(control Counts) int {
 	n := control.answered()
