--- a/rollout/judge_test.go
+++ b/rollout/judge_test.go
@@ -92,6 +92,9 @@
 		list := fleet(r, load{calls: 100}, load{calls: 100})
 		list[8] = answers(r, true, load{calls: 100, failing: 0.9})
 		is.True(Judge(list).Outcome != Bad)
+		list[6], list[7] = answers(r, true, load{calls: 5}), answers(r, true, load{calls: 5})
+		list[8] = answers(r, true, load{calls: 100, failing: 0.4})
+		is.True(Judge(list).Outcome != Bad) // the others have few answers
 	}
 }
 
