--- a/bench/calls/calls.go
+++ b/bench/calls/calls.go
@@ -207,6 +207,9 @@
 			fmt.Printf(" %9.3f", latencyMs(p, q)-latencyMs(paths[0], q))
 		}
 		fmt.Printf(" %7d\n", p.errors.Load())
+		if err := p.firstError.Load(); err != nil {
+			fmt.Printf("first error on %s: %v\n", p.name, *err)
+		}
 	}
 	rounds.print()
 	for i, p := range nodes {
--- a/bench/calls/load.go
+++ b/bench/calls/load.go
@@ -21,6 +21,7 @@
 	maxLatency       = 10 * time.Second
 	callTimeout      = 5 * time.Second
 	maxIdleConns     = 256 // connections of each path
+	maxReasonBytes   = 1 << 10
 )
 
 // path is a chain of hops to the target under measurement, with its client
@@ -35,6 +36,7 @@
 	latency      *hdrhistogram.Histogram // in ns
 	roundLatency *hdrhistogram.Histogram // the same, of the current round
 	errors       atomic.Int64            // failed calls
+	firstError   atomic.Pointer[error]   // of the first failed call
 }
 
 // clientConn is a client connection with its read buffer.
@@ -56,6 +58,7 @@
 	p.latency = hdrhistogram.New(1000, maxLatency.Nanoseconds(), 3)
 	p.roundLatency = hdrhistogram.New(1000, maxLatency.Nanoseconds(), 3)
 	p.errors.Store(0)
+	p.firstError.Store(nil)
 }
 
 // call makes one call and records its latency. The client writes and reads in one
@@ -65,6 +68,7 @@
 	d := time.Since(start)
 	if err != nil {
 		p.errors.Add(1)
+		p.firstError.CompareAndSwap(nil, &err)
 		return
 	}
 	p.mu.Lock()
@@ -108,9 +112,13 @@
 	if err != nil {
 		return errdefs.OutcomeUnknown.Wrap(err, "read")
 	}
+	if resp.StatusCode != http.StatusOK {
+		reason, _ := io.ReadAll(io.LimitReader(resp.Body, maxReasonBytes)) // the status alone is an error
+		return errdefs.OutcomeUnknown.New("response has status %d: %s", resp.StatusCode, reason)
+	}
 	n, err := io.Copy(io.Discard, resp.Body)
-	if err != nil || resp.StatusCode != http.StatusOK || n != responseBodyBytes {
-		return errdefs.OutcomeUnknown.New("response has status %d and a body of %d bytes", resp.StatusCode, n)
+	if err != nil || n != responseBodyBytes {
+		return errdefs.OutcomeUnknown.New("response has a body of %d bytes", n)
 	}
 	return nil
 }
