e2e: the test of the graceful stop waits until the stop has begun

TestGracefulStopFinishesCallsInFlight failed once in a run of all tests beside a load of 40 on 7 cores: a call 200 ms after the termination signal was answered 200 instead of being refused.

The likely cause is that the node's process had not handled the signal by then; timers of other processes were up to 3 s late at that time. The log of the failed run was not kept, so this is not shown.

Change: the test waits, for the 2 s within which a leaving target must get no new work, until the node logs that it stops, and only then for 200 ms. It also checks that the call in flight still runs. If the node itself is slow between its log line and the refusal, the test still fails.

--- a/e2e/stop_test.go
+++ b/e2e/stop_test.go
@@ -1,7 +1,10 @@
 package e2e
 
 import (
+	"bytes"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +13,7 @@
 
 	"siskingw/bench/fleet"
 	"siskingw/targetstub"
+	"siskingw/telemetry"
 )
 
 // setBehavior changes the behavior of a target; behavior is JSON.
@@ -54,6 +58,21 @@
 	return nil
 }
 
+// waitForStop returns when the node has handled its termination signal, which on a busy
+// machine takes a while. It fails the test after the time in which a target that leaves
+// must get no new work.
+func waitForStop(t *testing.T, c *cluster, in *fleet.Instance) {
+	t.Helper()
+	const bound = 2 * time.Second
+	for deadline := time.Now().Add(bound); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		log, err := os.ReadFile(filepath.Join(c.dir, in.Name+".log"))
+		if err == nil && bytes.Contains(log, []byte(`"msg":"`+telemetry.EventStopping+`"`)) {
+			return
+		}
+	}
+	t.Fatalf("%s does not stop within %s", in.Name, bound)
+}
+
 // Guards against a graceful stop that cuts off an upload in flight (I8), accepts
 // new requests while it drains (I7), or does not end.
 func TestGracefulStopFinishesCallsInFlight(t *testing.T) {
@@ -62,7 +81,9 @@
 	target := c.fleet.Instances[2]
 	got := slowCall(t, c, target, "in-flight")
 	target.Node.Terminate()
+	waitForStop(t, c, target)
 	time.Sleep(200 * time.Millisecond)
+	is.Equal(len(got), 0) // still in flight
 	late := call(c.fleet.Instances[0], "POST", "/scans/1", "late", "", []byte("scan"))
 	is.Equal(late.status, http.StatusServiceUnavailable)
 	is.Equal(late.outcome, "not-run")
