--- a/bench/soak/rollout.go
+++ b/bench/soak/rollout.go
@@ -34,6 +34,7 @@
 	orderedAt time.Time
 	deadline  time.Time
 	state     string // in the store at the end
+	status    string // as stored, with the reason
 	completed bool   // the old targets have ended
 	// Calls that reached the service until the deadline, and those that reached the
 	// new version.
@@ -77,7 +78,7 @@
 		}
 		state, final := standin.RolloutState(kv.Value)
 		s.history.mu.Lock()
-		s.history.rollout.state = state
+		s.history.rollout.state, s.history.rollout.status = state, string(kv.Value)
 		s.history.rollout.completed = state == "completed"
 		s.history.mu.Unlock()
 		if !final {
--- a/bench/soak/soak.go
+++ b/bench/soak/soak.go
@@ -86,7 +86,7 @@
 	r.StoreCalls, r.Faults = int(s.store.calls.Load()), inj.counts
 	r.Violations = history.check()
 	if opts.Rollout != "" {
-		r.Rollout = fmt.Sprintf("%s version %s, %d of %d calls", opts.Rollout, history.rollout.state, history.rollout.tried, history.rollout.calls)
+		r.Rollout = fmt.Sprintf("%s version, %d of %d calls: %s", opts.Rollout, history.rollout.tried, history.rollout.calls, history.rollout.status)
 	}
 	if !recovered {
 		r.Violations = append(r.Violations, Violation{"recovery", fmt.Sprintf(
