e2e: the keyed rolling restart waits for a target before its node

TestRollingRestartShowsNoError failed once in a run of all tests beside a load of 40 on 7 cores: 3 of 10,924 keyed bids were answered 503 as not run.

Cause: the nodes' lines of these calls name keys of the instance that had just restarted, whose target refused connections. Callers of every instance may get such a key once the node has started, and it can only run there; the test had paused the callers of that instance alone. The refusals are allowed.

Change: in the keyed part the target listens before its node starts. The unkeyed part still starts both at once, as its calls go elsewhere.

--- a/e2e/calls_test.go
+++ b/e2e/calls_test.go
@@ -258,9 +258,14 @@
 			is.NoErr(addLedger(in, saved))
 			in.Target.Kill()
 			is.NoErr(in.Target.Start())
+			if keyed {
+				// Every caller may get a key of this instance once its node has
+				// started, and such a key can only run there.
+				c.waitTarget(in)
+			}
 			is.NoErr(in.Node.Start())
 			c.waitVersion(1, convergeTimeout)
-			c.waitTarget(in) // a key of this instance can only run there
+			c.waitTarget(in)
 			l.paused.Delete(in.Name)
 		}
 		done := l.stopCallers()
