quota: accounts and borrowing in files of their own

Ruled out: a package for the accounts, which only the ledger uses.

Change: the code is moved to account.go and borrow.go unchanged, but for the names of the fields that count pools without credit.

Result: the tests of ./quota pass.

--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -29,13 +28,6 @@
 	// startSpread is the time over which the callers come back that were refused
 	// before there was any credit.
 	startSpread = 400 * time.Millisecond
-	// dryTime is how long the pools of the other regions are not asked for more credit
-	// of a tenant after each of them had too little. Credit that comes into being
-	// meanwhile is granted to the calls of its own region.
-	dryTime = 300 * time.Millisecond
-	// borrowPart is the part of what an instance wants to hold below which it borrows
-	// although no call waits.
-	borrowPart = 0.5
 	// reserveTime is how long scarce credit must last for the calls that can be in
 	// time before others get any: an interval between questions.
 	reserveTime = askInterval
@@ -88,35 +80,6 @@
 	lenders  int // number of other pools that can be asked for credit
 }
 
-// account is the credit of one tenant.
-type account struct {
-	lots     []lot // granted credit, by the end of its life
-	own      float64
-	ownTo    time.Time // moment up to which own holds
-	demand   float64   // calls per second, decaying
-	demandAt time.Time
-	late     float64 // part of demand of calls that have missed their target latency
-	lateAt   time.Time
-	supply   float64 // granted credit per second, decaying
-	supplyAt time.Time
-	scarceTo time.Time // until then the tenant asks for more than its quota
-	waiting  int       // calls that are Pending
-	nextFree time.Time
-
-	// Credit of other regions.
-	borrowing float64   // calls that questions in flight ask for
-	lender    int       // number of the pool that is asked next
-	dry       int       // pools in a row that had too little
-	dryTo     time.Time // until then nothing is borrowed
-	homeDry   bool      // the tenant asks for more than the credit of its own region
-}
-
-// lot is credit for whole calls with the same end.
-type lot struct {
-	tokens int
-	until  time.Time
-}
-
 // NewLedger returns the ledger of a process that starts now. It has no credit: an
 // earlier process may have spent it.
 func NewLedger(node string, incarnation uint64, b Bounds, now time.Time, random func() float64) *Ledger {
@@ -320,94 +283,17 @@
 		if acc == nil {
 			continue
 		}
-		acc.homeDry = g.Scarce
+		acc.scarceAtHome = g.Scarce
 		switch scarce := now.Before(acc.scarceTo); {
 		case !g.Scarce:
 			acc.scarceTo = time.Time{}
-		case scarce || l.lenders == 0 || now.Before(acc.dryTo):
+		case scarce || l.lenders == 0 || now.Before(acc.exhaustedTo):
 			acc.scarceTo = now.Add(scarceTime)
 		}
 		acc.add(g, asked, now)
 	}
 }
 
-// applyBorrowed records the answer to a question that asked another pool for credit.
-func (l *Ledger) applyBorrowed(a Ask, r Answer, asked, now time.Time) {
-	granted := make(map[string]Grant, len(r.Grants))
-	for _, g := range r.Grants {
-		granted[g.Tenant] = g
-	}
-	for _, w := range a.Wants {
-		acc := l.accounts[w.Tenant]
-		if acc == nil {
-			continue
-		}
-		acc.borrowing = max(acc.borrowing-w.Tokens, 0)
-		g := granted[w.Tenant]
-		acc.add(g, asked, now)
-		if float64(g.Tokens) >= math.Floor(w.Tokens) {
-			acc.dry, acc.scarceTo = 0, time.Time{}
-			continue
-		}
-		acc.lender++
-		if acc.dry++; acc.dry >= l.lenders {
-			acc.dry, acc.dryTo = 0, now.Add(dryTime)
-			if acc.homeDry {
-				acc.scarceTo = now.Add(scarceTime)
-			}
-		}
-	}
-}
-
-// Unanswered records that a question to another pool for credit was not answered.
-func (l *Ledger) Unanswered(a Ask, now time.Time) { l.Apply(a, Answer{}, now, now) }
-
-// NewBorrows returns the questions to the pools of other regions, by number below
-// lenders, after the answer to an Ask that was made at the same time as it: for credit
-// that calls wait for and that this pool did not have, or of which it had little.
-// Each tenant's is asked of one pool; the next time of the next, if that had too
-// little.
-func (l *Ledger) NewBorrows(a Ask, r Answer, lenders int, now time.Time) map[int]Ask {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.lenders = lenders; lenders == 0 || r.Closed {
-		return nil
-	}
-	granted := make(map[string]int, len(r.Grants))
-	for _, g := range r.Grants {
-		granted[g.Tenant] = g.Tokens
-	}
-	out := make(map[int]Ask)
-	for _, w := range a.Wants {
-		acc, got := l.accounts[w.Tenant], float64(granted[w.Tenant])
-		if acc == nil || now.Before(acc.dryTo) {
-			continue
-		}
-		missing := max(float64(w.Waiting)-got, 0)
-		if got < borrowPart*w.Tokens {
-			missing = max(missing, w.Tokens-got)
-		}
-		if missing -= acc.borrowing; missing < 1 {
-			continue
-		}
-		acc.borrowing += missing
-		q := out[acc.lender%lenders]
-		q.Node, q.Incarnation, q.Borrow = l.node, l.incarnation, true
-		q.Wants = append(q.Wants, Want{Tenant: w.Tenant, Tokens: missing, Waiting: min(w.Waiting, int(missing))})
-		out[acc.lender%lenders] = q
-	}
-	return out
-}
-
-// add adds granted credit.
-func (a *account) add(g Grant, asked, now time.Time) {
-	a.supply = decayed(a.supply, now.Sub(a.supplyAt)) + float64(max(g.Tokens, 0))/demandTime.Seconds()
-	a.supplyAt = now
-	if until := asked.Add(min(g.Life, maxLife)); g.Tokens > 0 && now.Before(until) {
-		a.addLot(lot{tokens: g.Tokens, until: until})
-	}
-}
-
 // wants returns what the instance would like to have: for each active tenant the
 // credit for its demand of one demandTime and some spare.
 func (l *Ledger) wants(set *tenant.Set, now time.Time) []Want {
@@ -485,58 +371,3 @@
 	}
 	return a
 }
-
-func newAccount(now time.Time) *account {
-	return &account{ownTo: now, demandAt: now, lateAt: now, supplyAt: now}
-}
-
-// takeLot takes credit for one call, of those that are valid the one that ends
-// first, and returns its end.
-func (a *account) takeLot(now time.Time) (until time.Time, ok bool) {
-	a.dropEnded(now)
-	if len(a.lots) == 0 {
-		return time.Time{}, false
-	}
-	until = a.lots[0].until
-	if a.lots[0].tokens--; a.lots[0].tokens == 0 {
-		a.lots = a.lots[1:]
-	}
-	return until, true
-}
-
-// dropEnded drops the credit whose life has ended.
-func (a *account) dropEnded(now time.Time) {
-	for len(a.lots) > 0 && !now.Before(a.lots[0].until) {
-		a.lots = a.lots[1:]
-	}
-}
-
-// addLot adds credit in the order of its end.
-func (a *account) addLot(n lot) {
-	i := len(a.lots)
-	for i > 0 && n.until.Before(a.lots[i-1].until) {
-		i--
-	}
-	if i > 0 && a.lots[i-1].until.Equal(n.until) {
-		a.lots[i-1].tokens += n.tokens
-		return
-	}
-	a.lots = append(a.lots[:i], append([]lot{n}, a.lots[i:]...)...)
-}
-
-// held returns the valid credit, in calls.
-func (a *account) held(now time.Time) (sum int) {
-	a.dropEnded(now)
-	for _, n := range a.lots {
-		sum += n.tokens
-	}
-	return sum
-}
-
-// rate returns the demand in calls per second.
-func (a *account) rate(now time.Time) float64 { return decayed(a.demand, now.Sub(a.demandAt)) }
-
-// decayed returns a value after it has decayed for d.
-func decayed(v float64, d time.Duration) float64 {
-	return v * math.Exp(-d.Seconds()/demandTime.Seconds())
-}
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -158,7 +158,7 @@
 	}
 	is.Equal(l.Take(ann, true, true, f.now).Cause, CauseOver)
 	is.Equal(len(borrow()), 0)
-	f.now = f.now.Add(dryTime)
+	f.now = f.now.Add(exhaustedTime)
 	is.Equal(len(borrow()), 1)
 }
 
