settings: retrySlack may be a fraction

Ruled out: rounding in the template, which has no arithmetic.

Change: the field is a float, like the ratio and the window.

Result: the template parses with such a bound (TestDeployTemplateParses).

--- a/settings/check.go
+++ b/settings/check.go
@@ -163,7 +163,7 @@
 	c.within("platform.drainMs", p.DrainMs, 1, 600_000)
 	c.withinFloat("platform.graceS", p.GraceS, minGraceS, maxSeconds)
 	c.withinFloat("platform.retryRatio", p.RetryRatio, 0, 1)
-	c.within("platform.retrySlack", p.RetrySlack, 0, 1_000_000)
+	c.withinFloat("platform.retrySlack", p.RetrySlack, 0, 1_000_000)
 	c.withinFloat("platform.retryWindowS", p.RetryWindowS, 0, maxSeconds)
 	c.withinFloat("platform.quotaWindowS", p.QuotaWindowS, 0, maxSeconds)
 	c.withinFloat("platform.quotaOver", p.QuotaOver, 0, 1)
--- a/settings/platform_test.go
+++ b/settings/platform_test.go
@@ -67,12 +67,15 @@
 		"{{platform.address}}", "10.0.9.9:6", `{{#seeds}}"{{.}}"{{,}}{{/seeds}}`, `"10.0.0.2:5", "10.0.0.3:5"`,
 	).Replace(string(b))
 	optional := regexp.MustCompile(`\{\{#bounds\.[a-z_]+\}\}(.*?)\{\{/bounds\.[a-z_]+\}\}`)
+	// The platform scales some bounds with the number of instances and does not round them.
+	values = strings.Replace(values, "{{bounds.retry_slack}}", "36.82", 1)
 	for _, content := range []string{"", "$1"} { // deployments without and with the optional bounds
 		filled := optional.ReplaceAllString(values, content)
 		filled = regexp.MustCompile(`\{\{[a-z_.]+\}\}`).ReplaceAllString(filled, "1")
 		s, err := Parse([]byte(filled))
 		is.NoErr(err)
 		is.Equal(len(s.Seeds), 2)
+		is.Equal(s.Platform.RetrySlack, 36.82)
 		is.Equal(s.Platform.QuotaSlack > 0, content != "")
 	}
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -92,7 +92,7 @@
 	DrainMs      int     `json:"drainMs"`      // time after which a draining target must receive no new calls
 	GraceS       float64 `json:"graceS"`       // time from SIGTERM to SIGKILL
 	RetryRatio   float64 `json:"retryRatio"`   // retries allowed per call, across the fleet
-	RetrySlack   int     `json:"retrySlack"`   // additional retries allowed per RetryWindowS, across the fleet
+	RetrySlack   float64 `json:"retrySlack"`   // additional retries allowed per RetryWindowS, across the fleet
 	RetryWindowS float64 `json:"retryWindowS"` // window of RetryRatio and RetrySlack
 	// Quotas of tenants. All are 0 in deployments without quotas.
 	QuotaWindowS float64 `json:"quotaWindowS,omitempty"` // window over which a tenant's calls are counted
