admit, balance, proxy: refuse callers only for want of room

Callers that came back with little time were told that all targets are full while they were idle. A region refused calls after four tries of its own targets while another one had a third of its slots free.

Ruled out: an order of returning and new calls; under an overload of seconds as many are refused a second time whatever the order. Late downloads: they take the link from those in time. Limiting parents by rejected nested calls while slots are free: it refused calls at the end of the rejections. Late calls on any free slot: those in time that arrive next wait for them.

Change: a refusal after which the caller's node tries another target does not count in the reported share (flag e in Siskingw-Work, which old builds ignore). A nested call that its target rejects counts against new parents while the slots are full. A call that was refused prefers a target with room in another region to near ones that would refuse it by the same rule. A call that would be late at any target is sent as a late one if a fifth of the slots is free.

--- a/admit/parents_test.go
+++ b/admit/parents_test.go
@@ -67,6 +67,38 @@
 	is.Equal(Cause(err), "parent")
 }
 
+// Guards against a gate that reports the callers which other targets then served as
+// refused: each of them is refused at up to three targets on its way, and parents would
+// be limited although their calls and the more urgent ones are served.
+func TestCallsThatGoElsewhereAreNotReportedAsRefused(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(0, 0)
+	g := New(Options{Slots: 1, Now: func() time.Time { return now }})
+	ask := func(elsewhere bool) {
+		ctx := deadlineOnlyContext{t.Context(), now.Add(time.Hour)}
+		_, err := g.Admit(ctx, Work{Class: "page", Priority: 1, TargetTime: now, Elsewhere: elsewhere})
+		is.True(err != nil)
+	}
+	ticket, err := g.Admit(deadlineOnlyContext{t.Context(), now.Add(time.Hour)}, Work{Class: "page", TargetTime: now.Add(time.Hour)})
+	is.NoErr(err)
+	now = now.Add(100 * time.Millisecond)
+	ticket.Release()
+	ticket, err = g.Admit(deadlineOnlyContext{t.Context(), now.Add(time.Hour)}, Work{Class: "page", TargetTime: now.Add(time.Hour)})
+	is.NoErr(err)
+	defer ticket.Release()
+	g.lateRefusedAt = now // an overload is going on
+	for range 40 {
+		ask(true)
+	}
+	is.Equal(g.Report().RefusedShare, [Priorities]float64{})
+	for range 40 {
+		ask(false)
+	}
+	share := g.Report().RefusedShare
+	is.Equal(share[0], 0.0)
+	is.True(share[1] > 0.8 && share[2] > 0.8)
+}
+
 // Guards against admission that counts on the usual speed of a machine whose
 // neighbours take it: the stated slowness scales the expected times, fades when it
 // is not stated again, and does not enter what is learnt for usual times.
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -32,6 +32,7 @@
 	class      string        // see Work.Class
 	late       bool          // the call is in one of the late queues
 	nested     bool          // see Work.Nested
+	elsewhere  bool          // see Work.Elsewhere
 	tenant     string        // see Work.Tenant
 	weight     float64       // see Work.Weight
 	overShare  bool          // the tenant had used more than its share when the call was queued
@@ -186,7 +187,7 @@
 func (g *Gate) refuse(w *waiter, reason error) {
 	w.err = reason
 	g.stats.ByPriority[w.priority].Refused++
-	if !w.nested {
+	if !w.nested && !w.elsewhere {
 		g.countNew(w.priority, true, g.opts.Now())
 	}
 	g.wake(w)
--- a/admit/target.go
+++ b/admit/target.go
@@ -25,8 +25,14 @@
 	// Nested marks a call that a target makes while it runs another call. Refusing
 	// it wastes the work already done for that one.
 	Nested bool
+	// Elsewhere marks a call that its caller's node sends to another target when
+	// this one refuses it. Report.RefusedShare does not count such a refusal.
+	Elsewhere bool
 }
 
+// countable reports whether a refusal of the work says that its caller was refused.
+func (w Work) countable() bool { return !w.Nested && !w.Elsewhere }
+
 const (
 	// maxOverloadMissProbability is the highest probability, 0..1, of missing
 	// the target latency with which a call is queued under overload. A call
@@ -62,7 +68,7 @@
 	g.mu.Lock()
 	if err := g.workRefusal(ctx, work, p, now); err != nil {
 		g.stats.ByPriority[p].Refused++
-		if !work.Nested {
+		if work.countable() {
 			g.countNew(p, true, now)
 		}
 		g.mu.Unlock()
@@ -79,7 +85,7 @@
 	}
 	w := &waiter{
 		priority: p, queuedAt: now, targetTime: work.TargetTime, deadline: deadline,
-		class: work.Class, late: work.Late, nested: work.Nested, done: make(chan struct{}),
+		class: work.Class, late: work.Late, nested: work.Nested, elsewhere: work.Elsewhere, done: make(chan struct{}),
 		tenant: work.Tenant, weight: work.Weight, overShare: g.tenants.exceeded(work.Tenant, now)}
 	if !g.makeRoom(p, w) {
 		g.mu.Unlock()
@@ -199,14 +205,21 @@
 		return errLateNoChance
 	}
 	missProbability := lateness.Probability(wait+serviceTime, work.TargetTime.Sub(now))
-	if missProbability > maxMissProbability ||
-		missProbability > maxOverloadMissProbability && float64(ahead) >= minQueuePerSlot*float64(g.opts.Slots) {
+	if RefusedUnderOverload(missProbability, float64(ahead), float64(g.opts.Slots)) {
 		g.lateRefusedAt = now
 		return errLate
 	}
 	return nil
 }
 
+// RefusedUnderOverload reports whether an overloaded gate refuses a call that misses
+// its target latency with the given probability behind ahead queued calls. The
+// callers' nodes use it to send a call that was refused where it is not refused again.
+func RefusedUnderOverload(missProbability, ahead, slots float64) bool {
+	return missProbability > maxMissProbability ||
+		missProbability > maxOverloadMissProbability && ahead >= minQueuePerSlot*slots
+}
+
 // queuedAhead returns the number of queued calls that are served before a new
 // call of priority p. g.mu must be held.
 func (g *Gate) queuedAhead(p int, call *waiter) int {
@@ -297,7 +310,8 @@
 	ServiceTime time.Duration // expected service time of all calls on the machine as usual
 	Slowness    float64       // how long work takes there now, relative to that; at least 1
 	// RefusedShare is, by priority, the share 0..1 of the new work of that
-	// priority and the higher ones that the gate has refused lately.
+	// priority and the higher ones that the gate has refused lately. A call that
+	// was then sent to another target does not count as refused here.
 	RefusedShare [Priorities]float64
 }
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -85,9 +85,13 @@
 // Picked is the selected target of one call. Done must be called once when the
 // call ends.
 type Picked struct {
-	Record   *member.Record // record of the target's node
-	Late     float64        // probability, 0..1, that the call misses its target latency; 0 for Pick
-	Missed   float64        // probability, 0..1, that the call misses its deadline; 0 for Pick
+	Record *member.Record // record of the target's node
+	Late   float64        // probability, 0..1, that the call misses its target latency; 0 for Pick
+	Missed float64        // probability, 0..1, that the call misses its deadline; 0 for Pick
+	// LateIdle is the probability, 0..1, that the call misses its target latency
+	// there if no other call is ahead of it; 0 for Pick and for large responses.
+	LateIdle float64
+	Full     bool // the target probably has no slot for a call that is late at any target
 	balancer *Balancer
 	endpoint *endpoint
 	ejection ejectionConfig
--- a/balance/loss.go
+++ b/balance/loss.go
@@ -26,6 +26,10 @@
 	Class    string // calls of one class have similar service times
 	Priority int    // 0 is the highest
 	Nested   bool   // see admit.Work.Nested
+	// Refused marks a call that a gate has refused before, on this attempt of its
+	// caller or an earlier one. It prefers targets elsewhere with room to near ones
+	// that would refuse it again.
+	Refused bool
 
 	Versions VersionRule // nil permits targets of every version
 }
@@ -36,6 +40,17 @@
 const (
 	// lateLoss is the share of a call's value, 0..1, that a late response loses.
 	lateLoss = 0.5
+	// refusedLoss is the share of a call's value, 0..1, that is lost when a call
+	// which was refused before is refused again. It is below 1, because the news
+	// about the target may be old.
+	refusedLoss = 0.7
+	// maxLateIdle is the probability of a late response at an idle target, 0..1,
+	// above which the load of the targets does not make the call late.
+	maxLateIdle = 0.5
+	// maxLoadForLate is the load per slot from which a target takes no call that is
+	// late everywhere. With all free slots taken by such calls, those that arrive next
+	// and can be in time would wait for them.
+	maxLoadForLate = 0.8
 	// failLoss is the share, 0..1, that a failed attempt loses: some calls can
 	// be retried, others not.
 	failLoss = 0.6
@@ -164,7 +179,8 @@
 		return nil, errdefs.NotRun.New("service %q has no endpoint left", set.Announce)
 	}
 	e.inFlight.Add(1)
-	return &Picked{Record: e.record.Load(), Late: late, Missed: missed, balancer: b, endpoint: e, ejection: ej}, nil
+	return &Picked{Record: e.record.Load(), Late: late, Missed: missed, LateIdle: c.lateIdle(e, t.mean.Load(), d), Full: c.full(e, t.mean.Load(), d),
+		balancer: b, endpoint: e, ejection: ej}, nil
 }
 
 // leastLoss returns the candidate with the least expected loss, or nil, and the
@@ -196,11 +212,46 @@
 	late = lateness.Probability(expected, d.TargetLeft)
 	missed = lateness.Probability(expected, d.DeadlineLeft)
 	loss = lateLoss*late + (1-lateLoss)*missed
+	if d.Refused && c.refuses(e, mean, d, late) {
+		loss = max(loss, refusedLoss)
+	}
 	loss += (1 - loss) * failLoss * e.failed.value(c.now)
 	loss += d.waitCost(expected)
 	return loss + trafficCost(dist, d.Bytes), late, missed
 }
 
+// refuses reports whether the gate of the endpoint probably refuses a call that is
+// late there with the given probability. One that is late everywhere runs where no
+// other call waits.
+func (c *choice) refuses(e *endpoint, mean *evenload.Mean, d Demand, late float64) bool {
+	if d.Nested {
+		return false
+	}
+	estimate := evenload.EstimateOf(e.news(), mean, d.priorityIndex(), e.slots(), e.inFlight.Load(), c.now)
+	if c.lateIdle(e, mean, d) > maxLateIdle {
+		return c.full(e, mean, d)
+	}
+	return admit.RefusedUnderOverload(late, estimate.Calls-e.slots(), e.slots())
+}
+
+// full reports whether the endpoint has no slot for a call that is late everywhere.
+func (c *choice) full(e *endpoint, mean *evenload.Mean, d Demand) bool {
+	estimate := evenload.EstimateOf(e.news(), mean, d.priorityIndex(), e.slots(), e.inFlight.Load(), c.now)
+	return estimate.Calls >= maxLoadForLate*e.slots()
+}
+
+// lateIdle returns the probability that the call misses its target latency at the
+// endpoint while no other call is ahead of it and its machine is as usual. It is 0
+// for a large response, which waits for the link of the endpoint's instance.
+func (c *choice) lateIdle(e *endpoint, mean *evenload.Mean, d Demand) float64 {
+	if d.Bytes >= admit.LargeResponse {
+		return 0
+	}
+	network := c.b.networkLatencies.of(distance(c.b.view.Self(), e.record.Load()))
+	estimate := evenload.EstimateOf(e.news(), mean, d.priorityIndex(), e.slots(), 0, c.now)
+	return lateness.Probability(network+time.Duration(c.classTime(e, d.Class, estimate.ServiceTime)), d.TargetLeft)
+}
+
 // expectedTime returns the expected time that a call waits and runs at the
 // endpoint: the queueing delay of the calls ahead plus the service time of its class.
 func (c *choice) expectedTime(e *endpoint, mean *evenload.Mean, d Demand) time.Duration {
--- a/balance/loss_test.go
+++ b/balance/loss_test.go
@@ -92,6 +92,56 @@
 	is.Equal(got["alta-1"]+got["mani-1"], 100)
 }
 
+// A region that is at its limit while others have room. Guards against calls that are
+// refused by one near target after the other, and then refused to their caller, because
+// a near target with a short queue costs less than traffic between regions; and against
+// calls that leave the region before a gate has refused them.
+func TestRefusedCallsGoWhereThereIsRoom(t *testing.T) {
+	is := is.New(t)
+	f := newLossFixture()
+	for _, id := range []string{"sask-1-0", "sask-1-1", "sask-2-0", "sask-2-1"} {
+		f.reportGateState(id, 14, 250*time.Millisecond, admit.LinkReport{})
+	}
+	d := pageDemand
+	got := f.shares(d)
+	is.Equal(got["sask-1"]+got["sask-2"], 100)
+	d.Refused = true
+	got = f.shares(d)
+	is.Equal(got["alta-1"]+got["mani-1"], 100)
+	d.Bytes = 90 << 10 // its traffic would cost more than it is worth
+	got = f.shares(d)
+	is.Equal(got["sask-1"]+got["sask-2"], 100)
+	for _, r := range f.view.records { // no room anywhere
+		f.reportGateState(r.ID, 14, 250*time.Millisecond, admit.LinkReport{})
+	}
+	d = pageDemand
+	d.Refused = true
+	got = f.shares(d)
+	is.Equal(got["sask-1"]+got["sask-2"], 100)
+}
+
+// A caller that comes back when its target latency is nearly over. Guards against a
+// call that is late everywhere and is sent to a full target beside an idle one.
+func TestLateCallsGoToIdleTargets(t *testing.T) {
+	is := is.New(t)
+	f := newLossFixture()
+	f.reportGateState("sask-1-0", 12, 250*time.Millisecond, admit.LinkReport{})
+	d := pageDemand
+	d.TargetLeft, d.Refused = 100*time.Millisecond, true
+	for range 50 {
+		p, err := f.b.PickFor(&f.set, &f.ejection, nil, d)
+		is.NoErr(err)
+		is.Equal(p.Record.ID, "sask-1-1")
+		is.True(p.LateIdle > maxLateIdle)
+		p.Done(Report{})
+	}
+	d.Bytes = 90 << 10 // its lateness says nothing about the link
+	p, err := f.b.PickFor(&f.set, &f.ejection, nil, d)
+	is.NoErr(err)
+	is.Equal(p.LateIdle, 0.0)
+	p.Done(Report{})
+}
+
 // Endpoints that differ in speed by a factor of three. Guards against calls that
 // are late at the slow one while a fast one is free.
 func TestCallsAvoidTheSlowTarget(t *testing.T) {
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -203,7 +203,7 @@
 // admissionWork returns the description of the call for admission control.
 func (c *call) admissionWork() admit.Work {
 	return admit.Work{Class: c.work.class, Priority: c.work.priority, TargetTime: c.work.targetTime, Late: c.work.allowLate,
-		Tenant: c.work.tenant, Weight: c.work.weight, Nested: c.work.nested}
+		Tenant: c.work.tenant, Weight: c.work.weight, Nested: c.work.nested, Elsewhere: c.work.elsewhere}
 }
 
 // makesCall reports whether the target of this instance makes the call while it
@@ -223,7 +223,10 @@
 // is nil if it was answered.
 func (in *Inbound) observeNested(c *call, f *refusal) {
 	if b := in.backend(); b != nil && in.opts.Parents != nil {
-		refused := f != nil && f.overloaded && f.outcome == OutcomeNotRun
+		// A rejection by the target itself costs the parent its run as well. That is
+		// no loss while slots are free: refusing parents would not make room for others.
+		rejected := f != nil && f.reachedTarget && b.Gate.Load() >= 1
+		refused := f != nil && (f.overloaded || rejected) && f.outcome == OutcomeNotRun
 		in.opts.Metrics.countNested()
 		in.opts.Parents.Observe(refused, c.gate.report, b.Gate.Report(), time.Now())
 	}
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -205,6 +205,7 @@
 		}
 		c.work.service = res.EndpointSet.Announce
 		c.work.mayHandOn = o.opts.RelayNews && !handedOn && picked.Record.FailureDomain == o.opts.View.Self().FailureDomain
+		c.work.elsewhere = t.hasRetryLeft(c)
 		f := o.send(c, picked.Record)
 		t.recordSent(f)
 		c.recordAttempt(picked.Record, picked.Late, f)
@@ -228,6 +229,9 @@
 // refuseBeforeSending returns a refusal if an attempt at the picked endpoint would
 // probably be in vain, or nil.
 func (t *retryState) refuseBeforeSending(c *call, picked *balance.Picked) *refusal {
+	if !t.allowLate && !c.work.nested && picked.LateIdle > maxLateIdle && !picked.Full {
+		t.allowLate, t.lateFromStart, c.work.allowLate = true, true, true
+	}
 	if t.likelyRefused(picked, c.work.nested, rand.Float64()) {
 		f := notRun(causeAllFull, "every endpoint is full", nil)
 		f.overloaded = true
@@ -258,6 +262,7 @@
 		TargetLeft: left, DeadlineLeft: c.timeLeft(), Versions: versionRule(rule),
 		Bytes: o.responseSizeOf(res.Name).expectedBytes(c), BodyBytes: max(c.r.ContentLength, 0),
 		Class: c.work.class, Priority: c.admissionWork().Rank(), Nested: c.work.nested,
+		Refused: c.ask.returned(c) || t.lastRefusal != nil && t.lastRefusal.overloaded,
 	})
 }
 
--- a/proxy/retry.go
+++ b/proxy/retry.go
@@ -65,7 +65,7 @@
 	refusedBy      []string // IDs of nodes whose target itself refused the call
 	nextCharged    bool     // the next attempt is charged to the budget
 	allowLate      bool     // the next attempt may run late, see work.allowLate
-	lateFromStart  bool     // the call had missed its target latency when it arrived
+	lateFromStart  bool     // the call could not meet its target latency at any target
 	lastRefusal    *refusal
 	plan           rollout.Plan  // versions that the current attempt may use
 	reached        bool          // an attempt has reached a target
@@ -116,6 +116,11 @@
 	// maxLateRetry is the same limit for a retry after a gate refused the call:
 	// an attempt that is refused as well only costs the caller time.
 	maxLateRetry = 0.5
+	// maxLateIdle is the probability of a late response at an idle target, from 0 to
+	// 1, above which a call is sent as a late one. Its time is short because its
+	// caller comes back after a refusal, which says nothing about the load of the
+	// targets: it runs if one has a slot that no other call needs.
+	maxLateIdle = 0.5
 )
 
 // counterIndex returns the index of the counter for the retry that follows.
@@ -153,6 +158,18 @@
 	return true
 }
 
+// hasRetryLeft reports whether a refusal by the next target's gate would lead to
+// another attempt, as far as that is known before.
+func (t *retryState) hasRetryLeft(c *call) bool {
+	switch {
+	case !c.body.replayable():
+		return false
+	case t.freeEnabled:
+		return t.freeLeft > 0
+	}
+	return t.chargedRetries < maxRetries(t.policy) && t.budget.credit.Load() >= retryCost
+}
+
 // charge pays for one retry, or returns why none is allowed.
 func (t *retryState) charge(f *refusal) noRetryReason {
 	switch {
--- a/proxy/returning.go
+++ b/proxy/returning.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// returned reports whether the caller came back with the call after a refusal.
+func (a ask) returned(c *call) bool { return a.key != 0 && a.first.Before(c.start) }
+
 // late reports whether the call had missed its target latency when it arrived.
 func (a ask) late(c *call) bool {
 	return a.key != 0 && !c.work.targetTime.After(c.start)
--- a/proxy/scarcity_test.go
+++ b/proxy/scarcity_test.go
@@ -7,12 +7,14 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
 	"siskingw/admit"
+	"siskingw/balance"
 	"siskingw/object"
 )
 
@@ -91,3 +93,67 @@
 	is.Equal(ask(deadline.Add(time.Second)), uint64(0))
 	is.Equal(ask(deadline.Add(time.Second)), uint64(1))
 }
+
+// Guards against a caller that comes back with too little of its target latency left
+// and is told that all targets are full while they are idle: it must run late.
+func TestCallerThatComesBackRunsLateAtAnIdleTarget(t *testing.T) {
+	is := is.New(t)
+	rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool {
+		time.Sleep(60 * time.Millisecond)
+		io.WriteString(nc, okAnswer)
+		return true
+	})
+	r := newRig(t, &object.PolicySpec{TargetLatencyMs: 200, TimeoutMs: 5000}, rt.addr)
+	for range 20 { // the balancer learns the service time
+		resp, _ := r.do(t, "GET", "/", "", HeaderDeadline, "5000")
+		is.Equal(resp.StatusCode, 200)
+	}
+	late := retryState{budget: newRetryBudget(1), freeLeft: 3, freeEnabled: true}
+	for range 20 {
+		target := time.Now().Add(20 * time.Millisecond)
+		picked, err := r.out.opts.Balancer.PickFor(&object.EndpointSetSpec{Announce: "floor"}, nil, nil, balance.Demand{
+			TargetLeft: time.Until(target), DeadlineLeft: time.Second, Class: "all"})
+		is.NoErr(err)
+		c := &call{ctx: t.Context(), start: time.Now(), deadline: time.Now().Add(time.Second), work: work{targetTime: target}}
+		is.Equal(late.refuseBeforeSending(c, picked), nil)
+		is.True(c.work.allowLate)
+		late.allowLate, c.work.allowLate = false, false
+		picked.Full = true // the slots that are left are for calls that can be in time
+		late.refuseBeforeSending(c, picked)
+		is.True(!c.work.allowLate)
+		picked.Done(balance.Report{})
+	}
+}
+
+// Guards against parents that are taken at full rate while half of the calls which they
+// need are rejected by the targets themselves: their runs are wasted like those whose
+// calls a gate refuses. A nested call that failed otherwise says nothing about room.
+func TestRejectedNestedCallsLimitParents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		limited := func(f *refusal, slots int) float64 {
+			in := NewInbound(InboundOptions{Target: "127.0.0.1:1", Gate: admit.New(admit.Options{Slots: slots}),
+				Nested: new(admit.NestedRoutes), Parents: new(admit.Parents)})
+			deadline := deadlineContext{t.Context(), time.Now().Add(time.Hour)}
+			for range 4 {
+				_, err := in.opts.Gate.Admit(&deadline, admit.Work{TargetTime: deadline.deadline})
+				is.NoErr(err)
+			}
+			for i := range 400 {
+				failed := f
+				if i%2 == 0 {
+					failed = nil
+				}
+				in.observeNested(new(call), failed)
+				time.Sleep(10 * time.Millisecond)
+			}
+			return in.opts.Parents.Limited(2)
+		}
+		rejected := notRun(causeTarget, "the target did not run the call", nil)
+		rejected.reachedTarget = true
+		got := limited(rejected, 4)
+		is.True(got > 0.4 && got < 0.6)
+		is.Equal(limited(rejected, 8), 0.0) // slots are free
+		is.Equal(limited(mayHaveRun(causeAnswerLost, "", nil), 4), 0.0)
+	})
+}
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -23,6 +23,7 @@
 	tenant     string    // organisation on whose behalf the call is made; empty for none
 	weight     float64   // share of the tenant relative to others, see admit.Work
 	nested     bool      // made by a target while it runs another call
+	elsewhere  bool      // sent to another target if this one refuses it, see admit.Work
 }
 
 // workFieldCount is the number of fields in a HeaderWork value. The last one may
@@ -34,6 +35,7 @@
 	flagIdempotent = "r"
 	flagAllowLate  = "l"
 	flagNested     = "n"
+	flagElsewhere  = "e"
 )
 
 // format returns the HeaderWork value, separated by semicolons: priority, time
@@ -54,6 +56,9 @@
 	if w.nested {
 		flags += flagNested
 	}
+	if w.elsewhere {
+		flags += flagElsewhere
+	}
 	if w.mayHandOn {
 		flags += flagHandOn
 	}
@@ -77,6 +82,7 @@
 	w.idempotent = strings.Contains(fields[2], flagIdempotent)
 	w.allowLate = strings.Contains(fields[2], flagAllowLate)
 	w.nested = strings.Contains(fields[2], flagNested)
+	w.elsewhere = strings.Contains(fields[2], flagElsewhere)
 	w.mayHandOn = strings.Contains(fields[2], flagHandOn)
 	w.class, w.service, w.caller = fields[3], fields[4], fields[5]
 	return w
--- a/proxy/work_test.go
+++ b/proxy/work_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	now := time.Now()
 	w := work{class: "bids", service: "floor", priority: 1, targetTime: now.Add(800 * time.Millisecond),
-		idempotent: true, allowLate: true, caller: "house"}
+		idempotent: true, allowLate: true, elsewhere: true, caller: "house"}
 	got := parseWork(w.format(), now, object.WorkPage)
 	is.True(got.targetTime.Sub(w.targetTime).Abs() < 5*time.Millisecond)
 	got.targetTime = w.targetTime
