--- a/admin/where.go
+++ b/admin/where.go
@@ -34,17 +34,17 @@
 	Status       int              `json:"status,omitempty"`       // of the refusal
 	RefusedShare float64          `json:"refusedShare,omitempty"` // share of such calls, 0..1
 	RetryAfterMs []int64          `json:"retryAfterMs,omitempty"` // shortest and longest advice
-	Quota        *WhereQuota      `json:"quota,omitempty"`        // of the tenant; absent if it has none
+	Quota        *WhereQuota      `json:"quota,omitempty"`        // of the organisation; absent if it has none
 }
 
-// WhereQuota is the state of a tenant's quota at the node.
+// WhereQuota is the state of an organisation's quota at the node.
 type WhereQuota struct {
 	Verdict       string  `json:"verdict"`         // allowed, waits for the pool, or refused
 	Cause         string  `json:"cause,omitempty"` // of the refusal
 	Held          int     `json:"held"`            // credit at the node, in calls
 	DemandPerS    float64 `json:"demandPerS"`      // calls at the node
 	SupplyPerS    float64 `json:"supplyPerS"`      // credit that the node is granted
-	Scarce        bool    `json:"scarce"`          // the pools say that the tenant asks for more than its quota
+	Scarce        bool    `json:"scarce"`          // the pools say that the organisation asks for more than its quota
 	Pool          string  `json:"pool,omitempty"`  // node that the node's fraction is pledged to
 	PoolInContact bool    `json:"poolInContact"`
 }
@@ -80,7 +80,7 @@
 func (s *Server) RegisterWhere(mux *http.ServeMux, node string, l Locator) {
 	mux.HandleFunc("GET /v1/where", s.handle(func(r *http.Request) (any, error) {
 		q := r.URL.Query()
-		p, err := l.Where(proxy.WhereQuery{Method: q.Get("method"), Host: q.Get("host"), Path: q.Get("path"), Tenant: q.Get("tenant")})
+		p, err := l.Where(proxy.WhereQuery{Method: q.Get("method"), Host: q.Get("host"), Path: q.Get("path"), Organisation: q.Get("organisation")})
 		if err != nil {
 			return nil, err
 		}
@@ -123,7 +123,7 @@
 // Where returns where a call would go now on the node.
 func (c *Client) Where(ctx context.Context, q proxy.WhereQuery) (Where, error) {
 	var out Where
-	v := url.Values{"method": {q.Method}, "host": {q.Host}, "path": {q.Path}, "tenant": {q.Tenant}}
+	v := url.Values{"method": {q.Method}, "host": {q.Host}, "path": {q.Path}, "organisation": {q.Organisation}}
 	err := c.do(ctx, http.MethodGet, "/v1/where?"+v.Encode(), nil, &out)
 	return out, err
 }
--- a/admit/fair.go
+++ b/admit/fair.go
@@ -6,58 +6,58 @@
 )
 
 const (
-	// useHalfLife is the half-life of the service time that a tenant has used. In
-	// a shorter time a small tenant makes too few calls at one target to tell its
+	// useHalfLife is the half-life of the service time that an organisation has used. In
+	// a shorter time a small organisation makes too few calls at one target to tell its
 	// share from chance.
 	useHalfLife = 5 * time.Second
-	// A tenant's calls go behind those of others of the same priority while it has
+	// An organisation's calls go behind those of others of the same priority while it has
 	// used maxUseOfShare times its fair share and excessUse more: a few calls of a
-	// small tenant prove nothing.
+	// small organisation prove nothing.
 	maxUseOfShare = 1.25
 	excessUse     = 500 * time.Millisecond
-	// minTenantUse is the decayed use below which a tenant is dropped.
-	minTenantUse = time.Millisecond
-	// maxTenants limits the number of tenants with a use of their own; a gate that
+	// minOrganisationUse is the decayed use below which an organisation is dropped.
+	minOrganisationUse = time.Millisecond
+	// maxOrganisations limits the number of organisations with a use of their own; a gate that
 	// sees more treats the others as one.
-	maxTenants = 1024
+	maxOrganisations = 1024
 )
 
-// tenantUse is the service time that a tenant has used lately.
-type tenantUse struct {
+// organisationUse is the service time that an organisation has used lately.
+type organisationUse struct {
 	used   float64 // ns, decayed until at
 	weight float64
 	at     time.Time
 }
 
 // usedAt returns the decayed use at now in ns.
-func (t *tenantUse) usedAt(now time.Time) float64 {
+func (t *organisationUse) usedAt(now time.Time) float64 {
 	return t.used * math.Exp2(-max(now.Sub(t.at), 0).Seconds()/useHalfLife.Seconds())
 }
 
-// tenantShares divides the service time of a target among the tenants by weight.
-// Within its fair share a tenant's calls go before those of tenants that use more,
+// organisationShares divides the service time of a target among the organisations by weight.
+// Within its fair share an organisation's calls go before those of organisations that use more,
 // so that one that sends many times its usual displaces only itself. The zero
-// value has seen no tenant.
-type tenantShares struct {
-	tenants map[string]*tenantUse
+// value has seen no organisation.
+type organisationShares struct {
+	organisations map[string]*organisationUse
 }
 
-// add charges a tenant with the service time of one call; a tenant without a name
+// add charges an organisation with the service time of one call; an organisation without a name
 // is not charged.
-func (s *tenantShares) add(tenant string, weight float64, serviceTime time.Duration, now time.Time) {
-	if tenant == "" {
+func (s *organisationShares) add(organisation string, weight float64, serviceTime time.Duration, now time.Time) {
+	if organisation == "" {
 		return
 	}
-	t := s.tenants[tenant]
+	t := s.organisations[organisation]
 	if t == nil {
-		if s.tenants == nil {
-			s.tenants = make(map[string]*tenantUse)
+		if s.organisations == nil {
+			s.organisations = make(map[string]*organisationUse)
 		}
-		if len(s.tenants) >= maxTenants {
+		if len(s.organisations) >= maxOrganisations {
 			return
 		}
-		t = new(tenantUse)
-		s.tenants[tenant] = t
+		t = new(organisationUse)
+		s.organisations[organisation] = t
 	}
 	if weight <= 0 {
 		weight = 1
@@ -65,18 +65,18 @@
 	t.used, t.weight, t.at = t.usedAt(now)+float64(serviceTime), weight, now
 }
 
-// exceeded reports whether the tenant has used clearly more than its fair share of
-// what all tenants have used lately.
-func (s *tenantShares) exceeded(tenant string, now time.Time) bool {
-	own := s.tenants[tenant]
-	if tenant == "" || own == nil || len(s.tenants) < 2 {
+// exceeded reports whether the organisation has used clearly more than its fair share of
+// what all organisations have used lately.
+func (s *organisationShares) exceeded(organisation string, now time.Time) bool {
+	own := s.organisations[organisation]
+	if organisation == "" || own == nil || len(s.organisations) < 2 {
 		return false
 	}
 	var used, weights float64
-	for name, t := range s.tenants {
+	for name, t := range s.organisations {
 		u := t.usedAt(now)
-		if u < float64(minTenantUse) {
-			delete(s.tenants, name)
+		if u < float64(minOrganisationUse) {
+			delete(s.organisations, name)
 			continue
 		}
 		used += u
--- a/admit/fair_test.go
+++ b/admit/fair_test.go
@@ -8,18 +8,18 @@
 	"github.com/matryer/is"
 )
 
-// One tenant sends ten times its share, another one its own, at 2.2 times the
-// capacity together. Guards against a tenant that is starved by another, and
+// One organisation sends ten times its share, another one its own, at 2.2 times the
+// capacity together. Guards against an organisation that is starved by another, and
 // against capacity that is withheld from the busy one.
-func TestTenantWithinItsShareIsServed(t *testing.T) {
+func TestOrganisationWithinItsShareIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		busy := newLoadGenerator(10, 100*time.Millisecond, 400*time.Millisecond)
 		small := newLoadGenerator(10, 100*time.Millisecond, 400*time.Millisecond)
 		small.gate = busy.gate
 		const length = 6 * time.Second
-		go busy.startEvery(5*time.Millisecond, length, Work{Tenant: "busy", Weight: 1})
-		small.startEvery(50*time.Millisecond, length, Work{Tenant: "small", Weight: 1})
+		go busy.startEvery(5*time.Millisecond, length, Work{Organisation: "busy", Weight: 1})
+		small.startEvery(50*time.Millisecond, length, Work{Organisation: "small", Weight: 1})
 		time.Sleep(time.Second)
 		inTime, _, _ := countOutcomes(small.waitOutcomes()[0], 400*time.Millisecond)
 		is.True(inTime > 110) // of 120
@@ -28,43 +28,43 @@
 	})
 }
 
-// Guards against a large tenant that counts as over its share, and against a share
-// that stays exceeded when its tenant has become quiet.
+// Guards against a large organisation that counts as over its share, and against a share
+// that stays exceeded when its organisation has become quiet.
 func TestSharesAreByWeightAndFade(t *testing.T) {
 	is := is.New(t)
 	g := New(Options{})
 	now := time.Unix(0, 0)
-	g.tenants.add("busy", 1, 2*time.Second, now)
-	g.tenants.add("small", 1, 400*time.Millisecond, now)
-	g.tenants.add("large", 100, 10*time.Second, now)
-	is.True(g.tenants.exceeded("busy", now))
-	is.True(!g.tenants.exceeded("small", now))
-	is.True(!g.tenants.exceeded("large", now)) // by its weight
-	is.True(!g.tenants.exceeded("", now))
-	is.True(!g.tenants.exceeded("busy", now.Add(time.Hour)))
+	g.organisations.add("busy", 1, 2*time.Second, now)
+	g.organisations.add("small", 1, 400*time.Millisecond, now)
+	g.organisations.add("large", 100, 10*time.Second, now)
+	is.True(g.organisations.exceeded("busy", now))
+	is.True(!g.organisations.exceeded("small", now))
+	is.True(!g.organisations.exceeded("large", now)) // by its weight
+	is.True(!g.organisations.exceeded("", now))
+	is.True(!g.organisations.exceeded("busy", now.Add(time.Hour)))
 }
 
-// Guards against a queue that the calls of one tenant fill, so that those of others
+// Guards against a queue that the calls of one organisation fill, so that those of others
 // are refused or wait behind them, at the same priority.
-func TestTenantOverItsShareGoesBehind(t *testing.T) {
+func TestOrganisationOverItsShareGoesBehind(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		g := New(Options{Slots: 1, QueueLength: 2})
 		now := time.Now()
-		g.tenants.add("busy", 1, 2*time.Second, now)
-		g.tenants.add("small", 1, 10*time.Millisecond, now)
+		g.organisations.add("busy", 1, 2*time.Second, now)
+		g.organisations.add("small", 1, 10*time.Millisecond, now)
 		target := now.Add(time.Second)
 		running, err := g.Admit(t.Context(), Work{TargetTime: target})
 		is.NoErr(err)
 		order := make(chan string, 3)
-		enter := func(tenant string) {
+		enter := func(organisation string) {
 			go func() {
-				ticket, err := g.Admit(t.Context(), Work{TargetTime: target, Tenant: tenant, Weight: 1})
+				ticket, err := g.Admit(t.Context(), Work{TargetTime: target, Organisation: organisation, Weight: 1})
 				if err != nil {
-					order <- tenant + ": " + Cause(err)
+					order <- organisation + ": " + Cause(err)
 					return
 				}
-				order <- tenant
+				order <- organisation
 				ticket.Release()
 			}()
 			synctest.Wait()
--- a/admit/gate.go
+++ b/admit/gate.go
@@ -108,7 +108,7 @@
 	serviceTimes  [numPriorities]ewma // ns, by priority
 	classTimes    classServiceTimes   // service times by class on the machine as usual
 	slowness      slowness            // of the target's machine
-	tenants       tenantShares
+	organisations organisationShares
 	workDone      [numPriorities]ewma    // ns of service time per completed call of any priority, by priority
 	newWork       [numPriorities]newWork // of each priority and the higher ones
 	deadlines     []time.Time            // deadlines of the calls in flight that have one, in no order
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -25,20 +25,20 @@
 
 // waiter is one queued call. The gate's mutex guards all fields but done.
 type waiter struct {
-	priority   int
-	queuedAt   time.Time
-	deadline   time.Time     // zero for none
-	targetTime time.Time     // when its target latency is over; zero for none
-	class      string        // see Work.Class
-	late       bool          // the call is in one of the late queues
-	nested     bool          // see Work.Nested
-	elsewhere  bool          // see Work.Elsewhere
-	tenant     string        // see Work.Tenant
-	weight     float64       // see Work.Weight
-	overShare  bool          // the tenant had used more than its share when the call was queued
-	ticket     *Ticket       // set when the call is admitted
-	err        error         // set when the call is refused
-	done       chan struct{} // closed after ticket or err is set
+	priority     int
+	queuedAt     time.Time
+	deadline     time.Time     // zero for none
+	targetTime   time.Time     // when its target latency is over; zero for none
+	class        string        // see Work.Class
+	late         bool          // the call is in one of the late queues
+	nested       bool          // see Work.Nested
+	elsewhere    bool          // see Work.Elsewhere
+	organisation string        // see Work.Organisation
+	weight       float64       // see Work.Weight
+	overShare    bool          // the organisation had used more than its share when the call was queued
+	ticket       *Ticket       // set when the call is admitted
+	err          error         // set when the call is refused
+	done         chan struct{} // closed after ticket or err is set
 }
 
 // queue holds the waiters of one priority in the order kept by insert.
@@ -105,7 +105,7 @@
 	q.waiters = slices.Insert(q.waiters, i, w)
 }
 
-// before reports whether w must precede o: w is nested and o is not, or the tenant
+// before reports whether w must precede o: w is nested and o is not, or the organisation
 // of o alone has used more than its share, or both have a target latency, and that
 // of w is over earlier.
 func (w *waiter) before(o *waiter) bool {
@@ -137,8 +137,8 @@
 	return false
 }
 
-// displaceOverShare refuses the newest queued call of priority p whose tenant has
-// used more than its share, to make room for a call of another tenant. g.mu must be
+// displaceOverShare refuses the newest queued call of priority p whose organisation has
+// used more than its share, to make room for a call of another organisation. g.mu must be
 // held.
 func (g *Gate) displaceOverShare(p int, call *waiter) bool {
 	n := g.queues[p].len()
@@ -227,7 +227,7 @@
 		if !w.nested {
 			g.countNew(w.priority, false, now)
 		}
-		g.tenants.add(w.tenant, w.weight, w.ticket.expected, now)
+		g.organisations.add(w.organisation, w.weight, w.ticket.expected, now)
 		g.wake(w)
 	}
 }
--- a/admit/target.go
+++ b/admit/target.go
@@ -17,9 +17,9 @@
 	// Late marks a call that is wanted although it is expected to miss its
 	// target latency. It runs only when no call that can meet its own is queued.
 	Late bool
-	// Tenant is the organisation on whose behalf the call is made; empty for none.
-	Tenant string
-	// Weight is the tenant's share of the slots relative to other tenants of the
+	// Organisation is the name of the one on whose behalf the call is made; empty for none.
+	Organisation string
+	// Weight is the organisation's share of the slots relative to other organisations of the
 	// same priority; 0 counts as 1.
 	Weight float64
 	// Nested marks a call that a target makes while it runs another call. Refusing
@@ -76,7 +76,7 @@
 	}
 	if g.inFlight < g.opts.Slots && g.queued == 0 {
 		t := g.admit(p, work.Class, now, deadline)
-		g.tenants.add(work.Tenant, work.Weight, t.expected, now)
+		g.organisations.add(work.Organisation, work.Weight, t.expected, now)
 		if !work.Nested {
 			g.countNew(p, false, now)
 		}
@@ -86,7 +86,7 @@
 	w := &waiter{
 		priority: p, queuedAt: now, targetTime: work.TargetTime, deadline: deadline,
 		class: work.Class, late: work.Late, nested: work.Nested, elsewhere: work.Elsewhere, done: make(chan struct{}),
-		tenant: work.Tenant, weight: work.Weight, overShare: g.tenants.exceeded(work.Tenant, now)}
+		organisation: work.Organisation, weight: work.Weight, overShare: g.organisations.exceeded(work.Organisation, now)}
 	if !g.makeRoom(p, w) {
 		g.mu.Unlock()
 		return nil, errQueueFull
@@ -193,7 +193,7 @@
 	}
 	serviceTime := g.classTime(work.Class, now)
 	ahead := g.queuedAhead(p, &waiter{targetTime: work.TargetTime, nested: work.Nested,
-		overShare: g.tenants.exceeded(work.Tenant, now)})
+		overShare: g.organisations.exceeded(work.Organisation, now)})
 	wait := g.waitBehind(ahead, p, now)
 	if deadline, ok := ctx.Deadline(); ok && lateness.Probability(wait+serviceTime, deadline.Sub(now)) > maxMissProbability {
 		return errDeadline
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -22,8 +22,8 @@
 	service = "floor"
 
 	// The organisation of all callers and its API key.
-	tenant    = "guild"
-	tenantKey = "soak-key-1"
+	organisation    = "guild"
+	organisationKey = "soak-key-1"
 
 	// memoryMB is the memory of each instance's machine in MiB.
 	memoryMB = 200
@@ -208,7 +208,7 @@
 	defer s.mu.Unlock()
 	s.version++
 	s.prefixes = append(s.prefixes, versionPath(s.version))
-	config := standin.WithTenant(standin.ConfigWith(s.version, host, service, s.prefixes), tenant, tenantKey, 0)
+	config := standin.WithOrganisation(standin.ConfigWith(s.version, host, service, s.prefixes), organisation, organisationKey, 0)
 	_, err := s.store.mem.Put(ctx, standin.ConfigKey, config, 0)
 	if err != nil {
 		return errdefs.Internal.Wrap(err, "configuration")
--- a/bench/soak/target.go
+++ b/bench/soak/target.go
@@ -135,8 +135,8 @@
 		a.mismatch = fmt.Sprintf("%s %s became %s %s", sent.method, sent.path, r.Method, r.URL.RequestURI())
 	case callerInfo.Caller != service:
 		a.mismatch = fmt.Sprintf("the caller became %q", callerInfo.Caller)
-	case callerInfo.Tenant != tenant || callerInfo.Key != "":
-		a.mismatch = fmt.Sprintf("the tenant became %q, with key %q", callerInfo.Tenant, callerInfo.Key)
+	case callerInfo.Organisation != organisation || callerInfo.Key != "":
+		a.mismatch = fmt.Sprintf("the organisation became %q, with key %q", callerInfo.Organisation, callerInfo.Key)
 	}
 	a.misdirected = callerInfo.Expected != "" && callerInfo.Expected != t.id
 	t.history.addArrival(a)
--- a/bench/soak/unfinished.go
+++ b/bench/soak/unfinished.go
@@ -58,7 +58,7 @@
 func unfinishedRequest(n int) []byte {
 	h := make(http.Header)
 	standin.SetAttemptHeaders(h, fmt.Sprintf("%s%d-%d", unfinishedPrefix, time.Now().UnixNano(), n), bidTimeout)
-	standin.SetKey(h, tenantKey)
+	standin.SetKey(h, organisationKey)
 	body := bytes.Repeat([]byte("x"), unfinishedBytes-1)
 	if n%2 == 0 {
 		h.Set("Content-Length", strconv.Itoa(unfinishedBytes))
--- a/cli/where.go
+++ b/cli/where.go
@@ -18,17 +18,17 @@
 	return "tell where a call would go now, and why, without sending it"
 }
 func (*whereCommand) usage() string {
-	return `[-method METHOD] [-host HOST] [-tenant NAME] PATH
+	return `[-method METHOD] [-host HOST] [-organisation NAME] PATH
 
 Asks the node, as one of the caller's side, for the route, the weighted part, the
 candidates with their figures and the age of these, the choice and the reason, or
-the refusal with the advised delay; with -tenant also the tenant's quota here. It sends nothing and changes nothing.`
+the refusal with the advised delay; with -organisation also the organisation's quota here. It sends nothing and changes nothing.`
 }
 
 func (c *whereCommand) flags(f *flag.FlagSet) {
 	f.StringVar(&c.query.Method, "method", "GET", "method of the call")
 	f.StringVar(&c.query.Host, "host", "", "host of the call")
-	f.StringVar(&c.query.Tenant, "tenant", "", "name of the tenant on whose behalf the call is made; none if empty")
+	f.StringVar(&c.query.Organisation, "organisation", "", "name of the organisation on whose behalf the call is made; none if empty")
 }
 
 func (c *whereCommand) run(ctx context.Context, e *env, args []string) error {
@@ -81,7 +81,7 @@
 	case !q.PoolInContact:
 		return "no pool answers"
 	case q.Scarce:
-		return "the tenant asks for more than its quota"
+		return "the organisation asks for more than its quota"
 	}
 	return "credit is not scarce"
 }
--- a/node/node.go
+++ b/node/node.go
@@ -13,12 +13,12 @@
 
 	"siskingw/kernel"
 	"siskingw/member"
+	"siskingw/organisation"
 	"siskingw/peer"
 	"siskingw/proxy"
 	"siskingw/settings"
 	"siskingw/snapshot"
 	"siskingw/telemetry"
-	"siskingw/tenant"
 )
 
 // stopMargin is the time that a graceful stop may take beyond the drain
@@ -35,15 +35,15 @@
 	dir          *member.Directory
 	kernel       *kernel.Kernel
 
-	clients     *clientLimits
-	callMetrics *proxy.Metrics
-	decisionLog *proxy.DecisionLog
-	stateLog    *stateLog
-	target      *targetService  // on the platform only
-	rollouts    *rolloutService // nil without roll-outs
-	tenants     tenant.Cache    // shared: building a set reads all objects
-	outbound    *proxy.Outbound
-	inbound     *proxy.Inbound
+	clients       *clientLimits
+	callMetrics   *proxy.Metrics
+	decisionLog   *proxy.DecisionLog
+	stateLog      *stateLog
+	target        *targetService     // on the platform only
+	rollouts      *rolloutService    // nil without roll-outs
+	organisations organisation.Cache // shared: building a set reads all objects
+	outbound      *proxy.Outbound
+	inbound       *proxy.Inbound
 }
 
 // New returns a node that is not yet started.
--- a/node/tenant_test.go
+++ b/node/organisation_test.go
@@ -20,7 +20,7 @@
 	const key = "k3y-of-ann"
 	is := is.New(t)
 	s := newTestPlatform(t)
-	config := standin.ConfigWithTenant(1, testHost, testService, "ann", key)
+	config := standin.ConfigWithOrganisation(1, testHost, testService, "ann", key)
 	_, err := s.mem.Put(t.Context(), standin.ConfigKey, config, 0)
 	is.NoErr(err)
 	first, second := s.start(1), s.start(2)
@@ -32,7 +32,7 @@
 	is.Equal(second.callAs(key+"x", "/lots/1", "c"), http.StatusUnauthorized)
 	seen := fmt.Sprint(first.log.String(), second.log.String(),
 		first.admin("/v1/objects"), first.admin("/metrics"), first.admin("/v1/status"))
-	is.True(strings.Contains(seen, `"Tenant"`) && strings.Contains(seen, "unknown_key"))
+	is.True(strings.Contains(seen, `"Organisation"`) && strings.Contains(seen, "unknown_key"))
 	is.True(!strings.Contains(seen, key))
 }
 
@@ -70,13 +70,13 @@
 	return string(b)
 }
 
-// Guards against tenants that get more than their quota through two nodes together, or
+// Guards against organisations that get more than their quota through two nodes together, or
 // much less, and against refusals without a time to come back.
 func TestNodesKeepQuota(t *testing.T) {
 	const key = "k3y-of-ann"
 	is := is.New(t)
 	s := newTestPlatform(t)
-	config := standin.WithTenant(standin.Config(1, testHost, testService), "ann", key, 20)
+	config := standin.WithOrganisation(standin.Config(1, testHost, testService), "ann", key, 20)
 	_, err := s.mem.Put(t.Context(), standin.ConfigKey, config, 0)
 	is.NoErr(err)
 	nodes := []*instance{s.start(1), s.start(2)}
@@ -103,5 +103,5 @@
 	is.True(allowed <= 130) // in 5 s, with the default tolerance
 	is.True(refused > 100)
 	log := nodes[1].log.String()
-	is.True(strings.Contains(log, `"cause":"quota"`) && strings.Contains(log, `"tenant":"ann"`))
+	is.True(strings.Contains(log, `"cause":"quota"`) && strings.Contains(log, `"organisation":"ann"`))
 }
--- a/node/quota.go
+++ b/node/quota.go
@@ -9,7 +9,7 @@
 	"siskingw/settings"
 )
 
-// quotaService keeps the quotas of tenants.
+// quotaService keeps the quotas of organisations.
 type quotaService struct {
 	node    *Node
 	service *quota.Service
@@ -24,7 +24,7 @@
 		return err
 	}
 	s.service = quota.NewService(quota.Options{
-		Connect: peers.pool.Conn, View: s.node.dir, Current: s.node.current, Tenants: &s.node.tenants,
+		Connect: peers.pool.Conn, View: s.node.dir, Current: s.node.current, Organisations: &s.node.organisations,
 		Bounds: quotaBounds(s.node.settings.Platform), Metrics: s.node.metrics,
 	})
 	s.service.Register(peers.server)
--- a/object/codec.go
+++ b/object/codec.go
@@ -43,8 +43,8 @@
 		return o.Policy
 	case o.Kind == KindListener && o.Listener != nil:
 		return o.Listener
-	case o.Kind == KindTenant && o.Tenant != nil:
-		return o.Tenant
+	case o.Kind == KindOrganisation && o.Organisation != nil:
+		return o.Organisation
 	}
 	return nil
 }
@@ -63,8 +63,8 @@
 		o.Policy = new(PolicySpec)
 	case KindListener:
 		o.Listener = new(ListenerSpec)
-	case KindTenant:
-		o.Tenant = new(TenantSpec)
+	case KindOrganisation:
+		o.Organisation = new(OrganisationSpec)
 	}
 	return o.Spec()
 }
@@ -103,8 +103,8 @@
 		next.Policy, err = decodeAs[PolicySpec](b, &next)
 	case KindListener:
 		next.Listener, err = decodeAs[ListenerSpec](b, &next)
-	case KindTenant:
-		next.Tenant, err = decodeAs[TenantSpec](b, &next)
+	case KindOrganisation:
+		next.Organisation, err = decodeAs[OrganisationSpec](b, &next)
 	default:
 		return errdefs.Invalid.New("object has no known kind")
 	}
--- a/object/decode.go
+++ b/object/decode.go
@@ -82,7 +82,7 @@
 	spec := o.newSpec()
 	switch {
 	case spec == nil:
-		d.report(label, "kind", "%q is not a kind; want Service, Route, EndpointSet, Policy, Listener or Tenant", o.Kind)
+		d.report(label, "kind", "%q is not a kind; want Service, Route, EndpointSet, Policy, Listener or Organisation", o.Kind)
 	case len(raw.Spec) == 0 || string(raw.Spec) == "null":
 		d.report(label, "spec", "missing")
 	default:
--- a/object/object.go
+++ b/object/object.go
@@ -11,16 +11,16 @@
 
 // The kinds of objects.
 const (
-	KindService     Kind = "Service"
-	KindRoute       Kind = "Route"
-	KindEndpointSet Kind = "EndpointSet"
-	KindPolicy      Kind = "Policy"
-	KindListener    Kind = "Listener"
-	KindTenant      Kind = "Tenant"
+	KindService      Kind = "Service"
+	KindRoute        Kind = "Route"
+	KindEndpointSet  Kind = "EndpointSet"
+	KindPolicy       Kind = "Policy"
+	KindListener     Kind = "Listener"
+	KindOrganisation Kind = "Organisation"
 )
 
 // Kinds lists every kind in alphabetical order.
-var Kinds = []Kind{KindEndpointSet, KindListener, KindPolicy, KindRoute, KindService, KindTenant}
+var Kinds = []Kind{KindEndpointSet, KindListener, KindPolicy, KindRoute, KindService, KindOrganisation}
 
 // Key identifies an object in a set.
 type Key struct {
@@ -48,12 +48,12 @@
 	Revision uint64 // configuration version that last changed the object
 	Author   string // operator who last changed the object
 
-	Service     *ServiceSpec
-	Route       *RouteSpec
-	EndpointSet *EndpointSetSpec
-	Policy      *PolicySpec
-	Listener    *ListenerSpec
-	Tenant      *TenantSpec
+	Service      *ServiceSpec
+	Route        *RouteSpec
+	EndpointSet  *EndpointSetSpec
+	Policy       *PolicySpec
+	Listener     *ListenerSpec
+	Organisation *OrganisationSpec
 }
 
 // Key returns the identity of the object.
@@ -89,7 +89,7 @@
 	Policy     string            `json:"policy,omitempty"`
 	Kind       WorkKind          `json:"kind,omitempty"`       // default page
 	Fallback   string            `json:"fallback,omitempty"`   // route used when the service has no reachable endpoint
-	RequireKey bool              `json:"requireKey,omitempty"` // calls need the key of a Tenant
+	RequireKey bool              `json:"requireKey,omitempty"` // calls need the key of an Organisation
 }
 
 // WeightedService is a service that receives a share of a route's calls.
--- a/object/tenant.go
+++ b/object/organisation.go
@@ -7,11 +7,11 @@
 	"strings"
 )
 
-// TenantSpec describes an organisation on whose behalf callers make calls. Only
+// OrganisationSpec describes an organisation on whose behalf callers make calls. Only
 // digests of its API keys are configured, so that no copy of a configuration
 // gives anyone access.
-type TenantSpec struct {
-	KeyDigests []string `json:"keyDigests,omitempty"` // see KeyDigest; without any, all calls of the tenant are refused
+type OrganisationSpec struct {
+	KeyDigests []string `json:"keyDigests,omitempty"` // see KeyDigest; without any, all calls of the organisation are refused
 	Priority   *int     `json:"priority,omitempty"`   // replaces that of the routes' policies; 0 is the highest
 	RatePerS   float64  `json:"ratePerS,omitempty"`   // calls per second, across all instances; 0 for no limit
 	Burst      float64  `json:"burst,omitempty"`      // calls beyond the rate that may be made at once; needs RatePerS
@@ -25,13 +25,13 @@
 }
 
 const (
-	maxKeysPerTenant = 1_000
-	maxTenantRate    = 1e9 // calls per second
+	maxKeysPerOrganisation = 1_000
+	maxOrganisationRate    = 1e9 // calls per second
 )
 
-func (v *validator) checkTenant(o *Object, t *TenantSpec) {
-	if len(t.KeyDigests) > maxKeysPerTenant {
-		v.report(o, "spec.keyDigests", "%d keys; at most %d", len(t.KeyDigests), maxKeysPerTenant)
+func (v *validator) checkOrganisation(o *Object, t *OrganisationSpec) {
+	if len(t.KeyDigests) > maxKeysPerOrganisation {
+		v.report(o, "spec.keyDigests", "%d keys; at most %d", len(t.KeyDigests), maxKeysPerOrganisation)
 	}
 	for i, d := range t.KeyDigests {
 		if b, err := hex.DecodeString(d); err != nil || len(b) != sha256.Size || strings.ToLower(d) != d {
@@ -49,44 +49,44 @@
 	}
 }
 
-// checkRate reports a value that is not within 0..maxTenantRate, or not a number.
+// checkRate reports a value that is not within 0..maxOrganisationRate, or not a number.
 func (v *validator) checkRate(o *Object, field string, value float64) {
-	if !(value >= 0 && value <= maxTenantRate) {
-		v.report(o, field, "%v is not within 0..%v", value, float64(maxTenantRate))
+	if !(value >= 0 && value <= maxOrganisationRate) {
+		v.report(o, field, "%v is not within 0..%v", value, float64(maxOrganisationRate))
 	}
 }
 
 // checkKeys checks keys and routes across the objects: a key belongs to one
-// tenant, a route that needs a key can be called by someone, and no route without
+// organisation, a route that needs a key can be called by someone, and no route without
 // need of a key leads to one that needs it.
 func (v *validator) checkKeys(set []*Object) {
-	owners, tenants := make(map[string]string), 0
+	owners, organisations := make(map[string]string), 0
 	for _, o := range set {
-		if o.Tenant == nil {
+		if o.Organisation == nil {
 			continue
 		}
-		tenants++
-		for i, d := range o.Tenant.KeyDigests {
+		organisations++
+		for i, d := range o.Organisation.KeyDigests {
 			field := fmt.Sprintf("spec.keyDigests[%d]", i)
 			switch owner, taken := owners[d]; {
 			case taken && owner == o.Name:
 				v.report(o, field, "the key is listed twice")
 			case taken:
-				v.report(o, field, "Tenant/%s has the same key", owner)
+				v.report(o, field, "Organisation/%s has the same key", owner)
 			}
 			owners[d] = o.Name
 		}
 	}
 	for _, o := range set {
 		if o.Route != nil {
-			v.checkRouteKey(o, o.Route, tenants)
+			v.checkRouteKey(o, o.Route, organisations)
 		}
 	}
 }
 
-func (v *validator) checkRouteKey(o *Object, r *RouteSpec, tenants int) {
-	if r.RequireKey && tenants == 0 {
-		v.report(o, "spec.requireKey", "no Tenant exists, so that every call would be refused")
+func (v *validator) checkRouteKey(o *Object, r *RouteSpec, organisations int) {
+	if r.RequireKey && organisations == 0 {
+		v.report(o, "spec.requireKey", "no Organisation exists, so that every call would be refused")
 	}
 	fallback := v.byKey[Key{Kind: KindRoute, Name: r.Fallback}]
 	if !r.RequireKey && fallback != nil && fallback.Route != nil && fallback.Route.RequireKey {
--- a/object/validate.go
+++ b/object/validate.go
@@ -77,7 +77,7 @@
 	v.checkLabel(o, "name", o.Name)
 	specs := 0
 	for _, isSet := range []bool{
-		o.Service != nil, o.Route != nil, o.EndpointSet != nil, o.Policy != nil, o.Listener != nil, o.Tenant != nil} {
+		o.Service != nil, o.Route != nil, o.EndpointSet != nil, o.Policy != nil, o.Listener != nil, o.Organisation != nil} {
 		if isSet {
 			specs++
 		}
@@ -98,8 +98,8 @@
 		v.checkPolicy(o, o.Policy)
 	case KindListener:
 		v.checkListener(o, o.Listener)
-	case KindTenant:
-		v.checkTenant(o, o.Tenant)
+	case KindOrganisation:
+		v.checkOrganisation(o, o.Organisation)
 	}
 }
 
--- a/tenant/tenant.go
+++ b/organisation/organisation.go
@@ -1,6 +1,6 @@
-// Package tenant finds the organisation on whose behalf a call is made, by the API
+// Package organisation finds the organisation on whose behalf a call is made, by the API
 // key that the call carries. It holds digests of keys only.
-package tenant
+package organisation
 
 import (
 	"crypto/sha256"
@@ -12,36 +12,36 @@
 	"siskingw/snapshot"
 )
 
-// Tenant is an organisation under one configuration version. It is immutable.
-type Tenant struct {
+// Organisation is what one configuration version states about an organisation. It is immutable.
+type Organisation struct {
 	Name     string
 	Priority *int    // of all its calls; nil leaves that of the route
 	RatePerS float64 // calls per second, across all instances; 0 for no limit
 	Burst    float64 // calls beyond the rate that may be made at once
-	// Weight is the tenant's share of a target relative to other tenants: its rate,
-	// or the highest rate of all tenants if it has no limit.
+	// Weight is the organisation's share of a target relative to other organisations: its rate,
+	// or the highest rate of all organisations if it has no limit.
 	Weight float64
 }
 
-// Limited reports whether the tenant has a quota.
-func (t *Tenant) Limited() bool { return t.RatePerS > 0 }
+// Limited reports whether the organisation has a quota.
+func (t *Organisation) Limited() bool { return t.RatePerS > 0 }
 
-// Set holds the tenants of one configuration version. It is immutable.
+// Set holds the organisations of one configuration version. It is immutable.
 type Set struct {
 	version  uint64
 	limited  bool
-	byName   map[string]*Tenant
-	byDigest map[[sha256.Size]byte]*Tenant
+	byName   map[string]*Organisation
+	byDigest map[[sha256.Size]byte]*Organisation
 }
 
-// NewSet returns the tenants of a snapshot.
+// NewSet returns the organisations of a snapshot.
 func NewSet(s *snapshot.Snapshot) *Set {
-	out := &Set{version: s.Version(), byName: make(map[string]*Tenant), byDigest: make(map[[sha256.Size]byte]*Tenant)}
+	out := &Set{version: s.Version(), byName: make(map[string]*Organisation), byDigest: make(map[[sha256.Size]byte]*Organisation)}
 	highest := 0.0
 	for o := range s.All() {
-		if o.Tenant != nil {
-			out.add(o.Name, o.Tenant)
-			highest = max(highest, o.Tenant.RatePerS)
+		if o.Organisation != nil {
+			out.add(o.Name, o.Organisation)
+			highest = max(highest, o.Organisation.RatePerS)
 		}
 	}
 	for _, t := range out.byName {
@@ -52,8 +52,8 @@
 	return out
 }
 
-func (s *Set) add(name string, spec *object.TenantSpec) {
-	t := &Tenant{Name: name, Priority: spec.Priority, RatePerS: spec.RatePerS, Burst: spec.Burst}
+func (s *Set) add(name string, spec *object.OrganisationSpec) {
+	t := &Organisation{Name: name, Priority: spec.Priority, RatePerS: spec.RatePerS, Burst: spec.Burst}
 	s.byName[name] = t
 	s.limited = s.limited || t.Limited()
 	for _, d := range spec.KeyDigests {
@@ -64,27 +64,27 @@
 	}
 }
 
-// Empty reports whether the version has no tenants.
+// Empty reports whether the version has no organisations.
 func (s *Set) Empty() bool { return len(s.byName) == 0 }
 
-// Limited reports whether a tenant has a quota.
+// Limited reports whether an organisation has a quota.
 func (s *Set) Limited() bool { return s.limited }
 
-// Len returns the number of tenants.
+// Len returns the number of organisations.
 func (s *Set) Len() int { return len(s.byName) }
 
-// Get returns the tenant with the name, or nil.
-func (s *Set) Get(name string) *Tenant { return s.byName[name] }
+// Get returns the organisation with the name, or nil.
+func (s *Set) Get(name string) *Organisation { return s.byName[name] }
 
-// All calls f for each tenant, in no order.
-func (s *Set) All(f func(*Tenant)) {
+// All calls f for each organisation, in no order.
+func (s *Set) All(f func(*Organisation)) {
 	for _, t := range s.byName {
 		f(t)
 	}
 }
 
-// OfKey returns the tenant that holds the key, or nil.
-func (s *Set) OfKey(key string) *Tenant {
+// OfKey returns the organisation that holds the key, or nil.
+func (s *Set) OfKey(key string) *Organisation {
 	if key == "" {
 		return nil
 	}
@@ -98,7 +98,7 @@
 	latest atomic.Pointer[Set]
 }
 
-// Of returns the tenants of a snapshot. The set of the latest version is kept: only
+// Of returns the organisations of a snapshot. The set of the latest version is kept: only
 // calls that began before a change ask for an older one.
 func (c *Cache) Of(s *snapshot.Snapshot) *Set {
 	if set := c.latest.Load(); set != nil && set.version == s.Version() {
--- a/tenant/tenant_test.go
+++ b/organisation/organisation_test.go
@@ -1,4 +1,4 @@
-package tenant
+package organisation
 
 import (
 	"testing"
@@ -9,12 +9,12 @@
 	"siskingw/snapshot"
 )
 
-// set returns the tenants of a version that has the given ones.
-func set(t *testing.T, version uint64, specs map[string]object.TenantSpec) *snapshot.Snapshot {
+// set returns the organisations of a version that has the given ones.
+func set(t *testing.T, version uint64, specs map[string]object.OrganisationSpec) *snapshot.Snapshot {
 	t.Helper()
 	var objects []*object.Object
 	for name, spec := range specs {
-		objects = append(objects, &object.Object{Kind: object.KindTenant, Name: name, Tenant: &spec})
+		objects = append(objects, &object.Object{Kind: object.KindOrganisation, Name: name, Organisation: &spec})
 	}
 	s, err := snapshot.New(version, objects)
 	if err != nil {
@@ -23,13 +23,13 @@
 	return s
 }
 
-// Guards against a key that finds another tenant or none, against one that is
-// accepted after it was taken away, and against tenants without a limit that get
+// Guards against a key that finds another organisation or none, against one that is
+// accepted after it was taken away, and against organisations without a limit that get
 // less than those with one.
-func TestTenantsOfAVersion(t *testing.T) {
+func TestOrganisationsOfAVersion(t *testing.T) {
 	is := is.New(t)
 	var c Cache
-	with := c.Of(set(t, 1, map[string]object.TenantSpec{
+	with := c.Of(set(t, 1, map[string]object.OrganisationSpec{
 		"ann": {KeyDigests: []string{object.KeyDigest("k1"), object.KeyDigest("k2")}, RatePerS: 40},
 		"bob": {KeyDigests: []string{object.KeyDigest("k3")}},
 	}))
@@ -40,7 +40,7 @@
 	is.True(with.Get("ann").Limited() && !with.Get("bob").Limited())
 	is.Equal(with.Get("bob").Weight, 40.0)
 
-	without := c.Of(set(t, 2, map[string]object.TenantSpec{"ann": {KeyDigests: []string{object.KeyDigest("k2")}, RatePerS: 40}}))
+	without := c.Of(set(t, 2, map[string]object.OrganisationSpec{"ann": {KeyDigests: []string{object.KeyDigest("k2")}, RatePerS: 40}}))
 	is.True(without.OfKey("k1") == nil)
 	is.Equal(without.OfKey("k2").Name, "ann")
 	is.True(c.Of(set(t, 3, nil)).Empty())
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -9,26 +9,26 @@
 	"time"
 
 	"siskingw/object"
+	"siskingw/organisation"
 	"siskingw/quota"
-	"siskingw/tenant"
 )
 
 // call is the state of one request in a handler. Calls are pooled: nothing may
 // keep a reference after the handler has returned.
 type call struct {
-	w        http.ResponseWriter
-	r        *http.Request
-	start    time.Time
-	deadline time.Time
-	kind     object.WorkKind
-	key      string // Idempotency-Key, or empty
-	voucher  string
-	first    bool   // first attempt with the key, as stated by the caller; see HeaderFirst
-	id       string // the caller's ID of this attempt; may be empty
-	work     work
-	ask      ask            // identifies a caller's retry of a refused call
-	credit   quota.Credit   // spent for the call
-	tenant   *tenant.Tenant // by the key of the caller; nil for none and on the target's node
+	w            http.ResponseWriter
+	r            *http.Request
+	start        time.Time
+	deadline     time.Time
+	kind         object.WorkKind
+	key          string // Idempotency-Key, or empty
+	voucher      string
+	first        bool   // first attempt with the key, as stated by the caller; see HeaderFirst
+	id           string // the caller's ID of this attempt; may be empty
+	work         work
+	ask          ask                        // identifies a caller's retry of a refused call
+	credit       quota.Credit               // spent for the call
+	organisation *organisation.Organisation // by the key of the caller; nil for none and on the target's node
 
 	body         body
 	maxBodyBytes int64        // bytes; 0 means no limit
@@ -174,8 +174,8 @@
 	c.outHeader[HeaderDeadline] = []string{formatMs(c.timeLeft())}
 	c.outHeader[HeaderKind] = kindValues[c.kind]
 	c.outHeader[HeaderWork] = []string{c.work.format()}
-	if c.work.tenant != "" {
-		c.outHeader[HeaderTenant] = []string{c.work.formatTenant()}
+	if c.work.organisation != "" {
+		c.outHeader[HeaderOrganisation] = []string{c.work.formatOrganisation()}
 	}
 	if c.voucher != "" {
 		c.outHeader[HeaderVoucher] = []string{c.voucher}
--- a/proxy/cause.go
+++ b/proxy/cause.go
@@ -15,8 +15,8 @@
 	causeNoConfig     cause = "no_configuration" // no configuration version has been applied yet
 	causeNoRoute      cause = "no_route"
 	causeMissingKey   cause = "missing_key" // the route needs an API key, and the call has none
-	causeUnknownKey   cause = "unknown_key" // the API key belongs to no tenant
-	causeQuota        cause = "quota"       // the tenant of the call has no credit left
+	causeUnknownKey   cause = "unknown_key" // the API key belongs to no organisation
+	causeQuota        cause = "quota"       // the organisation of the call has no credit left
 	causeNoTime       cause = "no_time"     // less than 1 ms was left when the call arrived
 	causeNoEndpoint   cause = "no_endpoint"
 	causeAllFull      cause = "all_full" // every endpoint would probably refuse the call
--- a/proxy/decisions.go
+++ b/proxy/decisions.go
@@ -73,8 +73,8 @@
 			"call", c.id, "route", c.work.class, "service", c.work.service, "version", version,
 			"ms", time.Since(c.start).Milliseconds(), "tries", c.attempts,
 		}
-		if c.tenant != nil {
-			fields = append(fields, "tenant", c.tenant.Name)
+		if c.organisation != nil {
+			fields = append(fields, "organisation", c.organisation.Name)
 		}
 		if !c.deadline.IsZero() {
 			fields = append(fields, "deadlineLeftMs", c.timeLeft().Milliseconds())
@@ -105,8 +105,8 @@
 			"deadlineLeftMs", c.timeLeft().Milliseconds(),
 			"cause", f.cause, "reason", f.reason, "waitMs", f.retryAfter.Milliseconds(),
 		}
-		if c.work.tenant != "" {
-			fields = append(fields, "tenant", c.work.tenant)
+		if c.work.organisation != "" {
+			fields = append(fields, "organisation", c.work.organisation)
 		}
 		if !c.work.targetTime.IsZero() {
 			fields = append(fields, "targetLeftMs", time.Until(c.work.targetTime).Milliseconds())
--- a/proxy/headerformat.go
+++ b/proxy/headerformat.go
@@ -12,7 +12,7 @@
 	// ReadRequest reads a caller's request headers. It returns an Invalid error
 	// for values that cannot be parsed.
 	ReadRequest(h http.Header) (CallerInfo, error)
-	// TakeKey removes from a caller's request the API key and any tenant that the
+	// TakeKey removes from a caller's request the API key and any organisation that the
 	// caller states, and returns the key; "" for none or more than one. Nothing
 	// else may see the key.
 	TakeKey(h http.Header) (key string)
@@ -39,11 +39,11 @@
 
 // TargetInfo is the call metadata in a request to a target.
 type TargetInfo struct {
-	ID       string        // the caller's ID of this attempt
-	Deadline time.Duration // time left until the call's deadline
-	Instance string        // identity of the target that the call is meant for
-	Caller   string        // name of the calling service
-	Tenant   string        // organisation on whose behalf the call is made; empty for none
+	ID           string        // the caller's ID of this attempt
+	Deadline     time.Duration // time left until the call's deadline
+	Instance     string        // identity of the target that the call is meant for
+	Caller       string        // name of the calling service
+	Organisation string        // organisation on whose behalf the call is made; empty for none
 }
 
 // ResponseInfo is the metadata in a target's response.
@@ -83,8 +83,8 @@
 
 func (nativeFormat) WriteRequest(h http.Header, s TargetInfo) {
 	h[HeaderDeadline] = []string{formatMs(s.Deadline)}
-	if s.Tenant != "" {
-		h[HeaderTenant] = []string{s.Tenant}
+	if s.Organisation != "" {
+		h[HeaderOrganisation] = []string{s.Organisation}
 	}
 }
 
--- a/proxy/inbound.go
+++ b/proxy/inbound.go
@@ -153,7 +153,7 @@
 	c.expectsContinue = len(c.r.Header[HeaderExpect]) > 0
 	in.opts.EvenLoad.receive(c)
 	c.work = parseWork(c.r.Header.Get(HeaderWork), c.start, c.kind)
-	c.work.parseTenant(c.r.Header.Get(HeaderTenant))
+	c.work.parseOrganisation(c.r.Header.Get(HeaderOrganisation))
 	return c.correctKeyedRefusal(in.validateAndForward(c))
 }
 
@@ -203,7 +203,7 @@
 // admissionWork returns the description of the call for admission control.
 func (c *call) admissionWork() admit.Work {
 	return admit.Work{Class: c.work.class, Priority: c.work.priority, TargetTime: c.work.targetTime, Late: c.work.allowLate,
-		Tenant: c.work.tenant, Weight: c.work.weight, Nested: c.work.nested, Elsewhere: c.work.elsewhere}
+		Organisation: c.work.organisation, Weight: c.work.weight, Nested: c.work.nested, Elsewhere: c.work.elsewhere}
 }
 
 // makesCall reports whether the target of this instance makes the call while it
@@ -391,7 +391,7 @@
 func (in *Inbound) sendToTarget(x *exchange, c *call, ctx context.Context, b *Backend) *refusal {
 	c.buildRequest()
 	in.opts.HeaderFormat.WriteRequest(c.outHeader, TargetInfo{ID: c.id, Deadline: c.timeLeft(),
-		Instance: b.Instance, Caller: c.work.caller, Tenant: c.work.tenant})
+		Instance: b.Instance, Caller: c.work.caller, Organisation: c.work.organisation})
 	x.awaitContinue, x.closeDelimited = c.expectsContinue && c.body.streamed, in.opts.CloseDelimited
 	var info ResponseInfo
 	x.classify = func(resp *http.Response) responseClass {
--- a/proxy/tenant_test.go
+++ b/proxy/organisation_test.go
@@ -16,22 +16,22 @@
 	"github.com/matryer/is"
 
 	"siskingw/object"
+	"siskingw/organisation"
 	"siskingw/quota"
 	"siskingw/snapshot"
-	"siskingw/tenant"
 )
 
 const testKey = "k3y-of-ann"
 
-// tenantRig is a rig whose nodes and target record everything that they get or log.
-type tenantRig struct {
+// organisationRig is a rig whose nodes and target record everything that they get or log.
+type organisationRig struct {
 	*rig
 	mu       sync.Mutex
 	recorded bytes.Buffer
 	target   http.Header // of the last request at the target
 }
 
-func (r *tenantRig) record(v any) {
+func (r *organisationRig) record(v any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	fmt.Fprintln(&r.recorded, v)
@@ -40,7 +40,7 @@
 // recordingFormat records the headers that the target's node gets.
 type recordingFormat struct {
 	nativeFormat
-	rig *tenantRig
+	rig *organisationRig
 }
 
 func (f recordingFormat) ReadRequest(h http.Header) (CallerInfo, error) {
@@ -48,8 +48,8 @@
 	return f.nativeFormat.ReadRequest(h)
 }
 
-func newTenantRig(t *testing.T) *tenantRig {
-	r := &tenantRig{}
+func newOrganisationRig(t *testing.T) *organisationRig {
+	r := &organisationRig{}
 	rt := newRawTarget(t, func(nc net.Conn, req *http.Request, _ int32) bool {
 		r.record(req.Header)
 		r.mu.Lock()
@@ -65,11 +65,11 @@
 	return r
 }
 
-// advance puts in force a version in which tenant ann has the keys.
-func (r *tenantRig) advance(t *testing.T, version uint64, keys ...string) {
+// advance puts in force a version in which organisation ann has the keys.
+func (r *organisationRig) advance(t *testing.T, version uint64, keys ...string) {
 	t.Helper()
 	priority := 0
-	spec := &object.TenantSpec{Priority: &priority, RatePerS: 250}
+	spec := &object.OrganisationSpec{Priority: &priority, RatePerS: 250}
 	for _, k := range keys {
 		spec.KeyDigests = append(spec.KeyDigests, object.KeyDigest(k))
 	}
@@ -80,7 +80,7 @@
 		{Kind: object.KindPolicy, Name: "p", Policy: &object.PolicySpec{Priority: &lowest}},
 		{Kind: object.KindRoute, Name: "all", Route: &object.RouteSpec{PathPrefix: "/", Service: "floor", RequireKey: true, Policy: "p"}},
 		{Kind: object.KindRoute, Name: "open", Route: &object.RouteSpec{PathPrefix: "/open", Service: "floor"}},
-		{Kind: object.KindTenant, Name: "ann", Tenant: spec},
+		{Kind: object.KindOrganisation, Name: "ann", Organisation: spec},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -90,40 +90,40 @@
 	}
 }
 
-// Guards against calls that run without a valid key or under a tenant that the
+// Guards against calls that run without a valid key or under an organisation that the
 // caller chose, against a key that is taken away and still works on an open
 // connection, and against a key that reaches a node, a target or the log.
-func TestCallsCarryTheirTenant(t *testing.T) {
+func TestCallsCarryTheirOrganisation(t *testing.T) {
 	is := is.New(t)
-	r := newTenantRig(t)
+	r := newOrganisationRig(t)
 	status := func(path string, headers ...string) int {
 		resp, body := r.do(t, "POST", path, "bid", headers...)
 		is.True(!strings.Contains(body+fmt.Sprint(resp.Header), testKey))
 		return resp.StatusCode
 	}
-	is.Equal(status("/bids", HeaderTenant, "forged;9"), 200) // no tenants, no keys
-	is.Equal(r.target.Get(HeaderTenant), "")
+	is.Equal(status("/bids", HeaderOrganisation, "forged;9"), 200) // no organisations, no keys
+	is.Equal(r.target.Get(HeaderOrganisation), "")
 
 	r.advance(t, 2, testKey)
-	is.Equal(status("/bids", HeaderTenantKey, testKey, HeaderTenant, "forged;9", "Connection", "Tenant"), 200)
-	is.Equal(r.target.Get(HeaderTenant), "ann")
+	is.Equal(status("/bids", HeaderOrganisationKey, testKey, HeaderOrganisation, "forged;9", "Connection", "Organisation"), 200)
+	is.Equal(r.target.Get(HeaderOrganisation), "ann")
 	is.Equal(status("/bids"), 401)
 	resp, _ := r.do(t, "POST", "/bids", "bid")
 	is.True(resp.Close) // the server does not read the body and closes the connection
-	is.Equal(status("/bids", HeaderTenantKey, testKey+"x"), 401)
-	is.Equal(status("/open", HeaderTenant, "forged"), 200)
-	is.Equal(r.target.Get(HeaderTenant), "")
-	is.Equal(status("/open", HeaderTenantKey, testKey+"x"), 200)
+	is.Equal(status("/bids", HeaderOrganisationKey, testKey+"x"), 401)
+	is.Equal(status("/open", HeaderOrganisation, "forged"), 200)
+	is.Equal(r.target.Get(HeaderOrganisation), "")
+	is.Equal(status("/open", HeaderOrganisationKey, testKey+"x"), 200)
 
 	r.advance(t, 3, "other")
-	is.Equal(status("/bids", HeaderTenantKey, testKey), 401) // on the connection of the earlier calls
-	is.Equal(status("/bids", HeaderTenantKey, "other"), 200)
+	is.Equal(status("/bids", HeaderOrganisationKey, testKey), 401) // on the connection of the earlier calls
+	is.Equal(status("/bids", HeaderOrganisationKey, "other"), 200)
 	r.advance(t, 4)
-	is.Equal(status("/bids", HeaderTenantKey, "other"), 401) // the tenant has no key left
+	is.Equal(status("/bids", HeaderOrganisationKey, "other"), 401) // the organisation has no key left
 	r.advance(t, 5, testKey)
-	is.Equal(status("/bids", HeaderTenantKey, testKey), 200)
+	is.Equal(status("/bids", HeaderOrganisationKey, testKey), 200)
 	r.gates[0].Drain()
-	is.Equal(status("/bids", HeaderTenantKey, testKey), 503) // refused calls are logged
+	is.Equal(status("/bids", HeaderOrganisationKey, testKey), 503) // refused calls are logged
 
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -136,55 +136,57 @@
 // is unknown.
 func TestUnconfiguredNodeDoesNotJudgeKeys(t *testing.T) {
 	is := is.New(t)
-	r := newTenantRig(t)
+	r := newOrganisationRig(t)
 	r.out.opts.Current = new(snapshot.Current)
-	resp, _ := r.do(t, "POST", "/bids", "bid", HeaderTenantKey, testKey)
+	resp, _ := r.do(t, "POST", "/bids", "bid", HeaderOrganisationKey, testKey)
 	is.Equal(resp.StatusCode, 503)
 }
 
-// Guards against a tenant whose calls are queued with the priority of the route or
-// with the weight of another tenant at the target's node.
-func TestTenantReachesTheGate(t *testing.T) {
+// Guards against an organisation whose calls are queued with the priority of the route or
+// with the weight of another organisation at the target's node.
+func TestOrganisationReachesTheGate(t *testing.T) {
 	is := is.New(t)
 	w := work{priority: 7}
-	w.parseTenant("ann;250")
-	is.Equal(w.tenant, "ann")
+	w.parseOrganisation("ann;250")
+	is.Equal(w.organisation, "ann")
 	is.Equal(w.weight, 250.0)
 	for _, v := range []string{"", "ann", "ann;", "ann;-1", "ann;NaN", "ann;+Inf"} {
 		w := work{}
-		w.parseTenant(v)
+		w.parseOrganisation(v)
 		is.Equal(w.weight, 0.0)
 	}
-	r := newTenantRig(t)
+	r := newOrganisationRig(t)
 	r.advance(t, 2, testKey)
-	set := r.out.opts.Tenants.Of(r.out.opts.Current.Load())
-	w.setTenant(set.OfKey(testKey))
+	set := r.out.opts.Organisations.Of(r.out.opts.Current.Load())
+	w.setOrganisation(set.OfKey(testKey))
 	is.Equal(w.priority, 0)
 }
 
 // ledgerQuota is a Quota without pools.
 type ledgerQuota struct{ *quota.Ledger }
 
-func (q ledgerQuota) Acquire(_ context.Context, t *tenant.Tenant, late bool) quota.Decision {
+func (q ledgerQuota) Acquire(_ context.Context, t *organisation.Organisation, late bool) quota.Decision {
 	if late {
 		return q.TakeLate(t, false, time.Now())
 	}
 	return q.Take(t, true, false, time.Now())
 }
-func (q ledgerQuota) Return(c quota.Credit)             { q.Ledger.Return(c, time.Now()) }
-func (q ledgerQuota) Peek(t *tenant.Tenant) quota.State { return q.Ledger.Peek(t, time.Now()) }
+func (q ledgerQuota) Return(c quota.Credit) { q.Ledger.Return(c, time.Now()) }
+func (q ledgerQuota) Peek(t *organisation.Organisation) quota.State {
+	return q.Ledger.Peek(t, time.Now())
+}
 
-// Guards against an explanation that spends credit of the tenant, or that differs from
+// Guards against an explanation that spends credit of the organisation, or that differs from
 // what the next call gets.
 func TestWhereShowsTheQuota(t *testing.T) {
 	is := is.New(t)
-	r := newTenantRig(t)
+	r := newOrganisationRig(t)
 	r.advance(t, 2, testKey)
-	ann := r.out.opts.Tenants.Of(r.out.opts.Current.Load()).Get("ann")
+	ann := r.out.opts.Organisations.Of(r.out.opts.Current.Load()).Get("ann")
 	l := quota.NewLedger("a", 1, quota.DefaultBounds, time.Now().Add(-time.Hour), func() float64 { return 0.5 })
 	r.out.opts.Quota = ledgerQuota{l}
 	where := func() Placement {
-		p, err := r.out.Where(WhereQuery{Path: "/bids", Tenant: "ann"})
+		p, err := r.out.Where(WhereQuery{Path: "/bids", Organisation: "ann"})
 		is.NoErr(err)
 		return p
 	}
@@ -193,11 +195,11 @@
 	is.Equal(p.Status, http.StatusTooManyRequests)
 	is.Equal(p.Reason, quota.CauseNoContact)
 	is.True(p.RetryAfterMin > 0)
-	resp, _ := r.do(t, "POST", "/bids", "bid", HeaderTenantKey, testKey)
+	resp, _ := r.do(t, "POST", "/bids", "bid", HeaderOrganisationKey, testKey)
 	is.Equal(resp.StatusCode, http.StatusTooManyRequests)
 
 	start := time.Now()
-	grant := quota.Answer{Stamp: quota.Stamp{Pool: "a", Incarnation: 1}, Grants: []quota.Grant{{Tenant: "ann", Tokens: 1, Life: time.Second}}}
+	grant := quota.Answer{Stamp: quota.Stamp{Pool: "a", Incarnation: 1}, Grants: []quota.Grant{{Organisation: "ann", Tokens: 1, Life: time.Second}}}
 	l.Apply(quota.Ask{}, grant, start, start)
 	for range 10 {
 		p = where()
@@ -208,7 +210,7 @@
 		is.Equal(p.Status, 0)
 		is.Equal(l.Take(ann, true, false, start).Verdict, quota.Allowed)
 	}
-	p, err := r.out.Where(WhereQuery{Path: "/bids", Tenant: "nobody"})
+	p, err := r.out.Where(WhereQuery{Path: "/bids", Organisation: "nobody"})
 	is.NoErr(err)
 	is.Equal(p.Quota, nil)
 }
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -11,9 +11,9 @@
 	"siskingw/balance"
 	"siskingw/member"
 	"siskingw/object"
+	"siskingw/organisation"
 	"siskingw/rollout"
 	"siskingw/snapshot"
-	"siskingw/tenant"
 )
 
 // OutboundOptions configures the handler on the caller's node.
@@ -39,9 +39,9 @@
 	RelayNews bool
 	// Rollouts restricts calls to versions of targets that are known to be good;
 	// nil permits every version.
-	Rollouts *rollout.Traffic
-	Quota    Quota         // nil keeps no quotas
-	Tenants  *tenant.Cache // nil for one of its own
+	Rollouts      *rollout.Traffic
+	Quota         Quota               // nil keeps no quotas
+	Organisations *organisation.Cache // nil for one of its own
 }
 
 // Outbound is the HTTP handler that routes the calls of this instance's callers.
@@ -70,8 +70,8 @@
 	if opts.Caller == nil {
 		opts.Caller = func() string { return "" }
 	}
-	if opts.Tenants == nil {
-		opts.Tenants = new(tenant.Cache)
+	if opts.Organisations == nil {
+		opts.Organisations = new(organisation.Cache)
 	}
 	opts.Retries = opts.Retries.withDefaults()
 	return &Outbound{shutdownState: newShutdownState(), opts: opts}
@@ -154,7 +154,7 @@
 	o.limitDeadline(c)
 	c.work = c.newWork(res.Name, res.Policy)
 	c.work.caller = o.opts.Caller()
-	c.work.setTenant(c.tenant)
+	c.work.setOrganisation(c.organisation)
 	c.work.nested = o.opts.Local.makesCall(c, callerInfo)
 	o.recall(c, callerInfo)
 	if f := o.spendQuota(c); f != nil {
--- a/proxy/where.go
+++ b/proxy/where.go
@@ -13,10 +13,10 @@
 
 // WhereQuery describes a call that Where places without sending it.
 type WhereQuery struct {
-	Method string // GET if empty
-	Host   string
-	Path   string
-	Tenant string // name of the tenant on whose behalf the call is made; empty for none
+	Method       string // GET if empty
+	Host         string
+	Path         string
+	Organisation string // name of the organisation on whose behalf the call is made; empty for none
 }
 
 // Placement explains where a call would go now.
@@ -38,7 +38,7 @@
 	RefusedShare float64
 	// RetryAfterMin and RetryAfterMax bound the delay that a refused caller is told.
 	RetryAfterMin, RetryAfterMax time.Duration
-	// Quota is the state of the tenant's quota at this node; nil if the tenant has none.
+	// Quota is the state of the organisation's quota at this node; nil if the organisation has none.
 	Quota *quota.State
 }
 
@@ -90,9 +90,9 @@
 	c.deadline = c.start.Add(p.Timeout)
 	o.limitDeadline(c)
 	c.work = c.newWork(res.Name, res.Policy)
-	c.work.tenant = q.Tenant
-	c.tenant = o.opts.Tenants.Of(snap).Get(q.Tenant)
-	c.work.setTenant(c.tenant)
+	c.work.organisation = q.Organisation
+	c.organisation = o.opts.Organisations.Of(snap).Get(q.Organisation)
+	c.work.setOrganisation(c.organisation)
 	p.Route, p.Service, p.Announce = res.Name, res.ServiceName, res.EndpointSet.Announce
 	p.Priority, p.Repeatable = c.work.priority, c.work.idempotent
 	if !c.work.targetTime.IsZero() {
--- a/proxy/where_test.go
+++ b/proxy/where_test.go
@@ -23,7 +23,7 @@
 	r := newRig(t, &object.PolicySpec{TargetLatencyMs: 500, TimeoutMs: 2000}, target, "127.0.0.1:1")
 	is.Equal(r.out.opts.Balancer.Services(), 0)
 	for range 20 {
-		p, err := r.out.Where(WhereQuery{Path: "/x", Tenant: "t"})
+		p, err := r.out.Where(WhereQuery{Path: "/x", Organisation: "t"})
 		is.NoErr(err)
 		is.Equal(p.Route, "all")
 		is.Equal(len(p.Candidates), 2)
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -12,18 +12,18 @@
 // sends them to the target's node, because the two may have different
 // configuration versions in force.
 type work struct {
-	class      string    // name of the route
-	service    string    // announced name of the called service; empty for any
-	priority   int       // 0 is the highest
-	targetTime time.Time // start of the call plus the target latency; zero if the policy sets none
-	idempotent bool      // the call is idempotent
-	allowLate  bool      // admit the call even if it will probably miss its target latency
-	mayHandOn  bool      // the target's node may hand the call on, see Inbound.handOn
-	caller     string    // name of the calling service
-	tenant     string    // organisation on whose behalf the call is made; empty for none
-	weight     float64   // share of the tenant relative to others, see admit.Work
-	nested     bool      // made by a target while it runs another call
-	elsewhere  bool      // sent to another target if this one refuses it, see admit.Work
+	class        string    // name of the route
+	service      string    // announced name of the called service; empty for any
+	priority     int       // 0 is the highest
+	targetTime   time.Time // start of the call plus the target latency; zero if the policy sets none
+	idempotent   bool      // the call is idempotent
+	allowLate    bool      // admit the call even if it will probably miss its target latency
+	mayHandOn    bool      // the target's node may hand the call on, see Inbound.handOn
+	caller       string    // name of the calling service
+	organisation string    // organisation on whose behalf the call is made; empty for none
+	weight       float64   // share of the organisation relative to others, see admit.Work
+	nested       bool      // made by a target while it runs another call
+	elsewhere    bool      // sent to another target if this one refuses it, see admit.Work
 }
 
 // workFieldCount is the number of fields in a HeaderWork value. The last one may
--- a/quota/account.go
+++ b/quota/account.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// account is the credit of one tenant.
+// account is the credit of one organisation.
 type account struct {
 	lots     []lot // granted credit, by the end of its life
 	own      float64
@@ -16,7 +16,7 @@
 	lateAt   time.Time
 	supply   float64 // granted credit per second, decaying
 	supplyAt time.Time
-	scarceTo time.Time // until then the tenant asks for more than its quota
+	scarceTo time.Time // until then the organisation asks for more than its quota
 	waiting  int       // calls that are Pending
 	nextFree time.Time
 
@@ -25,7 +25,7 @@
 	lender       int       // number of the pool that is asked next
 	exhausted    int       // pools in a row that had too little
 	exhaustedTo  time.Time // until then nothing is borrowed
-	scarceAtHome bool      // the tenant asks for more than the credit of its own region
+	scarceAtHome bool      // the organisation asks for more than the credit of its own region
 }
 
 // lot is credit for whole calls with the same end.
--- a/quota/bench_test.go
+++ b/quota/bench_test.go
@@ -11,35 +11,35 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"siskingw/object"
+	"siskingw/organisation"
 	"siskingw/peer/peerpb"
 	"siskingw/snapshot"
-	"siskingw/tenant"
 )
 
-// benchSet returns a set of 84 tenants with quotas of 5 to 600 calls/s.
-func benchSet(b *testing.B) *tenant.Set {
+// benchSet returns a set of 84 organisations with quotas of 5 to 600 calls/s.
+func benchSet(b *testing.B) *organisation.Set {
 	var objects []*object.Object
 	for i := range 84 {
-		objects = append(objects, &object.Object{Kind: object.KindTenant, Name: fmt.Sprint("t", i),
-			Tenant: &object.TenantSpec{RatePerS: 5 + 595/float64(i+1), Burst: 5}})
+		objects = append(objects, &object.Object{Kind: object.KindOrganisation, Name: fmt.Sprint("t", i),
+			Organisation: &object.OrganisationSpec{RatePerS: 5 + 595/float64(i+1), Burst: 5}})
 	}
 	s, err := snapshot.New(1, objects)
 	if err != nil {
 		b.Fatal(err)
 	}
-	return tenant.NewSet(s)
+	return organisation.NewSet(s)
 }
 
-func benchAsk(i, number, tenants int) Ask {
+func benchAsk(i, number, organisations int) Ask {
 	a := Ask{Node: fmt.Sprint("n", i), Incarnation: 1, Number: uint64(number)}
-	for k := range tenants {
-		a.Wants = append(a.Wants, Want{Tenant: fmt.Sprint("t", (i+k)%84), Tokens: 2, Rate: 5, Waiting: k % 2})
+	for k := range organisations {
+		a.Wants = append(a.Wants, Want{Organisation: fmt.Sprint("t", (i+k)%84), Tokens: 2, Rate: 5, Waiting: k % 2})
 	}
 	return a
 }
 
 // BenchmarkPool measures one question to a pool that this many instances ask, each
-// about 12 tenants: the limit of the instances that one pool can serve.
+// about 12 organisations: the limit of the instances that one pool can serve.
 func BenchmarkPool(b *testing.B) {
 	for _, n := range []int{28, 100, 333, 1000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
@@ -57,7 +57,7 @@
 type echoPool struct {
 	peerpb.UnimplementedQuotaServer
 	pool *Pool
-	set  *tenant.Set
+	set  *organisation.Set
 }
 
 func (e echoPool) Ask(_ context.Context, in *peerpb.QuotaAsk) (*peerpb.QuotaAnswer, error) {
--- a/quota/borrow.go
+++ b/quota/borrow.go
@@ -7,7 +7,7 @@
 
 const (
 	// exhaustedTime is how long the pools of the other regions are not asked for more credit
-	// of a tenant after each of them had too little. Credit that comes into being
+	// of an organisation after each of them had too little. Credit that comes into being
 	// meanwhile is granted to the calls of its own region.
 	exhaustedTime = 300 * time.Millisecond
 	// borrowPart is the part of what an instance wants to hold below which it borrows
@@ -19,15 +19,15 @@
 func (l *Ledger) applyBorrowed(a Ask, r Answer, asked, now time.Time) {
 	granted := make(map[string]Grant, len(r.Grants))
 	for _, g := range r.Grants {
-		granted[g.Tenant] = g
+		granted[g.Organisation] = g
 	}
 	for _, w := range a.Wants {
-		acc := l.accounts[w.Tenant]
+		acc := l.accounts[w.Organisation]
 		if acc == nil {
 			continue
 		}
 		acc.borrowing = max(acc.borrowing-w.Tokens, 0)
-		g := granted[w.Tenant]
+		g := granted[w.Organisation]
 		acc.add(g, asked, now)
 		if float64(g.Tokens) >= math.Floor(w.Tokens) {
 			acc.exhausted, acc.scarceTo = 0, time.Time{}
@@ -49,7 +49,7 @@
 // NewBorrows returns the questions to the pools of other regions, by number below
 // lenders, after the answer to an Ask that was made at the same time as it: for credit
 // that calls wait for and that this pool did not have, or of which it had little.
-// Each tenant's is asked of one pool; the next time of the next, if that had too
+// Each organisation's is asked of one pool; the next time of the next, if that had too
 // little.
 func (l *Ledger) NewBorrows(a Ask, r Answer, lenders int, now time.Time) map[int]Ask {
 	l.mu.Lock()
@@ -59,11 +59,11 @@
 	}
 	granted := make(map[string]int, len(r.Grants))
 	for _, g := range r.Grants {
-		granted[g.Tenant] = g.Tokens
+		granted[g.Organisation] = g.Tokens
 	}
 	out := make(map[int]Ask)
 	for _, w := range a.Wants {
-		acc, got := l.accounts[w.Tenant], float64(granted[w.Tenant])
+		acc, got := l.accounts[w.Organisation], float64(granted[w.Organisation])
 		if acc == nil || now.Before(acc.exhaustedTo) {
 			continue
 		}
@@ -77,7 +77,7 @@
 		acc.borrowing += missing
 		q := out[acc.lender%lenders]
 		q.Node, q.Incarnation, q.Borrow = l.node, l.incarnation, true
-		q.Wants = append(q.Wants, Want{Tenant: w.Tenant, Tokens: missing, Waiting: min(w.Waiting, int(missing))})
+		q.Wants = append(q.Wants, Want{Organisation: w.Organisation, Tokens: missing, Waiting: min(w.Waiting, int(missing))})
 		out[acc.lender%lenders] = q
 	}
 	return out
--- a/quota/codec.go
+++ b/quota/codec.go
@@ -7,7 +7,7 @@
 	"siskingw/peer/peerpb"
 )
 
-// maxWants bounds the tenants of one message, about 60 KB.
+// maxWants bounds the organisations of one message, about 60 KB.
 const maxWants = 2_000
 
 const centi = 100 // hundredths in a call
@@ -19,7 +19,7 @@
 	p := &peerpb.QuotaAsk{Node: a.Node, Incarnation: a.Incarnation, Number: a.Number, Pledge: a.Pledge, Borrow: a.Borrow,
 		EchoIncarnation: a.Echo.Incarnation, EchoUs: uint64(a.Echo.At.Microseconds())}
 	for _, w := range a.Wants[:min(len(a.Wants), maxWants)] {
-		p.Wants = append(p.Wants, &peerpb.QuotaWant{Tenant: w.Tenant, Centicalls: toCenti(w.Tokens),
+		p.Wants = append(p.Wants, &peerpb.QuotaWant{Organisation: w.Organisation, Centicalls: toCenti(w.Tokens),
 			CenticallsPerS: toCenti(w.Rate), Waiting: uint32(w.Waiting)})
 	}
 	return p
@@ -34,7 +34,7 @@
 		a.Echo = Stamp{Pool: pool, Incarnation: p.EchoIncarnation, At: time.Duration(min(p.EchoUs, maxEchoUs)) * time.Microsecond}
 	}
 	for _, w := range p.Wants[:min(len(p.Wants), maxWants)] {
-		a.Wants = append(a.Wants, Want{Tenant: w.Tenant, Tokens: float64(w.Centicalls) / centi,
+		a.Wants = append(a.Wants, Want{Organisation: w.Organisation, Tokens: float64(w.Centicalls) / centi,
 			Rate: float64(w.CenticallsPerS) / centi, Waiting: int(min(w.Waiting, math.MaxInt32))})
 	}
 	return a
@@ -43,7 +43,7 @@
 func (r Answer) toProto() *peerpb.QuotaAnswer {
 	p := &peerpb.QuotaAnswer{Incarnation: r.Stamp.Incarnation, AtUs: uint64(r.Stamp.At.Microseconds()), Closed: r.Closed}
 	for _, g := range r.Grants {
-		p.Grants = append(p.Grants, &peerpb.QuotaGrant{Tenant: g.Tenant, Calls: uint32(g.Tokens),
+		p.Grants = append(p.Grants, &peerpb.QuotaGrant{Organisation: g.Organisation, Calls: uint32(g.Tokens),
 			LifeMs: uint32(g.Life.Milliseconds()), Scarce: g.Scarce})
 	}
 	return p
@@ -54,7 +54,7 @@
 func answerFromProto(p *peerpb.QuotaAnswer, pool string) Answer {
 	r := Answer{Stamp: Stamp{Pool: pool, Incarnation: p.Incarnation, At: time.Duration(p.AtUs) * time.Microsecond}, Closed: p.Closed}
 	for _, g := range p.Grants {
-		r.Grants = append(r.Grants, Grant{Tenant: g.Tenant, Tokens: int(min(g.Calls, math.MaxInt32)),
+		r.Grants = append(r.Grants, Grant{Organisation: g.Organisation, Tokens: int(min(g.Calls, math.MaxInt32)),
 			Life: time.Duration(g.LifeMs) * time.Millisecond, Scarce: g.Scarce})
 	}
 	return r
--- a/quota/ledger.go
+++ b/quota/ledger.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"siskingw/tenant"
+	"siskingw/organisation"
 )
 
 const (
@@ -13,7 +13,7 @@
 	demandTime = time.Second
 	// minWant is the smallest want, in calls, that is worth a message.
 	minWant = 0.5
-	// activeTime is how long after its last call a tenant still counts as active.
+	// activeTime is how long after its last call an organisation still counts as active.
 	activeTime = 5 * time.Second
 	// contactTime is the age up to which an answer of a pool shows contact to it.
 	contactTime = time.Second
@@ -57,8 +57,8 @@
 // Credit is what one call has spent; it can be returned if the call has not run.
 // The zero value is no credit.
 type Credit struct {
-	tenant string
-	until  time.Time
+	organisation string
+	until        time.Time
 }
 
 // Ledger holds the credit of one instance. Its methods are safe for concurrent use.
@@ -109,34 +109,34 @@
 
 // Causes of refusals.
 const (
-	CauseOver      = "over the quota"         // the tenant asks for more than its quota
+	CauseOver      = "over the quota"         // the organisation asks for more than its quota
 	CauseNoCredit  = "no credit here"         // the pool had none for this instance in time
 	CauseNoContact = "no pool can be reached" // and the instance's own credit is used up
 )
 
-// Take decides about one call of a tenant and takes its credit. It is Pending only
+// Take decides about one call of an organisation and takes its credit. It is Pending only
 // if wait is set. first is false for a call that was Pending before; each call that
 // was Pending is decided again.
-func (l *Ledger) Take(t *tenant.Tenant, first, wait bool, now time.Time) Decision {
+func (l *Ledger) Take(t *organisation.Organisation, first, wait bool, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.take(l.accountOf(t.Name, now), t, first, wait, now)
 }
 
-// State is the credit of a tenant at one instance, and the decision that a call
+// State is the credit of an organisation at one instance, and the decision that a call
 // would get now.
 type State struct {
 	Decision
 	Held    int     // credit granted to the instance and still valid, in calls
 	Demand  float64 // calls per second at the instance
 	Supply  float64 // credit granted to the instance per second
-	Scarce  bool    // the last answer of a pool said that the tenant asks for more than its quota
+	Scarce  bool    // the last answer of a pool said that the organisation asks for more than its quota
 	Pool    string  // node whose pool holds the instance's fraction; empty for none
 	Contact bool    // the pool answers
 }
 
-// Peek returns the state of a tenant. It changes nothing.
-func (l *Ledger) Peek(t *tenant.Tenant, now time.Time) State {
+// Peek returns the state of an organisation. It changes nothing.
+func (l *Ledger) Peek(t *organisation.Organisation, now time.Time) State {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := *newAccount(now)
@@ -154,7 +154,7 @@
 }
 
 // take decides about one call and changes nothing but the account.
-func (l *Ledger) take(a *account, t *tenant.Tenant, first, wait bool, now time.Time) Decision {
+func (l *Ledger) take(a *account, t *organisation.Organisation, first, wait bool, now time.Time) Decision {
 	if first {
 		a.demand = decayed(a.demand, now.Sub(a.demandAt)) + 1/demandTime.Seconds()
 		a.demandAt = now
@@ -163,7 +163,7 @@
 	}
 	if until, ok := a.takeLot(now); ok {
 		low := !now.Before(a.scarceTo) && float64(a.held(now)) <= l.bounds.holding(t, a.rate(now))/4
-		return Decision{Credit: Credit{tenant: t.Name, until: until}, Low: low}
+		return Decision{Credit: Credit{organisation: t.Name, until: until}, Low: low}
 	}
 	if l.takeOwn(a, t, now) {
 		return Decision{} // its whole life is over at once: it cannot be returned
@@ -184,17 +184,17 @@
 	return d
 }
 
-// TakeLate is Take for a call that has missed its target latency. While the tenant
+// TakeLate is Take for a call that has missed its target latency. While the organisation
 // asks for more than its quota, such calls get only the credit that those which can
 // be in time leave: the quota allows the same number of calls either way.
-func (l *Ledger) TakeLate(t *tenant.Tenant, wait bool, now time.Time) Decision {
+func (l *Ledger) TakeLate(t *organisation.Organisation, wait bool, now time.Time) Decision {
 	if d, refused := l.refuseLate(t, now); refused {
 		return d
 	}
 	return l.Take(t, true, wait, now)
 }
 
-func (l *Ledger) refuseLate(t *tenant.Tenant, now time.Time) (Decision, bool) {
+func (l *Ledger) refuseLate(t *organisation.Organisation, now time.Time) (Decision, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	a := l.accountOf(t.Name, now)
@@ -214,7 +214,7 @@
 func (l *Ledger) Return(c Credit, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if a := l.accounts[c.tenant]; a != nil && now.Before(c.until) {
+	if a := l.accounts[c.organisation]; a != nil && now.Before(c.until) {
 		a.addLot(lot{tokens: 1, until: c.until})
 	}
 }
@@ -222,7 +222,7 @@
 // NewAsk returns the next question to a pool and makes the pledge that it states.
 // A pledge to another pool is withdrawn first, by a question with no pledge to
 // that pool: see Pledged.
-func (l *Ledger) NewAsk(pool string, set *tenant.Set, now time.Time) Ask {
+func (l *Ledger) NewAsk(pool string, set *organisation.Set, now time.Time) Ask {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.number++
@@ -279,7 +279,7 @@
 	}
 	l.echo, l.answered = r.Stamp, now
 	for _, g := range r.Grants {
-		acc := l.accounts[g.Tenant]
+		acc := l.accounts[g.Organisation]
 		if acc == nil {
 			continue
 		}
@@ -294,9 +294,9 @@
 	}
 }
 
-// wants returns what the instance would like to have: for each active tenant the
+// wants returns what the instance would like to have: for each active organisation the
 // credit for its demand of one demandTime and some spare.
-func (l *Ledger) wants(set *tenant.Set, now time.Time) []Want {
+func (l *Ledger) wants(set *organisation.Set, now time.Time) []Want {
 	var out []Want
 	for name, a := range l.accounts {
 		t := set.Get(name)
@@ -307,7 +307,7 @@
 		rate := a.rate(now)
 		want := max(l.bounds.holding(t, rate)-float64(a.held(now)), float64(a.waiting))
 		if want >= minWant && len(out) < maxWants {
-			out = append(out, Want{Tenant: name, Tokens: want, Rate: rate, Waiting: a.waiting})
+			out = append(out, Want{Organisation: name, Tokens: want, Rate: rate, Waiting: a.waiting})
 		}
 	}
 	return out
@@ -315,7 +315,7 @@
 
 // takeOwn takes credit that the instance has created itself while its fraction was
 // not pledged.
-func (l *Ledger) takeOwn(a *account, t *tenant.Tenant, now time.Time) bool {
+func (l *Ledger) takeOwn(a *account, t *organisation.Organisation, now time.Time) bool {
 	if now.Before(l.until) {
 		return false
 	}
@@ -362,7 +362,7 @@
 	return max(a.nextFree.Sub(now), minReturn) + time.Duration(l.random()*float64(minReturn))
 }
 
-// accountOf returns the account of a tenant; the first use creates it.
+// accountOf returns the account of an organisation; the first use creates it.
 func (l *Ledger) accountOf(name string, now time.Time) *account {
 	a := l.accounts[name]
 	if a == nil {
--- a/quota/ledger_test.go
+++ b/quota/ledger_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
-	"siskingw/tenant"
+	"siskingw/organisation"
 )
 
 // Guards against a new process that spends credit which its earlier process has
@@ -34,7 +34,7 @@
 	l, ann := f.nodes[0].ledger, f.set.Get("ann")
 	l.SetInstances(0)
 	life := testBounds.grantLife(ann)
-	grant := Answer{Stamp: Stamp{Pool: "n0", Incarnation: 1}, Grants: []Grant{{Tenant: "ann", Tokens: 3, Life: life}}}
+	grant := Answer{Stamp: Stamp{Pool: "n0", Incarnation: 1}, Grants: []Grant{{Organisation: "ann", Tokens: 3, Life: life}}}
 	l.Take(ann, true, true, f.now)
 	l.Apply(Ask{}, grant, f.now, f.now.Add(100*time.Millisecond))
 	d := l.Take(ann, true, true, f.now.Add(life-1))
@@ -89,15 +89,15 @@
 	is.True(len(seen) > 80)
 }
 
-// Guards against an instance that refuses a tenant for good because one answer said
-// that its credit was scarce: a tenant of which the instance holds nothing is not asked
+// Guards against an instance that refuses an organisation for good because one answer said
+// that its credit was scarce: an organisation of which the instance holds nothing is not asked
 // for again unless a call may wait.
 func TestScarcityEnds(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(testSet(t, 1, 600, 600), 1, newRandom())
 	l, ann := f.nodes[0].ledger, f.set.Get("ann")
 	l.SetInstances(0)
-	answer := Answer{Stamp: Stamp{Pool: "n0", Incarnation: 1}, Grants: []Grant{{Tenant: "ann", Scarce: true}}}
+	answer := Answer{Stamp: Stamp{Pool: "n0", Incarnation: 1}, Grants: []Grant{{Organisation: "ann", Scarce: true}}}
 	l.Take(ann, true, true, f.now)
 	l.Apply(Ask{}, answer, f.now, f.now)
 	is.Equal(l.Take(ann, true, true, f.now.Add(scarceTime-1)).Cause, CauseOver)
@@ -126,21 +126,21 @@
 	is.True(b[0].Borrow && b[0].Pledge == 0)
 	is.Equal(b[0].Wants[0].Waiting, 1)
 	is.Equal(len(l.NewBorrows(a, home, 2, f.now)), 0) // one is in flight
-	lent := Answer{Stamp: Stamp{Pool: "n9", Incarnation: 1}, Grants: []Grant{{Tenant: "ann", Tokens: 100, Life: life}}}
+	lent := Answer{Stamp: Stamp{Pool: "n9", Incarnation: 1}, Grants: []Grant{{Organisation: "ann", Tokens: 100, Life: life}}}
 	l.Apply(b[0], lent, f.now, f.now.Add(50*time.Millisecond))
 	is.Equal(l.Take(ann, false, true, f.now.Add(life-1)).Verdict, Allowed)
 	is.Equal(l.Take(ann, true, false, f.now.Add(life)).Verdict, Refused)
 	is.Equal(l.NewAsk("n9", f.set, f.now).Echo, Stamp{}) // nothing was pledged to n9
 }
 
-// Guards against a tenant that is taken for scarce while another region has credit of
+// Guards against an organisation that is taken for scarce while another region has credit of
 // it, and against questions to the other regions for each call of one that is scarce.
 func TestScarceInAllRegions(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(testSet(t, 1, 600, 600), 1, newRandom())
 	l, ann := f.nodes[0].ledger, f.set.Get("ann")
 	l.SetInstances(0)
-	home := Answer{Stamp: Stamp{Pool: "n0", Incarnation: 1}, Grants: []Grant{{Tenant: "ann", Scarce: true}}}
+	home := Answer{Stamp: Stamp{Pool: "n0", Incarnation: 1}, Grants: []Grant{{Organisation: "ann", Scarce: true}}}
 	borrow := func() map[int]Ask {
 		a := l.NewAsk("n0", f.set, f.now)
 		l.Apply(a, home, f.now, f.now)
@@ -162,7 +162,7 @@
 	is.Equal(len(borrow()), 1)
 }
 
-// Guards against a tenant beyond its quota whose credit goes to calls that are late
+// Guards against an organisation beyond its quota whose credit goes to calls that are late
 // already while those that can be in time are refused, and against credit that lapses
 // for want of calls that can be in time.
 func TestLateCallsGetWhatOthersLeave(t *testing.T) {
@@ -200,7 +200,7 @@
 	}
 }
 
-// Guards against a look at the state of a tenant that spends credit or counts as a
+// Guards against a look at the state of an organisation that spends credit or counts as a
 // call, and against one that differs from the next decision.
 func TestPeekChangesNothing(t *testing.T) {
 	is := is.New(t)
@@ -269,8 +269,8 @@
 			a := Ask{Node: rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "node"), Incarnation: 1, Number: number,
 				Pledge: rapid.SampledFrom([]float64{0, 0.1, 0.3}).Draw(t, "pledge"),
 				Echo:   Stamp{Pool: "n0", Incarnation: 1, At: now - time.Duration(rapid.IntRange(0, 500).Draw(t, "age"))*time.Millisecond}}
-			p.Answer(a, new(tenant.Set), start.Add(now))
-			exact.Answer(a, new(tenant.Set), start.Add(now))
+			p.Answer(a, new(organisation.Set), start.Add(now))
+			exact.Answer(a, new(organisation.Set), start.Add(now))
 			for ms := max(len(at)-1000, 0); ms < len(at); ms += 7 {
 				if got := p.accruedAt(start.Add(time.Duration(ms) * time.Millisecond)); got < at[ms]-1e-9 {
 					t.Fatalf("%v at %d ms, exactly %v; it is %v", got, ms, at[ms], now)
--- a/quota/metrics.go
+++ b/quota/metrics.go
@@ -8,7 +8,7 @@
 )
 
 // serviceMetrics counts decisions and questions; it has no labels that depend on
-// tenants or nodes.
+// organisations or nodes.
 type serviceMetrics struct {
 	decisions                map[string]*metrics.Counter // by cause; "" for allowed calls
 	asksAnswered, asksFailed *metrics.Counter
--- a/quota/pool.go
+++ b/quota/pool.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"siskingw/tenant"
+	"siskingw/organisation"
 )
 
 const (
@@ -17,7 +17,7 @@
 	// lapsed at times: with two nodes a quarter of the credit.
 	scarceFactor = 2
 	// scarceRate is the demand, relative to the rate of the credit, above which credit
-	// is scarce. The demand of a tenant with a few calls a second is an estimate from
+	// is scarce. The demand of an organisation with a few calls a second is an estimate from
 	// few calls, and a call that waits for a moment may still get credit.
 	scarceRate = 1.3
 	// maxPledgers bounds the memory of a pool to some MB.
@@ -50,7 +50,7 @@
 	until               time.Time
 }
 
-// stock is the credit of one tenant that is not granted yet.
+// stock is the credit of one organisation that is not granted yet.
 type stock struct {
 	tokens  float64
 	accrued float64 // value of Pool.accrued that tokens include
@@ -90,8 +90,8 @@
 	return p.accrue(now)
 }
 
-// Answer records the pledge of an Ask and grants credit under the given tenants.
-func (p *Pool) Answer(a Ask, set *tenant.Set, now time.Time) Answer {
+// Answer records the pledge of an Ask and grants credit under the given organisations.
+func (p *Pool) Answer(a Ask, set *organisation.Set, now time.Time) Answer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := Answer{Stamp: p.self, Closed: p.closed}
@@ -100,9 +100,9 @@
 		return out
 	}
 	sum := p.accrue(now)
-	p.forgetTenants(set)
+	p.forgetOrganisations(set)
 	for _, w := range a.Wants {
-		if t := set.Get(w.Tenant); t != nil && t.Limited() && w.Tokens > 0 {
+		if t := set.Get(w.Organisation); t != nil && t.Limited() && w.Tokens > 0 {
 			out.Grants = append(out.Grants, p.grant(a.Node, t, w, sum, now))
 		}
 	}
@@ -211,8 +211,8 @@
 	return bound
 }
 
-// forgetTenants drops the stocks of tenants that the configuration has no more.
-func (p *Pool) forgetTenants(set *tenant.Set) {
+// forgetOrganisations drops the stocks of organisations that the configuration has no more.
+func (p *Pool) forgetOrganisations(set *organisation.Set) {
 	if len(p.stocks) <= set.Len() {
 		return
 	}
@@ -227,10 +227,10 @@
 // cannot renew one that was withdrawn: an Ask whose echo is older adds nothing.
 const forgetTime = 10 * PledgeTime
 
-// grant takes credit for one node from the stock of the tenant: first for the calls
+// grant takes credit for one node from the stock of the organisation: first for the calls
 // that wait, then, if there is not enough for all that is wanted, in proportion. sum is
 // the sum of the pledged fractions.
-func (p *Pool) grant(node string, t *tenant.Tenant, w Want, sum float64, now time.Time) Grant {
+func (p *Pool) grant(node string, t *organisation.Organisation, w Want, sum float64, now time.Time) Grant {
 	s := p.stocks[t.Name]
 	if s == nil {
 		s = &stock{wants: make(map[string]nodeWant)} // all that has accrued and is still valid
@@ -248,7 +248,7 @@
 	}
 	tokens = max(min(tokens, math.Floor(s.tokens)), 0)
 	s.tokens -= tokens
-	return Grant{Tenant: t.Name, Tokens: int(tokens), Life: p.bounds.grantLife(t),
+	return Grant{Organisation: t.Name, Tokens: int(tokens), Life: p.bounds.grantLife(t),
 		Scarce: tokens < w.Tokens && rate > scarceRate*perSecond*sum}
 }
 
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -1,7 +1,7 @@
-// Package quota keeps the calls of each tenant within its quota, over all
+// Package quota keeps the calls of each organisation within its quota, over all
 // instances together, whether they are in touch or not.
 //
-// Credit for one call (a token) comes into being at the tenant's rate. The right to
+// Credit for one call (a token) comes into being at the organisation's rate. The right to
 // create it is divided among the instances: each has the fraction 1/instances. It
 // pledges the fraction to one pool, an instance that creates the credit of all
 // pledges and grants it to those that ask, by demand; while no pool answers, the
@@ -17,10 +17,10 @@
 import (
 	"time"
 
-	"siskingw/tenant"
+	"siskingw/organisation"
 )
 
-// Bounds is the tolerance of quotas: in no Window may more calls of a tenant be
+// Bounds is the tolerance of quotas: in no Window may more calls of an organisation be
 // made than (rate x Window + burst) x (1 + Over) + Slack.
 type Bounds struct {
 	Window time.Duration
@@ -69,14 +69,14 @@
 
 // limit returns the number of calls for which credit may come into being within one
 // window and one life of credit.
-func (b Bounds) limit(t *tenant.Tenant) float64 {
+func (b Bounds) limit(t *organisation.Organisation) float64 {
 	return useOfLimit * ((t.RatePerS*b.Window.Seconds()+t.Burst)*(1+b.Over) + b.Slack)
 }
 
-// life returns how long credit of the tenant is valid after it came into being. With
+// life returns how long credit of the organisation is valid after it came into being. With
 // credit that lives for a time A, at most rate x (Window + A) calls are made in a
 // window.
-func (b Bounds) life(t *tenant.Tenant) time.Duration {
+func (b Bounds) life(t *organisation.Organisation) time.Duration {
 	at := func(rate float64) time.Duration { // life at a rate relative to that of the quota
 		return time.Duration(min(b.limit(t)/(rate*t.RatePerS)-b.Window.Seconds(), maxLife.Seconds()) * float64(time.Second))
 	}
@@ -84,18 +84,18 @@
 }
 
 // rate returns the calls per second for which credit is created.
-func (b Bounds) rate(t *tenant.Tenant) float64 {
+func (b Bounds) rate(t *organisation.Organisation) float64 {
 	return min(b.limit(t)/(b.Window+b.life(t)).Seconds(), maxRate*t.RatePerS)
 }
 
 // grantLife returns the part of life after the moment of asking for the credit.
-func (b Bounds) grantLife(t *tenant.Tenant) time.Duration {
+func (b Bounds) grantLife(t *organisation.Organisation) time.Duration {
 	return min(time.Duration(grantPart*float64(b.life(t))), maxGrantLife)
 }
 
 // holding returns the credit, in calls, that an instance with the demand, in calls
 // per second, holds.
-func (b Bounds) holding(t *tenant.Tenant, demand float64) float64 {
+func (b Bounds) holding(t *organisation.Organisation, demand float64) float64 {
 	if demand*b.grantLife(t).Seconds() < minUse {
 		return 0
 	}
@@ -103,7 +103,9 @@
 }
 
 // poolLife returns the part of life that credit may spend in the pool.
-func (b Bounds) poolLife(t *tenant.Tenant) time.Duration { return b.life(t) - b.grantLife(t) }
+func (b Bounds) poolLife(t *organisation.Organisation) time.Duration {
+	return b.life(t) - b.grantLife(t)
+}
 
 // Stamp is a moment on the clock of one process of a pool.
 type Stamp struct {
@@ -128,12 +130,12 @@
 	Wants  []Want
 }
 
-// Want is the credit that an instance would like to have for a tenant.
+// Want is the credit that an instance would like to have for an organisation.
 type Want struct {
-	Tenant  string
-	Tokens  float64 // to hold, beyond what it holds already
-	Rate    float64 // demand, in calls per second
-	Waiting int     // calls that wait for credit
+	Organisation string
+	Tokens       float64 // to hold, beyond what it holds already
+	Rate         float64 // demand, in calls per second
+	Waiting      int     // calls that wait for credit
 }
 
 // Answer is what a pool replies.
@@ -143,10 +145,10 @@
 	Grants []Grant
 }
 
-// Grant is the credit of one tenant, valid for Life from the moment of the Ask.
+// Grant is the credit of one organisation, valid for Life from the moment of the Ask.
 type Grant struct {
-	Tenant string
-	Tokens int
-	Life   time.Duration
-	Scarce bool // the tenant asks for more than its quota
+	Organisation string
+	Tokens       int
+	Life         time.Duration
+	Scarce       bool // the organisation asks for more than its quota
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -11,26 +11,26 @@
 	"pgregory.net/rapid"
 
 	"siskingw/object"
+	"siskingw/organisation"
 	"siskingw/snapshot"
-	"siskingw/tenant"
 )
 
 var testBounds = Bounds{Window: 5 * time.Second, Over: 0.1, Slack: 20}
 
-// testSet returns the set with one tenant, ann.
-func testSet(t interface{ Fatal(...any) }, version uint64, rate, burst float64) *tenant.Set {
+// testSet returns the set with one organisation, ann.
+func testSet(t interface{ Fatal(...any) }, version uint64, rate, burst float64) *organisation.Set {
 	s, err := snapshot.New(version, []*object.Object{
-		{Kind: object.KindTenant, Name: "ann", Tenant: &object.TenantSpec{RatePerS: rate, Burst: burst}},
+		{Kind: object.KindOrganisation, Name: "ann", Organisation: &object.OrganisationSpec{RatePerS: rate, Burst: burst}},
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return tenant.NewSet(s)
+	return organisation.NewSet(s)
 }
 
 // fleet is a simulated fleet: each instance has a ledger and a pool.
 type fleet struct {
-	set     *tenant.Set
+	set     *organisation.Set
 	random  func() float64
 	now     time.Time
 	nodes   []*simNode
@@ -55,7 +55,7 @@
 	asked       time.Time
 }
 
-func newFleet(set *tenant.Set, n int, random func() float64) *fleet {
+func newFleet(set *organisation.Set, n int, random func() float64) *fleet {
 	f := &fleet{set: set, random: random, now: time.Unix(0, 0)}
 	for i := range n {
 		f.nodes = append(f.nodes, &simNode{id: fmt.Sprint("n", i)})
@@ -75,7 +75,7 @@
 	n.pool = NewPool(n.id, n.incarnation, testBounds, f.now, f.random)
 }
 
-// call makes one call of the tenant at a node.
+// call makes one call of the organisation at a node.
 func (f *fleet) call(i int, first bool) Verdict {
 	d := f.nodes[i].ledger.Take(f.set.Get("ann"), first, first, f.now)
 	if d.Verdict == Allowed {
@@ -202,7 +202,7 @@
 	}
 }
 
-// Guards against more calls of a tenant in a window than its quota and tolerance
+// Guards against more calls of an organisation in a window than its quota and tolerance
 // allow, under any interleaving of calls, lost, delayed and repeated messages, killed
 // and restarted processes, pools that stop, and disagreement about which is the pool.
 func TestNoInterleavingExceedsQuota(t *testing.T) {
@@ -308,7 +308,7 @@
 	}
 }
 
-// Guards against refusals of tenants within their quota: small and large ones, on
+// Guards against refusals of organisations within their quota: small and large ones, on
 // few and on many instances, also when their callers move.
 func TestCallsWithinQuotaAreAllowed(t *testing.T) {
 	for _, tc := range []struct {
@@ -339,9 +339,9 @@
 	}
 }
 
-// Guards against a tenant that asks for a multiple of its quota and gets less than
+// Guards against an organisation that asks for a multiple of its quota and gets less than
 // the quota, and against instances that starve.
-func TestHotTenantGetsItsQuota(t *testing.T) {
+func TestHotOrganisationGetsItsQuota(t *testing.T) {
 	for _, rate := range []float64{5, 60, 600} {
 		t.Run(fmt.Sprint(rate), func(t *testing.T) {
 			is := is.New(t)
--- a/quota/service.go
+++ b/quota/service.go
@@ -13,10 +13,10 @@
 
 	"siskingw/errdefs"
 	"siskingw/member"
+	"siskingw/organisation"
 	"siskingw/peer"
 	"siskingw/peer/peerpb"
 	"siskingw/snapshot"
-	"siskingw/tenant"
 )
 
 const (
@@ -44,12 +44,12 @@
 type Options struct {
 	// Connect returns a connection to the node with this peer address, like
 	// peer.Pool.Conn.
-	Connect func(addr string, place peer.Place) (grpc.ClientConnInterface, error)
-	View    member.View
-	Current *snapshot.Current
-	Tenants *tenant.Cache // nil for one of its own
-	Bounds  Bounds        // zero selects DefaultBounds
-	Metrics *metrics.Set  // nil records no metrics
+	Connect       func(addr string, place peer.Place) (grpc.ClientConnInterface, error)
+	View          member.View
+	Current       *snapshot.Current
+	Organisations *organisation.Cache // nil for one of its own
+	Bounds        Bounds              // zero selects DefaultBounds
+	Metrics       *metrics.Set        // nil records no metrics
 }
 
 // Service keeps the quotas on one node: it asks the pool for credit, and is a pool
@@ -57,15 +57,15 @@
 type Service struct {
 	peerpb.UnimplementedQuotaServer
 
-	opts    Options
-	tenants *tenant.Cache
-	ledger  *Ledger
-	pool    *Pool
-	members *members
-	metrics *serviceMetrics
-	wake    chan struct{} // capacity 1
-	urgent  chan struct{} // capacity 1; a call waits
-	limited atomic.Bool   // the version in force has a tenant with a quota
+	opts          Options
+	organisations *organisation.Cache
+	ledger        *Ledger
+	pool          *Pool
+	members       *members
+	metrics       *serviceMetrics
+	wake          chan struct{} // capacity 1
+	urgent        chan struct{} // capacity 1; a call waits
+	limited       atomic.Bool   // the version in force has an organisation with a quota
 
 	loans errgroup.Group // questions to the pools of other regions
 
@@ -82,11 +82,11 @@
 	if opts.Bounds.Window <= 0 {
 		opts.Bounds = DefaultBounds
 	}
-	if opts.Tenants == nil {
-		opts.Tenants = new(tenant.Cache)
+	if opts.Organisations == nil {
+		opts.Organisations = new(organisation.Cache)
 	}
 	now, self := time.Now(), opts.View.Self()
-	s := &Service{opts: opts, tenants: opts.Tenants, members: newMembers(opts.View, now), wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
+	s := &Service{opts: opts, organisations: opts.Organisations, members: newMembers(opts.View, now), wake: make(chan struct{}, 1), urgent: make(chan struct{}, 1),
 		ledger:  NewLedger(self.ID, self.Incarnation, opts.Bounds, now, rand.Float64),
 		pool:    NewPool(self.ID, self.Incarnation, opts.Bounds, now, rand.Float64),
 		changed: make(chan struct{}),
@@ -94,7 +94,7 @@
 	s.metrics = newServiceMetrics(opts.Metrics, s.pool)
 	opts.View.OnChange(s.members.update)
 	opts.Current.OnAdvance(func(next *snapshot.Snapshot) {
-		s.limited.Store(s.tenants.Of(next).Limited())
+		s.limited.Store(s.organisations.Of(next).Limited())
 		s.wakeUp()
 	})
 	return s
@@ -113,19 +113,19 @@
 
 func (s *Service) answer(a Ask) Answer { return s.pool.Answer(a, s.set(), time.Now()) }
 
-// set returns the tenants of the version in force.
-func (s *Service) set() *tenant.Set {
+// set returns the organisations of the version in force.
+func (s *Service) set() *organisation.Set {
 	snap := s.opts.Current.Load()
 	if snap == nil {
-		return new(tenant.Set)
+		return new(organisation.Set)
 	}
-	return s.tenants.Of(snap)
+	return s.organisations.Of(snap)
 }
 
-// Acquire takes the credit for one call of a tenant with a quota. It waits for the
+// Acquire takes the credit for one call of an organisation with a quota. It waits for the
 // pool for up to 200 ms if there is none here and may be some there. The decision is
 // Allowed or Refused. late is set for a call that has missed its target latency.
-func (s *Service) Acquire(ctx context.Context, t *tenant.Tenant, late bool) Decision {
+func (s *Service) Acquire(ctx context.Context, t *organisation.Organisation, late bool) Decision {
 	start := time.Now()
 	var d Decision
 	if late {
@@ -150,9 +150,9 @@
 	return d
 }
 
-// Peek returns the credit of a tenant at this instance and the decision that a call
+// Peek returns the credit of an organisation at this instance and the decision that a call
 // would get now. It changes nothing.
-func (s *Service) Peek(t *tenant.Tenant) State { return s.ledger.Peek(t, time.Now()) }
+func (s *Service) Peek(t *organisation.Organisation) State { return s.ledger.Peek(t, time.Now()) }
 
 // Return gives back the credit of a call that has not run.
 func (s *Service) Return(c Credit) { s.ledger.Return(c, time.Now()) }
@@ -239,7 +239,7 @@
 // more is asked for. A random part keeps the questions of a fleet apart.
 func (s *Service) interval() time.Duration {
 	d := askInterval
-	s.set().All(func(t *tenant.Tenant) {
+	s.set().All(func(t *organisation.Organisation) {
 		if t.Limited() {
 			d = min(d, s.opts.Bounds.grantLife(t)/2)
 		}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -94,8 +94,8 @@
 	RetryRatio   float64 `json:"retryRatio"`   // retries allowed per call, across the fleet
 	RetrySlack   float64 `json:"retrySlack"`   // additional retries allowed per RetryWindowS, across the fleet
 	RetryWindowS float64 `json:"retryWindowS"` // window of RetryRatio and RetrySlack
-	// Quotas of tenants. All are 0 in deployments without quotas.
-	QuotaWindowS float64 `json:"quotaWindowS,omitempty"` // window over which a tenant's calls are counted
+	// Quotas of organisations. All are 0 in deployments without quotas.
+	QuotaWindowS float64 `json:"quotaWindowS,omitempty"` // window over which an organisation's calls are counted
 	QuotaOver    float64 `json:"quotaOver,omitempty"`    // excess over a quota that is tolerated, as a share of it
 	QuotaSlack   int     `json:"quotaSlack,omitempty"`   // additional calls tolerated per window
 
