platform/standin: faulty answers of the store for tests

Cause: the tests of crowds wrote keys and fields of the platform's protocol, which belong in platform/.

Ruled out: exporting the encoding for the tests to compose such answers.

Change: the three faults are handlers of the stand-in, with the same bytes.

--- a/e2e/crowd/store_test.go
+++ b/e2e/crowd/store_test.go
@@ -1,10 +1,7 @@
 package crowd
 
 import (
-	"fmt"
-	"io"
 	"net/http"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -68,55 +65,14 @@
 }
 
 // Guards against an answer of the store without end that fills the memory.
-func TestEndlessStoreAnswer(t *testing.T) {
-	checkStoreFault(t, func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, `{"as_of":1,"items":[{"key":"op/x","value":"`)
-		_, _ = io.Copy(onlyWriter{w}, letters{}) // ends when the node closes the connection
-	})
-}
-
-// letters is an endless text.
-type letters struct{}
-
-func (letters) Read(p []byte) (int, error) {
-	for i := range p {
-		p[i] = 'A'
-	}
-	return len(p), nil
-}
+func TestEndlessStoreAnswer(t *testing.T) { checkStoreFault(t, standin.EndlessAnswer) }
 
 // Guards against a page of the store with so many items that they fill the memory after
 // they are decoded.
-func TestStorePageOfManyItems(t *testing.T) {
-	page := `{"as_of":1,"items":[{}` + strings.Repeat(`,{}`, 1<<20) + `],"events":[{}` + strings.Repeat(`,{}`, 200<<10) + `]}`
-	checkStoreFault(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, page) })
-}
+func TestStorePageOfManyItems(t *testing.T) { checkStoreFault(t, standin.PageOfManyItems()) }
 
 // Guards against a range of the store without a last page that fills the memory.
-func TestEndlessStorePages(t *testing.T) {
-	value := strings.Repeat("A", 2<<10)
-	checkStoreFault(t, func(w http.ResponseWriter, r *http.Request) {
-		if !strings.HasPrefix(r.URL.Path, "/kv-range") {
-			w.WriteHeader(http.StatusNotFound) // so that the node reads the range
-			return
-		}
-		prefix, after, _ := strings.Cut(r.URL.Query().Get("after"), "~")
-		if prefix == "" {
-			prefix = r.URL.Query().Get("prefix")
-		}
-		var next int
-		_, _ = fmt.Sscan(after, &next)
-		_, _ = io.WriteString(w, `{"as_of":1,"has_more":true,"items":[`)
-		for n := range 400 {
-			separator := ","
-			if n == 0 {
-				separator = ""
-			}
-			_, _ = fmt.Fprintf(w, `%s{"key":"%s~%09d","value":"%s","revision":1}`, separator, prefix, next+n+1, value)
-		}
-		_, _ = io.WriteString(w, `]}`)
-	})
-}
+func TestEndlessStorePages(t *testing.T) { checkStoreFault(t, standin.EndlessPages) }
 
 // newFaultyStore returns a stand-in store without a fault.
 func newFaultyStore(s *standin.Store) *faultyStore { return &faultyStore{Handler: s} }
