--- a/review/kit-2/main.go
+++ b/review/kit-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command kit-2 runs the script cases of the second review: it starts nodes with the
 // program of the deploy file, and plays the store, the endpoints and the clients itself.
 //
--- a/review/kit-2/store.go
+++ b/review/kit-2/store.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
