proxy: refuse responses with an invalid status line

Callers saw: a response of a target with a status of 600 to 999, or of another major version of HTTP such as HTTP/2.0 (passed on as HTTP/1.1).

Cause: http.ReadResponse accepts any three digits and any version; the node checked only that the status is not below 100.

Change: a status outside of 100 to 599 (RFC 9110, section 15) or a major version other than 1 is no response. The outcome is unknown, so a call that must not be repeated gets 502 and another one a second attempt, and the connection is closed.

Result: 2 of 11 cases of TestInvalidStatusIsNoResponse and 3 of 3 of TestOtherVersionIsNoResponse failed before; all pass.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -30,6 +30,9 @@
 // including interim (1xx) responses and those to other calls.
 const maxResponsesPerRequest = 8
 
+// Range of the valid status codes (RFC 9110, section 15).
+const minStatus, maxStatus = 100, 599
+
 // exchange is one request and its response on a pooled connection.
 type exchange struct {
 	pool           *Pool
@@ -164,10 +167,10 @@
 			return nil, err
 		}
 		switch code := resp.StatusCode; {
+		case resp.ProtoMajor != 1 || code < minStatus || code > maxStatus || code == http.StatusSwitchingProtocols:
+			return nil, errdefs.OutcomeUnknown.New("answer of %s with status %d", resp.Proto, code)
 		case code == http.StatusContinue:
 			x.startBody()
-		case code == http.StatusSwitchingProtocols || code < http.StatusContinue:
-			return nil, errdefs.OutcomeUnknown.New("answer with status %d", code)
 		case code < http.StatusOK:
 			c.forwardInterim(resp)
 		default:
--- a/proxy/malformed_test.go
+++ b/proxy/malformed_test.go
@@ -53,13 +53,23 @@
 
 // Guards against a status outside of those of HTTP that reaches a caller.
 func TestInvalidStatusIsNoResponse(t *testing.T) {
-	for _, status := range []string{"000", "001", "099", "-00", "-01", "+99", "20", "2000", "2 0"} {
+	for _, status := range []string{"000", "001", "099", "-00", "-01", "+99", "20", "2000", "2 0", "600", "999"} {
 		t.Run(status, func(t *testing.T) {
 			checkNoResponse(t, strings.Replace(soundResponse, "200", status, 1))
 		})
 	}
 }
 
+// Guards against a response of another major version of HTTP, which may be framed
+// differently, that reaches a caller.
+func TestOtherVersionIsNoResponse(t *testing.T) {
+	for _, version := range []string{"HTTP/0.9", "HTTP/2.0", "HTTP/3.1"} {
+		t.Run(version, func(t *testing.T) {
+			checkNoResponse(t, strings.Replace(soundResponse, "HTTP/1.1", version, 1))
+		})
+	}
+}
+
 // Guards against a response whose header was cut off and that reaches a caller with an
 // empty or shorter body.
 func TestCutOffHeaderIsNoResponse(t *testing.T) {
