proxy: refuse responses with a malformed header

Callers saw: a 200 with a body that was not the target's, when the name of a field in its header contained a space, followed a space, a tab or a bare line feed; a malformed line of another field was dropped and the rest passed on.

Cause: http.ReadResponse keeps a name with a space as it stands, joins folded lines and accepts LF as the end of a line. A Content-Length or Transfer-Encoding in such a line frames nothing, so the body was read up to the end of the connection, with its chunk framing or the rest of the header.

Ruled out: field values and other control bytes in names, which net/http refuses; requests, which are refused with 400.

Change: a scanner sees the bytes of each response header as they are read and refuses lines that do not end with CRLF, folded lines and names that are no tokens. The scanner and the parser read the same bytes, so nothing that is parsed goes unchecked. The tests of malformed responses share two rigs, because one for each case opened thousands of listeners.

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -27,6 +28,7 @@
 	sentBytes       int64 // bytes of the current request that the kernel accepted
 	sendErr         error // first error of writing the current request
 	headerBytesLeft int   // bytes that may still be read of a response header; -1 in the body
+	header          headerScanner
 	idleSince       time.Time
 	abort           func() // closes the connection; may be called at any time from any goroutine
 
@@ -64,9 +66,24 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headerBytesLeft)])
 	c.headerBytesLeft -= n
+	c.header.scan(p[:n])
 	return n, err
 }
 
+// readHeader reads the header of a response to req. It returns an OutcomeUnknown error
+// for a malformed one, and the errors of http.ReadResponse.
+func (c *conn) readHeader(req *http.Request) (*http.Response, error) {
+	c.headerBytesLeft, c.header = maxResponseHeaderBytes, headerScanner{}
+	buffered, _ := c.br.Peek(c.br.Buffered())
+	c.header.scan(buffered)
+	resp, err := http.ReadResponse(c.br, req)
+	c.headerBytesLeft = -1
+	if err != nil {
+		return nil, err
+	}
+	return resp, c.header.err
+}
+
 type connWriter struct{ c *conn }
 
 func (w connWriter) Write(p []byte) (int, error) {
--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -160,9 +160,7 @@
 // OutcomeUnknown error for responses that break the protocol.
 func (x *exchange) readResponse(c *call) (*http.Response, error) {
 	for range maxResponsesPerRequest {
-		x.conn.headerBytesLeft = maxResponseHeaderBytes
-		resp, err := http.ReadResponse(x.conn.br, &c.outReq)
-		x.conn.headerBytesLeft = -1
+		resp, err := x.conn.readHeader(&c.outReq)
 		if err != nil {
 			return nil, err
 		}
--- a/proxy/fuzz_test.go
+++ b/proxy/fuzz_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -8,6 +9,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"golang.org/x/net/http/httpguts"
 )
 
 // Guards against header parsers that accept values which no node sends.
@@ -35,6 +38,50 @@
 	})
 }
 
+// stubConn is a connection of which only the given bytes can be read.
+type stubConn struct {
+	net.Conn
+	io.Reader
+}
+
+func (c stubConn) Read(p []byte) (int, error) { return c.Reader.Read(p) }
+
+// Guards against a response header that net/http reads differently from its text: lines
+// end with CRLF, fields have names of tokens, and none is folded or left out.
+func FuzzResponseHeader(f *testing.F) {
+	for _, s := range []string{
+		soundResponse, "HTTP/1.1 200\r\n\r\n", "HTTP/1.0 200 OK\r\nA:\r\nB: \tc \r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n c\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nA : b\r\n\r\n", "HTTP/1.1 200 OK\nA: b\r\n\r\n", "HTTP/1.1 200 OK\r\n\nA: b\r\n\r\n", "HTTP/1.1 200 OK\r\n:\r\n\r\n",
+	} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, sent []byte) {
+		c := newConn(stubConn{Reader: bytes.NewReader(sent)}, "")
+		resp, err := c.readHeader(&http.Request{Method: http.MethodGet})
+		if err != nil {
+			return
+		}
+		header, _, ended := strings.Cut(string(sent), "\r\n\r\n")
+		lines := strings.Split(header, "\r\n")
+		if !ended || strings.ContainsAny(strings.Join(lines, ""), "\r\n") {
+			t.Errorf("%q was accepted", sent)
+		}
+		want := make(map[string]int)
+		for _, line := range lines[1:] {
+			name, _, _ := strings.Cut(line, ":")
+			if !httpguts.ValidHeaderFieldName(name) {
+				t.Errorf("%q was accepted with the field name %q", sent, name)
+			}
+			want[http.CanonicalHeaderKey(name)]++
+		}
+		for name, values := range resp.Header {
+			if want[name] < len(values) && name != "Cache-Control" { // net/http adds it for Pragma
+				t.Errorf("%q was read with field %q", sent, name)
+			}
+		}
+	})
+}
+
 // Guards against raw requests that make the handler panic, reach the target
 // more often than the handler was called, or reach it with headers that only
 // nodes may send.
--- a/proxy/responses_test.go
+++ b/proxy/responses_test.go
@@ -34,7 +34,11 @@
 // newCallIDRig returns a rig of two nodes in front of one target. Callers and
 // the target use callIDFormat.
 func newCallIDRig(t *testing.T, policy *object.PolicySpec, target *rawTarget) *rig {
-	r := newRig(t, policy, target.addr, target.addr)
+	return useCallIDs(newRig(t, policy, target.addr, target.addr))
+}
+
+// useCallIDs makes the callers and targets of the rig use callIDFormat.
+func useCallIDs(r *rig) *rig {
 	r.out.opts.HeaderFormat, r.out.opts.Responses = callIDFormat{}, ResponseOptions{BufferBytes: 1 << 10}
 	for _, in := range r.inbounds {
 		in.opts.HeaderFormat, in.opts.CloseDelimited, in.opts.Responses = callIDFormat{}, true, ResponseOptions{BufferBytes: 1 << 10}
