proxy: refuse transfer encodings of HTTP/1.0 responses

Callers saw: the raw chunks of an HTTP/1.0 response with Transfer-Encoding as a complete body with status 200. Found while malformed headers were tried.

Cause: HTTP/1.0 has no transfer encodings; http.ReadResponse removes the field and reads the body by its length or up to the end of the connection. RFC 9112, section 6.1, asks recipients to treat the framing as faulty.

Change: the scanner of response headers notes the field, and an HTTP/1.0 response with it is no response.

--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -81,6 +81,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if c.header.transferEncoding && !resp.ProtoAtLeast(1, 1) {
+		// net/http ignores the field, but the body may have the encoding (RFC 9112, section 6.1).
+		return nil, errdefs.OutcomeUnknown.New("answer of %s with a transfer encoding", resp.Proto)
+	}
 	return resp, c.header.err
 }
 
--- a/proxy/headerscanner.go
+++ b/proxy/headerscanner.go
@@ -12,10 +12,14 @@
 // such a header differently (RFC 9112, sections 2.2, 5.1 and 5.2). The zero value expects
 // a status line.
 type headerScanner struct {
-	state headerState
-	err   error // OutcomeUnknown error for the first malformed line
+	state            headerState
+	err              error // OutcomeUnknown error for the first malformed line
+	matched          int   // bytes of the current field name that match encodingField; -1 for none
+	transferEncoding bool  // there was a field Transfer-Encoding
 }
 
+const encodingField = "transfer-encoding"
+
 type headerState uint8
 
 const (
@@ -53,7 +57,9 @@
 			s.state = afterLastCR
 		case b == ':' && s.state == inFieldName:
 			s.state = inFieldValue
+			s.transferEncoding = s.transferEncoding || s.matched == len(encodingField)
 		case httpguts.IsTokenRune(rune(b)):
+			s.matchName(b)
 			s.state = inFieldName
 		default:
 			s.err = errdefs.OutcomeUnknown.New("a field name of the header contains %q", b)
@@ -69,3 +75,16 @@
 		}
 	}
 }
+
+// matchName compares the next byte of a field name with encodingField.
+func (s *headerScanner) matchName(b byte) {
+	if s.state == atLineStart {
+		s.matched = 0
+	}
+	const lowerCase = 'a' - 'A' // bit that is set in a lower-case letter
+	if s.matched >= 0 && s.matched < len(encodingField) && b|lowerCase == encodingField[s.matched] {
+		s.matched++
+		return
+	}
+	s.matched = -1
+}
--- a/proxy/malformed_test.go
+++ b/proxy/malformed_test.go
@@ -163,6 +163,36 @@
 	}
 }
 
+// Guards against the chunks of an HTTP/1.0 response, which has no chunked encoding, that
+// reach a caller as its body.
+func TestChunkedHTTP10IsNoResponse(t *testing.T) {
+	target := newBrokenTarget(t)
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	header := strings.Replace(signedHeader, "HTTP/1.1", "HTTP/1.0", 1)
+	for _, framing := range []string{
+		"Transfer-Encoding: chunked\r\n", "transfer-encoding:chunked\r\n", "Transfer-Encoding: identity\r\n",
+		"Content-Length: 12\r\nTransfer-Encoding: chunked\r\n", "Connection: keep-alive\r\nTransfer-Encoding: chunked\r\n",
+	} {
+		t.Run(framing, func(t *testing.T) { target.checkNoResponse(t, header+framing+"\r\n"+chunks) })
+	}
+}
+
+// Guards against an HTTP/1.0 response that is refused although it has a length or ends
+// with its connection.
+func TestHTTP10ResponseIsAccepted(t *testing.T) {
+	header := strings.Replace(signedHeader, "HTTP/1.1", "HTTP/1.0", 1)
+	for _, framing := range []string{"", "Content-Length: 2\r\n", "X-Transfer-Encoding: chunked\r\nTransfer-Encodin: x\r\nTransfer-Encodings: x\r\n"} {
+		is := is.New(t)
+		rt := newRawTarget(t, func(nc net.Conn, _ *http.Request, _ int32) bool {
+			io.WriteString(nc, header+framing+"\r\nok")
+			return false
+		})
+		resp, body := newCallIDRig(t, malformedPolicy, rt).do(t, "POST", "/", "", "Call", "c")
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(body, "ok")
+	}
+}
+
 // Guards against a sound header that is refused because it arrives in pieces, behind
 // other responses or over more than one buffer.
 func TestSoundHeaderIsAccepted(t *testing.T) {
