proxy: refuse responses with a malformed trailer

Callers saw: a complete response, without the field, when the name of a field in the trailer of a chunked response contained a space.

Cause: as in the header, net/http accepts such a name; the trailer is read with the body, where the scanner of headers does not see it.

Change: at the end of a chunked body, a trailer with a name that is no token is an error of the body. A held response is refused with an unknown outcome, a streamed one is cut off.

--- a/proxy/exchange.go
+++ b/proxy/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/net/http/httpguts"
 
 	"siskingw/errdefs"
 )
@@ -178,6 +179,9 @@
 				}
 				resp.Body = &closeDelimitedBody{resp.Body, x}
 			}
+			if len(resp.TransferEncoding) > 0 && resp.Body != http.NoBody {
+				resp.Body = &chunkedBody{resp.Body, resp}
+			}
 			if x.classify == nil {
 				return resp, nil
 			}
@@ -289,6 +293,27 @@
 	return n, err
 }
 
+// chunkedBody is the body of a response with chunked encoding.
+type chunkedBody struct {
+	io.ReadCloser
+	resp *http.Response
+}
+
+// Read implements io.Reader. It returns an OutcomeUnknown error instead of io.EOF when
+// the trailer has a malformed field name, which net/http accepts.
+func (b *chunkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	for name := range b.resp.Trailer {
+		if !httpguts.ValidHeaderFieldName(name) {
+			err = errdefs.OutcomeUnknown.New("the trailer of the answer has a field %q", name)
+		}
+	}
+	return n, err
+}
+
 // sendFailure returns the error of the connection that sending the request met, or nil.
 // It cancels an upload that is not finished, which could still meet one.
 func (x *exchange) sendFailure() error {
--- a/proxy/malformed_test.go
+++ b/proxy/malformed_test.go
@@ -193,6 +193,30 @@
 	}
 }
 
+// Guards against a response with a malformed field name in its trailer that reaches a
+// caller as complete, both when the response is held until its end and when it is
+// streamed.
+func TestMalformedTrailerIsNoCompleteResponse(t *testing.T) {
+	target := newBrokenTarget(t)
+	for _, header := range []string{"", "Trailer: A B\r\n"} {
+		for _, trailer := range []string{"A B: x\r\n", "A : x\r\n", " A: x\r\n", "A\x01: x\r\n", "A\tB: x\r\n"} {
+			for name, body := range map[string]string{"held": "ok", "streamed": strings.Repeat("a", 4<<10)} {
+				t.Run(fmt.Sprintf("%q %q %s", header, trailer, name), func(t *testing.T) {
+					sent := fmt.Sprintf("%s%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n%s\r\n",
+						signedHeader, header, len(body), body, trailer)
+					if name == "held" {
+						target.checkNoResponse(t, sent)
+						return
+					}
+					target.respondOnce(brokenResponse{sent, true})
+					complete, status := target.single.outcomeOf(t, "/")
+					is.New(t).True(!complete || status == http.StatusBadGateway)
+				})
+			}
+		}
+	}
+}
+
 // Guards against a sound header that is refused because it arrives in pieces, behind
 // other responses or over more than one buffer.
 func TestSoundHeaderIsAccepted(t *testing.T) {
