soak: broken responses of targets and responses cut off during uploads

The soak had no target that sends malformed or cut-off responses, and no upload that is answered before its end.

Callers count a status outside of 100 to 599, and a truncated response to an upload that looks complete.

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -127,6 +127,8 @@
 	switch {
 	case signedFor != "" && signedFor != a.id:
 		return fmt.Sprintf("the response with status %d belongs to another request: %q", resp.StatusCode, signedFor)
+	case resp.StatusCode < 200 || resp.StatusCode > 599:
+		return fmt.Sprintf("a response with status %03d", resp.StatusCode)
 	case resp.StatusCode/100 != 2:
 		return ""
 	case signedFor == "":
--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -80,6 +80,9 @@
 	for _, p := range r.overdueStops {
 		add("stop within the grace", "%s", p)
 	}
+	for _, t := range r.truncated {
+		add("right answer", "%s", t)
+	}
 	for _, b := range r.broken {
 		add("clients outside the limits", "%s", b)
 	}
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -44,6 +45,19 @@
 		sentAt: after(10 * time.Second), endedAt: after(10*time.Second + 100*time.Millisecond), status: status, restarts: 1}
 }
 
+// Guards against a broken response that a caller takes and the check does not count.
+func TestBrokenResponsesAreFound(t *testing.T) {
+	is := is.New(t)
+	a := finishedAttempt("a", 0)
+	for status, found := range map[int]bool{0: true, 99: true, 600: true, 502: false, 599: false} {
+		mismatch := checkResponse(a, &http.Response{StatusCode: status, Header: http.Header{}}, nil, nil)
+		is.Equal(mismatch != "", found)
+	}
+	r := newRunHistory()
+	r.addTruncated("an upload got a truncated response as a complete one")
+	is.Equal(countByGuarantee(r), map[string]int{"right answer": 1})
+}
+
 // Guards against a check that misses a violation: each case violates exactly one
 // guarantee.
 func TestEachViolationIsFound(t *testing.T) {
--- a/bench/soak/fault.go
+++ b/bench/soak/fault.go
@@ -66,6 +66,10 @@
 		j.onTarget("stray refusals", d, func(t *target, on bool) { t.strayRefusals.Store(on) })
 	}},
 	{"unfinished bodies", false, (*injector).sendUnfinished},
+	{"broken responses", false, func(j *injector, d time.Duration) {
+		j.onTarget("broken responses", d, func(t *target, on bool) { t.broken.Store(on) })
+	}},
+	{"cut uploads", false, (*injector).sendCutUploads},
 }
 
 const (
--- a/bench/soak/faulty.go
+++ b/bench/soak/faulty.go
@@ -36,12 +36,8 @@
 		panic(http.ErrAbortHandler)
 	}
 	defer nc.Close()
-	signed := http.Header{}
-	standin.SignResponse(signed, t.id, id)
-	var signature strings.Builder
-	_ = signed.Write(&signature) // a strings.Builder does not fail
 	kind := endlessResponses[n%int64(len(endlessResponses))]
-	first := strings.Replace(kind[0], "%s", signature.String(), 1)
+	first := strings.Replace(kind[0], "%s", t.signature(id), 1)
 	for piece := first; ; piece = kind[1] {
 		if _, err := nc.Write([]byte(piece)); err != nil {
 			return
@@ -50,6 +46,15 @@
 	}
 }
 
+// signature returns the header lines with which the target signs a response.
+func (t *target) signature(id string) string {
+	signed := http.Header{}
+	standin.SignResponse(signed, t.id, id)
+	var lines strings.Builder
+	_ = signed.Write(&lines) // a strings.Builder does not fail
+	return lines.String()
+}
+
 // repeatingListener accepts connections on which, while on is set, some responses
 // are sent a second time.
 type repeatingListener struct {
--- a/bench/soak/history.go
+++ b/bench/soak/history.go
@@ -72,6 +72,7 @@
 	rollout         rolloutRun
 	overdueStops    []string // nodes that did not exit cleanly within stopTimeout of SIGTERM
 	broken          []string // what clients outside the limits broke
+	truncated       []string // truncated responses that callers took for complete ones
 }
 
 func newRunHistory() *runHistory {
--- a/bench/soak/soak_test.go
+++ b/bench/soak/soak_test.go
@@ -9,16 +9,17 @@
 	"github.com/matryer/is"
 )
 
-// seeds are run in CI: one with every kind of fault, one with planned operations
+// seeds are run in CI: two with every kind of fault, one with planned operations
 // only, one of these with a roll-out of a bad version. Add a seed that found a violation here, with a comment on its cause.
 var seeds = []struct {
 	seed    uint64
 	planned bool
 	rollout string
 }{
-	{1, false, ""},
+	{1, false, ""}, // responses that were reset during an upload counted as complete
 	{3, true, ""},
 	{3, true, badRollout},
+	{19, false, ""}, // malformed responses of a target reached callers
 }
 
 // Guards against violations of the system's guarantees under overlapping faults,
--- a/bench/soak/target.go
+++ b/bench/soak/target.go
@@ -42,6 +42,7 @@
 	endless        atomic.Bool // every fourth request runs and gets bytes without end
 	repeats        atomic.Bool // some responses are sent a second time
 	strayRefusals  atomic.Bool // every fourth request runs and gets a refusal without an ID
+	broken         atomic.Bool // every fourth request runs and gets a broken response
 	requests       atomic.Int64
 }
 
@@ -128,6 +129,10 @@
 	if strings.HasPrefix(callerInfo.ID, unfinishedPrefix) {
 		t.receiveUnfinished(callerInfo.ID, r)
 	}
+	if strings.HasPrefix(callerInfo.ID, cutUploadPrefix) {
+		t.respondToCutUpload(w, callerInfo.ID)
+		return
+	}
 	a := arrival{id: callerInfo.ID, targetID: t.id, version: t.version, arrivedAt: time.Now(), timeLeft: callerInfo.Deadline}
 	switch sent, ok := t.history.attempt(a.id); {
 	case !ok:
@@ -155,6 +160,9 @@
 	case t.endless.Load() && n%lostPeriod == lostRemainder && !a.misdirected:
 		t.standin.ServeHTTP(httptest.NewRecorder(), r)
 		t.respondEndlessly(w, a.id, n)
+	case t.broken.Load() && n%lostPeriod == lostRemainder && !a.misdirected:
+		t.standin.ServeHTTP(httptest.NewRecorder(), r)
+		t.respondBroken(w, a.id, n/lostPeriod)
 	case t.fails.Load() && n%2 == 0 && !a.misdirected:
 		t.history.addRuns(map[string]int{a.id: 1})
 		standin.SignResponse(w.Header(), t.id, a.id)
