--- a/proxy/conn.go
+++ b/proxy/conn.go
@@ -103,9 +103,9 @@
 
 // sendFailure returns the error of the connection itself, such as a reset, that writing
 // the request met, or nil. The kernel reports such an error once: a reader that comes
-// after the writer sees a regular end of the stream. EPIPE is none, because Linux
-// reports it only if the peer had ended the stream before. It must not be called while
-// the request is being written.
+// after the writer sees a regular end of the stream. EPIPE does not count, because
+// Linux reports it only if the peer had ended the stream before. It must not be called
+// while the request is being written.
 func (c *conn) sendFailure() error {
 	var errno syscall.Errno
 	if !errors.As(c.sendErr, &errno) || errno == syscall.EPIPE {
--- a/proxy/malformed_test.go
+++ b/proxy/malformed_test.go
@@ -158,6 +158,19 @@
 	}
 }
 
+// Guards against a control byte in the value of a field that reaches a caller. net/http
+// refuses these; a tab is valid.
+func TestControlByteInFieldValueIsNoResponse(t *testing.T) {
+	target := newBrokenTarget(t)
+	for b := range byte(' ') {
+		if b == '\t' {
+			continue
+		}
+		sent := signedHeader + "X: a" + string([]byte{b}) + "b\r\nContent-Length: 2\r\n\r\nok"
+		t.Run(fmt.Sprintf("%q", b), func(t *testing.T) { target.checkNoResponse(t, sent) })
+	}
+}
+
 // Guards against lines that end without CR, which may hide the end of the header from
 // other recipients.
 func TestBareLineFeedIsNoResponse(t *testing.T) {
