rollout: take the steps of a short roll-out in time

A version without a bad answer was rolled back with "the new targets have too few slots", though it had as many as the old one. Callers saw no error.

Cause: a decider noticed its own step at its next tick and measured from there, and a step due a fraction of a millisecond after a tick waited for another one. An order of 4 s has a step every 200 ms, which is the tick; the steps came 600 ms apart, and 100% fell after the 96% of the duration at which a roll-out is reverted. Longer orders took 800 or 1000 ms instead of 600 a step.

Change: the decider measures from its own step at once, and a step may come 50 ms before it is due. Nothing else decides differently.

--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -25,6 +25,10 @@
 	moveStep     = 25
 	moveInterval = 600 * time.Millisecond
 	moveSteps    = 20
+	// stepTolerance is how much earlier than moveInterval a step may come. A node
+	// decides at ticks that jitter; a step that is just not due would be taken a
+	// whole tick late.
+	stepTolerance = 50 * time.Millisecond
 	// minMoveAnswers is the number of answers without a sign of a fault from which a
 	// version is accepted although the test has not decided.
 	minMoveAnswers = 20
@@ -184,7 +188,7 @@
 		if in.at(latestEnd) {
 			return reverted(d, "the new targets have too few slots")
 		}
-		if in.SinceStep < min(moveInterval, in.Order.Duration/moveSteps) || float64(in.Survey.NewSlots) < in.slotsFor(d.SharePercent+moveStep) {
+		if in.SinceStep+stepTolerance < min(moveInterval, in.Order.Duration/moveSteps) || float64(in.Survey.NewSlots) < in.slotsFor(d.SharePercent+moveStep) {
 			return d
 		}
 		return moving(d, d.SharePercent+moveStep, d.Reason)
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -84,6 +84,7 @@
 		a.Announce = &out.Directive
 		if !in.HasKnown || out.Directive.Supersedes(in.Known) {
 			a.Decided = &in
+			d.known, d.stepAt = out.Directive, now
 		}
 	}
 	if d.isTurn(out.Write, f.Index, now) {
