proxy: hold a target responsible for the uploads that it breaks off

What callers saw: 504 "the body did not arrive in full" for a call whose target had reset the connection in the middle of the upload, instead of 502. The outcome was right, but the failure counted neither for ejection nor in the judgement of a new version.

Cause: the node ends an abandoned upload with a read deadline on the caller's connection, and kept the error of that deadline as one of the caller's body.

Change: errors of reading the body after the upload was given up are ignored. An error of the caller itself comes before that and is kept.

--- a/proxy/upload.go
+++ b/proxy/upload.go
@@ -42,7 +42,7 @@
 	extendedAt    time.Time // when the deadlines were last extended
 	bytesRead     int64     // bytes of the body
 	eof           bool
-	readErr       error // error of reading the caller's body
+	readErr       error // error of reading the caller's body before cancel
 	sendErr       error // error of sending the request; valid after done is closed
 }
 
@@ -97,22 +97,31 @@
 			u.eof = true
 			_ = u.rc.SetReadDeadline(time.Time{})
 		}
-	case err != nil:
+	case err != nil && !u.isCanceled():
 		u.readErr = err
 	}
 	return n, err
 }
 
+// isCanceled reports whether the node has given up the upload. The deadline that cancel
+// sets on the caller's connection then ends reading its body.
+func (u *upload) isCanceled() bool {
+	select {
+	case <-u.canceled:
+		return true
+	default:
+		return false
+	}
+}
+
 // Close does nothing: the server closes the caller's body.
 func (u *upload) Close() error { return nil }
 
 // waitContinue blocks until the body may be sent. It returns a Stopped error
 // when the upload is canceled.
 func (u *upload) waitContinue() error {
-	select {
-	case <-u.canceled:
+	if u.isCanceled() {
 		return errdefs.Stopped.New("upload canceled")
-	default:
 	}
 	if !u.awaitContinue {
 		return nil
--- a/proxy/uploadreset_test.go
+++ b/proxy/uploadreset_test.go
@@ -98,3 +98,60 @@
 		}
 	}
 }
+
+// Guards against a target that breaks off uploads and is not held responsible: the
+// node stops reading the caller's body then, which is no failure of the caller.
+func TestTargetThatBreaksOffUploadHasFailed(t *testing.T) {
+	const calls, window = 20, 64 << 10
+	for name, end := range map[string]func(nc net.Conn){
+		"reset":  func(nc net.Conn) { reset(nc) },
+		"closed": func(nc net.Conn) { io.CopyN(io.Discard, nc, window) },
+		"no response": func(nc net.Conn) {
+			io.WriteString(nc, "HTTP/1.1 000 Unknown\r\n\r\n")
+			io.Copy(io.Discard, nc)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer l.Close()
+			go func() {
+				for {
+					nc, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer nc.Close()
+						if _, err := http.ReadRequest(bufio.NewReader(nc)); err == nil {
+							io.CopyN(io.Discard, nc, window)
+							end(nc)
+						}
+					}()
+				}
+			}()
+			r := newCallIDRig(t, &object.PolicySpec{Repeat: object.RepeatNever, TimeoutMs: 5000}, &rawTarget{addr: l.Addr().String()})
+			answers := make(chan Answer, calls)
+			for _, in := range r.inbounds {
+				in.opts.OnAnswer = func(a Answer) { answers <- a }
+			}
+			for range calls {
+				body, w := io.Pipe()
+				go func() { // a caller that goes on sending
+					for {
+						if _, err := w.Write(make([]byte, 16<<10)); err != nil {
+							return
+						}
+						time.Sleep(time.Millisecond)
+					}
+				}()
+				_, status := r.outcomeOfBody(t, "/scan", body)
+				body.Close()
+				is.Equal(status, http.StatusBadGateway)
+				a := <-answers
+				is.True(a.Failed && !a.Ignored)
+			}
+		})
+	}
+}
