node: take test ports below the range of outgoing connections

What was seen: once, in a run of the node tests, a node ended with "bind: address already in use". The tests reserve ports by listening at port 0 and release them before the nodes start; an outgoing connection of the test process may be given such a port, also between a node's stop and its restart.

Change: the ports are taken below the range that the system gives to outgoing connections. No check is changed.

--- a/node/platform_test.go
+++ b/node/platform_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -54,16 +55,29 @@
 	t.Cleanup(srv.CloseClientConnections)
 	s.addr = srv.Listener.Addr().String()
 	for i := range s.ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
+		l := listenBelowEphemeral(t)
 		defer l.Close()
 		s.ports[i] = l.Addr().(*net.TCPAddr).Port
 	}
 	return s
 }
 
+// listenBelowEphemeral listens at a port below those of outgoing connections, which
+// could take it between its release and the start or restart of a node.
+func listenBelowEphemeral(t *testing.T) net.Listener {
+	t.Helper()
+	const first, count, attempts = 20000, 12000, 100
+	var err error
+	for range attempts {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))); err == nil {
+			return l
+		}
+	}
+	t.Fatal(err)
+	return nil
+}
+
 // publish writes the test configuration with the version to the store.
 func (s *testPlatform) publish(version uint64) {
 	s.t.Helper()
