proxy: let the callers of the abandoned upload test pause

When the machine is idle, bytes of the caller, sent each millisecond, end the read before the deadline of the node does, and the test passed without the fix: its mutant survived.

Each caller now pauses within its upload, so that the node is always waiting for the rest. The checks are the same.

--- a/proxy/uploadreset_test.go
+++ b/proxy/uploadreset_test.go
@@ -100,7 +100,8 @@
 }
 
 // Guards against a target that breaks off uploads and is not held responsible: the
-// node stops reading the caller's body then, which is no failure of the caller.
+// node stops reading the caller's body then, which is no failure of the caller. Each
+// caller pauses within its upload, so that the node is waiting for the rest.
 func TestTargetThatBreaksOffUploadHasFailed(t *testing.T) {
 	const calls, window = 20, 64 << 10
 	for name, end := range map[string]func(nc net.Conn){
@@ -138,14 +139,7 @@
 			}
 			for range calls {
 				body, w := io.Pipe()
-				go func() { // a caller that goes on sending
-					for {
-						if _, err := w.Write(make([]byte, 16<<10)); err != nil {
-							return
-						}
-						time.Sleep(time.Millisecond)
-					}
-				}()
+				go w.Write(make([]byte, 2*window)) // then the caller pauses, with more to come
 				_, status := r.outcomeOfBody(t, "/scan", body)
 				body.Close()
 				is.Equal(status, http.StatusBadGateway)
