proxy, rollout: simplify after a read of the whole change

upload.cancel kept a field that says what isCanceled reports; it uses that now. A comment in the decider says why it starts the time of its own step. Behavior does not change.

--- a/proxy/upload.go
+++ b/proxy/upload.go
@@ -33,7 +33,6 @@
 	rc        *http.ResponseController
 	continued chan struct{} // closed when 100 Continue has arrived
 	canceled  chan struct{} // closed by cancel
-	canceling bool          // cancel was called
 	done      chan struct{} // closed when the goroutine has ended
 
 	src           io.Reader // the body
@@ -157,12 +156,12 @@
 }
 
 // cancel aborts the upload and waits for its goroutine. The caller's connection
-// can be reused only if no byte of the body was read. Further calls do nothing.
+// can be reused only if no byte of the body was read. Further calls do nothing. It must
+// not be called concurrently.
 func (u *upload) cancel() {
-	if u.canceling {
+	if u.isCanceled() {
 		return
 	}
-	u.canceling = true
 	close(u.canceled)
 	u.conn.abort()
 	tick := time.NewTicker(uploadFinishTimeout)
--- a/rollout/decider.go
+++ b/rollout/decider.go
@@ -84,6 +84,8 @@
 		a.Announce = &out.Directive
 		if !in.HasKnown || out.Directive.Supersedes(in.Known) {
 			a.Decided = &in
+			// Otherwise the next tick, which sees the directive in force, would
+			// start the time of this step.
 			d.known, d.stepAt = out.Directive, now
 		}
 	}
