node: give each test its own ports

Cause: each test drew its ports at random and tried them on 127.0.0.1 only.

Change: ports are handed out in turn, so that no two tests of a run share one until all 12000 were used. No check is changed.

--- a/node/platform_test.go
+++ b/node/platform_test.go
@@ -62,15 +62,23 @@
 	return s
 }
 
-// listenBelowEphemeral listens at a port below those of outgoing connections, which
-// could take it between its release and the start or restart of a node.
+// Ports of the nodes: below those of outgoing connections, which could take one between
+// its release and the start or restart of a node.
+const firstPort, portCount = 20000, 12000
+
+// portsUsed counts the ports that were handed out. They are handed out in turn: the
+// nodes of an earlier test may still be stopping, on addresses that are not tried here.
+var portsUsed = rand.IntN(portCount)
+
+// listenBelowEphemeral listens at a port that no earlier test has used.
 func listenBelowEphemeral(t *testing.T) net.Listener {
 	t.Helper()
-	const first, count, attempts = 20000, 12000, 100
+	const attempts = 100
 	var err error
 	for range attempts {
+		portsUsed++
 		var l net.Listener
-		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))); err == nil {
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+portsUsed%portCount)); err == nil {
 			return l
 		}
 	}
