object: accept names of any form

What callers saw: a version with a route named lot_photos was acknowledged by the operator's store, and every node refused it.

Cause: names of objects had to be DNS labels. The operator's store states no form for names, and nobody can refuse what it has accepted. The refusal was one line in the log of the nodes that read the store.

Change: a name is any UTF-8 text of 1 byte to 64 KiB. Hosts are compared in lower case and without a port, and may hold an underscore as well. Formats that cannot carry every name escape it: the headers of a call between nodes, paths of the admin API, and the tables of the command line. A long route name is sent as a digest, as each call carries it.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -90,6 +90,32 @@
 	is.Equal(s.last.OperationID+s.last.Author, "oann")
 }
 
+// Guards against objects that cannot be read because of their name: a server removes
+// some segments of a path and splits it at slashes.
+func TestObjectsOfAnyName(t *testing.T) {
+	is := is.New(t)
+	names := []string{"lot_photos", ".", "..", "a/b", "a//../b", "%2F", "a?b#c", "größe", " \n"}
+	var objects []*object.Object
+	for _, name := range names {
+		objects = append(objects, &object.Object{Kind: object.KindPolicy, Name: name, Policy: &object.PolicySpec{}})
+	}
+	snap, err := snapshot.New(1, objects)
+	is.NoErr(err)
+	var current snapshot.Current
+	is.NoErr(current.Advance(snap))
+	mux := http.NewServeMux()
+	NewServer(new(fakeBackend), &current, new(fakeBackend), logr.Discard()).Register(mux)
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	c := NewClient(strings.TrimPrefix(server.URL, "http://"))
+	defer c.Close()
+	for _, name := range names {
+		o, err := c.Object(t.Context(), object.Key{Kind: object.KindPolicy, Name: name})
+		is.NoErr(err)
+		is.Equal(o.Name, name)
+	}
+}
+
 // Guards against a version that is reported as in force before it is.
 func TestStateOf(t *testing.T) {
 	is := is.New(t)
--- a/admin/client.go
+++ b/admin/client.go
@@ -9,6 +9,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -97,10 +98,16 @@
 // Object returns an object that is in force on the node, or a NotFound error.
 func (c *Client) Object(ctx context.Context, k object.Key) (*object.Object, error) {
 	out := new(object.Object)
-	err := c.do(ctx, http.MethodGet, "/v1/objects/"+url.PathEscape(string(k.Kind))+"/"+url.PathEscape(k.Name), nil, out)
+	err := c.do(ctx, http.MethodGet, "/v1/objects/"+escapeSegment(string(k.Kind))+"/"+escapeSegment(k.Name), nil, out)
 	return out, err
 }
 
+// escapeSegment escapes a string for use as one segment of a path. Dots are escaped
+// as well, as the server removes the segments "." and "..".
+func escapeSegment(s string) string {
+	return strings.ReplaceAll(url.PathEscape(s), ".", "%2E")
+}
+
 // History returns up to limit of the latest versions, newest first.
 func (c *Client) History(ctx context.Context, limit int) (History, error) {
 	var out History
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -161,7 +161,8 @@
 	}
 }
 
-// print writes v as JSON with -o json, and rows as an aligned table otherwise.
+// print writes v as JSON with -o json, and rows as an aligned table otherwise. Cells
+// with unprintable characters are quoted.
 func (e *env) print(v any, rows [][]string) error {
 	if e.format == "json" {
 		enc := json.NewEncoder(e.out)
@@ -173,7 +174,13 @@
 	}
 	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
 	for _, row := range rows {
-		fmt.Fprintln(w, strings.Join(row, "\t"))
+		for i, cell := range row {
+			if i > 0 {
+				fmt.Fprint(w, "\t")
+			}
+			fmt.Fprint(w, object.QuoteUnprintable(cell))
+		}
+		fmt.Fprintln(w)
 	}
 	if err := w.Flush(); err != nil {
 		return errdefs.Internal.Wrap(err, "output cannot be written")
--- a/cli/where.go
+++ b/cli/where.go
@@ -7,6 +7,7 @@
 	"strconv"
 
 	"siskingw/admin"
+	"siskingw/object"
 	"siskingw/proxy"
 )
 
@@ -51,14 +52,14 @@
 	fmt.Fprintf(e.out, "node %s, version %d\n", w.Node, w.Version)
 	if w.Route != "" {
 		fmt.Fprintf(e.out, "route %s, service %s, priority %d, target latency %d ms, timeout %d ms\n",
-			w.Route, w.Service, w.Priority, w.TargetMs, w.TimeoutMs)
+			object.QuoteUnprintable(w.Route), object.QuoteUnprintable(w.Service), w.Priority, w.TargetMs, w.TimeoutMs)
 	}
 	for _, p := range w.Parts {
 		next := ""
 		if p.Next {
 			next = " (next)"
 		}
-		fmt.Fprintf(e.out, "part %s, weight %d%s\n", p.Service, p.Weight, next)
+		fmt.Fprintf(e.out, "part %s, weight %d%s\n", object.QuoteUnprintable(p.Service), p.Weight, next)
 	}
 	if q := w.Quota; q != nil {
 		fmt.Fprintf(e.out, "quota: a call is now %s; credit for %d calls here, %.1f calls/s here, %.1f calls/s granted, %s\n",
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"siskingw/object"
 	"siskingw/telemetry"
 )
 
@@ -241,7 +242,7 @@
 	}
 	meaning, ok := causeMeanings[cause]
 	if !ok {
-		meaning = "the reason is " + quoteUnprintable(end.stringField("reason"))
+		meaning = "the reason is " + object.QuoteUnprintable(end.stringField("reason"))
 	}
 	if (cause == "answer_lost" || cause == "answer_cut") && end.numberField("deadlineLeftMs") <= 0 {
 		meaning = "its target was still at work when its time was over"
@@ -272,7 +273,7 @@
 		return fmt.Sprintf("%s had no target since %s (%s).", l.Node, age, l.stringField("reason"))
 	case telemetry.EventTargetUnconfirmed:
 		return fmt.Sprintf("%s did not use its target %s: it is older than the process and its health check failed (%s).",
-			l.Node, age, quoteUnprintable(l.stringField("error")))
+			l.Node, age, object.QuoteUnprintable(l.stringField("error")))
 	case telemetry.EventStoreLost:
 		return fmt.Sprintf("%s had lost the store %s.", l.Node, age)
 	case telemetry.EventStarting:
@@ -282,7 +283,7 @@
 	case telemetry.EventTargetJudged:
 		if l.stringField("outcome") == "left out" {
 			return fmt.Sprintf("%s left out the target of %s from %s on.",
-				l.Node, quoteUnprintable(l.stringField("target")), age)
+				l.Node, object.QuoteUnprintable(l.stringField("target")), age)
 		}
 	}
 	return ""
--- a/explain/render.go
+++ b/explain/render.go
@@ -8,7 +8,8 @@
 	"strconv"
 	"strings"
 	"time"
-	"unicode"
+
+	"siskingw/object"
 )
 
 const clockFormat = "15:04:05.000"
@@ -29,7 +30,7 @@
 
 // row returns the line as a row of the table of a call.
 func (l Line) row() []string {
-	return []string{l.Time.UTC().Format(clockFormat), quoteUnprintable(l.Node), quoteUnprintable(l.Event), l.details()}
+	return []string{l.Time.UTC().Format(clockFormat), object.QuoteUnprintable(l.Node), object.QuoteUnprintable(l.Event), l.details()}
 }
 
 // details returns the fields as "name=value" and the attempts as "try(...)".
@@ -39,11 +40,11 @@
 		if name == "tries" {
 			continue
 		}
-		words = append(words, quoteUnprintable(name)+"="+formatValue(l.Fields[name]))
+		words = append(words, object.QuoteUnprintable(name)+"="+formatValue(l.Fields[name]))
 	}
 	for _, t := range attemptsOf(l) {
-		words = append(words, fmt.Sprintf("try(%s %s %s %s)", quoteUnprintable(t.node),
-			time.Duration(t.ms)*time.Millisecond, quoteUnprintable(t.outcome), quoteUnprintable(t.reason)))
+		words = append(words, fmt.Sprintf("try(%s %s %s %s)", object.QuoteUnprintable(t.node),
+			time.Duration(t.ms)*time.Millisecond, object.QuoteUnprintable(t.outcome), object.QuoteUnprintable(t.reason)))
 	}
 	return strings.Join(words, " ")
 }
@@ -52,7 +53,7 @@
 func formatValue(v any) string {
 	switch v := v.(type) {
 	case string:
-		return quoteUnprintable(v)
+		return object.QuoteUnprintable(v)
 	case float64:
 		return strconv.FormatFloat(v, 'f', -1, 64)
 	}
@@ -63,16 +64,6 @@
 	return string(b)
 }
 
-// quoteUnprintable returns s unchanged if all its characters are printable, and
-// as a quoted Go string otherwise, so that a logged value cannot inject lines or
-// terminal control sequences into the output.
-func quoteUnprintable(s string) string {
-	if strings.IndexFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) >= 0 {
-		return strconv.Quote(s)
-	}
-	return s
-}
-
 // GroupRows returns groups as rows of a table. The first row is the header.
 func GroupRows(groups []Group) [][]string {
 	rows := [][]string{{"CALLS", "ROUTE", "STATUS", "CAUSE", "MEANING", "FOR EXAMPLE"}}
@@ -81,8 +72,8 @@
 		if g.Cause == causeAnswered {
 			meaning = "answered by a target, after a retry or with a status of its own"
 		}
-		rows = append(rows, []string{strconv.Itoa(g.Calls), quoteUnprintable(g.Route), strconv.Itoa(g.Status),
-			quoteUnprintable(g.Cause), meaning, quoteUnprintable(strings.Join(g.IDs, " "))})
+		rows = append(rows, []string{strconv.Itoa(g.Calls), object.QuoteUnprintable(g.Route), strconv.Itoa(g.Status),
+			object.QuoteUnprintable(g.Cause), meaning, object.QuoteUnprintable(strings.Join(g.IDs, " "))})
 	}
 	return rows
 }
--- a/object/fault.go
+++ b/object/fault.go
@@ -1,9 +1,7 @@
 package object
 
 import (
-	"strconv"
 	"strings"
-	"unicode"
 
 	"github.com/joomcode/errorx"
 
@@ -23,10 +21,7 @@
 func (f Fault) String() string {
 	var parts []string
 	for _, s := range []string{f.Source, f.Object, f.Field, f.Reason} {
-		if strings.IndexFunc(s, func(r rune) bool { return !unicode.IsPrint(r) }) >= 0 {
-			s = strconv.Quote(s)
-		}
-		if s != "" {
+		if s = QuoteUnprintable(s); s != "" {
 			parts = append(parts, s)
 		}
 	}
--- a/object/validate.go
+++ b/object/validate.go
@@ -11,8 +11,6 @@
 // Limits of the fields of objects. They bound the resources that one object takes
 // on every node; larger values could not be applied.
 const (
-	maxNameLength                = 63 // of a DNS label
-	maxHostLength                = 253
 	maxPathLength                = 1024
 	maxRetries                   = 3
 	maxMethods                   = 16
@@ -74,7 +72,7 @@
 
 // checkObject checks the fields and references of one object.
 func (v *validator) checkObject(o *Object) {
-	v.checkLabel(o, "name", o.Name)
+	v.checkName(o, "name", o.Name)
 	specs := 0
 	for _, isSet := range []bool{
 		o.Service != nil, o.Route != nil, o.EndpointSet != nil, o.Policy != nil, o.Listener != nil, o.Organisation != nil} {
@@ -92,7 +90,7 @@
 	case KindRoute:
 		v.checkRoute(o, o.Route)
 	case KindEndpointSet:
-		v.checkLabel(o, "spec.announce", o.EndpointSet.Announce)
+		v.checkName(o, "spec.announce", o.EndpointSet.Announce)
 		v.checkRange(o, "spec.minReady", int64(o.EndpointSet.MinReady), maxMinReady)
 	case KindPolicy:
 		v.checkPolicy(o, o.Policy)
@@ -120,8 +118,8 @@
 	v.checkSplit(o, r)
 	v.checkReference(o, "spec.policy", KindPolicy, r.Policy, false)
 	v.checkReference(o, "spec.fallback", KindRoute, r.Fallback, false)
-	if r.Host != "" && (len(r.Host) > maxHostLength || !isHostName(r.Host)) {
-		v.report(o, "spec.host", "%q is not a host name in lower case without port", r.Host)
+	if r.Host != "" && !isHost(r.Host) {
+		v.report(o, "spec.host", "%q is not a host in lower case without port", r.Host)
 	}
 	if _, ok := NormalizePath(r.PathPrefix); !ok {
 		v.report(o, "spec.pathPrefix", "%q holds an invalid escape", r.PathPrefix)
@@ -204,28 +202,6 @@
 	}
 }
 
-// isLabel reports whether s consists of lower-case letters, digits and hyphens
-// and neither begins nor ends with a hyphen. It uses no regular expression:
-// matching them took half of the time of a validation.
-func isLabel(s string) bool {
-	for _, c := range []byte(s) {
-		if c != '-' && (c < '0' || c > '9') && (c < 'a' || c > 'z') {
-			return false
-		}
-	}
-	return s != "" && s[0] != '-' && s[len(s)-1] != '-'
-}
-
-// isHostName reports whether s consists of labels separated by dots.
-func isHostName(s string) bool {
-	for part := range strings.SplitSeq(s, ".") {
-		if !isLabel(part) {
-			return false
-		}
-	}
-	return true
-}
-
 // isPathPrefix reports whether s begins with / and consists of printable ASCII
 // characters other than space, ? and #.
 func isPathPrefix(s string) bool {
@@ -237,9 +213,9 @@
 	return strings.HasPrefix(s, "/")
 }
 
-func (v *validator) checkLabel(o *Object, field, s string) {
-	if len(s) > maxNameLength || !isLabel(s) {
-		v.report(o, field, "%q is not a DNS label of at most %d characters", s, maxNameLength)
+func (v *validator) checkName(o *Object, field, s string) {
+	if !isName(s) {
+		v.report(o, field, "%.40q is not a name: want 1 to %d bytes of UTF-8", s, MaxNameBytes)
 	}
 }
 
@@ -295,7 +271,7 @@
 		if o.Route == nil || v.byKey[o.Key()] != o {
 			continue
 		}
-		for r := o; r != nil && r.Route != nil; r = v.byKey[Key{Kind: KindRoute, Name: r.Route.Fallback}] {
+		for r := o; r != nil && r.Route != nil; r = v.fallbackOf(r) {
 			seen := visitedBy[r.Name]
 			if seen == walk+1 {
 				v.reportCycle(r)
@@ -308,10 +284,18 @@
 	}
 }
 
+// fallbackOf returns the fallback of a route, or nil if it has none.
+func (v *validator) fallbackOf(route *Object) *Object {
+	if route.Route.Fallback == "" {
+		return nil
+	}
+	return v.byKey[Key{Kind: KindRoute, Name: route.Route.Fallback}]
+}
+
 // reportCycle reports the cycle that contains r once for each of its routes.
 func (v *validator) reportCycle(r *Object) {
 	var names []string
-	for o := r; len(names) == 0 || o != r; o = v.byKey[Key{Kind: KindRoute, Name: o.Route.Fallback}] {
+	for o := r; len(names) == 0 || o != r; o = v.fallbackOf(o) {
 		names = append(names, o.Name)
 	}
 	chain := strings.Join(append(names, names[0]), " -> ")
--- a/proxy/organisation.go
+++ b/proxy/organisation.go
@@ -123,14 +123,14 @@
 
 // formatOrganisation returns the HeaderOrganisation value for the target's node.
 func (w *work) formatOrganisation() string {
-	return w.organisation + ";" + strconv.FormatFloat(w.weight, 'g', -1, 64)
+	return formatName(w.organisation) + ";" + strconv.FormatFloat(w.weight, 'g', -1, 64)
 }
 
 // parseOrganisation reads a HeaderOrganisation value of the caller's node. Without a valid
 // weight the organisation has the default one.
 func (w *work) parseOrganisation(v string) {
 	name, weight, _ := strings.Cut(v, ";")
-	w.organisation = name
+	w.organisation = parseName(name)
 	if f, err := strconv.ParseFloat(weight, 64); err == nil && f > 0 && !math.IsInf(f, 0) {
 		w.weight = f
 	}
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -136,7 +136,7 @@
 	if f != nil {
 		return f
 	}
-	res := snap.Match(hostName(c.r.Host), path)
+	res := snap.Match(object.NormalizeHost(c.r.Host), path)
 	if f := o.identify(c, snap, res); f != nil {
 		return f
 	}
@@ -384,22 +384,3 @@
 	}
 	return p.Ejection
 }
-
-// hostName returns the host of a Host header in lower case, without the port.
-func hostName(host string) string {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
-	if strings.IndexFunc(host, isUpper) < 0 {
-		return host
-	}
-	b := []byte(host)
-	for i, c := range b {
-		if isUpper(rune(c)) {
-			b[i] = c + 'a' - 'A'
-		}
-	}
-	return string(b)
-}
-
-func isUpper(c rune) bool { return c >= 'A' && c <= 'Z' }
--- a/proxy/where.go
+++ b/proxy/where.go
@@ -80,7 +80,7 @@
 	if !ok {
 		return badRequest("the path holds an invalid escape")
 	}
-	res := snap.Match(hostName(q.Host), path)
+	res := snap.Match(object.NormalizeHost(q.Host), path)
 	if res == nil {
 		return &refusal{status: http.StatusNotFound, outcome: OutcomeNotRun, cause: causeNoRoute, reason: "no route matches"}
 	}
--- a/proxy/work.go
+++ b/proxy/work.go
@@ -1,6 +1,9 @@
 package proxy
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -12,7 +15,7 @@
 // sends them to the target's node, because the two may have different
 // configuration versions in force.
 type work struct {
-	class        string    // name of the route
+	class        string    // name of the route; on the target's node its classLabel
 	service      string    // announced name of the called service; empty for any
 	priority     int       // 0 is the highest
 	targetTime   time.Time // start of the call plus the target latency; zero if the policy sets none
@@ -40,7 +43,7 @@
 
 // format returns the HeaderWork value, separated by semicolons: priority, time
 // from now to the target time in ms (empty for none), flags, class, service and
-// caller.
+// caller. The names are escaped, see formatName.
 func (w *work) format() string {
 	targetMs := ""
 	if !w.targetTime.IsZero() {
@@ -62,7 +65,35 @@
 	if w.mayHandOn {
 		flags += flagHandOn
 	}
-	return strings.Join([]string{strconv.Itoa(w.priority), targetMs, flags, w.class, w.service, w.caller}, ";")
+	return strings.Join([]string{strconv.Itoa(w.priority), targetMs, flags,
+		formatName(classLabel(w.class)), formatName(w.service), formatName(w.caller)}, ";")
+}
+
+// formatName escapes a name for the headers between nodes: a name may hold any
+// character, also separators and those that no header can carry.
+func formatName(name string) string { return url.PathEscape(name) }
+
+// parseName returns the name that formatName escaped. A value that is no escaped
+// name, as of a node that does not escape names, is the name itself.
+func parseName(v string) string {
+	if name, err := url.PathUnescape(v); err == nil {
+		return name
+	}
+	return v
+}
+
+// maxClassBytes is the maximum length in bytes of a class that is sent to another
+// node. Every call carries its class, and the size of a header is limited.
+const maxClassBytes = 128
+
+// classLabel returns the class under which the target's node measures calls of the
+// route: its name, or a digest of a longer one.
+func classLabel(route string) string {
+	if len(route) <= maxClassBytes {
+		return route
+	}
+	sum := sha256.Sum256([]byte(route))
+	return "sha256:" + hex.EncodeToString(sum[:])
 }
 
 // parseWork parses a HeaderWork value received at now. Fields that cannot be
@@ -84,7 +115,7 @@
 	w.nested = strings.Contains(fields[2], flagNested)
 	w.elsewhere = strings.Contains(fields[2], flagElsewhere)
 	w.mayHandOn = strings.Contains(fields[2], flagHandOn)
-	w.class, w.service, w.caller = fields[3], fields[4], fields[5]
+	w.class, w.service, w.caller = parseName(fields[3]), parseName(fields[4]), parseName(fields[5])
 	return w
 }
 
--- a/proxy/work_test.go
+++ b/proxy/work_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/net/http/httpguts"
+	"pgregory.net/rapid"
 
 	"siskingw/admit"
 	"siskingw/object"
@@ -27,6 +30,38 @@
 	is.Equal(parseWork(w.format(), now, object.WorkPage), w)
 }
 
+// Guards against names that change between nodes, or that end a header: the target's
+// node would refuse the call as one of another service.
+func TestNamesPassBetweenNodes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		name := rapid.OneOf(rapid.String(), rapid.SampledFrom([]string{"lot_photos", "Lots; 100%", "%2F", "a,b;c", " a ", "\r\n"}))
+		w := work{class: name.Draw(t, "class"), service: name.Draw(t, "service"), caller: name.Draw(t, "caller"),
+			organisation: name.Draw(t, "organisation"), weight: 2}
+		want := w
+		if len(w.class) > maxClassBytes {
+			want.class = classLabel(w.class)
+		}
+		v, organisation := w.format(), w.formatOrganisation()
+		if !httpguts.ValidHeaderFieldValue(v) || !httpguts.ValidHeaderFieldValue(organisation) ||
+			strings.TrimSpace(v) != v || strings.TrimSpace(organisation) != organisation {
+			t.Fatalf("%q and %q are no header values", v, organisation)
+		}
+		got := parseWork(v, time.Now(), object.WorkBid)
+		got.parseOrganisation(organisation)
+		if got != want {
+			t.Fatalf("%+v arrived as %+v", want, got)
+		}
+	})
+}
+
+// Guards against a route name that makes the header of every call too large.
+func TestClassIsBounded(t *testing.T) {
+	is := is.New(t)
+	a, b := work{class: strings.Repeat("a", 1000)}, work{class: strings.Repeat("a", 1001)}
+	is.True(len(a.format()) < 2*maxClassBytes)
+	is.True(a.format() != b.format()) // classes are told apart
+}
+
 // Guards against a gate state that changes between nodes, and against malformed
 // values that are accepted.
 func TestGateStatePassesBetweenNodes(t *testing.T) {
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -19,9 +19,9 @@
 // so it must not change between releases.
 const ShardCount = 64
 
-// maxKeyLength is the length of the longest valid kind/name in bytes. Longer
-// keys hash correctly, but need an allocation.
-const maxKeyLength = 80
+// shortKeyLength is the length in bytes of a kind/name up to which hashing it needs
+// no allocation.
+const shortKeyLength = 80
 
 // Digest is a SHA-256 digest; its text form is hexadecimal.
 type Digest [sha256.Size]byte
@@ -58,7 +58,7 @@
 // ShardOf returns the index of the shard that the key belongs to, in the range
 // 0 to ShardCount-1.
 func ShardOf(k object.Key) int {
-	var buf [maxKeyLength]byte
+	var buf [shortKeyLength]byte
 	b := append(append(append(buf[:0], k.Kind...), '/'), k.Name...)
 	return int(xxhash.Sum64(b) % ShardCount)
 }
