--- a/object/organisation.go
+++ b/object/organisation.go
@@ -26,7 +26,9 @@
 
 const (
 	maxKeysPerOrganisation = 1_000
-	maxOrganisationRate    = 1e9 // calls per second
+	// MaxOrganisationRate is the maximum of a rate in calls per second and of a burst
+	// in calls.
+	MaxOrganisationRate = 1e9
 )
 
 func (v *validator) checkOrganisation(o *Object, t *OrganisationSpec) {
@@ -40,7 +42,7 @@
 		}
 	}
 	if t.Priority != nil {
-		v.checkRange(o, "spec.priority", int64(*t.Priority), maxPriority)
+		v.checkRange(o, "spec.priority", int64(*t.Priority), MaxPriority)
 	}
 	v.checkRate(o, "spec.ratePerS", t.RatePerS)
 	v.checkRate(o, "spec.burst", t.Burst)
@@ -49,10 +51,10 @@
 	}
 }
 
-// checkRate reports a value that is not within 0..maxOrganisationRate, or not a number.
+// checkRate reports a value that is not within 0..MaxOrganisationRate, or not a number.
 func (v *validator) checkRate(o *Object, field string, value float64) {
-	if !(value >= 0 && value <= maxOrganisationRate) {
-		v.report(o, field, "%v is not within 0..%v", value, float64(maxOrganisationRate))
+	if !(value >= 0 && value <= MaxOrganisationRate) {
+		v.report(o, field, "%v is not within 0..%v", value, float64(MaxOrganisationRate))
 	}
 }
 
--- a/object/validate.go
+++ b/object/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,20 +12,22 @@
 // Limits of the fields of objects. They bound the resources that one object takes
 // on every node; larger values could not be applied.
 const (
-	maxPathLength                = 1024
-	maxRetries                   = 3
-	maxMethods                   = 16
-	maxQueueLength               = 10_000
-	maxMinReady                  = 100_000
-	maxPercent                   = 100
-	maxConsecutiveFailures       = 1_000
-	maxTimeout                   = time.Hour
-	maxBodyBytes           int64 = 1 << 40
-	maxHeaderBytes               = 1 << 20
-	maxWeight                    = 1_000_000
-	maxPriority                  = 100
-	maxAttempts                  = 100
-	maxConnections               = 1_000_000
+	// MaxHeaderBytes is the maximum size of a request header in bytes. A longer path
+	// than that matches no request.
+	MaxHeaderBytes       = 1 << 20
+	MaxBodyBytes   int64 = 1 << 40
+	MaxTimeout           = time.Hour
+	MaxPriority          = math.MaxInt32
+	MaxAttempts          = math.MaxInt32 // endpoints per call
+	MaxConnections       = 1_000_000     // to one target
+	MaxWeight            = 1_000_000     // of one service of a route
+
+	maxRetries             = 3
+	maxMethods             = 16
+	maxQueueLength         = 10_000
+	maxMinReady            = 100_000
+	maxPercent             = 100
+	maxConsecutiveFailures = 1_000
 )
 
 // neverIdempotent are methods that HTTP does not define as idempotent. A retry
@@ -107,10 +110,10 @@
 	if s.Protocol != "" && s.Protocol != "http" {
 		v.report(o, "spec.protocol", "%q is not supported; want http", s.Protocol)
 	}
-	if s.HealthPath != "" && (len(s.HealthPath) > maxPathLength || !isPathPrefix(s.HealthPath)) {
+	if s.HealthPath != "" && !IsHealthPath(s.HealthPath) {
 		v.report(o, "spec.healthPath", "%q is not a path", s.HealthPath)
 	}
-	v.checkRange(o, "spec.maxConnections", int64(s.MaxConnections), maxConnections)
+	v.checkRange(o, "spec.MaxConnections", int64(s.MaxConnections), MaxConnections)
 }
 
 func (v *validator) checkRoute(o *Object, r *RouteSpec) {
@@ -124,10 +127,10 @@
 	if _, ok := NormalizePath(r.PathPrefix); !ok {
 		v.report(o, "spec.pathPrefix", "%q holds an invalid escape", r.PathPrefix)
 	}
-	if len(r.PathPrefix) > maxPathLength || !isPathPrefix(r.PathPrefix) {
+	if !isPathPrefix(r.PathPrefix) {
 		v.report(o, "spec.pathPrefix",
-			"%q must begin with / and hold at most %d printable characters other than space, ? and #",
-			r.PathPrefix, maxPathLength)
+			"%q must begin with / and hold at most %d printable ASCII characters other than space, ? and #",
+			r.PathPrefix, MaxHeaderBytes)
 	}
 	if !slices.Contains([]WorkKind{"", WorkBid, WorkUpload, WorkPage, WorkDownload}, r.Kind) {
 		v.report(o, "spec.kind", "%q is not a kind of work; want bid, upload, page or download", r.Kind)
@@ -143,7 +146,7 @@
 	for i, w := range r.Split {
 		field := fmt.Sprintf("spec.split[%d]", i)
 		v.checkReference(o, field+".service", KindService, w.Service, true)
-		v.checkRange(o, field+".weight", int64(w.Weight), maxWeight)
+		v.checkRange(o, field+".weight", int64(w.Weight), MaxWeight)
 		sum += w.Weight
 	}
 	if len(r.Split) > 0 && sum == 0 {
@@ -152,10 +155,10 @@
 }
 
 func (v *validator) checkListener(o *Object, l *ListenerSpec) {
-	v.checkRange(o, "spec.maxHeaderBytes", int64(l.MaxHeaderBytes), maxHeaderBytes)
-	v.checkRange(o, "spec.maxBodyBytes", l.MaxBodyBytes, maxBodyBytes)
-	v.checkRange(o, "spec.headerTimeoutMs", int64(l.HeaderTimeoutMs), maxTimeout.Milliseconds())
-	v.checkRange(o, "spec.idleTimeoutMs", int64(l.IdleTimeoutMs), maxTimeout.Milliseconds())
+	v.checkRange(o, "spec.MaxHeaderBytes", int64(l.MaxHeaderBytes), MaxHeaderBytes)
+	v.checkRange(o, "spec.MaxBodyBytes", l.MaxBodyBytes, MaxBodyBytes)
+	v.checkRange(o, "spec.headerTimeoutMs", int64(l.HeaderTimeoutMs), MaxTimeout.Milliseconds())
+	v.checkRange(o, "spec.idleTimeoutMs", int64(l.IdleTimeoutMs), MaxTimeout.Milliseconds())
 }
 
 func (v *validator) checkPolicy(o *Object, p *PolicySpec) {
@@ -163,23 +166,23 @@
 		v.report(o, "spec.repeat", "%q is not known; want always or never", p.Repeat)
 	}
 	if p.Priority != nil {
-		v.checkRange(o, "spec.priority", int64(*p.Priority), maxPriority)
+		v.checkRange(o, "spec.priority", int64(*p.Priority), MaxPriority)
 	}
-	v.checkRange(o, "spec.targetLatencyMs", int64(p.TargetLatencyMs), maxTimeout.Milliseconds())
-	v.checkRange(o, "spec.maxAttempts", int64(p.MaxAttempts), maxAttempts)
-	v.checkRange(o, "spec.timeoutMs", int64(p.TimeoutMs), maxTimeout.Milliseconds())
+	v.checkRange(o, "spec.targetLatencyMs", int64(p.TargetLatencyMs), MaxTimeout.Milliseconds())
+	v.checkRange(o, "spec.MaxAttempts", int64(p.MaxAttempts), MaxAttempts)
+	v.checkRange(o, "spec.timeoutMs", int64(p.TimeoutMs), MaxTimeout.Milliseconds())
 	v.checkRange(o, "spec.retries", int64(p.Retries), maxRetries)
 	v.checkRange(o, "spec.retryBudgetPercent", int64(p.RetryBudgetPercent), maxPercent)
 	v.checkRange(o, "spec.queueLength", int64(p.QueueLength), maxQueueLength)
-	v.checkRange(o, "spec.queueTimeoutMs", int64(p.QueueTimeoutMs), maxTimeout.Milliseconds())
-	v.checkRange(o, "spec.maxBodyBytes", p.MaxBodyBytes, maxBodyBytes)
+	v.checkRange(o, "spec.queueTimeoutMs", int64(p.QueueTimeoutMs), MaxTimeout.Milliseconds())
+	v.checkRange(o, "spec.MaxBodyBytes", p.MaxBodyBytes, MaxBodyBytes)
 	if p.TimeoutMs > 0 && p.QueueTimeoutMs > p.TimeoutMs {
 		v.report(o, "spec.queueTimeoutMs", "%d is more than timeoutMs %d", p.QueueTimeoutMs, p.TimeoutMs)
 	}
 	v.checkIdempotentMethods(o, p.IdempotentMethods)
 	if e := p.Ejection; e != nil {
 		v.checkRange(o, "spec.ejection.consecutiveFailures", int64(e.ConsecutiveFailures), maxConsecutiveFailures)
-		v.checkRange(o, "spec.ejection.baseMs", int64(e.BaseMs), maxTimeout.Milliseconds())
+		v.checkRange(o, "spec.ejection.baseMs", int64(e.BaseMs), MaxTimeout.Milliseconds())
 		v.checkRange(o, "spec.ejection.maxPercent", int64(e.MaxPercent), maxPercent)
 	}
 }
@@ -202,15 +205,22 @@
 	}
 }
 
-// isPathPrefix reports whether s begins with / and consists of printable ASCII
-// characters other than space, ? and #.
-func isPathPrefix(s string) bool {
+// isPathPrefix reports whether s is a path, without a query, that a request may have.
+func isPathPrefix(s string) bool { return isPath(s) && !strings.Contains(s, "?") }
+
+// IsHealthPath reports whether s may be the path of a health check, which may have a
+// query.
+func IsHealthPath(s string) bool { return isPath(s) }
+
+// isPath reports whether s begins with / and consists of printable ASCII characters
+// other than space and #.
+func isPath(s string) bool {
 	for _, c := range []byte(s) {
-		if c <= ' ' || c > '~' || c == '?' || c == '#' {
+		if c <= ' ' || c > '~' || c == '#' {
 			return false
 		}
 	}
-	return strings.HasPrefix(s, "/")
+	return strings.HasPrefix(s, "/") && len(s) <= MaxHeaderBytes
 }
 
 func (v *validator) checkName(o *Object, field, s string) {
