platform: one faulty object no longer refuses the whole version

What callers saw: a version with one route that cannot be put in force, such as one to a service that does not exist, was refused by every node, and with it all other changes of the version.

Cause: the decoder refused a configuration at its first fault. That is right where an operator is told and can correct the set; on the platform nobody is told.

Change: a route with a fault is in force as unavailable: its calls are refused with 503, not run, and neither get 404 nor go to the route with the next shorter prefix. Another object with a fault is left out, and routes that need it are unavailable. A configuration in another format, or with routes of which none can be served, is still refused whole. Unavailable is a field of Route that operators of the product's own interface may set too.

Evidence: TestVersionWithFaultyRouteIsInForce fails before ("timed out waiting for the second version on both nodes").

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -43,6 +43,27 @@
 	Node    string   `json:"node"`    // id of the responding node
 	Version uint64   `json:"version"` // in force on that node
 	Domains []Domain `json:"domains"` // sorted by name
+	// Unavailable lists the routes that are unavailable in Version, sorted by name, up to
+	// MaxUnavailable of them. UnavailableCount is the number of all.
+	Unavailable      []UnavailableRoute `json:"unavailable,omitempty"`
+	UnavailableCount int                `json:"unavailableCount,omitempty"`
+}
+
+// MaxUnavailable is the maximum number of unavailable routes that Status lists.
+const MaxUnavailable = 100
+
+// UnavailableRoute is a route whose calls are refused.
+type UnavailableRoute struct {
+	Route  string `json:"route"`
+	Reason string `json:"reason"`
+}
+
+// AddUnavailable adds the unavailable routes of the version in force to s.
+func (s *Status) AddUnavailable(routes []*object.Object) {
+	s.UnavailableCount = len(routes)
+	for _, o := range routes[:min(len(routes), MaxUnavailable)] {
+		s.Unavailable = append(s.Unavailable, UnavailableRoute{Route: o.Name, Reason: o.Route.Unavailable})
+	}
 }
 
 // Domain is the state of one failure domain.
--- a/cli/change.go
+++ b/cli/change.go
@@ -89,7 +89,7 @@
 		if err != nil {
 			return err
 		}
-		if err := object.Validate(config.Objects); err != nil {
+		if err := object.NewInvalid(config.Faults); err != nil {
 			return err
 		}
 	}
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -41,7 +42,11 @@
 	if r.laggingStatuses.Add(-1) >= 0 {
 		d.InForce, d.Confirmed, d.Laggards = d.InForce-1, 1, []string{"node-7"}
 	}
-	return admin.Status{Node: "node-1", Version: r.current.Version(), Domains: []admin.Domain{d}}
+	st := admin.Status{Node: "node-1", Version: r.current.Version(), Domains: []admin.Domain{d}}
+	if snap := r.current.Load(); snap != nil {
+		st.AddUnavailable(snap.Unavailable())
+	}
+	return st
 }
 
 // newTestNode starts a node, which is stopped when the test ends.
@@ -253,6 +258,22 @@
 	is.True(strings.Contains(errOut, "version 2 is not in force everywhere"))
 }
 
+// Guards against a status that hides the routes that serve no calls.
+func TestStatusShowsUnavailableRoutes(t *testing.T) {
+	is := is.New(t)
+	r := newTestNode(t)
+	var objects strings.Builder
+	for i := range admin.MaxUnavailable + 5 {
+		fmt.Fprintf(&objects, `,{"kind":"Route","name":"r%03d\n","spec":{"pathPrefix":"/p%d/","unavailable":"closed"}}`, i, i)
+	}
+	code, _, errOut := r.run("apply", "-author", "ann", "-f", r.writeFile(strings.Replace(auctionFloor, `]}`, objects.String()+`]}`, 1)))
+	is.Equal(code, errdefs.ExitOK)
+	is.Equal(errOut, "")
+	_, out, _ := r.run("status")
+	is.True(strings.Contains(out, `route "r000\n" is unavailable in version 1: closed`))
+	is.True(strings.Contains(out, "and 5 more routes"))
+}
+
 // Guards against an unknown field hiding the other faults of the objects, and
 // against a line break in a name injecting a line into the output.
 func TestCheckListsEveryFaultInOneRun(t *testing.T) {
@@ -310,6 +331,11 @@
 	is.True(strings.Contains(errOut, "bad.json"))
 	code, _, _ = r.run("check", "-platform", bad)
 	is.Equal(code, errdefs.ExitRefused)
+	is.NoErr(os.WriteFile(bad, []byte(`{"version":"0000000c","routes":{"columns":["name","host","prefix","kind"],
+		"rows":[["lots","a.example","/lots/","stream"]]}}`), 0o600))
+	code, _, errOut = r.run("check", "-platform", bad)
+	is.Equal(code, errdefs.ExitRefused)
+	is.True(strings.Contains(errOut, "Route/lots"))
 	code, _, _ = r.run("check", "-platform", bad, "-f", bad)
 	is.Equal(code, errdefs.ExitUsage)
 }
--- a/cli/read.go
+++ b/cli/read.go
@@ -152,9 +152,23 @@
 	if err := e.print(st, statusRows(st, version)); err != nil {
 		return err
 	}
+	if e.format != "json" {
+		printUnavailable(e, st)
+	}
 	return waitErr
 }
 
+// printUnavailable prints the routes that are unavailable, one in a line.
+func printUnavailable(e *env, st admin.Status) {
+	for _, r := range st.Unavailable {
+		fmt.Fprintf(e.out, "route %s is unavailable in version %d: %s\n", object.QuoteUnprintable(r.Route), st.Version,
+			object.QuoteUnprintable(r.Reason))
+	}
+	if more := st.UnavailableCount - len(st.Unavailable); more > 0 {
+		fmt.Fprintf(e.out, "and %d more routes\n", more)
+	}
+}
+
 // statusRows returns the state of the version in each failure domain as rows of a
 // table. The first row is the header.
 func statusRows(st admin.Status, version uint64) [][]string {
--- a/explain/explain.go
+++ b/explain/explain.go
@@ -297,6 +297,7 @@
 	"caller_gone":      "the caller left before it was answered",
 	"no_configuration": "the instance had no configuration yet",
 	"no_route":         "no route of the version in force matches host and path",
+	"unavailable":      "its route is unavailable in the version in force",
 	"missing_key":      "the route needs an API key, and the call carried none",
 	"unknown_key":      "the version in force knows no organisation with the API key that the call carried",
 	"quota":            "its organisation had no credit left at this instance",
--- a/node/admin.go
+++ b/node/admin.go
@@ -48,7 +48,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), statusTimeout)
 	defer cancel()
 	fleet := s.tracker.Summary(ctx)
-	out := admin.Status{Node: s.node.settings.ID, Version: s.node.current.Version()}
+	out := admin.Status{Node: s.node.settings.ID}
+	if snap := s.node.current.Load(); snap != nil {
+		out.Version = snap.Version()
+		out.AddUnavailable(snap.Unavailable())
+	}
 	for _, d := range fleet.Domains {
 		out.Domains = append(out.Domains, adminDomain(d, fleet.Newest))
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -44,11 +44,17 @@
 	}
 }
 
-// exportState exports the age of the version in force, -1 before the first one,
-// and the number of known members in each state.
+// exportState exports the age of the version in force, -1 before the first one, the
+// number of its routes that are unavailable, and the number of known members in each
+// state.
 func exportState(n *Node) {
 	var since atomic.Int64 // ns since 1970; 0 before the first version
-	n.current.OnAdvance(func(*snapshot.Snapshot) { since.Store(time.Now().UnixNano()) })
+	var unavailable atomic.Int64
+	n.current.OnAdvance(func(next *snapshot.Snapshot) {
+		since.Store(time.Now().UnixNano())
+		unavailable.Store(int64(len(next.Unavailable())))
+	})
+	n.metrics.NewGauge("siskingw_unavailable_routes", func() float64 { return float64(unavailable.Load()) })
 	n.metrics.NewGauge("siskingw_version_age_seconds", func() float64 {
 		if at := since.Load(); at > 0 {
 			return time.Since(time.Unix(0, at)).Seconds()
--- a/node/names_test.go
+++ b/node/names_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"strings"
@@ -9,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"siskingw/admin"
 	"siskingw/platform/standin"
 )
 
@@ -41,3 +43,42 @@
 		})
 	}
 }
+
+// Guards against a version that is not in force because one of its routes cannot be, and
+// against an operator who cannot see which: status shows it at each node, also where
+// another node has read the version from the store.
+func TestVersionWithFaultyRouteIsInForce(t *testing.T) {
+	is := is.New(t)
+	s := newTestPlatform(t)
+	first, second := s.start(1), s.start(2)
+	s.publish(1)
+	eventually(t, "readiness", func() bool { return first.ready() == http.StatusOK && second.ready() == http.StatusOK })
+	second.startTarget(time.Millisecond)
+	config := standin.ConfigWithRoute(2, testHost, "no_such_service", "photos", "/lots/photos/")
+	config = bytes.ReplaceAll(config, []byte(`null,2,"no_such_service"],`), []byte(`null,2,"floor"],`))
+	config = bytes.ReplaceAll(config, []byte(`["no_such_service","`), []byte(`["floor","`))
+	config = bytes.Replace(config, []byte(`1500,800,1,null,2,"no_such_service"]`), []byte(`1500,800,1,null,2,"floor"]`), 1)
+	is.Equal(bytes.Count(config, []byte("no_such_service")), 1)
+	_, err := s.mem.Put(t.Context(), standin.ConfigKey, config, 0)
+	is.NoErr(err)
+	eventually(t, "the second version on both nodes", func() bool {
+		return first.node.current.Version() == 2 && second.node.current.Version() == 2
+	})
+	eventually(t, "an answer on another route", func() bool {
+		status, _, _ := first.call("GET", "/lots/1", "a1")
+		return status == http.StatusOK
+	})
+	status, _, _ := first.call("GET", "/lots/photos/1", "a2")
+	is.Equal(status, http.StatusServiceUnavailable)
+	for _, in := range []*instance{first, second} {
+		c := admin.NewClient(fmt.Sprintf("%s:%d", in.ip, s.ports[3]))
+		defer c.Close()
+		st, err := c.Status(t.Context())
+		is.NoErr(err)
+		is.Equal(st.Unavailable, []admin.UnavailableRoute{
+			{Route: "photos", Reason: "spec.service: Service/no_such_service does not exist"}})
+	}
+	eventually(t, "a log line of the node that read the version", func() bool {
+		return strings.Contains(first.log.String()+second.log.String(), "configuration has faults")
+	})
+}
--- a/node/services.go
+++ b/node/services.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -11,6 +12,7 @@
 	"siskingw/errdefs"
 	"siskingw/kernel"
 	"siskingw/member"
+	"siskingw/object"
 	"siskingw/peer"
 	"siskingw/platform"
 	"siskingw/publish"
@@ -132,8 +134,15 @@
 	case s.store == nil:
 		return nil
 	case s.node.settings.Platform != nil:
+		refused := s.node.metrics.NewCounter("siskingw_configurations_refused_total")
+		var reported atomic.Uint64 // last version whose faults were logged: a version may be read again
 		src := platform.NewSource(s.store, func(err error) {
+			refused.Inc()
 			s.node.log.Error(err, "configuration refused")
+		}).WithPartial(func(version uint64, faults []object.Fault) {
+			if reported.Swap(version) != version {
+				s.node.log.Error(object.NewInvalid(faults), "configuration has faults", "version", version)
+			}
 		})
 		if s.node.rollouts != nil {
 			src = src.WithOrders(s.node.rollouts.onOrder)
@@ -377,8 +386,8 @@
 	})
 	s.spread.Register(peers.server)
 	s.node.current.OnAdvance(func(next *snapshot.Snapshot) {
-		s.node.log.Info(telemetry.EventVersion,
-			"version", next.Version(), "digest", next.Digest().String(), "objects", next.Len())
+		s.node.log.Info(telemetry.EventVersion, "version", next.Version(), "digest", next.Digest().String(),
+			"objects", next.Len(), "unavailableRoutes", len(next.Unavailable()))
 	})
 	return nil
 }
--- a/object/decode.go
+++ b/object/decode.go
@@ -38,7 +38,7 @@
 func (d *fileDecoder) decodeFile(b []byte) []*Object {
 	var top map[string]json.RawMessage
 	if err := json.Unmarshal(b, &top); err != nil {
-		d.report("", "", "%s", describeError(err, b))
+		d.report("", "", "%s", DescribeError(err, b))
 		return nil
 	}
 	list, ok := top["objects"]
@@ -54,7 +54,7 @@
 	}
 	var raws []json.RawMessage
 	if err := json.Unmarshal(list, &raws); err != nil {
-		d.report("", "objects", "%s", describeError(err, list))
+		d.report("", "objects", "%s", DescribeError(err, list))
 		return nil
 	}
 	var objects []*Object
@@ -71,7 +71,7 @@
 func (d *fileDecoder) decodeObject(label string, b []byte) *Object {
 	var raw decoded
 	if err := json.Unmarshal(b, &raw); err != nil {
-		d.report(label, fieldOf(err), "%s", describeError(err, b))
+		d.report(label, FieldOf(err), "%s", DescribeError(err, b))
 		return nil
 	}
 	o := &Object{Kind: raw.Kind, Name: raw.Name, Revision: raw.Revision, Author: raw.Author}
@@ -99,10 +99,10 @@
 	d.checkUnknownFields(label, "spec.", b, reflect.TypeOf(spec).Elem())
 	if err := json.Unmarshal(b, spec); err != nil {
 		field := "spec"
-		if f := fieldOf(err); f != "" {
+		if f := FieldOf(err); f != "" {
 			field += "." + f
 		}
-		d.report(label, field, "%s", describeError(err, b))
+		d.report(label, field, "%s", DescribeError(err, b))
 	}
 }
 
@@ -141,8 +141,8 @@
 	return keys
 }
 
-// fieldOf returns the path of the field in a decoding error, or "".
-func fieldOf(err error) string {
+// FieldOf returns the path of the field in a decoding error, or "".
+func FieldOf(err error) string {
 	var t *json.UnmarshalTypeError
 	if errors.As(err, &t) {
 		return t.Field
@@ -150,8 +150,8 @@
 	return ""
 }
 
-// describeError converts a decoding error to the Reason of a Fault.
-func describeError(err error, b []byte) string {
+// DescribeError converts a decoding error to the Reason of a Fault.
+func DescribeError(err error, b []byte) string {
 	var syntax *json.SyntaxError
 	if errors.As(err, &syntax) {
 		line := 1 + strings.Count(string(b[:min(int(syntax.Offset), len(b))]), "\n")
--- a/object/object.go
+++ b/object/object.go
@@ -90,6 +90,9 @@
 	Kind       WorkKind          `json:"kind,omitempty"`       // default page
 	Fallback   string            `json:"fallback,omitempty"`   // route used when the service has no reachable endpoint
 	RequireKey bool              `json:"requireKey,omitempty"` // calls need the key of an Organisation
+	// Unavailable, unless empty, is the reason why all calls are refused with 503. Such a
+	// route has no service, split or fallback.
+	Unavailable string `json:"unavailable,omitempty"`
 }
 
 // WeightedService is a service that receives a share of a route's calls.
--- a/object/validate.go
+++ b/object/validate.go
@@ -21,6 +21,7 @@
 	MaxAttempts          = math.MaxInt32 // endpoints per call
 	MaxConnections       = 1_000_000     // to one target
 	MaxWeight            = 1_000_000     // of one service of a route
+	MaxReasonBytes       = 1024          // of RouteSpec.Unavailable
 
 	maxRetries             = 3
 	maxMethods             = 16
@@ -117,7 +118,8 @@
 }
 
 func (v *validator) checkRoute(o *Object, r *RouteSpec) {
-	v.checkReference(o, "spec.service", KindService, r.Service, len(r.Split) == 0)
+	v.checkUnavailable(o, r)
+	v.checkReference(o, "spec.service", KindService, r.Service, len(r.Split) == 0 && r.Unavailable == "")
 	v.checkSplit(o, r)
 	v.checkReference(o, "spec.policy", KindPolicy, r.Policy, false)
 	v.checkReference(o, "spec.fallback", KindRoute, r.Fallback, false)
@@ -137,6 +139,16 @@
 	}
 }
 
+// checkUnavailable checks a route whose calls are refused.
+func (v *validator) checkUnavailable(o *Object, r *RouteSpec) {
+	if len(r.Unavailable) > MaxReasonBytes {
+		v.report(o, "spec.unavailable", "has %d bytes, at most %d are allowed", len(r.Unavailable), MaxReasonBytes)
+	}
+	if r.Unavailable != "" && (r.Service != "" || len(r.Split) > 0 || r.Fallback != "") {
+		v.report(o, "spec.unavailable", "given besides spec.service, spec.split or spec.fallback")
+	}
+}
+
 // checkSplit checks the weighted services of a route.
 func (v *validator) checkSplit(o *Object, r *RouteSpec) {
 	if r.Service != "" && len(r.Split) > 0 {
--- a/proxy/cause.go
+++ b/proxy/cause.go
@@ -14,6 +14,7 @@
 	causeCallerGone   cause = "caller_gone"      // the caller disconnected
 	causeNoConfig     cause = "no_configuration" // no configuration version has been applied yet
 	causeNoRoute      cause = "no_route"
+	causeUnavailable  cause = "unavailable" // the route is unavailable in the configuration in force
 	causeMissingKey   cause = "missing_key" // the route needs an API key, and the call has none
 	causeUnknownKey   cause = "unknown_key" // the API key belongs to no organisation
 	causeQuota        cause = "quota"       // the organisation of the call has no credit left
@@ -37,7 +38,7 @@
 
 // allCauses lists all causes, to register their metrics.
 var allCauses = append([]cause{
-	causeBadRequest, causeBody, causeCallerGone, causeNoConfig, causeNoRoute, causeMissingKey, causeUnknownKey, causeQuota, causeNoTime, causeNoEndpoint,
+	causeBadRequest, causeBody, causeCallerGone, causeNoConfig, causeNoRoute, causeUnavailable, causeMissingKey, causeUnknownKey, causeQuota, causeNoTime, causeNoEndpoint,
 	causeAllFull, causeStopping, causeNoTarget, causeOtherService, causeTarget, causeUnreachable, causeUnsent,
 	causeAnswerLost, causeAnswerCut, causeKey, causeMemory, causeStreams, causeElsewhere, causeOtherNode,
 }, gateCauses()...)
--- a/proxy/outbound.go
+++ b/proxy/outbound.go
@@ -143,6 +143,13 @@
 	if res == nil {
 		return &refusal{status: http.StatusNotFound, outcome: OutcomeNotRun, cause: causeNoRoute, reason: "no route matches"}
 	}
+	if res.Route.Unavailable != "" {
+		c.work.class, c.kind = res.Name, ParseKind(string(res.Route.Kind))
+		if invalid == nil {
+			c.setDeadline(timeoutOf(res.Policy, c.kind), callerInfo) // retryAfter needs the deadline
+		}
+		return unavailable(res)
+	}
 	res = o.resolveSplit(res)
 	c.kind = ParseKind(string(res.Route.Kind))
 	if invalid != nil {
@@ -170,6 +177,11 @@
 	return o.route(c, res)
 }
 
+// unavailable returns the refusal of calls on a route that is unavailable.
+func unavailable(res *snapshot.ResolvedRoute) *refusal {
+	return notRun(causeUnavailable, "the route is unavailable: "+res.Route.Unavailable, nil)
+}
+
 // resolveSplit returns the route bound to the service that gets this call: for a
 // split route, the next service in turn.
 func (o *Outbound) resolveSplit(res *snapshot.ResolvedRoute) *snapshot.ResolvedRoute {
--- a/proxy/where.go
+++ b/proxy/where.go
@@ -84,6 +84,11 @@
 	if res == nil {
 		return &refusal{status: http.StatusNotFound, outcome: OutcomeNotRun, cause: causeNoRoute, reason: "no route matches"}
 	}
+	if res.Route.Unavailable != "" {
+		p.Route, c.kind = res.Name, ParseKind(string(res.Route.Kind))
+		c.deadline = c.start.Add(timeoutOf(res.Policy, c.kind))
+		return unavailable(res)
+	}
 	res = o.peekSplit(res, p)
 	c.kind = ParseKind(string(res.Route.Kind))
 	p.Timeout = timeoutOf(res.Policy, c.kind)
--- a/snapshot/index.go
+++ b/snapshot/index.go
@@ -9,7 +9,8 @@
 	"siskingw/object"
 )
 
-// ResolvedRoute is a route with all its references resolved to the objects.
+// ResolvedRoute is a route with all its references resolved to the objects. A route that
+// is unavailable, see object.RouteSpec, has no service and no endpoint set.
 type ResolvedRoute struct {
 	Name        string
 	Route       *object.RouteSpec
@@ -252,6 +253,11 @@
 // addRoute resolves all references of a route except its fallback, which may
 // not be in the index yet.
 func (idx *index) addRoute(s *Snapshot, o *object.Object) error {
+	if o.Route.Unavailable != "" {
+		r, err := resolveRoutePolicy(s, o, ResolvedRoute{})
+		idx.byName[o.Name] = r
+		return err
+	}
 	if len(o.Route.Split) == 0 {
 		r, err := idx.resolveRoute(s, o, o.Route.Service)
 		idx.byName[o.Name] = r
@@ -277,7 +283,12 @@
 	if !ok {
 		return nil, danglingError(o.Key(), object.KindService, serviceName)
 	}
-	r := *service
+	return resolveRoutePolicy(s, o, *service)
+}
+
+// resolveRoutePolicy returns the resolved service as that of the route, with the policy
+// of the route if it has one.
+func resolveRoutePolicy(s *Snapshot, o *object.Object, r ResolvedRoute) (*ResolvedRoute, error) {
 	r.Name, r.Route = o.Name, o.Route
 	if o.Route.Policy == "" {
 		return &r, nil
@@ -295,6 +306,9 @@
 	if !ok {
 		return danglingError(object.Key{Kind: object.KindRoute, Name: r.Name}, object.KindRoute, r.Route.Fallback)
 	}
+	if fallback.Route.Unavailable != "" {
+		return nil // it serves no calls
+	}
 	r.Fallback = fallback
 	for _, weighted := range r.Split {
 		weighted.Route.Fallback = fallback
--- a/snapshot/index_test.go
+++ b/snapshot/index_test.go
@@ -34,6 +34,11 @@
 		return &object.Object{Kind: object.KindService, Name: n("name"),
 			Service: &object.ServiceSpec{EndpointSet: n("set"), Policy: opt("policy")}}
 	}
+	if rapid.IntRange(0, 4).Draw(t, "unavailable") == 0 {
+		return &object.Object{Kind: object.KindRoute, Name: n("name"), Route: &object.RouteSpec{
+			PathPrefix: "/" + opt("prefix"), Policy: opt("policy"), Unavailable: "for a reason",
+		}}
+	}
 	if rapid.IntRange(0, 3).Draw(t, "split") == 0 {
 		return &object.Object{Kind: object.KindRoute, Name: n("name"), Route: &object.RouteSpec{
 			PathPrefix: "/" + opt("prefix"), Policy: opt("policy"), Fallback: opt("fallback"),
@@ -124,3 +129,26 @@
 	}
 	is.True(s.Match("a.example", "") == nil)
 }
+
+// Guards against calls of an unavailable route that go to another route: to the one with
+// the next shorter prefix, or to it as a fallback.
+func TestUnavailableRoute(t *testing.T) {
+	is := is.New(t)
+	s, err := New(1, []*object.Object{
+		{Kind: object.KindEndpointSet, Name: "s", EndpointSet: &object.EndpointSetSpec{Announce: "s"}},
+		{Kind: object.KindService, Name: "s", Service: &object.ServiceSpec{EndpointSet: "s"}},
+		{Kind: object.KindRoute, Name: "all", Route: &object.RouteSpec{PathPrefix: "/", Service: "s", Fallback: "closed"}},
+		{Kind: object.KindRoute, Name: "closed", Route: &object.RouteSpec{PathPrefix: "/lots/", Unavailable: "for a reason"}},
+	})
+	is.NoErr(err)
+	is.Equal(s.Match("", "/lots/1").Name, "closed")
+	is.Equal(s.Match("", "/bids/1").Name, "all")
+	is.True(s.Match("", "/bids/1").Fallback == nil)
+	is.Equal(len(s.Unavailable()), 1)
+	next, err := s.WithChanges(2, []*object.Object{
+		{Kind: object.KindRoute, Name: "closed", Route: &object.RouteSpec{PathPrefix: "/lots/", Service: "s"}}}, nil)
+	is.NoErr(err)
+	is.Equal(next.Match("", "/lots/1").ServiceName, "s")
+	is.Equal(next.Match("", "/bids/1").Fallback.Name, "closed")
+	is.Equal(len(next.Unavailable()), 0)
+}
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -222,6 +222,18 @@
 	return all
 }
 
+// Unavailable returns the routes that are unavailable, sorted by name.
+func (s *Snapshot) Unavailable() []*object.Object {
+	var routes []*object.Object
+	for o := range s.All() {
+		if o.Route != nil && o.Route.Unavailable != "" {
+			routes = append(routes, o)
+		}
+	}
+	slices.SortFunc(routes, compareObjects)
+	return routes
+}
+
 func compareObjects(a, b *object.Object) int {
 	return a.Key().Compare(b.Key())
 }
