settings: accept any name that the platform gives to a place

What callers would see: in a deployment with a failure domain named red_bluff no node starts.

Cause: the settings hold the names of the instance, its region and its failure domain to the form of a DNS label. On the platform these names are given.

Change: on the platform such a name may have any form, up to 128 bytes.

Evidence: TestPlatformNamesOfAnyForm fails before with its first name, and TestPlacesOfAnyName too ("not a DNS label").

--- a/node/names_test.go
+++ b/node/names_test.go
@@ -82,3 +82,26 @@
 		return strings.Contains(first.log.String()+second.log.String(), "configuration has faults")
 	})
 }
+
+// Guards against nodes that do not start, do not find each other or do not serve because
+// of the name of their region or failure domain.
+func TestPlacesOfAnyName(t *testing.T) {
+	is := is.New(t)
+	s := newTestPlatform(t)
+	s.region, s.idPrefix = "Red_Bluff; größe/1 ", "Node_größe/; "
+	first, second := s.start(1), s.start(2)
+	s.publish(1)
+	eventually(t, "readiness", func() bool { return first.ready() == http.StatusOK && second.ready() == http.StatusOK })
+	second.startTarget(time.Millisecond)
+	eventually(t, "an answer through the other node", func() bool {
+		status, _, _ := first.call("POST", "/bids/1", "a1")
+		return status == http.StatusOK
+	})
+	c := admin.NewClient(fmt.Sprintf("%s:%d", first.ip, s.ports[3]))
+	defer c.Close()
+	eventually(t, "version 1 in force in both failure domains", func() bool {
+		st, err := c.Status(t.Context())
+		is.NoErr(err)
+		return len(st.Domains) == 2 && st.InForce(1)
+	})
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -20,14 +20,20 @@
 
 var labelPattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?$`)
 
+// maxPlatformName is the maximum length in bytes of a name that the platform gives.
+const maxPlatformName = 128
+
 // checker collects faults in the form "field: reason".
-type checker struct{ faults []string }
+type checker struct {
+	faults   []string
+	platform bool // names are those of the platform, which may have any form
+}
 
 func (c *checker) add(field, reason string) { c.faults = append(c.faults, field+": "+reason) }
 
 // check returns one Invalid error that lists every fault, or nil.
 func (s *Settings) check() error {
-	var c checker
+	c := checker{platform: s.Platform != nil}
 	c.name("id", s.ID)
 	c.name("region", s.Region)
 	c.name("failureDomain", s.FailureDomain)
@@ -50,7 +56,7 @@
 		c.seed("seeds["+strconv.Itoa(i)+"]", seed)
 	}
 	if s.Platform != nil {
-		c.platform(s)
+		c.platformSettings(s)
 	}
 	c.limits(&s.Limits)
 	c.within("balance.handOnPercent", s.Balance.HandOnPercent, 0, 100)
@@ -68,8 +74,13 @@
 	return nil
 }
 
+// name checks the name of an instance, region, failure domain or service. A node on the
+// platform must start with whatever name it is given.
 func (c *checker) name(field, v string) {
-	if !labelPattern.MatchString(v) {
+	switch {
+	case c.platform && (v == "" || len(v) > maxPlatformName):
+		c.add(field, strconv.Quote(v)+" does not have 1 to "+strconv.Itoa(maxPlatformName)+" bytes")
+	case !c.platform && !labelPattern.MatchString(v):
 		c.add(field, strconv.Quote(v)+" is not a DNS label of at most 63 lower-case characters")
 	}
 }
@@ -136,8 +147,8 @@
 	c.name(field+".failureDomain", s.FailureDomain)
 }
 
-// platform checks the settings of a node that runs on the users' platform.
-func (c *checker) platform(s *Settings) {
+// platformSettings checks the settings of a node that runs on the users' platform.
+func (c *checker) platformSettings(s *Settings) {
 	p := s.Platform
 	for _, a := range []struct{ field, addr string }{{"platform.control", p.Control}, {"platform.ready", p.Ready}} {
 		c.address(a.field, a.addr)
--- a/settings/platform_test.go
+++ b/settings/platform_test.go
@@ -53,6 +53,23 @@
 	}
 }
 
+// Guards against a node that does not start for the form of a name that the platform
+// gives to its instance, region or failure domain.
+func TestPlatformNamesOfAnyForm(t *testing.T) {
+	is := is.New(t)
+	for _, name := range []string{"red_bluff", "Red-Bluff", "red bluff/2", "größe", strings.Repeat("n", maxPlatformName)} {
+		for _, part := range []string{`"id":"sask-a-1"`, `"region":"sask"`, `"failureDomain":"sask-a"`} {
+			field, _, _ := strings.Cut(part, ":")
+			_, err := Parse([]byte(strings.Replace(validOnPlatform, part, field+`:"`+name+`"`, 1)))
+			is.NoErr(err)
+			for _, bad := range []string{"", name + strings.Repeat("n", maxPlatformName)} {
+				_, err := Parse([]byte(strings.Replace(validOnPlatform, part, field+`:"`+bad+`"`, 1)))
+				is.True(err != nil && strings.Contains(err.Error(), strings.Trim(field, `"`)))
+			}
+		}
+	}
+}
+
 // Guards against a deployment template with a field that Settings does not have:
 // no node of the fleet would start.
 func TestDeployTemplateParses(t *testing.T) {
