node: accept between nodes the headers that the operator allows to callers

What callers would see: with a limit on request headers above 64 KiB in the configuration, a request with a header of 64 KiB or more gets 431, though it is within the limit. Seen in a test only; found while reading what becomes of each value of a configuration.

Cause: the listener for calls of other nodes kept the default limit of 64 KiB. The caller's node accepted the header, the target's node did not.

Change: on the platform that listener accepts 16 KiB more than callers may send, and 80 KiB at least.

Evidence: TestHeaderWithinTheLimitReachesTheTarget failed before ("431 != 200") and passes; a header above the limit still gets 431.

--- a/node/calls.go
+++ b/node/calls.go
@@ -259,8 +259,11 @@
 	if s.member, err = kernel.Lookup[*memberService](k, nameMember); err != nil {
 		return err
 	}
-	return s.listen(nameInbound, s.node.settings.Listen.Inbound, proxy.NewConnServer(s.handler(),
-		proxy.ServerOptions{Log: s.node.log, Bodies: s.node.bodies(), Conns: s.node.clients.conns}))
+	server := proxy.ServerOptions{Log: s.node.log, Bodies: s.node.bodies(), Conns: s.node.clients.conns}
+	if s.node.settings.Platform != nil {
+		server.Limits = s.node.nodeLimits
+	}
+	return s.listen(nameInbound, s.node.settings.Listen.Inbound, proxy.NewConnServer(s.handler(), server))
 }
 
 // Stop refuses new calls, announces the drain and waits for the calls in
--- a/node/names_test.go
+++ b/node/names_test.go
@@ -105,3 +105,27 @@
 		return len(st.Domains) == 2 && st.InForce(1)
 	})
 }
+
+// Guards against a header within the operator's limit that a node takes from its caller and
+// the target's node refuses, because the limit between nodes is lower.
+func TestHeaderWithinTheLimitReachesTheTarget(t *testing.T) {
+	is := is.New(t)
+	s := newTestPlatform(t)
+	first, second := s.start(1), s.start(2)
+	const headerBytes = 512 << 10
+	config := bytes.Replace(standin.Config(1, testHost, testService), []byte(`"header_bytes":16384`),
+		fmt.Appendf(nil, `"header_bytes":%d`, headerBytes), 1)
+	_, err := s.mem.Put(t.Context(), standin.ConfigKey, config, 0)
+	is.NoErr(err)
+	second.startTarget(time.Millisecond)
+	eventually(t, "an answer", func() bool {
+		status, _, _ := first.call("POST", "/bids/1", "a1")
+		return status == http.StatusOK
+	})
+	for i, size := range []int{10 << 10, 63 << 10, 64 << 10, 100 << 10, headerBytes - 1<<10} {
+		status, _, _ := first.callWith("POST", "/bids/1", fmt.Sprint("b", i), "X-Long", strings.Repeat("x", size))
+		is.Equal(status, http.StatusOK)
+	}
+	status, _, _ := first.callWith("POST", "/bids/1", "c", "X-Long", strings.Repeat("x", headerBytes+1))
+	is.Equal(status, http.StatusRequestHeaderFieldsTooLarge)
+}
--- a/node/platform.go
+++ b/node/platform.go
@@ -234,6 +234,16 @@
 	}
 }
 
+// nodeHeaderBytes is the size in bytes by which the header of a call between nodes may
+// exceed that of its caller: the Siskingw- headers with the longest names.
+const nodeHeaderBytes = 16 << 10
+
+// nodeLimits returns the limits on connections of other nodes: a header that is within
+// the limit on callers is accepted between nodes as well.
+func (n *Node) nodeLimits() proxy.ServerLimits {
+	return proxy.ServerLimits{MaxHeaderBytes: max(n.callerLimits().MaxHeaderBytes, proxy.DefaultMaxHeaderBytes) + nodeHeaderBytes}
+}
+
 // idleTimeoutPercent is the idle timeout of caller connections as a percentage
 // of the time for which callers may leave them idle. It is above 100 so that no
 // request is sent on a connection that is being closed.
--- a/node/platform_test.go
+++ b/node/platform_test.go
@@ -220,6 +220,12 @@
 // call sends one request to the instance's outbound listener. When the request
 // fails, it returns status 0 and the error in body.
 func (in *instance) call(method, path, id string) (status int, header http.Header, body string) {
+	in.platform.t.Helper()
+	return in.callWith(method, path, id)
+}
+
+// callWith is call with more headers, of which it gets names and values by turns.
+func (in *instance) callWith(method, path, id string, headers ...string) (status int, header http.Header, body string) {
 	in.platform.t.Helper()
 	req, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", in.ip, in.platform.ports[0], path),
 		strings.NewReader("x"))
@@ -228,6 +234,9 @@
 	}
 	req.Host = testHost
 	standin.SetAttemptHeaders(req.Header, id, callDeadline)
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0, nil, err.Error()
--- a/proxy/server.go
+++ b/proxy/server.go
@@ -57,7 +57,8 @@
 	// an idle connection first and never sends a request on one that the server
 	// is closing.
 	defaultServerIdle     = 75 * time.Second
-	defaultMaxHeaderBytes = 64 << 10
+	// DefaultMaxHeaderBytes is the default of ServerOptions.MaxHeaderBytes.
+	DefaultMaxHeaderBytes = 64 << 10
 )
 
 // NewServer returns a net/http server for an Outbound or Inbound. It speaks
@@ -85,7 +86,7 @@
 		opts.IdleTimeout = defaultServerIdle
 	}
 	if opts.MaxHeaderBytes <= 0 {
-		opts.MaxHeaderBytes = defaultMaxHeaderBytes
+		opts.MaxHeaderBytes = DefaultMaxHeaderBytes
 	}
 	if opts.Bodies.MaxBuffered == 0 {
 		opts.Bodies.MaxBuffered = defaultMaxBufferedBytes
