soak: names of any form, and a route that cannot be put in force

Cause: no soak met a configuration whose names are no DNS labels, or with a fault.

Change: the service, the organisation, the failure domains and the routes of every run have names with characters that headers, paths and lists cannot carry as they are. Each version holds a route to a service that does not exist; callers use it, and no call of it may reach a target (TestServedCallOfUnavailableRouteIsFound).

--- a/bench/soak/callers.go
+++ b/bench/soak/callers.go
@@ -23,6 +23,7 @@
 	// Shares of the calls, 0 to 1.
 	bidShare           = 0.35
 	newestVersionShare = 0.12 // use the route that the newest version adds
+	closedShare        = 0.02 // use the route that serves no calls
 	cancelShare        = 0.04 // of the idempotent calls: the caller cancels them early
 	// responseGrace is how long a caller waits for the response after the deadline
 	// before it counts the request as unanswered.
@@ -60,7 +61,7 @@
 }
 
 // nextAttempt returns a random request: a GET on the route of the newest version,
-// a bid, or a plain GET.
+// a bid, a GET on the route that serves no calls, or a plain GET.
 func (s *cluster) nextAttempt(in *instance, id string, random *rand.Rand) *attempt {
 	a := &attempt{id: id, node: in.number, method: http.MethodGet, path: "/lots/" + id, idempotent: true, timeout: readTimeout}
 	switch p := random.Float64(); {
@@ -71,6 +72,8 @@
 		a.path = versionPath(a.version) + id
 	case p < newestVersionShare+bidShare:
 		a.method, a.path, a.idempotent, a.timeout = http.MethodPost, "/bids/"+id, false, bidTimeout
+	case p < newestVersionShare+bidShare+closedShare:
+		a.path = closedPath + id
 	}
 	in.mu.Lock()
 	a.restarts = in.restarts
--- a/bench/soak/check.go
+++ b/bench/soak/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -51,6 +52,9 @@
 			add("unchanged request", "%q at %s: no caller sent it", a.id, a.targetID)
 			continue
 		}
+		if strings.HasPrefix(attempt.path, closedPath) {
+			add("unavailable route", "%s reached %s", a.id, a.targetID)
+		}
 		faultFree := r.faultFree(attempt.node, a.arrivedAt.Add(-faultAftermath), a.arrivedAt, true)
 		if !attempt.canceledAt.IsZero() && a.arrivedAt.After(attempt.canceledAt.Add(cancelTimeout)) && faultFree {
 			lateArrivals++
--- a/bench/soak/check_test.go
+++ b/bench/soak/check_test.go
@@ -45,6 +45,17 @@
 		sentAt: after(10 * time.Second), endedAt: after(10*time.Second + 100*time.Millisecond), status: status, restarts: 1}
 }
 
+// Guards against a call of an unavailable route that reaches a target and is not counted.
+func TestServedCallOfUnavailableRouteIsFound(t *testing.T) {
+	is := is.New(t)
+	r := newRunHistory()
+	for id, path := range map[string]string{"a": closedPath + "a", "b": "/lots/b"} {
+		r.arriveAt(id, "", time.Second)
+		r.attempts[id].path = path
+	}
+	is.Equal(countByGuarantee(r), map[string]int{"unavailable route": 1})
+}
+
 // Guards against a broken response that a caller takes and the check does not count.
 func TestBrokenResponsesAreFound(t *testing.T) {
 	is := is.New(t)
--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -18,11 +18,13 @@
 )
 
 const (
-	host    = "lots.example"
-	service = "floor"
+	host = "lots.example"
+	// The names hold characters that headers, paths and separated lists cannot carry as
+	// they are.
+	service = "auction_Floor; 100%/größe"
 
 	// The organisation of all callers and its API key.
-	organisation    = "guild"
+	organisation    = "Guild_of größe; 1"
 	organisationKey = "soak-key-1"
 
 	// memoryMB is the memory of each instance's machine in MiB.
@@ -112,7 +114,7 @@
 		return nil, err
 	}
 	for n := range opts.Instances {
-		in := &instance{number: n, name: fmt.Sprintf("n-%d", n), domain: fmt.Sprintf("d-%d", n/perDomain), ip: s.ip(n)}
+		in := &instance{number: n, name: fmt.Sprintf("n-%d", n), domain: fmt.Sprintf("D_%d/größe", n/perDomain), ip: s.ip(n)}
 		s.links.Place(in.ip, in.name)
 		for _, port := range []int{portInbound, portPeer} {
 			if err := s.links.Forward(hostPort(s.relayIP(n), port), hostPort(in.ip, port), in.name); err != nil {
@@ -202,13 +204,19 @@
 	return nil
 }
 
+// closedPath is the prefix of a route to a service that does not exist. It is below that
+// of a sound route, which must not get its calls.
+const closedPath = "/lots/closed/"
+
 // publish writes the next configuration version, which adds a route, to the store.
 func (s *cluster) publish(ctx context.Context) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
 	s.prefixes = append(s.prefixes, versionPath(s.version))
-	config := standin.WithOrganisation(standin.ConfigWith(s.version, host, service, s.prefixes), organisation, organisationKey, 0)
+	config := standin.ConfigWith(s.version, host, service, s.prefixes)
+	config = standin.WithRouteToNowhere(config, host, "Closed_route", closedPath)
+	config = standin.WithOrganisation(config, organisation, organisationKey, 0)
 	_, err := s.store.mem.Put(ctx, standin.ConfigKey, config, 0)
 	if err != nil {
 		return errdefs.Internal.Wrap(err, "configuration")
--- a/node/names_test.go
+++ b/node/names_test.go
@@ -54,11 +54,7 @@
 	s.publish(1)
 	eventually(t, "readiness", func() bool { return first.ready() == http.StatusOK && second.ready() == http.StatusOK })
 	second.startTarget(time.Millisecond)
-	config := standin.ConfigWithRoute(2, testHost, "no_such_service", "photos", "/lots/photos/")
-	config = bytes.ReplaceAll(config, []byte(`null,2,"no_such_service"],`), []byte(`null,2,"floor"],`))
-	config = bytes.ReplaceAll(config, []byte(`["no_such_service","`), []byte(`["floor","`))
-	config = bytes.Replace(config, []byte(`1500,800,1,null,2,"no_such_service"]`), []byte(`1500,800,1,null,2,"floor"]`), 1)
-	is.Equal(bytes.Count(config, []byte("no_such_service")), 1)
+	config := standin.WithRouteToNowhere(standin.Config(2, testHost, testService), testHost, "photos", "/lots/photos/")
 	_, err := s.mem.Put(t.Context(), standin.ConfigKey, config, 0)
 	is.NoErr(err)
 	eventually(t, "the second version on both nodes", func() bool {
@@ -76,7 +72,7 @@
 		st, err := c.Status(t.Context())
 		is.NoErr(err)
 		is.Equal(st.Unavailable, []admin.UnavailableRoute{
-			{Route: "photos", Reason: "spec.service: Service/no_such_service does not exist"}})
+			{Route: "photos", Reason: "spec.service: Service/nowhere does not exist"}})
 	}
 	eventually(t, "a log line of the node that read the version", func() bool {
 		return strings.Contains(first.log.String()+second.log.String(), "configuration has faults")
