--- a/settings/platform_test.go
+++ b/settings/platform_test.go
@@ -70,6 +70,27 @@
 	}
 }
 
+// Guards against a node that does not start because the platform writes a whole number
+// with a decimal point, or gives a fraction.
+func TestPlatformNumbersOfAnyForm(t *testing.T) {
+	is := is.New(t)
+	for _, part := range []string{`"heartbeatMs":1500`, `"drainMs":2000`, `"memoryMB":128`, `"maxFiles":512`, `"quotaSlack":7`} {
+		field, number, _ := strings.Cut(part, ":")
+		conf := strings.Replace(validOnPlatform, `"retryRatio"`, `"quotaSlack":7,"quotaWindowS":10,"retryRatio"`, 1)
+		want, err := Parse([]byte(conf))
+		is.NoErr(err)
+		for _, form := range []string{".0", ".3", "e0"} {
+			s, err := Parse([]byte(strings.Replace(conf, part, field+":"+number+form, 1)))
+			is.NoErr(err)
+			is.Equal(s, want)
+		}
+		for _, bad := range []string{`"` + number + `"`, "1e300", "-1"} {
+			_, err = Parse([]byte(strings.Replace(conf, part, field+":"+bad, 1)))
+			is.True(errorx.IsOfType(err, errdefs.Invalid))
+		}
+	}
+}
+
 // Guards against a deployment template with a field that Settings does not have:
 // no node of the fleet would start.
 func TestDeployTemplateParses(t *testing.T) {
