--- a/cli/where.go
+++ b/cli/where.go
@@ -69,7 +69,7 @@
 		fmt.Fprintf(e.out, "goes to %s: %s\n", w.Chosen, w.Reason)
 	}
 	if w.Status != 0 {
-		fmt.Fprintf(e.out, "%.0f%% of such calls are refused with %d: %s\n", 100*w.RefusedShare, w.Status, w.Reason)
+		fmt.Fprintf(e.out, "%.0f%% of such calls are refused with %d: %s\n", 100*w.RefusedShare, w.Status, object.QuoteUnprintable(w.Reason))
 	}
 	if len(w.RetryAfterMs) == 2 {
 		fmt.Fprintf(e.out, "Retry-After %d to %d ms\n", w.RetryAfterMs[0], w.RetryAfterMs[1])
