--- a/proxy/server.go
+++ b/proxy/server.go
@@ -56,7 +56,7 @@
 	// defaultServerIdle is above defaultPoolIdle, so that the client side closes
 	// an idle connection first and never sends a request on one that the server
 	// is closing.
-	defaultServerIdle     = 75 * time.Second
+	defaultServerIdle = 75 * time.Second
 	// DefaultMaxHeaderBytes is the default of ServerOptions.MaxHeaderBytes.
 	DefaultMaxHeaderBytes = 64 << 10
 )
