--- a/bench/soak/cluster.go
+++ b/bench/soak/cluster.go
@@ -165,8 +165,8 @@
 		Platform: &settings.Platform{
 			Control: hostPort(in.ip, portControl), Ready: hostPort(in.ip, portReady), Service: service,
 			TargetAddress: hostPort(in.ip, portTarget),
-			SeedHosts:     hosts, HeartbeatMs: settings.Whole(targetHeartbeat.Milliseconds()),
-			DrainMs: settings.Whole(drainTimeout.Milliseconds()), GraceS: stopTimeout.Seconds(),
+			SeedHosts:     hosts, HeartbeatMs: int(targetHeartbeat.Milliseconds()),
+			DrainMs: int(drainTimeout.Milliseconds()), GraceS: stopTimeout.Seconds(),
 			RetryRatio: retryBudgetRatio, RetrySlack: retryBudgetSlack, RetryWindowS: retryBudgetWindow.Seconds(),
 			CanaryShare: share,
 			MemoryMB:    memoryMB, MaxFiles: 4000, LinkMbps: 1000,
--- a/settings/check.go
+++ b/settings/check.go
@@ -170,19 +170,19 @@
 	for i, host := range p.SeedHosts {
 		c.address("platform.seedHosts["+strconv.Itoa(i)+"]", host)
 	}
-	c.within("platform.heartbeatMs", int(p.HeartbeatMs), 1, 60_000)
-	c.within("platform.drainMs", int(p.DrainMs), 1, 600_000)
+	c.within("platform.heartbeatMs", p.HeartbeatMs, 1, 60_000)
+	c.within("platform.drainMs", p.DrainMs, 1, 600_000)
 	c.withinFloat("platform.graceS", p.GraceS, minGraceS, maxSeconds)
 	c.withinFloat("platform.retryRatio", p.RetryRatio, 0, 1)
 	c.withinFloat("platform.retrySlack", p.RetrySlack, 0, 1_000_000)
 	c.withinFloat("platform.retryWindowS", p.RetryWindowS, 0, maxSeconds)
 	c.withinFloat("platform.quotaWindowS", p.QuotaWindowS, 0, maxSeconds)
 	c.withinFloat("platform.quotaOver", p.QuotaOver, 0, 1)
-	c.within("platform.quotaSlack", int(p.QuotaSlack), 0, 1_000_000)
+	c.within("platform.quotaSlack", p.QuotaSlack, 0, 1_000_000)
 	c.withinFloat("platform.canaryShare", p.CanaryShare, 0, 1)
-	c.within("platform.memoryMB", int(p.MemoryMB), 0, 1<<20)
+	c.within("platform.memoryMB", p.MemoryMB, 0, 1<<20)
 	c.withinFloat("platform.linkMbps", p.LinkMbps, 0, maxLinkMbps)
-	c.within("platform.maxFiles", int(p.MaxFiles), 0, 1<<30)
+	c.within("platform.maxFiles", p.MaxFiles, 0, 1<<30)
 }
 
 // withinFloat adds a fault if v is not within low to high.
--- a/settings/limits.go
+++ b/settings/limits.go
@@ -90,30 +90,26 @@
 func (l *Limits) BodyStall() time.Duration { return time.Duration(l.BodyStallMs) * time.Millisecond }
 
 func (l *Limits) fillDefaults(p *Platform) {
-	memoryMB, maxFiles := 0, 0
-	if p != nil {
-		memoryMB, maxFiles = int(p.MemoryMB), int(p.MaxFiles)
+	if p != nil && p.MemoryMB > 0 {
+		setDefault(&l.CallMemoryMB, max(1, p.MemoryMB*callMemoryPercent/100))
 	}
-	if memoryMB > 0 {
-		setDefault(&l.CallMemoryMB, max(1, memoryMB*callMemoryPercent/100))
-	}
-	if maxFiles > 0 {
-		files := max(maxFiles-baseFiles-maxFiles/baseFilesShare, 0)
+	if p != nil && p.MaxFiles > 0 {
+		files := max(p.MaxFiles-baseFiles-p.MaxFiles/baseFilesShare, 0)
 		connections := max(1, files*connectionsPercent/100)
-		if memoryMB > 0 {
-			connections = min(connections, memoryMB*connMemoryPercent*((1<<20)/connBytes)/100)
+		if p.MemoryMB > 0 {
+			connections = min(connections, p.MemoryMB*connMemoryPercent*((1<<20)/connBytes)/100)
 		}
 		setDefault(&l.Connections, max(1, connections))
-		setDefault(&l.OtherConnections, max(minOtherConnections, maxFiles/otherConnectionsShare))
+		setDefault(&l.OtherConnections, max(minOtherConnections, p.MaxFiles/otherConnectionsShare))
 		setDefault(&l.DialedConnections, max(1, files*dialedConnectionsPercent/100))
 		peers := files * peerConnectionsPercent / 100
-		if memoryMB > 0 {
-			peers = min(peers, memoryMB*peerConnMemoryPercent*((1<<20)/peerConnBytes)/100)
+		if p.MemoryMB > 0 {
+			peers = min(peers, p.MemoryMB*peerConnMemoryPercent*((1<<20)/peerConnBytes)/100)
 		}
 		setDefault(&l.PeerConnections, max(minPeerConnections, peers))
 	}
-	if memoryMB > 0 {
-		setDefault(&l.PeerMemoryMB, max(minPeerMemoryMB, memoryMB*peerMemoryPercent/100))
+	if p != nil && p.MemoryMB > 0 {
+		setDefault(&l.PeerMemoryMB, max(minPeerMemoryMB, p.MemoryMB*peerMemoryPercent/100))
 	}
 	setDefault(&l.PeerMemoryMB, defaultPeerMemoryMB)
 	setDefault(&l.CallMemoryMB, defaultCallMemoryMB)
--- a/settings/limits_test.go
+++ b/settings/limits_test.go
@@ -20,7 +20,7 @@
 	} {
 		is := is.New(t)
 		var l Limits
-		l.fillDefaults(&Platform{MemoryMB: Whole(machine.memoryMB), MaxFiles: Whole(machine.maxFiles)})
+		l.fillDefaults(&Platform{MemoryMB: machine.memoryMB, MaxFiles: machine.maxFiles})
 		is.Equal(l.CallMemoryMB, machine.callMemoryMB)
 		is.Equal(l.Connections, machine.connections)
 		is.Equal(l.DialedConnections, machine.dialed)
--- a/settings/platform_test.go
+++ b/settings/platform_test.go
@@ -89,6 +89,8 @@
 			is.True(errorx.IsOfType(err, errdefs.Invalid))
 		}
 	}
+	_, err := Parse([]byte(strings.Replace(validOnPlatform, `"heartbeatMs"`, `"heartBeat":1,"heartbeatMs"`, 1)))
+	is.True(errorx.IsOfType(err, errdefs.Invalid)) // unknown fields are refused here as well
 }
 
 // Guards against a deployment template with a field that Settings does not have:
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -88,8 +88,8 @@
 	// ignored: all nodes have the same peer port.
 	SeedHosts []string `json:"seedHosts,omitempty"`
 
-	HeartbeatMs  Whole   `json:"heartbeatMs"`  // interval between announcements of a target
-	DrainMs      Whole   `json:"drainMs"`      // time after which a draining target must receive no new calls
+	HeartbeatMs  int     `json:"heartbeatMs"`  // interval between announcements of a target
+	DrainMs      int     `json:"drainMs"`      // time after which a draining target must receive no new calls
 	GraceS       float64 `json:"graceS"`       // time from SIGTERM to SIGKILL
 	RetryRatio   float64 `json:"retryRatio"`   // retries allowed per call, across the fleet
 	RetrySlack   float64 `json:"retrySlack"`   // additional retries allowed per RetryWindowS, across the fleet
@@ -97,13 +97,13 @@
 	// Quotas of organisations. All are 0 in deployments without quotas.
 	QuotaWindowS float64 `json:"quotaWindowS,omitempty"` // window over which an organisation's calls are counted
 	QuotaOver    float64 `json:"quotaOver,omitempty"`    // excess over a quota that is tolerated, as a share of it
-	QuotaSlack   Whole   `json:"quotaSlack,omitempty"`   // additional calls tolerated per window
+	QuotaSlack   int     `json:"quotaSlack,omitempty"`   // additional calls tolerated per window
 
 	// CanaryShare is 0 in deployments without roll-outs of target versions.
 	CanaryShare float64 `json:"canaryShare,omitempty"` // share of a service's calls, 0..1, that an unproven version may get
 
-	MemoryMB Whole   `json:"memoryMB"` // memory limit of the process; sets the runtime's soft limit
-	MaxFiles Whole   `json:"maxFiles"` // limit of the process's file descriptors
+	MemoryMB int     `json:"memoryMB"` // memory limit of the process; sets the runtime's soft limit
+	MaxFiles int     `json:"maxFiles"` // limit of the process's file descriptors
 	LinkMbps float64 `json:"linkMbps"` // bandwidth of the instance's network link, Mbit/s
 }
 
