object: name the fields in faults as they are written

What was seen, on reading the whole change: since faults of four fields named them spec.MaxConnections, spec.MaxHeaderBytes, spec.MaxBodyBytes and spec.MaxAttempts, which no file has.

Cause: a rename of constants also changed the texts of the same spelling. No test named these fields.

Change: the names are as before. Result: three rows of TestValidateReportsObjectAndField and TestValidateListener fail without the change (4 of 4) and pass with it.

--- a/object/object_test.go
+++ b/object/object_test.go
@@ -74,6 +74,9 @@
 		{"EndpointSet/floor", "spec.announce", `"auction-floor"`, `""`},
 		{"EndpointSet/floor", "spec.announce", `"auction-floor"`, `"` + tooLong + `"`},
 		{"EndpointSet/floor", "spec.minReady", `"minReady":2`, `"minReady":-2`},
+		{"Service/floor", "spec.maxConnections", `"protocol":"http"`, `"maxConnections":-1`},
+		{"Policy/quick", "spec.maxAttempts", `"retries":1`, `"maxAttempts":-1`},
+		{"Policy/quick", "spec.maxBodyBytes", `"retries":1`, `"maxBodyBytes":-1`},
 		{"Policy/quick", "spec.retries", `"retries":1`, `"retries":4`},
 		{"Policy/quick", "spec.queueTimeoutMs", `"retries":1`, `"queueTimeoutMs":501`},
 		{"Policy/quick", "spec.idempotentMethods", `"retries":1`, `"idempotentMethods":["POST"]`},
@@ -106,6 +109,18 @@
 	}
 }
 
+// Guards against a fault of a listener under another name than that of its field.
+func TestValidateListener(t *testing.T) {
+	is := is.New(t)
+	set := []*Object{{Kind: KindListener, Name: "l", Listener: &ListenerSpec{
+		MaxHeaderBytes: -1, MaxBodyBytes: -1, HeaderTimeoutMs: -1, IdleTimeoutMs: -1}}}
+	var got []string
+	for _, f := range FaultsOf(Validate(set)) {
+		got = append(got, f.Field)
+	}
+	is.Equal(got, []string{"spec.headerTimeoutMs", "spec.idleTimeoutMs", "spec.maxBodyBytes", "spec.maxHeaderBytes"})
+}
+
 // unusualNames are names that are no DNS labels.
 var unusualNames = []string{"lot_photos", "Lots", "-bids", "a.b", "..", "lots/photos", "Lots; 100%", "größe", "\u2028",
 	"\t\n\x00\x1b[2J", `"<&>"`, strings.Repeat("n", 64), strings.Repeat("n", MaxNameBytes)}
--- a/object/validate.go
+++ b/object/validate.go
@@ -114,7 +114,7 @@
 	if s.HealthPath != "" && !IsHealthPath(s.HealthPath) {
 		v.report(o, "spec.healthPath", "%q is not a path", s.HealthPath)
 	}
-	v.checkRange(o, "spec.MaxConnections", int64(s.MaxConnections), MaxConnections)
+	v.checkRange(o, "spec.maxConnections", int64(s.MaxConnections), MaxConnections)
 }
 
 func (v *validator) checkRoute(o *Object, r *RouteSpec) {
@@ -167,8 +167,8 @@
 }
 
 func (v *validator) checkListener(o *Object, l *ListenerSpec) {
-	v.checkRange(o, "spec.MaxHeaderBytes", int64(l.MaxHeaderBytes), MaxHeaderBytes)
-	v.checkRange(o, "spec.MaxBodyBytes", l.MaxBodyBytes, MaxBodyBytes)
+	v.checkRange(o, "spec.maxHeaderBytes", int64(l.MaxHeaderBytes), MaxHeaderBytes)
+	v.checkRange(o, "spec.maxBodyBytes", l.MaxBodyBytes, MaxBodyBytes)
 	v.checkRange(o, "spec.headerTimeoutMs", int64(l.HeaderTimeoutMs), MaxTimeout.Milliseconds())
 	v.checkRange(o, "spec.idleTimeoutMs", int64(l.IdleTimeoutMs), MaxTimeout.Milliseconds())
 }
@@ -181,13 +181,13 @@
 		v.checkRange(o, "spec.priority", int64(*p.Priority), MaxPriority)
 	}
 	v.checkRange(o, "spec.targetLatencyMs", int64(p.TargetLatencyMs), MaxTimeout.Milliseconds())
-	v.checkRange(o, "spec.MaxAttempts", int64(p.MaxAttempts), MaxAttempts)
+	v.checkRange(o, "spec.maxAttempts", int64(p.MaxAttempts), MaxAttempts)
 	v.checkRange(o, "spec.timeoutMs", int64(p.TimeoutMs), MaxTimeout.Milliseconds())
 	v.checkRange(o, "spec.retries", int64(p.Retries), maxRetries)
 	v.checkRange(o, "spec.retryBudgetPercent", int64(p.RetryBudgetPercent), maxPercent)
 	v.checkRange(o, "spec.queueLength", int64(p.QueueLength), maxQueueLength)
 	v.checkRange(o, "spec.queueTimeoutMs", int64(p.QueueTimeoutMs), MaxTimeout.Milliseconds())
-	v.checkRange(o, "spec.MaxBodyBytes", p.MaxBodyBytes, MaxBodyBytes)
+	v.checkRange(o, "spec.maxBodyBytes", p.MaxBodyBytes, MaxBodyBytes)
 	if p.TimeoutMs > 0 && p.QueueTimeoutMs > p.TimeoutMs {
 		v.report(o, "spec.queueTimeoutMs", "%d is more than timeoutMs %d", p.QueueTimeoutMs, p.TimeoutMs)
 	}
