node, cli: state which build runs and which version the store has delivered

Cause: neither the log nor a metric named the build, and the nodes that read the store did not state which version they had read.

One comparison of cli_test.go now includes the build.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -14,6 +14,7 @@
 import (
 	"time"
 
+	"siskingw/buildinfo"
 	"siskingw/object"
 	"siskingw/publish"
 	"siskingw/snapshot"
@@ -30,10 +31,11 @@
 	Entries []publish.HistoryEntry `json:"entries"`
 }
 
-// Version is the version in force on the responding node.
+// Version is the version in force on the responding node, and the build of that node.
 type Version struct {
 	Version uint64          `json:"version"` // 0: no version is in force
 	Digest  snapshot.Digest `json:"digest"`
+	Build   buildinfo.Info  `json:"build"` // empty for a node of a build that does not state it
 }
 
 // Status reports which version is in force in each failure domain, as far as the
--- a/admin/server.go
+++ b/admin/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-logr/logr"
 
+	"siskingw/buildinfo"
 	"siskingw/errdefs"
 	"siskingw/object"
 	"siskingw/publish"
@@ -153,9 +154,9 @@
 func (s *Server) version(*http.Request) (any, error) {
 	snap := s.current.Load()
 	if snap == nil {
-		return Version{}, nil
+		return Version{Build: buildinfo.Get()}, nil
 	}
-	return Version{Version: snap.Version(), Digest: snap.Digest()}, nil
+	return Version{Version: snap.Version(), Digest: snap.Digest(), Build: buildinfo.Get()}, nil
 }
 
 // uintParam returns the value of a query parameter, or defaultValue if it is absent
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -1,5 +1,5 @@
 // Package cli implements the operators' commands: check, apply, get, delete,
-// history, status, version, explain, rollout and where. Exit codes are those of package errdefs.
+// history, status, version, build, explain, rollout and where. Exit codes are those of package errdefs.
 package cli
 
 import (
@@ -48,7 +48,7 @@
 func register(c *subcommands.Commander, s streams) {
 	for _, cmd := range []command{
 		new(checkCommand), new(applyCommand), new(getCommand), new(deleteCommand),
-		new(historyCommand), new(statusCommand), new(versionCommand), new(explainCommand), new(rolloutCommand), new(whereCommand),
+		new(historyCommand), new(statusCommand), new(versionCommand), new(buildCommand), new(explainCommand), new(rolloutCommand), new(whereCommand),
 	} {
 		c.Register(&adapter{command: cmd, streams: s}, groupName)
 	}
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -20,6 +20,7 @@
 	"github.com/matryer/is"
 
 	"siskingw/admin"
+	"siskingw/buildinfo"
 	"siskingw/errdefs"
 	"siskingw/publish"
 	"siskingw/snapshot"
@@ -136,7 +137,7 @@
 	_, out, _ = r.run("version", "-o", "json")
 	var v admin.Version
 	is.NoErr(json.Unmarshal([]byte(out), &v))
-	is.Equal(v, admin.Version{Version: 3, Digest: r.current.Load().Digest()})
+	is.Equal(v, admin.Version{Version: 3, Digest: r.current.Load().Digest(), Build: buildinfo.Get()})
 }
 
 // Guards against wrong exit codes and incomplete fault lists, on which scripts
--- a/cli/read.go
+++ b/cli/read.go
@@ -11,6 +11,7 @@
 	"github.com/joomcode/errorx"
 
 	"siskingw/admin"
+	"siskingw/buildinfo"
 	"siskingw/errdefs"
 	"siskingw/object"
 )
@@ -97,11 +98,13 @@
 }
 
 // versionCommand implements "version", which prints the version in force on the
-// node.
+// node, and the node's build.
 type versionCommand struct{}
 
-func (*versionCommand) name() string          { return "version" }
-func (*versionCommand) synopsis() string      { return "show the version in force on the node" }
+func (*versionCommand) name() string { return "version" }
+func (*versionCommand) synopsis() string {
+	return "show the version in force on the node, and its build"
+}
 func (*versionCommand) usage() string         { return "" }
 func (*versionCommand) flags(f *flag.FlagSet) {}
 
@@ -110,7 +113,25 @@
 	if err != nil {
 		return err
 	}
-	return e.print(v, [][]string{{"VERSION", "DIGEST"}, {strconv.FormatUint(v.Version, 10), v.Digest.String()}})
+	return e.print(v, [][]string{{"VERSION", "DIGEST", "REVISION", "BUILD"},
+		{strconv.FormatUint(v.Version, 10), v.Digest.String(), v.Build.Revision, v.Build.ID}})
+}
+
+// buildCommand implements "build", which prints the build of the program itself.
+type buildCommand struct{}
+
+func (*buildCommand) name() string     { return "build" }
+func (*buildCommand) synopsis() string { return "show the build of this program" }
+func (*buildCommand) usage() string {
+	return `
+
+No node is asked; "version" shows the build of a node.`
+}
+func (*buildCommand) flags(*flag.FlagSet) {}
+
+func (*buildCommand) run(_ context.Context, e *env, _ []string) error {
+	b := buildinfo.Get()
+	return e.print(b, [][]string{{"REVISION", "BUILD", "GO", "PLATFORM"}, {b.Revision, b.ID, b.Go, b.Platform}})
 }
 
 // statusCommand implements "status", which shows in which failure domains a version
--- a/deploy/build_test.go
+++ b/deploy/build_test.go
@@ -105,3 +105,33 @@
 	is.NoErr(c.build())
 	is.Equal(c.run(), "new ")
 }
+
+// Guards against a program that does not name the commit it was built from, or names that
+// of another repository around its own.
+func TestBuildRecordsTheRevision(t *testing.T) {
+	is := is.New(t)
+	c := newCheckout(t)
+	git := func(args ...string) {
+		t.Helper()
+		cmd := exec.Command("git", append([]string{"-c", "user.name=a", "-c", "user.email=a@example.org"}, args...)...)
+		cmd.Dir = c.dir
+		if out, err := cmd.CombinedOutput(); err != nil {
+			t.Fatalf("git %v: %s", args, out)
+		}
+	}
+	git("init", "-q")
+	git("add", "deploy", "go.mod", "buildinfo", "cmd")
+	git("commit", "-q", "-m", "first")
+	is.NoErr(c.build())
+	is.True(regexp.MustCompile(`^new [0-9a-f]{40}$`).MatchString(c.run()))
+	c.write("go.mod", "module siskingw\n\ngo 1.26\n")
+	is.NoErr(c.build())
+	is.True(regexp.MustCompile(`^new [0-9a-f]{40}-dirty$`).MatchString(c.run()))
+
+	inner := newCheckout(t)
+	outside := inner.dir
+	inner.dir, inner.root = filepath.Join(c.dir, "inner"), c.root
+	is.NoErr(os.CopyFS(inner.dir, os.DirFS(outside)))
+	is.NoErr(inner.build())
+	is.Equal(inner.run(), "new ")
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"siskingw/admit"
+	"siskingw/buildinfo"
 	"siskingw/kernel"
 	"siskingw/member"
 	"siskingw/peer"
@@ -36,6 +37,13 @@
 
 func (s *metricsService) Stop(ctx context.Context) error { return s.shutdown(ctx) }
 
+// exportBuild exports the build of this process as labels of a gauge that is always 1.
+func exportBuild(set *metrics.Set) {
+	b := buildinfo.Get()
+	set.NewGauge(fmt.Sprintf("siskingw_build_info{revision=%q,build=%q,go=%q,platform=%q}", b.Revision, b.ID, b.Go, b.Platform),
+		func() float64 { return 1 })
+}
+
 // exportTraffic exports the bytes exchanged with other nodes by link class.
 func exportTraffic(set *metrics.Set, t *peer.Traffic) {
 	for _, c := range []peer.LinkClass{peer.SameDomain, peer.SameRegion, peer.CrossRegion} {
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
+	"siskingw/buildinfo"
 	"siskingw/kernel"
 	"siskingw/member"
 	"siskingw/organisation"
@@ -60,6 +61,7 @@
 	n.stateLog = newStateLog(n.log)
 	n.dir.OnChange(n.stateLog.logMembers)
 	exportState(n)
+	exportBuild(n.metrics)
 	n.clients = newClientLimits(n)
 	metrics.RegisterSet(n.metrics)
 	for _, svc := range n.services() {
@@ -113,7 +115,9 @@
 	if err != nil {
 		return err
 	}
-	n.log.Info(telemetry.EventStarting, "failureDomain", n.settings.FailureDomain, "incarnation", n.dir.Self().Incarnation)
+	build := buildinfo.Get()
+	n.log.Info(telemetry.EventStarting, "failureDomain", n.settings.FailureDomain, "incarnation", n.dir.Self().Incarnation,
+		"revision", build.Revision, "build", build.ID, "go", build.Go, "platform", build.Platform)
 	err = n.kernel.Run(ctx, stop, n.stopTimeout())
 	flushCtx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
--- a/spread/node.go
+++ b/spread/node.go
@@ -90,6 +90,7 @@
 	regionAcks       regionAcks
 	started          time.Time
 	loadingVersion   atomic.Uint64 // highest version that is being loaded from the store; 0 for none
+	storeVersion     atomic.Uint64 // highest version in the store that this node has read; 0 for none
 	storeContactMs   atomic.Int64  // monotonicMs of the last known contact with the store's region; 0 for never
 	lost             lostReaders
 	storeLost        atomic.Bool  // this node watches the store and has lost it
@@ -125,6 +126,7 @@
 		started:   time.Now(),
 	}
 	opts.Metrics.GetOrCreateGauge("siskingw_spread_version", func() float64 { return float64(n.current.Version()) })
+	opts.Metrics.GetOrCreateGauge("siskingw_spread_store_version", func() float64 { return float64(n.storeVersion.Load()) })
 	n.recovery.wake = make(chan struct{}, 1)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
--- a/spread/readers_test.go
+++ b/spread/readers_test.go
@@ -249,3 +249,20 @@
 		}
 	})
 }
+
+// Guards against a node that does not tell which version of the store it has read, so that
+// a version that is late cannot be told from one that the store has not delivered.
+func TestReadersStateTheVersionOfTheStore(t *testing.T) {
+	f, sourceOf := newFixedReaderFleet(26)
+	f.run(t, func(t *testing.T) {
+		elapse(10 * time.Second)
+		next, _ := f.publishChange()
+		elapse(time.Second)
+		for _, id := range f.watchers(sourceOf) {
+			n := f.procs[(fakeView{f, nil}).Lookup(id).PeerAddr].node
+			if got := n.storeVersion.Load(); got != next.Version() {
+				t.Errorf("%s states version %d of the store, want %d", id, got, next.Version())
+			}
+		}
+	})
+}
--- a/spread/storereader.go
+++ b/spread/storereader.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -162,6 +161,7 @@
 				return e.Err
 			}
 			n.recordStoreContact()
+			atomicMax(&n.storeVersion, e.Head.Version)
 			n.scheduleLoad(e.Head)
 		case <-check.C:
 			if !n.isReader() {
@@ -191,6 +191,7 @@
 	}
 	if err == nil {
 		n.recordStoreContact()
+		atomicMax(&n.storeVersion, h.Version)
 	}
 	return h, err
 }
@@ -254,7 +255,10 @@
 }
 
 // atomicMax sets a to v if v is higher.
-func atomicMax(a *atomic.Int64, v int64) {
+func atomicMax[T int64 | uint64](a interface {
+	Load() T
+	CompareAndSwap(old, new T) bool
+}, v T) {
 	for old := a.Load(); v > old; old = a.Load() {
 		if a.CompareAndSwap(old, v) {
 			return
