spread: an offer to a starting node is not a delivery

The other nodes of the region get the version only from the comparisons between relays.

Cause: a starting node answers WANT and takes the offer as a hint. The sender took every answer but REFUSED for success, so no other node took over the roles that the offer asks for.

Change: an answer of a node without a version in force counts as a failure, and the next candidate takes over. The starting node still uses the hint.

--- a/spread/forward.go
+++ b/spread/forward.go
@@ -361,7 +361,9 @@
 		reportFailure()
 		return
 	}
-	if reply.Status == peerpb.OfferReply_REFUSED {
+	if reply.Status == peerpb.OfferReply_REFUSED || reply.Version == 0 {
+		// A starting node takes the offer as a hint: it forwards nothing until its
+		// recovery ends, and performs no role that the offer asks for.
 		reportFailure()
 		return
 	}
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -226,6 +226,42 @@
 	}
 }
 
+// Guards against a version that waits for the comparisons between relays because it was
+// offered to a starting root or head: that node counted as having the version, but takes
+// over no role until its recovery ends.
+func TestStartingNodeDelaysByOneTakeoverTimeout(t *testing.T) {
+	for _, tc := range []struct {
+		domain string
+		rank   int
+	}{{"r0-d0", 0}, {"r0-d0", 1}, {"r0-d1", 0}, {"r1-d0", 0}, {"r1-d1", 0}, {"r1-d1", 1}} {
+		t.Run(fmt.Sprint(tc.domain, " rank ", tc.rank), func(t *testing.T) {
+			f := newFleet(15, 2, 2, 12)
+			f.run(t, func(t *testing.T) {
+				starting := f.at(tc.domain, tc.rank)
+				f.setRules(func() { // it gets offers but can fetch nothing
+					f.dropMessage = func(_ string, from, _ Peer) bool { return from.ID == starting.ID }
+				})
+				rejecting := &rejectableSource{fakeSource: f.source}
+				rejecting.rejecting.Store(true)
+				f.sourceFor = func(*member.Record) Source { return rejecting }
+				f.restart([]*member.Record{starting})
+				for _, origin := range []*member.Record{f.at("r0-d0", 11), f.at("r0-d1", 5), f.at("r1-d1", 3)} {
+					version, start := f.accept(origin), time.Now()
+					for len(f.behind(version)) > 1 {
+						if took := time.Since(start); took > takeoverTimeout+100*time.Millisecond {
+							t.Fatalf("change accepted at %s is not at %v after %s", origin.ID, f.behind(version), took)
+						}
+						time.Sleep(5 * time.Millisecond)
+					}
+					elapse(5 * time.Second)
+				}
+				f.setRules(func() { f.dropMessage = nil })
+				f.converge(t, f.source.latest().Version(), targetTime)
+			})
+		})
+	}
+}
+
 // Guards against a failure domain that gets no change while its membership has
 // not yet replaced relays that all crashed at once.
 func TestDomainWithoutRelaysIsReached(t *testing.T) {
