spread: a region's head refuses a version that no other node confirms

What was seen: in a search for versions that are late (nodes that reach others in one direction only): the head of a region gets a version from another region but reaches no node of its own. Those got the version from the comparisons between relays, up to 5.0 s later; the bound on the platform is 2.5 s.

Its sender offered it to no other node.

Change: without a confirmation it refuses the offer, and the sender tries the next relay, which acts as the head. A relay that has the version by then answers at once, so that a region whose nodes are slow costs one more message.

--- a/spread/receive.go
+++ b/spread/receive.go
@@ -45,7 +45,7 @@
 	case err == nil && n.current.Version() >= r.Version:
 		n.stats.applied.Inc()
 		if n.needsRegionAck(task.source) && !n.regionAcks.wait(n.ctx, r.Version) {
-			return n.reply(peerpb.OfferReply_REFUSED) // this node stops; the sender tries the next relay
+			return n.reply(peerpb.OfferReply_REFUSED) // the sender tries the next relay
 		}
 		return n.reply(peerpb.OfferReply_APPLIED)
 	case err == nil:
--- a/spread/region_acks.go
+++ b/spread/region_acks.go
@@ -15,10 +15,10 @@
 // confirmed.
 //
 // A node that applies a version from another region replies once another node
-// of its region has confirmed it. If a head crashes before it forwards the
-// version, its sender gets no reply and offers the version to the next relay.
-// Querying the region afterwards would cost a message on a metered link for
-// each change.
+// of its region has confirmed it, and refuses the offer if none does in time. If
+// a head crashes before it forwards the version, or reaches no node of its
+// region, its sender offers the version to the next relay. Querying the region
+// afterwards would cost a message on a metered link for each change.
 type regionAcks struct {
 	mu      sync.Mutex
 	version uint64
@@ -39,8 +39,8 @@
 	}
 }
 
-// wait waits until another node has the version, for at most regionAckTimeout.
-// It reports false only if ctx ends first.
+// wait waits until another node has the version. It reports false if none has
+// confirmed it after regionAckTimeout, or if ctx ends first.
 func (a *regionAcks) wait(ctx context.Context, version uint64) bool {
 	timeout := time.NewTimer(regionAckTimeout)
 	defer timeout.Stop()
@@ -58,7 +58,7 @@
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return true
+			return false
 		case <-ctx.Done():
 			return false
 		}
--- a/spread/spread_test.go
+++ b/spread/spread_test.go
@@ -262,6 +262,28 @@
 	}
 }
 
+// Guards against a region that gets a version only from the comparisons between relays,
+// up to 5 s later, because its head is reached from other regions but reaches no node of
+// its own: the head counted as having distributed the version.
+func TestHeadThatReachesNoNodeOfItsRegion(t *testing.T) {
+	for _, size := range []struct{ domains, nodes int }{{1, 2}, {2, 1}, {2, 4}, {2, 12}} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			f := newFleet(16, 3, size.domains, size.nodes)
+			f.run(t, func(t *testing.T) {
+				elapse(7 * time.Second)
+				head := f.at("r2-d0", 0)
+				f.setRules(func() { f.isCut = func(a, b Peer) bool { return a.ID == head.ID && b.Region == head.Region } })
+				for range 3 {
+					if took := f.converge(t, f.accept(f.at("r0-d0", 0)), targetTime); took > takeoverTimeout+100*time.Millisecond {
+						t.Errorf("took %s", took)
+					}
+					elapse(5 * time.Second)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a failure domain that gets no change while its membership has
 // not yet replaced relays that all crashed at once.
 func TestDomainWithoutRelaysIsReached(t *testing.T) {
