member: close connections of test links that are cut while they open

What was seen: TestClusterLifecycle failed once in the tests for arm64 under an emulator, beside other load: "cut: condition not met within 4s: n16: fd-2 unreachable: false". 4 further runs there and 42 on x86-64 passed.

Cause: the links of the test check for a cut, open the connection and only then note it. A connection that opens during the cut is not closed and goes on working, so that the failure domain is not cut off.

Change: the cut is checked again when the connection is noted.

--- a/member/cluster_test.go
+++ b/member/cluster_test.go
@@ -52,8 +52,12 @@
 			return nil, err
 		}
 		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.cut[link] { // since the check before
+			_ = c.Close()
+			return nil, errdefs.PeerUnavailable.New("link %v is cut", link)
+		}
 		l.open[c] = link
-		l.mu.Unlock()
 		return c, nil
 	}
 }
