build: do not cache the results of tests of programs

Cause: e2e and bench/soak build and start programs. The test cache of the go command sees the files that a test opens itself, not what the compiler reads for such a program, so that make test printed "(cached)" for both after a change of the program alone.

Change: make test and make race run them with -count=1, as e2e/crowd already was.

Result: shown by a run before the change; make test lists both without "(cached)" now.

--- a/Makefile
+++ b/Makefile
@@ -10,10 +10,12 @@
 space := $(empty) $(empty)
 SKIP := $(if $(KNOWN_RED),-skip '^($(subst $(space),|,$(strip $(KNOWN_RED))))$$')
 
-# These tests measure whole processes, so each runs apart from other tests. Their results
-# are not cached: the cache does not see the binary that they build.
+# The results of these tests are not cached: the cache does not see the programs that they build.
+PROGRAMS = ./e2e ./bench/soak
+
+# These tests measure whole processes, so each runs apart from other tests, and not cached either.
 ALONE = ./e2e/crowd
-TOGETHER = $(shell $(GO) list ./... | grep -v '/e2e/crowd$$')
+TOGETHER = $(shell $(GO) list ./... | grep -v -E '/(e2e|bench/soak|e2e/crowd)$$')
 
 .PHONY: build deploy test race soak lint fmt demo generate mutants
 
@@ -27,11 +29,13 @@
 test: build
 	@for t in $(KNOWN_RED); do echo "known red and passed over: $$t"; done
 	$(GO) test -timeout $(TEST_TIMEOUT) $(SKIP) $(TOGETHER)
+	$(GO) test -count=1 -timeout $(TEST_TIMEOUT) $(SKIP) $(PROGRAMS)
 	$(GO) test -count=1 -timeout $(TEST_TIMEOUT) $(SKIP) $(ALONE)
 
 race: build
 	@for t in $(KNOWN_RED); do echo "known red and passed over: $$t"; done
 	$(GO) test -race -timeout 20m $(SKIP) $(TOGETHER)
+	$(GO) test -race -count=1 -timeout 20m $(SKIP) $(PROGRAMS)
 	$(GO) test -race -count=1 -timeout 20m $(SKIP) $(ALONE)
 
 # Starts a small fleet of real processes, applies a configuration and sends calls.
