--- a/buildinfo/buildinfo_test.go
+++ b/buildinfo/buildinfo_test.go
@@ -34,6 +34,8 @@
 	}
 }
 
+// Guards against a panic, or an ID read from outside the note, when the sizes that a
+// damaged note states are wrong.
 func FuzzParseNote(f *testing.F) {
 	f.Add([]byte("\x04\x00\x00\x00\x03\x00\x00\x00\x04\x00\x00\x00Go\x00\x00a/b"))
 	f.Add([]byte("\x04\x00\x00\x00\xff\xff\xff\xff\x04\x00\x00\x00Go\x00\x00a/b"))
