--- a/buildinfo/buildinfo.go
+++ b/buildinfo/buildinfo.go
@@ -17,7 +17,7 @@
 // unknown stands for a part that could not be read.
 const unknown = "unknown"
 
-// Info identifies a build. Its fields are never empty.
+// Info identifies a build. Its zero value stands for a build that is not known.
 type Info struct {
 	// Revision is the commit, with the suffix "-dirty" if files had changed since.
 	Revision string `json:"revision"`
@@ -30,7 +30,8 @@
 	Platform string `json:"platform"`
 }
 
-// Get returns the build of this process. Parts that cannot be read are "unknown".
+// Get returns the build of this process. No field is empty: parts that cannot be read are
+// "unknown".
 var Get = sync.OnceValue(func() Info {
 	return Info{
 		Revision: cmp.Or(revision, stampedRevision(), unknown), ID: cmp.Or(readID("/proc/self/exe"), unknown),
