--- a/review/kit-3/storecases.go
+++ b/review/kit-3/storecases.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -106,7 +107,10 @@
 // rolloutUndone: a roll-out has completed and the old endpoints have stopped. The store
 // comes back from a copy that is older than the final status, and later all processes are
 // killed.
+//
+// TROUBLE=drill and TROUBLE=kill leave out the other one of the two.
 func rolloutUndone(r *rig, trouble bool) (verdict, error) {
+	drill, kill := trouble && os.Getenv("TROUBLE") != "kill", trouble && os.Getenv("TROUBLE") != "drill"
 	front, v1, err := startShop(r)
 	if err != nil {
 		return verdict{}, err
@@ -146,14 +150,14 @@
 		r.remove(i)
 	}
 	time.Sleep(500 * time.Millisecond)
-	if trouble {
+	if drill {
 		r.writeAgain(r.store.drill(time.Now().Add(-3*time.Second), 500*time.Millisecond))
 	}
 	time.Sleep(8 * time.Second) // the store is back and undisturbed, and all are in touch
 	share := float64(beforeOK.Load()) / float64(max(before.Load(), 1))
 	from.Store(time.Now().Add(time.Hour).UnixNano())
 	running := append(append([]*instance{}, front...), v2...)
-	if trouble {
+	if kill {
 		r.rec.log("rig", "all processes are killed")
 		for _, i := range running {
 			_ = i.cmd.Process.Signal(syscall.SIGKILL)
